--- /dev/null
+++ b/cmd/oleanderwall/main.go
@@ -0,0 +1,13 @@
+// Command oleanderwall runs an entry, and holds the commands for callers and
+// operators. Run it without arguments for the list of commands.
+package main
+
+import (
+	"os"
+
+	"github.com/oleanderwall/oleanderwall/internal/command"
+)
+
+func main() {
+	os.Exit(command.Run(os.Args[1:], command.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
+}
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,142 @@
+// Package command is the command line of oleanderwall: the daemon and the
+// commands for callers and operators.
+//
+// # Usage
+//
+//	os.Exit(command.Run(os.Args[1:], command.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
+//
+// # Errors
+//
+// The exit code is 0 on success, 1 when the command failed, and 2 when the
+// command line is wrong. Errors name what was wrong, where, and the remedy.
+package command
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"time"
+)
+
+// Streams are the standard streams of a command.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// The exit codes of the command line.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type verb struct {
+	summary string
+	run     func(ctx context.Context, args []string, st Streams) error
+}
+
+var verbs = map[string]verb{
+	"entry":          {"run the daemon", runEntry},
+	"check":          {"check a settings file", runCheck},
+	"job submit":     {"submit a job from a YAML or JSON file", runJobSubmit},
+	"job get":        {"show a job", runJobGet},
+	"request":        {"send one service request", runRequest},
+	"config get":     {"show the configuration in force", runConfigGet},
+	"config patch":   {"submit a patch against a numbered version", runConfigPatch},
+	"config history": {"list the versions of the configuration", runConfigHistory},
+	"service create": {"create a service", runServiceCreate},
+	"status":         {"show the status of an entry", runStatus},
+	"drain":          {"make an entry leave gracefully", runDrain},
+}
+
+// usageError is a mistake on the command line.
+type usageError struct{ message string }
+
+func (er *usageError) Error() string { return er.message }
+
+// Run runs the command line and returns the exit code.
+func Run(args []string, st Streams) int {
+	vb, rest, err := find(args)
+	if err != nil {
+		fmt.Fprintln(st.Err, "oleanderwall:", err)
+		printUsage(st.Err)
+		return exitUsage
+	}
+	err = vb.run(context.Background(), rest, st)
+	var ue *usageError
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case errors.As(err, &ue):
+		fmt.Fprintln(st.Err, "oleanderwall:", err)
+		return exitUsage
+	}
+	fmt.Fprintln(st.Err, "oleanderwall:", err)
+	return exitFailed
+}
+
+func find(args []string) (verb, []string, error) {
+	if len(args) == 0 {
+		return verb{}, nil, errors.New("no command given")
+	}
+	if vb, ok := verbs[args[0]]; ok {
+		return vb, args[1:], nil
+	}
+	if len(args) > 1 {
+		if vb, ok := verbs[args[0]+" "+args[1]]; ok {
+			return vb, args[2:], nil
+		}
+	}
+	return verb{}, nil, fmt.Errorf("unknown command %q", args[0])
+}
+
+func printUsage(out io.Writer) {
+	fmt.Fprintln(out, "usage: oleanderwall COMMAND [FLAGS]; COMMAND -h lists the flags")
+	names := make([]string, 0, len(verbs))
+	for name := range verbs {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Fprintf(out, "  %-16s %s\n", name, verbs[name].summary)
+	}
+}
+
+// flags returns a flag set that reports its errors instead of exiting.
+func flags(name string, st Streams) *flag.FlagSet {
+	fs := flag.NewFlagSet("oleanderwall "+name, flag.ContinueOnError)
+	fs.SetOutput(st.Err)
+	return fs
+}
+
+func parse(fs *flag.FlagSet, args []string) error {
+	if err := fs.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return err
+		}
+		return &usageError{message: err.Error()}
+	}
+	if fs.NArg() > 0 {
+		return &usageError{message: fmt.Sprintf("unexpected argument %q; %s -h lists the flags", fs.Arg(0), fs.Name())}
+	}
+	return nil
+}
+
+func required(name, val string) error {
+	if val == "" {
+		return &usageError{message: fmt.Sprintf("flag -%s is required", name)}
+	}
+	return nil
+}
+
+const commandTimeout = 2 * time.Minute
+
+func httpClient() *http.Client {
+	return &http.Client{Timeout: commandTimeout}
+}
--- /dev/null
+++ b/internal/command/operators.go
@@ -0,0 +1,125 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/google/uuid"
+
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
+	"github.com/oleanderwall/oleanderwall/internal/operator"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+const defaultOperators = "http://127.0.0.1:8081"
+
+// getJSON runs a command that prints the answer of one GET request.
+func getJSON[Rep any](ctx context.Context, name, path string, args []string, st Streams) error {
+	fs := flags(name, st)
+	base := fs.String("entry", defaultOperators, "URL of an entry for operators")
+	if err := parse(fs, args); err != nil {
+		return err
+	}
+	rep, err := jsonhttp.Call[jsonhttp.None, Rep](ctx, httpClient(), http.MethodGet, *base+path, jsonhttp.None{})
+	if err != nil {
+		return err
+	}
+	return printJSON(st.Out, rep)
+}
+
+func runConfigGet(ctx context.Context, args []string, st Streams) error {
+	return getJSON[configuration.Version](ctx, "config get", "/v1/configuration", args, st)
+}
+
+func runConfigHistory(ctx context.Context, args []string, st Streams) error {
+	return getJSON[[]configuration.Record](ctx, "config history", "/v1/configuration/history", args, st)
+}
+
+func runStatus(ctx context.Context, args []string, st Streams) error {
+	return getJSON[operator.Status](ctx, "status", "/v1/status", args, st)
+}
+
+func runDrain(ctx context.Context, args []string, st Streams) error {
+	fs := flags("drain", st)
+	base := fs.String("entry", defaultOperators, "URL of an entry for operators")
+	if err := parse(fs, args); err != nil {
+		return err
+	}
+	rep, err := jsonhttp.Call[jsonhttp.None, operator.Status](ctx, httpClient(), http.MethodPost, *base+"/v1/drain", jsonhttp.None{})
+	if err != nil {
+		return err
+	}
+	return printJSON(st.Out, rep)
+}
+
+func runConfigPatch(ctx context.Context, args []string, st Streams) error {
+	fs := flags("config patch", st)
+	base := fs.String("entry", defaultOperators, "URL of an entry for operators")
+	file := fs.String("file", "", "YAML or JSON file with the merge patch, - for standard input")
+	lastSeen := fs.Int64("last-seen", -1, "number of the version that the patch is stated against")
+	author := fs.String("author", "", "who makes the change")
+	id := fs.String("patch-id", "", "id of the patch; the same id sent again applies once")
+	if err := parse(fs, args); err != nil {
+		return err
+	}
+	if err := required("file", *file); err != nil {
+		return err
+	}
+	if *lastSeen < 0 {
+		return &usageError{message: "flag -last-seen is required; config get shows the present number"}
+	}
+	raw, err := readDocument(*file, st)
+	if err != nil {
+		return err
+	}
+	return submitPatch(ctx, *base, st, configuration.Patch{
+		LastSeen: configuration.Number(*lastSeen),
+		PatchID:  *id,
+		Author:   *author,
+		Patch:    raw,
+	})
+}
+
+func submitPatch(ctx context.Context, base string, st Streams, patch configuration.Patch) error {
+	if patch.PatchID == "" {
+		patch.PatchID = uuid.NewString()
+		fmt.Fprintf(st.Err, "patch-id=%s\n", patch.PatchID)
+	}
+	rep, err := jsonhttp.Call[configuration.Patch, operator.Accepted](ctx, httpClient(), http.MethodPatch, base+"/v1/configuration", patch)
+	if err != nil {
+		return err
+	}
+	return printJSON(st.Out, rep)
+}
+
+func runServiceCreate(ctx context.Context, args []string, st Streams) error {
+	fs := flags("service create", st)
+	base := fs.String("entry", defaultOperators, "URL of an entry for operators")
+	name := fs.String("name", "", "name of the service")
+	slots := fs.Int("slots", 8, "requests that one target runs at the same time")
+	connections := fs.Int("connections", 64, "connections that one target accepts")
+	author := fs.String("author", "", "who makes the change")
+	if err := parse(fs, args); err != nil {
+		return err
+	}
+	if err := required("name", *name); err != nil {
+		return err
+	}
+	present, err := jsonhttp.Call[jsonhttp.None, configuration.Version](ctx, httpClient(), http.MethodGet, *base+"/v1/configuration", jsonhttp.None{})
+	if err != nil {
+		return err
+	}
+	if _, ok := present.Document.Services[platform.ServiceName(*name)]; ok {
+		return fmt.Errorf("service %q exists already; change it with config patch", *name)
+	}
+	raw, err := json.Marshal(map[string]any{
+		"services": map[string]configuration.Service{*name: {Slots: *slots, Connections: *connections}},
+	})
+	if err != nil {
+		return fmt.Errorf("encode the patch: %w", err)
+	}
+	return submitPatch(ctx, *base, st, configuration.Patch{LastSeen: present.Number, Author: *author, Patch: raw})
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,244 @@
+// Package entry builds one entry, the daemon of oleanderwall, from its parts.
+//
+// # Usage
+//
+//	en, err := entry.New(settings, log)
+//	en.Start()
+//	<-signals
+//	abandoned := en.Shutdown(ctx)
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/caller"
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/job"
+	"github.com/oleanderwall/oleanderwall/internal/operator"
+	"github.com/oleanderwall/oleanderwall/internal/peer"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/settings"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+	"github.com/oleanderwall/oleanderwall/internal/target"
+	"github.com/oleanderwall/oleanderwall/internal/vmlist"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// Entry is one running entry process.
+type Entry struct {
+	set   settings.Settings
+	log   zerolog.Logger
+	inc   platform.Incarnation
+	board *blackboard.Board
+	cnt   *counter.Set
+	grp   *group.Group
+
+	callers   *httpServer
+	operators *httpServer
+	peers     *peer.Server
+	pool      *peer.Pool
+
+	vms     *vmlist.Poller
+	watcher *configuration.Watcher
+	targets *target.Dispatcher
+	jobs    *job.Manager
+
+	draining  atomic.Bool
+	drainOnce chan struct{}
+}
+
+// New builds an entry and opens its listeners.
+func New(set settings.Settings, log zerolog.Logger) (*Entry, error) {
+	en := &Entry{
+		set:       set,
+		log:       log,
+		inc:       platform.NewIncarnation(set.EntryID),
+		board:     &blackboard.Board{},
+		cnt:       counter.New(),
+		grp:       group.New(context.Background()),
+		pool:      peer.NewPool(),
+		drainOnce: make(chan struct{}, 1),
+	}
+	if err := en.listen(); err != nil {
+		en.closeListeners()
+		return nil, err
+	}
+	en.build()
+	return en, nil
+}
+
+func (en *Entry) build() {
+	hc := platformClient()
+	rows := table.New(en.set.Platform.Table, hc)
+	store := configuration.NewStore(rows)
+	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
+	en.watcher = configuration.NewWatcher(store, en, en.set.Timing.ConfigurationPoll.Std(), en.log)
+	en.targets = target.New(en.board, en.cnt)
+	en.jobs = job.New(job.Options{
+		Board:       en.board,
+		Rows:        rows,
+		Client:      hc,
+		Counters:    en.cnt,
+		Incarnation: en.inc,
+		Log:         en.log,
+	})
+	en.callers.handle(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router()))
+	en.operators.handle(operator.New(operator.Options{
+		Board:       en.board,
+		Store:       store,
+		Lifecycle:   en,
+		Counters:    en.cnt,
+		EntryID:     en.set.EntryID,
+		Incarnation: en.inc,
+		Zone:        en.set.AvailabilityZone,
+	}).Router())
+}
+
+// platformClient returns the HTTP client for the platform and the workers. Its
+// requests are idempotent or carry ids, so the resends of Go's transport are
+// harmless.
+func platformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
+func (en *Entry) listen() error {
+	var err error
+	if en.callers, err = newHTTPServer(en.set.Listen.Callers); err != nil {
+		return fmt.Errorf("listen.callers: %w", err)
+	}
+	if en.operators, err = newHTTPServer(en.set.Listen.Operators); err != nil {
+		return fmt.Errorf("listen.operators: %w", err)
+	}
+	if en.peers, err = peer.Listen(en.set.Listen.Peers); err != nil {
+		return fmt.Errorf("listen.peers: %w", err)
+	}
+	return nil
+}
+
+func (en *Entry) closeListeners() {
+	if en.callers != nil {
+		en.callers.close()
+	}
+	if en.operators != nil {
+		en.operators.close()
+	}
+	if en.peers != nil {
+		en.peers.Close()
+	}
+}
+
+// CallerAddress returns the address for callers as IP:PORT.
+func (en *Entry) CallerAddress() string { return en.callers.address() }
+
+// OperatorAddress returns the address for operators as IP:PORT.
+func (en *Entry) OperatorAddress() string { return en.operators.address() }
+
+// PeerAddress returns the address for other entries as IP:PORT.
+func (en *Entry) PeerAddress() string { return en.peers.Address() }
+
+// Counters returns the counters of the entry.
+func (en *Entry) Counters() *counter.Set { return en.cnt }
+
+// Configuration returns the configuration in force.
+func (en *Entry) Configuration() configuration.Version {
+	if version := en.board.Configuration.Load(); version != nil {
+		return *version
+	}
+	return configuration.Version{}
+}
+
+// Start begins to serve.
+func (en *Entry) Start() {
+	en.vms.Start()
+	en.watcher.Start()
+	en.jobs.Start()
+	en.peers.Start()
+	en.callers.start(en.grp)
+	en.operators.start(en.grp)
+	en.log.Info().
+		Str("entry", string(en.set.EntryID)).
+		Str("incarnation", string(en.inc)).
+		Str("zone", string(en.set.AvailabilityZone)).
+		Str("callers", en.CallerAddress()).
+		Str("operators", en.OperatorAddress()).
+		Str("peers", en.PeerAddress()).
+		Msg("entry-started")
+}
+
+// Publish puts a version of the configuration in force, unless its number is
+// not higher than the present one: a stale read must not revert a version.
+func (en *Entry) Publish(version configuration.Version) {
+	en.board.Configuration.Update(func(old *configuration.Version) *configuration.Version {
+		if old != nil && old.Number >= version.Number {
+			return old
+		}
+		en.log.Info().Int64("number", int64(version.Number)).Msg("configuration-in-force")
+		return &version
+	})
+}
+
+// The reasons why an entry takes no requests.
+var (
+	ErrNoConfiguration = errors.New("the entry holds no configuration yet; check that the table or a peer is reachable")
+	ErrNoVMList        = errors.New("the entry has not yet read the list of VMs; check that the platform is reachable")
+	ErrDraining        = errors.New("the entry is draining; use another entry")
+)
+
+// Ready returns nil when the entry takes requests, and the reason otherwise.
+func (en *Entry) Ready() error {
+	switch {
+	case en.draining.Load():
+		return ErrDraining
+	case en.board.Configuration.Load() == nil:
+		return ErrNoConfiguration
+	case en.board.VMs.Load() == nil:
+		return ErrNoVMList
+	}
+	return nil
+}
+
+// Drain makes the entry leave: readiness fails and Draining is signalled.
+func (en *Entry) Drain() {
+	if en.draining.CompareAndSwap(false, true) {
+		en.log.Info().Msg("drain-requested")
+		en.drainOnce <- struct{}{}
+	}
+}
+
+// Draining receives one value when an operator asks the entry to drain.
+func (en *Entry) Draining() <-chan struct{} { return en.drainOnce }
+
+// Shutdown drains the entry: readiness fails, requests are still accepted until
+// the balancer has noticed, and requests in flight finish, until ctx ends.
+func (en *Entry) Shutdown(ctx context.Context) error {
+	en.draining.Store(true)
+	sleepContext(ctx, en.set.Timing.BalancerNotice.Std())
+	err := en.callers.shutdown(ctx)
+	en.Close()
+	return err
+}
+
+// Close ends the entry at once and waits for its goroutines.
+func (en *Entry) Close() {
+	en.vms.Close()
+	en.watcher.Close()
+	en.jobs.Close()
+	en.targets.Close()
+	en.closeListeners()
+	en.pool.Close()
+	en.grp.Close()
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// httpServer is a listener with its HTTP server.
+type httpServer struct {
+	ln net.Listener
+	hs *http.Server
+}
+
+func newHTTPServer(addr string) (*httpServer, error) {
+	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	const headerTimeout = 10 * time.Second
+	return &httpServer{ln: ln, hs: &http.Server{ReadHeaderTimeout: headerTimeout}}, nil
+}
+
+func (sv *httpServer) address() string             { return sv.ln.Addr().String() }
+func (sv *httpServer) handle(handler http.Handler) { sv.hs.Handler = handler }
+
+func (sv *httpServer) start(grp *group.Group) {
+	grp.Go(func(context.Context) { _ = sv.hs.Serve(sv.ln) })
+}
+
+// shutdown stops accepting connections and waits for requests in flight.
+func (sv *httpServer) shutdown(ctx context.Context) error {
+	if err := sv.hs.Shutdown(ctx); err != nil {
+		return fmt.Errorf("requests were still in flight: %w", err)
+	}
+	return nil
+}
+
+func (sv *httpServer) close() {
+	_ = sv.hs.Close()
+	_ = sv.ln.Close()
+}
+
+// onlyReady refuses requests while the entry holds no configuration. A
+// draining entry still serves: the balancer may not have noticed yet.
+func (en *Entry) onlyReady(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+		err := en.Ready()
+		if err != nil && err != ErrDraining { //nolint:errorlint // Ready returns the sentinel itself
+			jsonhttp.WriteError(wr, outcome.Refuse(http.StatusServiceUnavailable, "not-ready", err.Error(), "use another entry or try again", time.Second))
+			return
+		}
+		next.ServeHTTP(wr, req)
+	})
+}
+
+func sleepContext(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/integration/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package integration
+
+const raceEnabled = false
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,97 @@
+// Package job admits jobs, starts their tasks on workers, and decides their
+// answers.
+//
+// # Usage
+//
+//	mg := job.New(job.Options{...})
+//	mg.Start()
+//	defer mg.Close()
+//	status, err := mg.Submit(ctx, job.Submission{ID: "job-1", Tasks: tasks})
+//	status, err = mg.Wait(ctx, "job-1", 10*time.Second)
+//
+// # Errors
+//
+// All methods return *outcome.Error. RefusedDidNotRun means that no task of the
+// submission has started.
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+// Submission is a job as a caller submits it.
+type Submission struct {
+	ID    platform.JobID  `json:"id,omitempty"`
+	Team  platform.TeamID `json:"team,omitempty"`
+	Tasks []TaskSpec      `json:"tasks"`
+}
+
+// TaskSpec is one task with its declared sizes.
+type TaskSpec struct {
+	Kind         platform.RequestKind `json:"kind,omitempty"`
+	Payload      json.RawMessage      `json:"payload,omitempty"`
+	Processors   platform.Cores       `json:"processors,omitempty"`
+	Memory       platform.Megabytes   `json:"memory-mb,omitempty"`
+	Accelerators int                  `json:"accelerators,omitempty"`
+	RunMillis    int64                `json:"run-millis,omitempty"`
+}
+
+// State is the state of a job.
+type State string
+
+// The states of a job. Complete and failed are final.
+const (
+	StateRunning  State = "running"
+	StateComplete State = "complete"
+	StateFailed   State = "failed"
+)
+
+// TaskFailure names a failed task and why it failed.
+type TaskFailure struct {
+	Task   int    `json:"task"`
+	Reason string `json:"reason"`
+}
+
+// Status is the state of a job with its answer once it is final.
+type Status struct {
+	ID       platform.JobID    `json:"id"`
+	State    State             `json:"state"`
+	Results  []json.RawMessage `json:"results,omitempty"`
+	Failures []TaskFailure     `json:"failures,omitempty"`
+}
+
+// Final tells whether the state can no longer change.
+func (st Status) Final() bool {
+	return st.State == StateComplete || st.State == StateFailed
+}
+
+// The largest values that a submission may hold.
+const (
+	maxIDLength = 128
+)
+
+func checkSubmission(sub Submission, maxTasks int) error {
+	refuse := func(reason, message, remedy string) error {
+		return outcome.Refuse(http.StatusBadRequest, reason, message, remedy, 0)
+	}
+	if len(sub.ID) > maxIDLength {
+		return refuse("invalid-id", fmt.Sprintf("the id is longer than %d bytes", maxIDLength), "shorten the id")
+	}
+	if len(sub.Tasks) == 0 {
+		return refuse("no-tasks", "the job has no tasks", "add at least one task")
+	}
+	if len(sub.Tasks) > maxTasks {
+		return refuse("too-many-tasks", fmt.Sprintf("the job has %d tasks; the limit is %d", len(sub.Tasks), maxTasks), "split the job")
+	}
+	for i, ts := range sub.Tasks {
+		if ts.Processors < 0 || ts.Memory < 0 || ts.Accelerators < 0 || ts.RunMillis < 0 {
+			return refuse("invalid-task", fmt.Sprintf("task %d declares a negative size", i), "correct the task")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jsonhttp/jsonhttp.go
@@ -0,0 +1,182 @@
+// Package jsonhttp carries JSON messages over HTTP, on the client and on the
+// server side, with bounded sizes and strict decoding.
+//
+// # Usage
+//
+//	reply, err := jsonhttp.Call[Query, Rows](ctx, client, http.MethodPost, url, query)
+//	router.Post("/rows", jsonhttp.Handle(srv.rows))
+//
+// # Errors
+//
+// Call returns a *StatusError for every answer outside 2xx; its Body holds the
+// answer, at most MaxBody bytes. A transport failure is returned as it is: the
+// request may have reached the server.
+package jsonhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+)
+
+// MaxBody bounds the size of a message, in bytes.
+const MaxBody = 16 << 20
+
+// StatusError is an answer outside 2xx.
+type StatusError struct {
+	Status int
+	Body   []byte
+}
+
+// Error returns the status and the start of the body.
+func (er *StatusError) Error() string {
+	const shown = 300
+	body := er.Body
+	if len(body) > shown {
+		body = body[:shown]
+	}
+	return fmt.Sprintf("HTTP status %d: %s", er.Status, bytes.TrimSpace(body))
+}
+
+// StatusOf returns the HTTP status in err, or 0 when err is no *StatusError.
+func StatusOf(err error) int {
+	var se *StatusError
+	if errors.As(err, &se) {
+		return se.Status
+	}
+	return 0
+}
+
+// None is the type of an absent message body.
+type None struct{}
+
+// Call sends req as JSON and decodes the answer. A request of type None has no
+// body.
+func Call[Req, Rep any](ctx context.Context, hc *http.Client, method, url string, req Req) (Rep, error) {
+	var rep Rep
+	var body io.Reader
+	if _, none := any(req).(None); !none {
+		raw, err := json.Marshal(req)
+		if err != nil {
+			return rep, fmt.Errorf("encode the request to %s: %w", url, err)
+		}
+		body = bytes.NewReader(raw)
+	}
+	hreq, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return rep, fmt.Errorf("build the request to %s: %w", url, err)
+	}
+	hreq.Header.Set("Content-Type", "application/json")
+	hrep, err := hc.Do(hreq)
+	if err != nil {
+		return rep, err
+	}
+	defer hrep.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(hrep.Body, MaxBody+1))
+	if err != nil {
+		return rep, fmt.Errorf("read the answer of %s: %w", url, err)
+	}
+	if len(raw) > MaxBody {
+		return rep, fmt.Errorf("the answer of %s is larger than %d bytes", url, MaxBody)
+	}
+	if hrep.StatusCode < 200 || hrep.StatusCode > 299 {
+		return rep, &StatusError{Status: hrep.StatusCode, Body: raw}
+	}
+	if len(raw) == 0 {
+		return rep, nil
+	}
+	if err := json.Unmarshal(raw, &rep); err != nil {
+		return rep, fmt.Errorf("decode the answer of %s: %w", url, err)
+	}
+	return rep, nil
+}
+
+// Handle adapts a typed function to an HTTP handler. The request body is
+// decoded strictly: an unknown field is an error of the client.
+func Handle[Req, Rep any](fn func(ctx context.Context, req Req) (Rep, error)) http.HandlerFunc {
+	return func(wr http.ResponseWriter, hreq *http.Request) {
+		var req Req
+		if err := Decode(hreq, &req); err != nil {
+			WriteError(wr, err)
+			return
+		}
+		rep, err := fn(hreq.Context(), req)
+		if err != nil {
+			WriteError(wr, err)
+			return
+		}
+		Write(wr, http.StatusOK, rep)
+	}
+}
+
+// Decode reads a JSON body strictly into into. A type None is not read.
+func Decode(hreq *http.Request, into any) error {
+	if _, none := into.(*None); none {
+		return nil
+	}
+	raw, err := io.ReadAll(io.LimitReader(hreq.Body, MaxBody+1))
+	if err != nil {
+		return badRequest("unreadable-body", "the body could not be read: "+err.Error(), "send the request again")
+	}
+	if len(raw) > MaxBody {
+		msg := fmt.Sprintf("the body is larger than %d bytes", MaxBody)
+		return outcome.Refuse(http.StatusRequestEntityTooLarge, "too-large", msg, "send a smaller body", 0)
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		return badRequest("invalid-json", "the body is not the expected JSON: "+err.Error(), "correct the body")
+	}
+	return nil
+}
+
+func badRequest(reason, message, remedy string) error {
+	return outcome.Refuse(http.StatusBadRequest, reason, message, remedy, 0)
+}
+
+// Write sends rep as JSON.
+func Write(wr http.ResponseWriter, status int, rep any) {
+	raw, err := json.Marshal(rep)
+	if err != nil {
+		WriteError(wr, fmt.Errorf("encode the answer: %w", err))
+		return
+	}
+	wr.Header().Set("Content-Type", "application/json")
+	wr.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	wr.WriteHeader(status)
+	_, _ = wr.Write(raw)
+}
+
+// ErrorBody is the JSON form of an *outcome.Error.
+type ErrorBody struct {
+	Outcome          outcome.Kind `json:"outcome"`
+	Reason           string       `json:"reason"`
+	Message          string       `json:"message"`
+	Remedy           string       `json:"remedy"`
+	RetryAfterMillis int64        `json:"retry-after-millis,omitempty"`
+}
+
+// WriteError sends err as an outcome with its status, reason and remedy.
+func WriteError(wr http.ResponseWriter, err error) {
+	oe := outcome.From(err)
+	wr.Header().Set(outcome.Header, string(oe.Outcome))
+	if oe.RetryAfter > 0 {
+		secs := int64((oe.RetryAfter + time.Second - 1) / time.Second)
+		wr.Header().Set("Retry-After", strconv.FormatInt(secs, 10))
+	}
+	Write(wr, oe.Status, ErrorBody{
+		Outcome:          oe.Outcome,
+		Reason:           oe.Reason,
+		Message:          oe.Message,
+		Remedy:           oe.Remedy,
+		RetryAfterMillis: oe.RetryAfter.Milliseconds(),
+	})
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,386 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/worker"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// WorkerOptions are the settings of a worker stand-in.
+type WorkerOptions struct {
+	ID           string
+	Processors   platform.Cores
+	Memory       platform.Megabytes
+	Accelerators int
+	UsageLag     time.Duration
+}
+
+// WorkerFaults are the faults of a worker stand-in.
+type WorkerFaults struct {
+	// FailAll fails every task right after its start.
+	FailAll bool `json:"fail-all,omitempty"`
+	// RefuseAll refuses every start.
+	RefuseAll bool `json:"refuse-all,omitempty"`
+	// SlowFactor multiplies run times (a straggler); 0 means 1.
+	SlowFactor float64 `json:"slow-factor,omitempty"`
+	// DropStartReplies closes the connection after a task has started.
+	DropStartReplies bool `json:"drop-start-replies,omitempty"`
+}
+
+// TaskPayload is the payload that a worker stand-in understands: what the task
+// really does, whatever its declared sizes say.
+type TaskPayload struct {
+	RunMillis    int64              `json:"run-millis"`
+	Answer       string             `json:"answer"`
+	Fail         bool               `json:"fail,omitempty"`
+	Processors   platform.Cores     `json:"processors,omitempty"`
+	Memory       platform.Megabytes `json:"memory-mb,omitempty"`
+	Accelerators int                `json:"accelerators,omitempty"`
+}
+
+// WorkerCounts are the observations of a worker stand-in.
+type WorkerCounts struct {
+	Starts  map[worker.TaskID]int `json:"starts"`
+	Stopped int64                 `json:"stopped"`
+	Lapsed  int64                 `json:"lapsed"`
+}
+
+type runningTask struct {
+	task    worker.Task
+	payload TaskPayload
+	report  worker.Report
+	began   time.Time
+	lease   time.Time
+	cancel  context.CancelFunc
+	share   float64
+}
+
+// Worker runs tasks under leases. It starts what it is given, whether it fits
+// or not; when more processors are asked for than it has, tasks slow down.
+type Worker struct {
+	opt    WorkerOptions
+	faults atomic.Pointer[WorkerFaults]
+	router chi.Router
+	grp    *group.Group
+
+	mu       sync.Mutex
+	tasks    map[worker.TaskID]*runningTask
+	finished []worker.Report
+	wake     chan struct{}
+	counts   WorkerCounts
+	usage    []worker.Usage
+	usageAt  []time.Time
+}
+
+// NewWorker returns a worker.
+func NewWorker(opt WorkerOptions) *Worker {
+	wk := &Worker{
+		opt:    opt,
+		router: chi.NewRouter(),
+		grp:    group.New(context.Background()),
+		tasks:  map[worker.TaskID]*runningTask{},
+		wake:   make(chan struct{}),
+		counts: WorkerCounts{Starts: map[worker.TaskID]int{}},
+	}
+	wk.faults.Store(&WorkerFaults{})
+	wk.router.Post("/tasks", wk.start)
+	wk.router.Get("/tasks/{id}", wk.get)
+	wk.router.Delete("/tasks/{id}", wk.stop)
+	wk.router.Post("/tasks/{id}/throttle", wk.throttle)
+	wk.router.Post("/tasks/{id}/checkpoint", func(http.ResponseWriter, *http.Request) {})
+	wk.router.Get("/finished", wk.listFinished)
+	wk.router.Post("/leases", jsonhttp.Handle(wk.renew))
+	wk.router.Get("/usage", jsonhttp.Handle(wk.reportUsage))
+	wk.router.Put("/control/faults", control(&wk.faults))
+	wk.router.Get("/control/counts", jsonhttp.Handle(func(context.Context, jsonhttp.None) (WorkerCounts, error) {
+		return wk.Counts(), nil
+	}))
+	wk.grp.Every(usageInterval, func(context.Context) { wk.sampleUsage() })
+	return wk
+}
+
+const (
+	usageInterval = 100 * time.Millisecond
+)
+
+// Close stops every task.
+func (wk *Worker) Close() {
+	wk.grp.Close()
+}
+
+// ServeHTTP serves the worker's protocol.
+func (wk *Worker) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
+	wk.router.ServeHTTP(wr, req)
+}
+
+// SetFaults replaces the faults.
+func (wk *Worker) SetFaults(faults WorkerFaults) {
+	wk.faults.Store(&faults)
+}
+
+// Counts returns a copy of the observations.
+func (wk *Worker) Counts() WorkerCounts {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	out := wk.counts
+	out.Starts = make(map[worker.TaskID]int, len(wk.counts.Starts))
+	for id, n := range wk.counts.Starts {
+		out.Starts[id] = n
+	}
+	return out
+}
+
+func (wk *Worker) start(wr http.ResponseWriter, req *http.Request) {
+	var task worker.Task
+	if err := jsonhttp.Decode(req, &task); err != nil {
+		jsonhttp.WriteError(wr, err)
+		return
+	}
+	faults := *wk.faults.Load()
+	if faults.RefuseAll {
+		jsonhttp.WriteError(wr, outcome.Refuse(http.StatusConflict, "worker-refused", "the worker refuses tasks", "use another worker", 0))
+		return
+	}
+	var payload TaskPayload
+	if len(task.Payload) > 0 {
+		if err := json.Unmarshal(task.Payload, &payload); err != nil {
+			payload = TaskPayload{Fail: true}
+		}
+	}
+	report := wk.begin(task, payload, faults)
+	if faults.DropStartReplies {
+		dropAnswer(wr)
+		return
+	}
+	jsonhttp.Write(wr, http.StatusCreated, report)
+}
+
+func (wk *Worker) begin(task worker.Task, payload TaskPayload, faults WorkerFaults) worker.Report {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	wk.counts.Starts[task.ID]++
+	ctx, cancel := context.WithCancel(wk.grp.Context())
+	rt := &runningTask{
+		task:    task,
+		payload: payload,
+		report:  worker.Report{ID: task.ID, State: worker.StateRunning},
+		began:   time.Now(),
+		lease:   time.Now().Add(time.Duration(task.LeaseMillis) * time.Millisecond),
+		cancel:  cancel,
+		share:   1,
+	}
+	wk.tasks[task.ID] = rt
+	wk.grp.Go(func(context.Context) { wk.run(ctx, rt, faults) })
+	return rt.report
+}
+
+// run waits in steps, so that throttling, leases and the number of tasks that
+// share the processors take effect while a task runs.
+func (wk *Worker) run(ctx context.Context, rt *runningTask, faults WorkerFaults) {
+	const maxStep = 20 * time.Millisecond
+	defer rt.cancel()
+	left := time.Duration(rt.payload.RunMillis) * time.Millisecond
+	if faults.SlowFactor > 0 {
+		left = time.Duration(float64(left) * faults.SlowFactor)
+	}
+	if faults.FailAll {
+		left = 0
+	}
+	for left > 0 && ctx.Err() == nil {
+		speed := wk.speed(rt)
+		if speed == 0 {
+			wk.finish(rt, worker.StateStopped, "the lease has lapsed")
+			return
+		}
+		step := min(maxStep, time.Duration(float64(left)/speed))
+		began := time.Now()
+		sleep(ctx, step)
+		left -= time.Duration(float64(time.Since(began)) * speed)
+	}
+	switch {
+	case ctx.Err() != nil:
+		wk.finish(rt, worker.StateStopped, "stopped")
+	case faults.FailAll || rt.payload.Fail:
+		wk.finish(rt, worker.StateFailed, "the task failed")
+	default:
+		wk.finish(rt, worker.StateDone, "")
+	}
+}
+
+// speed returns the share of full speed that a task has, 0 when its lease has
+// lapsed.
+func (wk *Worker) speed(rt *runningTask) float64 {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	if rt.task.LeaseMillis > 0 && time.Now().After(rt.lease) {
+		wk.counts.Lapsed++
+		return 0
+	}
+	use := wk.use()
+	share := rt.share
+	if wk.opt.Processors > 0 && use.Processors > wk.opt.Processors {
+		share *= float64(wk.opt.Processors / use.Processors)
+	}
+	return max(share, 0.01)
+}
+
+func (wk *Worker) use() worker.Usage {
+	var use worker.Usage
+	for id, rt := range wk.tasks {
+		if rt.report.State != worker.StateRunning {
+			continue
+		}
+		tu := worker.TaskUsage{
+			ID:           id,
+			Kind:         rt.task.Kind,
+			Processors:   orDeclared(rt.payload.Processors, rt.task.Processors),
+			Memory:       orDeclared(rt.payload.Memory, rt.task.Memory),
+			Accelerators: orDeclared(rt.payload.Accelerators, rt.task.Accelerators),
+		}
+		use.Processors += tu.Processors
+		use.Memory += tu.Memory
+		use.Accelerators += tu.Accelerators
+		use.Tasks = append(use.Tasks, tu)
+	}
+	return use
+}
+
+func orDeclared[T platform.Cores | platform.Megabytes | int](actual, declared T) T {
+	if actual != 0 {
+		return actual
+	}
+	return declared
+}
+
+func (wk *Worker) finish(rt *runningTask, state worker.State, reason string) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	if rt.report.State != worker.StateRunning {
+		return
+	}
+	rt.report.State = state
+	rt.report.Error = reason
+	rt.report.RanMillis = time.Since(rt.began).Milliseconds()
+	if state == worker.StateDone {
+		rt.report.Result, _ = json.Marshal(rt.payload.Answer)
+	}
+	if state == worker.StateStopped {
+		wk.counts.Stopped++
+	}
+	wk.finished = append(wk.finished, rt.report)
+	close(wk.wake)
+	wk.wake = make(chan struct{})
+}
+
+func (wk *Worker) find(req *http.Request) (*runningTask, bool) {
+	rt, ok := wk.tasks[worker.TaskID(pathParam(req, "id"))]
+	return rt, ok
+}
+
+func (wk *Worker) get(wr http.ResponseWriter, req *http.Request) {
+	wk.mu.Lock()
+	rt, ok := wk.find(req)
+	var report worker.Report
+	if ok {
+		report = rt.report
+	}
+	wk.mu.Unlock()
+	if !ok {
+		jsonhttp.WriteError(wr, outcome.Refuse(http.StatusNotFound, "no-such-task", "the worker does not know the task", "check the id", 0))
+		return
+	}
+	jsonhttp.Write(wr, http.StatusOK, report)
+}
+
+func (wk *Worker) stop(wr http.ResponseWriter, req *http.Request) {
+	wk.mu.Lock()
+	if rt, ok := wk.find(req); ok {
+		rt.cancel()
+	}
+	wk.mu.Unlock()
+	wr.WriteHeader(http.StatusNoContent)
+}
+
+func (wk *Worker) throttle(wr http.ResponseWriter, req *http.Request) {
+	var tr worker.ThrottleRequest
+	if err := jsonhttp.Decode(req, &tr); err != nil {
+		jsonhttp.WriteError(wr, err)
+		return
+	}
+	wk.mu.Lock()
+	if rt, ok := wk.find(req); ok {
+		rt.share = tr.Share
+	}
+	wk.mu.Unlock()
+	wr.WriteHeader(http.StatusNoContent)
+}
+
+func (wk *Worker) renew(_ context.Context, ren worker.Renewal) (jsonhttp.None, error) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	until := time.Now().Add(time.Duration(ren.LeaseMillis) * time.Millisecond)
+	for _, id := range ren.TaskIDs {
+		if rt, ok := wk.tasks[id]; ok {
+			rt.lease = until
+		}
+	}
+	return jsonhttp.None{}, nil
+}
+
+func (wk *Worker) listFinished(wr http.ResponseWriter, req *http.Request) {
+	query := req.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	waitMillis, _ := strconv.ParseInt(query.Get("wait-millis"), 10, 64)
+	ctx, cancel := context.WithTimeout(req.Context(), time.Duration(waitMillis)*time.Millisecond)
+	defer cancel()
+	for {
+		wk.mu.Lock()
+		after = min(max(after, 0), int64(len(wk.finished)))
+		tasks := append([]worker.Report(nil), wk.finished[after:]...)
+		wake := wk.wake
+		wk.mu.Unlock()
+		if len(tasks) > 0 || ctx.Err() != nil {
+			next := worker.Cursor(after + int64(len(tasks)))
+			jsonhttp.Write(wr, http.StatusOK, worker.FinishedPage{Next: next, Tasks: tasks})
+			return
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (wk *Worker) sampleUsage() {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	wk.usage = append(wk.usage, wk.use())
+	wk.usageAt = append(wk.usageAt, time.Now())
+	for len(wk.usageAt) > 1 && time.Since(wk.usageAt[1]) >= wk.opt.UsageLag {
+		wk.usage = wk.usage[1:]
+		wk.usageAt = wk.usageAt[1:]
+	}
+}
+
+func (wk *Worker) reportUsage(context.Context, jsonhttp.None) (worker.Usage, error) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	if len(wk.usage) == 0 {
+		return worker.Usage{}, nil
+	}
+	use := wk.usage[0]
+	use.AgeMillis = time.Since(wk.usageAt[0]).Milliseconds()
+	return use, nil
+}
--- /dev/null
+++ b/internal/vmlist/poller.go
@@ -0,0 +1,87 @@
+package vmlist
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// Fetcher reads the list of VMs.
+type Fetcher interface {
+	Fetch(ctx context.Context) ([]platform.VM, error)
+}
+
+// Poller publishes the list of VMs on the blackboard. While the service is
+// unreachable the last list stays.
+type Poller struct {
+	fe       Fetcher
+	board    *blackboard.Board
+	interval time.Duration
+	log      zerolog.Logger
+	grp      *group.Group
+	leaving  map[string]bool
+}
+
+// NewPoller returns a poller; Start begins to poll.
+func NewPoller(fe Fetcher, board *blackboard.Board, interval time.Duration, log zerolog.Logger) *Poller {
+	return &Poller{
+		fe:       fe,
+		board:    board,
+		interval: interval,
+		log:      log,
+		grp:      group.New(context.Background()),
+		leaving:  map[string]bool{},
+	}
+}
+
+// Start fetches the list once and then once per interval.
+func (po *Poller) Start() {
+	po.grp.Go(func(ctx context.Context) {
+		po.poll(ctx)
+		po.grp.Every(po.interval, po.poll)
+	})
+}
+
+// Close stops polling and waits.
+func (po *Poller) Close() {
+	po.grp.Close()
+}
+
+func (po *Poller) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, po.interval+time.Second)
+	defer cancel()
+	vms, err := po.fe.Fetch(ctx)
+	if err != nil {
+		po.log.Warn().Err(err).Msg("vm-list-unreachable")
+		return
+	}
+	po.board.VMs.Publish(po.split(vms))
+}
+
+// split sorts the VMs by use. A VM once seen leaving stays leaving: the list
+// lags and may show an older state again.
+func (po *Poller) split(vms []platform.VM) *blackboard.VMs {
+	out := &blackboard.VMs{Fetched: time.Now(), Targets: map[platform.ServiceName][]platform.VM{}}
+	for _, vm := range vms {
+		if vm.State == platform.StateLeaving {
+			po.leaving[vm.ID] = true
+		}
+		if po.leaving[vm.ID] {
+			vm.State = platform.StateLeaving
+		}
+		switch vm.Kind {
+		case platform.KindEntry:
+			out.Entries = append(out.Entries, vm)
+		case platform.KindTarget:
+			out.Targets[vm.Service] = append(out.Targets[vm.Service], vm)
+		case platform.KindWorker:
+			out.Workers = append(out.Workers, vm)
+		}
+	}
+	return out
+}
