--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -5,6 +5,7 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
 )
 
 // Board is the state that the controllers of one entry share.
@@ -15,6 +16,14 @@
 	VMs Cell[VMs]
 	// Members is what this entry knows about the other entries.
 	Members Cell[Members]
+	// Gates holds the slots that this entry may use on each target.
+	Gates Cell[Gates]
+}
+
+// Gates holds one gate for each target that this entry may use. A gate stays
+// the same object while its target is known.
+type Gates struct {
+	ByTarget map[platform.TargetID]*slotshare.Gate
 }
 
 // VMs is the platform's list of VMs, split by use.
@@ -25,11 +34,28 @@
 	Workers []platform.VM
 }
 
-// Members are the other entries that are believed to be alive.
+// Members are the other entries, as this entry sees them.
 type Members struct {
+	// Alive are the entries that answer heartbeats.
 	Alive map[platform.EntryID]Member
+	// Suspect are the entries that have stopped answering. A suspicion may be
+	// false: the entry may be paused or behind a network partition.
+	Suspect map[platform.EntryID]Member
+	// Gone are incarnations that are proved to have ended.
+	Gone map[platform.Incarnation]GoneReason
 }
 
+// GoneReason is the proof that an incarnation has ended.
+type GoneReason string
+
+// The proofs that an incarnation has ended.
+const (
+	GoneReplaced GoneReason = "replaced-by-newer-incarnation"
+	GoneRefused  GoneReason = "connection-refused"
+	GoneUnlisted GoneReason = "vm-no-longer-listed"
+	GoneLeft     GoneReason = "left-gracefully"
+)
+
 // Member is one other entry.
 type Member struct {
 	ID               platform.EntryID
