groupcommit: commit the records of many callers in few transactions

Cause: one write for each task or job does not fit into several hundred table writes a second.

Change: pkg/groupcommit collects records and commits them in conditional transactions: paced by an interval, bounded by rows and bytes, a few in flight. Each transaction inserts one log row that carries its token, so a lost reply is settled by sending the same transaction again: a conflict on the log row with a known token means that it was committed. Records in conflict are split off; a conflict is reported only when no earlier send can still take effect.

--- /dev/null
+++ b/pkg/groupcommit/commit.go
@@ -0,0 +1,254 @@
+package groupcommit
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+)
+
+// maxBackoff bounds the time between two sends of one transaction.
+const maxBackoff = 500 * time.Millisecond
+
+// slot is one log row and the transactions that were sent to write it. A later
+// attempt holds a part of the records of an earlier one. At most one attempt
+// takes effect, because each checks that the log row is absent.
+type slot[R Record] struct {
+	seq      int64
+	attempts map[string][]*item[R]
+	// open is true once an attempt was sent whose outcome was not learned from
+	// its own reply. Such an attempt may still take effect, until the log row
+	// exists.
+	open    bool
+	held    []heldConflict[R]
+	backoff time.Duration
+}
+
+type heldConflict[R Record] struct {
+	it   *item[R]
+	rows []Row
+}
+
+// commit writes the items in one log row, after splitting off those in
+// conflict.
+func (co *Committer[R]) commit(ctx context.Context, seq int64, items []*item[R]) {
+	sl := &slot[R]{seq: seq, attempts: map[string][]*item[R]{}, backoff: co.opt.MinBackoff}
+	began := time.Now()
+	for {
+		items = co.lock(sl, items)
+		if len(items) == 0 && !sl.open {
+			break
+		}
+		tx, err := co.build(sl, items)
+		if err != nil {
+			co.report(items, Result{Err: err})
+			break
+		}
+		version, err := co.send(ctx, sl, tx, items)
+		var ce *ConflictError
+		switch {
+		case err == nil:
+			co.observe(items, tx, began)
+			co.settle(sl, tx.ID, version)
+		case errors.Is(err, ErrNotApplied):
+			continue // build it again without the records withdrawn meanwhile
+		case errors.As(err, &ce):
+			var settled bool
+			items, settled = co.conflict(sl, items, ce.Rows)
+			if !settled {
+				continue
+			}
+		default:
+			co.reportHeld(sl, false)
+			co.report(items, Result{Err: ErrUnresolved})
+		}
+		break
+	}
+	co.mu.Lock()
+	delete(co.inFlight, seq)
+	co.mu.Unlock()
+	co.signal()
+}
+
+// lock keeps records from being withdrawn while their transaction is sent.
+func (co *Committer[R]) lock(sl *slot[R], items []*item[R]) []*item[R] {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if !sl.open {
+		items = slices.DeleteFunc(slices.Clone(items), func(it *item[R]) bool { return it.state == stateWithdrawn })
+	}
+	for _, it := range items {
+		it.state = stateSent
+	}
+	return items
+}
+
+func (co *Committer[R]) build(sl *slot[R], items []*item[R]) (Transaction, error) {
+	recs := make([]R, len(items))
+	for i, it := range items {
+		recs[i] = it.rec
+	}
+	tx := Transaction{ID: co.opt.NewToken()}
+	raw, err := co.opt.Encode(tx.ID, recs)
+	if err != nil {
+		return tx, err
+	}
+	for _, key := range co.opt.Guards {
+		tx.Checks = append(tx.Checks, Check{Key: key})
+	}
+	key := co.opt.LogKey(sl.seq)
+	tx.Checks = append(tx.Checks, Check{Key: key})
+	tx.Writes = append(tx.Writes, Write{Key: key, Value: raw})
+	for _, it := range items {
+		for _, ch := range it.changes {
+			tx.Checks = append(tx.Checks, Check{Key: ch.Key, Version: ch.If})
+			tx.Writes = append(tx.Writes, Write{Key: ch.Key, Value: ch.Value, Delete: ch.Delete})
+		}
+	}
+	sl.attempts[tx.ID] = items
+	return tx, nil
+}
+
+// send sends the transaction until its outcome is known. It returns
+// ErrNotApplied after a wait when no send of the slot can have had an effect.
+func (co *Committer[R]) send(ctx context.Context, sl *slot[R], tx Transaction, items []*item[R]) (int64, error) {
+	for {
+		call, cancel := context.WithTimeout(ctx, co.opt.Timeout)
+		version, err := co.opt.Store.Commit(call, tx)
+		cancel()
+		var ce *ConflictError
+		if err == nil || errors.As(err, &ce) {
+			return version, err
+		}
+		provable := errors.Is(err, ErrNotApplied) && !sl.open
+		if provable {
+			co.idle(items)
+		} else {
+			sl.open = true
+		}
+		wait := max(sl.backoff, co.opt.Interval())
+		sl.backoff = min(2*sl.backoff, maxBackoff)
+		if !sleep(ctx, wait) {
+			return 0, ctx.Err()
+		}
+		if provable {
+			return 0, ErrNotApplied
+		}
+	}
+}
+
+func (co *Committer[R]) idle(items []*item[R]) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	for _, it := range items {
+		it.state = stateIdle
+	}
+}
+
+// conflict handles a refused transaction. It returns the records to try again,
+// or true when the slot has its outcome.
+func (co *Committer[R]) conflict(sl *slot[R], items []*item[R], rows []Row) ([]*item[R], bool) {
+	byKey := make(map[string]Row, len(rows))
+	for _, row := range rows {
+		byKey[row.Key] = row
+	}
+	if row, ok := byKey[co.opt.LogKey(sl.seq)]; ok {
+		token := co.opt.Token(row.Value)
+		if _, own := sl.attempts[token]; own {
+			co.settle(sl, token, row.Version)
+			return nil, true
+		}
+		co.guard(sl, items) // another process writes under this name
+		return nil, true
+	}
+	for _, key := range co.opt.Guards {
+		if _, ok := byKey[key]; ok {
+			co.guard(sl, items)
+			return nil, true
+		}
+	}
+	var rest []*item[R]
+	for _, it := range items {
+		var hit []Row
+		for _, ch := range it.changes {
+			if row, ok := byKey[ch.Key]; ok {
+				hit = append(hit, row)
+			}
+		}
+		if len(hit) == 0 {
+			rest = append(rest, it)
+			continue
+		}
+		sl.held = append(sl.held, heldConflict[R]{it: it, rows: hit})
+	}
+	if !sl.open {
+		co.reportHeld(sl, true)
+	}
+	return rest, false
+}
+
+// guard ends the committer: a guard row exists, and no later commit can take
+// effect.
+func (co *Committer[R]) guard(sl *slot[R], items []*item[R]) {
+	co.mu.Lock()
+	co.guarded = true
+	left := co.queue
+	co.queue = nil
+	co.mu.Unlock()
+	co.reportHeld(sl, true)
+	co.report(items, Result{Err: ErrGuarded})
+	co.report(left, Result{Err: ErrGuarded})
+}
+
+// settle reports the outcome of a slot whose log row carries the token. An
+// earlier attempt than the last one may have won; it holds records that were
+// then split off.
+func (co *Committer[R]) settle(sl *slot[R], token string, version int64) {
+	won := sl.attempts[token]
+	committed := make(map[*item[R]]bool, len(won))
+	for _, it := range won {
+		committed[it] = true
+	}
+	sl.held = slices.DeleteFunc(sl.held, func(hc heldConflict[R]) bool { return committed[hc.it] })
+	co.report(won, Result{Version: version, Seq: sl.seq})
+	co.reportHeld(sl, true)
+}
+
+func (co *Committer[R]) reportHeld(sl *slot[R], known bool) {
+	for _, hc := range sl.held {
+		res := Result{Err: ErrConflict, Conflicts: hc.rows}
+		if !known {
+			res = Result{Err: ErrUnresolved}
+		}
+		co.report([]*item[R]{hc.it}, res)
+	}
+	sl.held = nil
+}
+
+func (co *Committer[R]) report(items []*item[R], res Result) {
+	co.mu.Lock()
+	live := make([]*item[R], 0, len(items))
+	for _, it := range items {
+		if it.state == stateWithdrawn || it.state == stateDone {
+			continue
+		}
+		it.state = stateDone
+		co.pending -= it.size
+		live = append(live, it)
+	}
+	co.mu.Unlock()
+	for _, it := range live {
+		it.done(res)
+	}
+}
+
+func (co *Committer[R]) observe(items []*item[R], tx Transaction, began time.Time) {
+	if co.opt.Observe == nil {
+		return
+	}
+	bytes := 0
+	for _, wt := range tx.Writes {
+		bytes += len(wt.Key) + len(wt.Value)
+	}
+	co.opt.Observe(len(items), len(tx.Writes), bytes, time.Since(began))
+}
