--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -54,6 +55,8 @@
 	Submit(ctx context.Context, sub job.Submission) (job.Status, error)
 	Get(ctx context.Context, id platform.JobID) (job.Status, error)
 	Wait(ctx context.Context, id platform.JobID, wait time.Duration) (job.Status, error)
+	Cancel(ctx context.Context, id platform.JobID) (job.Status, error)
+	IssueID() platform.JobID
 }
 
 // Handler serves callers.
@@ -74,7 +77,9 @@
 	router := chi.NewRouter()
 	router.Post("/v1/services/{service}/requests", ha.request)
 	router.Post("/v1/jobs", ha.submit)
+	router.Post("/v1/job-ids", ha.issueID)
 	router.Get("/v1/jobs/{id}", ha.get)
+	router.Delete("/v1/jobs/{id}", ha.cancel)
 	return router
 }
 
@@ -190,10 +195,38 @@
 		ha.fail(wr, err)
 		return
 	}
-	status, err := ha.jobs.Wait(hreq.Context(), platform.JobID(chi.URLParam(hreq, "id")), wait)
+	status, err := ha.jobs.Wait(hreq.Context(), jobID(hreq), wait)
 	ha.writeStatus(wr, status, err)
 }
 
+// jobID returns the id in the path without its percent encoding.
+func jobID(hreq *http.Request) platform.JobID {
+	raw := chi.URLParam(hreq, "id")
+	if id, err := url.PathUnescape(raw); err == nil {
+		return platform.JobID(id)
+	}
+	return platform.JobID(raw)
+}
+
+// cancel fails a job that has not been decided. The answer is the final state,
+// which is complete when the cancellation came too late.
+func (ha *Handler) cancel(wr http.ResponseWriter, hreq *http.Request) {
+	status, err := ha.jobs.Cancel(hreq.Context(), jobID(hreq))
+	ha.writeStatus(wr, status, err)
+}
+
+// IssuedID is the answer to POST /v1/job-ids.
+type IssuedID struct {
+	ID platform.JobID `json:"id"`
+}
+
+// issueID issues an id under which this entry admits a job even while the table
+// is down.
+func (ha *Handler) issueID(wr http.ResponseWriter, _ *http.Request) {
+	wr.Header().Set(outcome.Header, string(outcome.Answered))
+	jsonhttp.Write(wr, http.StatusOK, IssuedID{ID: ha.jobs.IssueID()})
+}
+
 func (ha *Handler) writeStatus(wr http.ResponseWriter, status job.Status, err error) {
 	if err != nil {
 		ha.fail(wr, err)
--- a/internal/command/callers.go
+++ b/internal/command/callers.go
@@ -81,6 +81,27 @@
 	return printStatus(st, status)
 }
 
+func runJobCancel(ctx context.Context, args []string, st Streams) error {
+	fs := flags("job cancel", st)
+	base := fs.String("entry", defaultEntry, "URL of an entry for callers")
+	id := fs.String("id", "", "id of the job")
+	if err := parse(fs, args); err != nil {
+		return err
+	}
+	if err := required("id", *id); err != nil {
+		return err
+	}
+	status, err := jsonhttp.Call[jsonhttp.None, job.Status](ctx, httpClient(), http.MethodDelete, *base+"/v1/jobs/"+url.PathEscape(*id), jsonhttp.None{})
+	if err != nil {
+		return err
+	}
+	if status.Reason != job.ReasonCancelled {
+		_ = printJSON(st.Out, status)
+		return fmt.Errorf("job %s was decided as %s before the cancellation", status.ID, status.State)
+	}
+	return printJSON(st.Out, status)
+}
+
 func printStatus(st Streams, status job.Status) error {
 	if err := printJSON(st.Out, status); err != nil {
 		return err
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -46,6 +46,7 @@
 	"check":          {"check a settings file", runCheck},
 	"job submit":     {"submit a job from a YAML or JSON file", runJobSubmit},
 	"job get":        {"show a job", runJobGet},
+	"job cancel":     {"cancel a job", runJobCancel},
 	"request":        {"send one service request", runRequest},
 	"config get":     {"show the configuration in force", runConfigGet},
 	"config patch":   {"submit a patch against a numbered version", runConfigPatch},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -53,6 +53,8 @@
 	targets *target.Dispatcher
 	jobs    *job.Manager
 
+	placement *job.SimplePlacement
+
 	draining  atomic.Bool
 	drainOnce chan struct{}
 }
@@ -73,25 +75,23 @@
 		en.closeListeners()
 		return nil, err
 	}
-	en.build()
+	if err := en.build(); err != nil {
+		en.closeListeners()
+		return nil, err
+	}
 	return en, nil
 }
 
-func (en *Entry) build() {
+func (en *Entry) build() error {
 	hc := platformClient()
 	rows := table.New(en.set.Platform.Table, hc)
 	store := configuration.NewStore(rows)
 	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
 	en.watcher = configuration.NewWatcher(store, en, en.set.Timing.ConfigurationPoll.Std(), en.log)
 	en.targets = target.New(en.board, en.cnt)
-	en.jobs = job.New(job.Options{
-		Board:       en.board,
-		Rows:        rows,
-		Client:      hc,
-		Counters:    en.cnt,
-		Incarnation: en.inc,
-		Log:         en.log,
-	})
+	if err := en.buildJobs(rows, hc); err != nil {
+		return err
+	}
 	en.callers.handle(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router()))
 	en.operators.handle(operator.New(operator.Options{
 		Board:       en.board,
@@ -102,6 +102,7 @@
 		Incarnation: en.inc,
 		Zone:        en.set.AvailabilityZone,
 	}).Router())
+	return nil
 }
 
 // platformClient returns the HTTP client for the platform and the workers. Its
@@ -237,6 +238,7 @@
 	en.vms.Close()
 	en.watcher.Close()
 	en.jobs.Close()
+	en.placement.Close()
 	en.targets.Close()
 	en.closeListeners()
 	en.pool.Close()
--- /dev/null
+++ b/internal/entry/jobs.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"net/http"
+
+	"github.com/oleanderwall/oleanderwall/internal/job"
+	"github.com/oleanderwall/oleanderwall/internal/objects"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+)
+
+// buildJobs builds the job manager and registers it for other entries.
+func (en *Entry) buildJobs(rows *table.Client, hc *http.Client) error {
+	en.placement = job.NewSimplePlacement(en.board, hc)
+	en.jobs = job.New(job.Options{
+		Board:       en.board,
+		Rows:        rows,
+		Objects:     objects.New(en.set.Platform.Objects, hc),
+		Members:     &en.board.Members,
+		Peers:       en.pool,
+		Scheduler:   en.placement,
+		Traffic:     en.placement,
+		Counters:    en.cnt,
+		Incarnation: en.inc,
+		Log:         en.log,
+	})
+	en.placement.SetEvents(en.jobs)
+	return en.peers.Register(job.PeerName, en.jobs.PeerService())
+}
--- /dev/null
+++ b/internal/job/decide.go
@@ -0,0 +1,302 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/worker"
+	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
+)
+
+const (
+	// A result goes to the object store when it is larger than maxInlineResult,
+	// or when the row would hold more than maxInlineTotal bytes of results.
+	maxInlineResult = 8 << 10
+	maxInlineTotal  = 64 << 10
+	// maxAnswer bounds all results of a job: one message carries them.
+	maxAnswer = 15 << 20
+	// maxReason bounds the text of one failure in the row.
+	maxReason = 200
+)
+
+// finished takes the report of a task that has ended.
+func (se *session) finished(rep worker.Report) {
+	switch rep.State {
+	case worker.StateDone:
+		se.taskDone(rep.ID, rep.Result)
+	case worker.StateFailed:
+		se.lost(rep.ID, "the task failed: "+rep.Error)
+	case worker.StateStopped:
+		se.lost(rep.ID, "the worker stopped the task: "+rep.Error)
+	}
+}
+
+// lost fails the job of a task whose result cannot be had.
+func (se *session) lost(id worker.TaskID, reason string) {
+	se.mu.Lock()
+	oj, index := se.locate(id)
+	if oj == nil || oj.tasks[index].phase >= taskStoring {
+		se.mu.Unlock()
+		return
+	}
+	act := se.fail(oj, index, reason)
+	se.mu.Unlock()
+	act()
+}
+
+// fail decides a job as failed. One failed task is enough: the others are
+// withdrawn or stopped, because the answer cannot become complete any more. The
+// caller holds the lock and runs the returned function without it.
+func (se *session) fail(oj *ownedJob, index int, reason string) func() {
+	if len(reason) > maxReason {
+		reason = reason[:maxReason]
+	}
+	return se.decide(oj, &jobRow{
+		State:    StateFailed,
+		Reason:   fmt.Sprintf("task %d failed", index),
+		Failures: []TaskFailure{{Task: index, Reason: reason}},
+	})
+}
+
+// cancel decides a job as failed unless it has been decided.
+func (se *session) cancel(oj *ownedJob) {
+	se.mu.Lock()
+	if oj.final != nil || se.dropped {
+		se.mu.Unlock()
+		return
+	}
+	row := &jobRow{State: StateFailed, Reason: ReasonCancelled}
+	for i := range oj.tasks {
+		if oj.tasks[i].phase < taskDone {
+			row.Failures = append(row.Failures, TaskFailure{Task: i, Reason: ReasonCancelled})
+		}
+	}
+	act := se.decide(oj, row)
+	se.mu.Unlock()
+	act()
+}
+
+// taskDone keeps the result of a task.
+func (se *session) taskDone(id worker.TaskID, result json.RawMessage) {
+	se.mu.Lock()
+	oj, index := se.locate(id)
+	if oj == nil || oj.tasks[index].phase >= taskStoring {
+		se.mu.Unlock()
+		return
+	}
+	oj.total += len(result)
+	if oj.total > maxAnswer {
+		act := se.fail(oj, index, fmt.Sprintf("the results of the job exceed %d bytes", maxAnswer))
+		se.mu.Unlock()
+		act()
+		return
+	}
+	if len(result) > maxInlineResult || oj.inline+len(result) > maxInlineTotal {
+		oj.tasks[index].phase = taskStoring
+		se.bytes += len(result)
+		se.mu.Unlock()
+		se.grp.Go(func(ctx context.Context) { se.store(ctx, oj, index, result) })
+		return
+	}
+	oj.inline += len(result)
+	oj.results[index] = result
+	oj.size += len(result)
+	se.bytes += len(result)
+	act := se.complete(oj, index)
+	se.mu.Unlock()
+	act()
+}
+
+// store puts a large result into the object store, for as long as that takes.
+func (se *session) store(ctx context.Context, oj *ownedJob, index int, result []byte) {
+	const retry = 200 * time.Millisecond
+	for {
+		err := se.mg.opt.Objects.Put(ctx, resultKey(oj.sub.ID, index), result)
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		se.mg.opt.Counters.Add(counter.Retry, "objects-unavailable", 1)
+		waitFor(ctx, oj.done, retry)
+		if se.isAnswered(oj) {
+			break
+		}
+	}
+	se.mu.Lock()
+	se.bytes -= len(result)
+	if oj.final != nil || se.dropped || ctx.Err() != nil {
+		decided := oj.final != nil
+		se.mu.Unlock()
+		if decided {
+			_ = se.mg.opt.Objects.Delete(ctx, resultKey(oj.sub.ID, index))
+		}
+		return
+	}
+	oj.tasks[index].object = true
+	act := se.complete(oj, index)
+	se.mu.Unlock()
+	act()
+}
+
+func (se *session) isAnswered(oj *ownedJob) bool {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return oj.answered
+}
+
+// complete counts a task as done and decides the job after the last one.
+func (se *session) complete(oj *ownedJob, index int) func() {
+	oj.tasks[index].phase = taskDone
+	oj.left--
+	if oj.left > 0 {
+		return func() {}
+	}
+	return se.decide(oj, &jobRow{State: StateComplete, Results: oj.results, Objects: oj.objects()})
+}
+
+// objects returns the tasks whose results are in the object store.
+func (oj *ownedJob) objects() []int {
+	var out []int
+	for i := range oj.tasks {
+		if oj.tasks[i].object {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// decide sets the answer of a job and records it. The answer is told after the
+// commit. The returned function frees the tasks that are left.
+func (se *session) decide(oj *ownedJob, row *jobRow) func() {
+	row.Owner = se.inc
+	oj.final = row
+	unsent := oj.unsent()
+	var running []worker.TaskID
+	for i := range oj.tasks {
+		if oj.tasks[i].phase == taskSent {
+			running = append(running, taskID(oj.sub.ID, i))
+		}
+	}
+	if oj.version > 0 {
+		se.record(oj)
+	}
+	if oj.issued && se.com.Down() {
+		se.answer(oj)
+	}
+	return func() {
+		if len(unsent) > 0 {
+			se.mg.opt.Scheduler.Withdraw(unsent)
+		}
+		if len(running) > 0 {
+			se.mg.opt.Traffic.Stop(running)
+		}
+	}
+}
+
+// record adds the decision of a job to the group commit. The caller holds the
+// lock.
+func (se *session) record(oj *ownedJob) {
+	const fullRetry = 100 * time.Millisecond
+	raw, err := json.Marshal(oj.final)
+	if err != nil {
+		// A worker sent a result that is no JSON.
+		oj.final = &jobRow{Owner: se.inc, State: StateFailed, Reason: "a result is not valid JSON: " + err.Error()}
+		raw, _ = json.Marshal(oj.final)
+	}
+	rec := &record{
+		changes: []groupcommit.Change{{Key: jobKey(oj.sub.ID), If: oj.version, Value: raw}},
+		decided: &decision{Job: oj.sub.ID, Objects: oj.objects()},
+	}
+	_, err = se.com.Add(rec, func(res groupcommit.Result) { se.onDecided(oj, res) })
+	if errors.Is(err, groupcommit.ErrFull) {
+		se.grp.Go(func(ctx context.Context) {
+			waitFor(ctx, nil, fullRetry)
+			se.mu.Lock()
+			defer se.mu.Unlock()
+			if ctx.Err() == nil && !se.dropped {
+				se.record(oj)
+			}
+		})
+	}
+}
+
+func (se *session) onDecided(oj *ownedJob, res groupcommit.Result) {
+	if errors.Is(res.Err, groupcommit.ErrGuarded) {
+		se.mg.fenced(se)
+		return
+	}
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if se.dropped || errors.Is(res.Err, groupcommit.ErrUnresolved) {
+		return
+	}
+	if se.jobs[oj.sub.ID] == oj {
+		delete(se.jobs, oj.sub.ID)
+	}
+	se.bytes -= oj.size
+	se.unpin(oj)
+	if res.Err == nil {
+		se.keepDecided(res)
+		se.answer(oj)
+		se.mg.opt.Counters.Add(counter.Job, string(oj.final.State), 1)
+		return
+	}
+	// Another entry has cancelled the job or taken it over; its row is the
+	// answer, and callers read it there.
+	var row jobRow
+	if len(res.Conflicts) == 0 || json.Unmarshal(res.Conflicts[0].Value, &row) != nil || row.State == StateRunning {
+		oj.final = nil
+	} else {
+		oj.final = &row
+	}
+	se.answer(oj)
+	se.mg.opt.Counters.Add(counter.Job, "decided-elsewhere", 1)
+}
+
+// answer wakes everyone who waits for the job. The caller holds the lock.
+func (se *session) answer(oj *ownedJob) {
+	if !oj.answered {
+		oj.answered = true
+		close(oj.done)
+	}
+}
+
+// change sets a job row that has the given version, and returns the row that
+// is then in force: the given one, or the one in conflict.
+func (se *session) change(ctx context.Context, id platform.JobID, version int64, jr jobRow) ([]byte, error) {
+	raw, err := json.Marshal(jr)
+	if err != nil {
+		return nil, err
+	}
+	rec := &record{
+		changes: []groupcommit.Change{{Key: jobKey(id), If: version, Value: raw}},
+		decided: &decision{Job: id},
+	}
+	results := make(chan groupcommit.Result, 1)
+	ticket, err := se.com.Add(rec, func(res groupcommit.Result) { results <- res })
+	if err != nil {
+		return nil, unknownOutcome("table-unavailable", err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	select {
+	case res := <-results:
+		if res.Err == nil {
+			se.mu.Lock()
+			se.keepDecided(res)
+			se.mu.Unlock()
+			return raw, nil
+		}
+		if len(res.Conflicts) > 0 && len(res.Conflicts[0].Value) > 0 {
+			return res.Conflicts[0].Value, nil
+		}
+		return nil, unknownOutcome("row-changed", res.Err.Error())
+	case <-ctx.Done():
+		ticket.Withdraw()
+		return nil, unknownOutcome("commit-outcome-unknown", "the table has not confirmed the change")
+	}
+}
--- /dev/null
+++ b/internal/job/ids.go
@@ -0,0 +1,62 @@
+package job
+
+import (
+	"encoding/base64"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+// An issued id is issued.<incarnation>.<age>.<random>: the incarnation in
+// base64, and the milliseconds from the start of the incarnation to the issue
+// of the id. Only that incarnation may ever start the job.
+const issuedPrefix = "issued."
+
+// issuedLife is how long a new submission under an issued id is taken. It is
+// shorter than the retention of answers, so an id whose answer has been deleted
+// has expired and cannot start its tasks again.
+const issuedLife = retention / 2
+
+type issuedID struct {
+	owner platform.Incarnation
+	at    time.Duration
+}
+
+func newIssuedID(owner platform.Incarnation, at time.Duration) platform.JobID {
+	name := base64.RawURLEncoding.EncodeToString([]byte(owner))
+	return platform.JobID(fmt.Sprintf("%s%s.%d.%s", issuedPrefix, name, at.Milliseconds(), uuid.NewString()[:13]))
+}
+
+func parseIssuedID(id platform.JobID) (issuedID, bool) {
+	rest, ok := strings.CutPrefix(string(id), issuedPrefix)
+	parts := strings.Split(rest, ".")
+	if !ok || len(parts) != 3 {
+		return issuedID{}, false
+	}
+	owner, err := base64.RawURLEncoding.DecodeString(parts[0])
+	if err != nil {
+		return issuedID{}, false
+	}
+	millis, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil {
+		return issuedID{}, false
+	}
+	return issuedID{owner: platform.Incarnation(owner), at: time.Duration(millis) * time.Millisecond}, true
+}
+
+// A process commits under a session of its incarnation, which is the
+// incarnation, a tilde and a number. A process that meets its own fence goes on
+// with the next session; proof that the process has ended covers all of them.
+func sessionName(base platform.Incarnation, num int) platform.Incarnation {
+	return platform.Incarnation(fmt.Sprintf("%s~%d", base, num))
+}
+
+func processOf(session platform.Incarnation) platform.Incarnation {
+	base, _, _ := strings.Cut(string(session), "~")
+	return platform.Incarnation(base)
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -8,6 +8,15 @@
 //	defer mg.Close()
 //	status, err := mg.Submit(ctx, job.Submission{ID: "job-1", Tasks: tasks})
 //	status, err = mg.Wait(ctx, "job-1", 10*time.Second)
+//	status, err = mg.Cancel(ctx, "job-1")
+//
+// # Records
+//
+// The steps of a job (admission, start intents, decision, deletion) are records
+// that travel in group commits. The row job/<job-id> holds the owner and the
+// answer and changes only on condition; rows log/<incarnation>/<seq> hold the
+// bodies and the intents; the row fence/<incarnation> forbids every further
+// commit of an incarnation. docs/jobs.md gives the reasons.
 //
 // # Errors
 //
@@ -22,6 +31,7 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/table"
 )
 
 // Submission is a job as a caller submits it.
@@ -61,6 +71,7 @@
 type Status struct {
 	ID       platform.JobID    `json:"id"`
 	State    State             `json:"state"`
+	Reason   string            `json:"reason,omitempty"`
 	Results  []json.RawMessage `json:"results,omitempty"`
 	Failures []TaskFailure     `json:"failures,omitempty"`
 }
@@ -70,27 +81,34 @@
 	return st.State == StateComplete || st.State == StateFailed
 }
 
-// The largest values that a submission may hold.
+// ReasonCancelled is the reason of a job that failed because it was cancelled.
+const ReasonCancelled = "cancelled"
+
+// The largest values that a submission may hold. An issued id of an entry with
+// a long name has to fit.
 const (
-	maxIDLength = 128
+	maxIDLength = 256
+	// maxBodyBytes leaves room for other records in a transaction.
+	maxBodyBytes = table.MaxBytes / 2
 )
 
+func refuseInput(reason, message, remedy string) error {
+	return outcome.Refuse(http.StatusBadRequest, reason, message, remedy, 0)
+}
+
 func checkSubmission(sub Submission, maxTasks int) error {
-	refuse := func(reason, message, remedy string) error {
-		return outcome.Refuse(http.StatusBadRequest, reason, message, remedy, 0)
-	}
 	if len(sub.ID) > maxIDLength {
-		return refuse("invalid-id", fmt.Sprintf("the id is longer than %d bytes", maxIDLength), "shorten the id")
+		return refuseInput("invalid-id", fmt.Sprintf("the id is longer than %d bytes", maxIDLength), "shorten the id")
 	}
 	if len(sub.Tasks) == 0 {
-		return refuse("no-tasks", "the job has no tasks", "add at least one task")
+		return refuseInput("no-tasks", "the job has no tasks", "add at least one task")
 	}
 	if len(sub.Tasks) > maxTasks {
-		return refuse("too-many-tasks", fmt.Sprintf("the job has %d tasks; the limit is %d", len(sub.Tasks), maxTasks), "split the job")
+		return refuseInput("too-many-tasks", fmt.Sprintf("the job has %d tasks; the limit is %d", len(sub.Tasks), maxTasks), "split the job")
 	}
 	for i, ts := range sub.Tasks {
 		if ts.Processors < 0 || ts.Memory < 0 || ts.Accelerators < 0 || ts.RunMillis < 0 {
-			return refuse("invalid-task", fmt.Sprintf("task %d declares a negative size", i), "correct the task")
+			return refuseInput("invalid-task", fmt.Sprintf("task %d declares a negative size", i), "correct the task")
 		}
 	}
 	return nil
--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,428 @@
+package job
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
+	"github.com/oleanderwall/oleanderwall/internal/worker"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.checks").Value.String() == "100" {
+		_ = flag.Set("rapid.checks", "40") // each check waits for real commits
+	}
+	os.Exit(m.Run())
+}
+
+// background runs the calls that a test does not wait for.
+func background(t testing.TB, fn func(ctx context.Context)) {
+	grp := group.New(context.Background())
+	grp.Go(fn)
+	t.Cleanup(grp.Close)
+}
+
+// TestOwnerEndsAtEachStep guards against a second start, a lost job and
+// different answers when the owner ends between any two steps of a job, is
+// replaced, and comes back.
+func TestOwnerEndsAtEachStep(t *testing.T) {
+	for _, row := range []struct {
+		step     string
+		freezeAt int // commit after which the table link of the owner freezes
+		sends    bool
+		hold     bool
+		state    State
+		starts   int
+	}{
+		{"after the admission", 1, false, false, StateComplete, 1},
+		{"after the intent", 2, false, false, StateFailed, 0},
+		{"before the send", 0, true, false, StateFailed, 0},
+		{"while the task runs", 0, false, true, StateComplete, 1},
+		{"after the decision", 3, false, false, StateComplete, 1},
+	} {
+		t.Run(row.step, func(t *testing.T) {
+			t.Parallel()
+			gm := NewWithT(t)
+			wo := newWorld(t, 2, standin.TableOptions{})
+			owner, other := wo.nodes[0], wo.nodes[1]
+			owner.table.freezeAt = row.freezeAt
+			wo.fl.hold = row.hold
+			if row.sends {
+				owner.sends.freeze()
+			}
+			background(t, func(ctx context.Context) { _, _ = owner.mg.Submit(ctx, submission("job", 1)) })
+			reached := func() bool {
+				owner.table.mu.Lock()
+				defer owner.table.mu.Unlock()
+				switch {
+				case row.freezeAt > 0:
+					return owner.table.commits >= row.freezeAt
+				case row.sends:
+					return owner.table.commits >= 2
+				}
+				return wo.startsOf("job/0") == 1
+			}
+			gm.Eventually(reached, "5s", "1ms").Should(BeTrue())
+			owner.table.freeze()
+			other.gone(owner)
+			gm.Eventually(func() int64 { return other.mg.opt.Counters.Value("job", "takeovers") }, "5s", "5ms").Should(Equal(int64(1)))
+			wo.fl.finishAll()
+			status, err := other.mg.Wait(context.Background(), "job", 5*time.Second)
+			gm.Expect(err).NotTo(HaveOccurred())
+			gm.Expect(status.State).To(Equal(row.state))
+			owner.table.thaw()
+			owner.sends.thaw()
+			for _, no := range wo.nodes {
+				gm.Eventually(func() (Status, error) { return no.mg.Submit(context.Background(), submission("job", 1)) }, "5s", "20ms").Should(Equal(status))
+			}
+			gm.Expect(wo.overstarted()).To(Succeed())
+			if row.starts > 0 {
+				gm.Expect(wo.startsOf("job/0")).To(Equal(row.starts))
+			}
+		})
+	}
+}
+
+// TestEndBeforeAdmission guards against a job that runs twice because its
+// caller turned to another entry before the first one's commit arrived.
+func TestEndBeforeAdmission(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	wo := newWorld(t, 2, standin.TableOptions{})
+	owner, other := wo.nodes[0], wo.nodes[1]
+	owner.table.freeze()
+	background(t, func(ctx context.Context) { _, _ = owner.mg.Submit(ctx, submission("job", 3)) })
+	_, err := other.mg.Submit(context.Background(), submission("job", 3))
+	gm.Expect(err).NotTo(HaveOccurred())
+	owner.table.thaw()
+	for _, no := range wo.nodes {
+		gm.Eventually(func() State {
+			status, _ := no.mg.Wait(context.Background(), "job", 5*time.Second)
+			return status.State
+		}, "5s").Should(Equal(StateComplete))
+	}
+	gm.Expect(wo.overstarted()).To(Succeed())
+}
+
+// TestPausedOwnerMeetsFence guards against an owner that goes on after it was
+// replaced: it drops its jobs and admits new ones under another session.
+func TestPausedOwnerMeetsFence(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	wo := newWorld(t, 2, standin.TableOptions{})
+	owner, other := wo.nodes[0], wo.nodes[1]
+	wo.fl.hold = true
+	first := owner.mg.session().inc
+	_, err := owner.mg.Submit(context.Background(), submission("job", 2))
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Eventually(func() int { return wo.startsOf("job/1") }, "5s", "1ms").Should(Equal(1))
+	owner.table.freeze()
+	other.gone(owner)
+	gm.Eventually(func() int64 { return other.mg.opt.Counters.Value("job", "takeovers") }, "5s", "5ms").Should(Equal(int64(1)))
+	owner.table.thaw()
+	_, err = owner.mg.Submit(context.Background(), submission("next", 1))
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(owner.mg.session().inc).NotTo(Equal(first))
+	wo.fl.finishAll()
+	for _, id := range []platform.JobID{"job", "next"} {
+		status, err := owner.mg.Wait(context.Background(), id, 5*time.Second)
+		gm.Expect(err).NotTo(HaveOccurred())
+		gm.Expect(status.State).To(Equal(StateComplete), "job %s", id)
+	}
+	gm.Expect(wo.overstarted()).To(Succeed())
+}
+
+// TestTwoTakeoversAtOnce guards against two entries that adopt one job.
+func TestTwoTakeoversAtOnce(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	wo := newWorld(t, 3, standin.TableOptions{CommitDelay: 2 * time.Millisecond})
+	owner := wo.nodes[0]
+	owner.table.freezeAt = 1
+	wo.fl.hold = true
+	inc := owner.mg.session().inc
+	background(t, func(ctx context.Context) { _, _ = owner.mg.Submit(ctx, submission("job", 20)) })
+	gm.Eventually(func() int { return len(wo.tb.Rows("job/")) }, "5s", "1ms").Should(Equal(1))
+	// Neither knows the other as alive, so both go on after one fence.
+	var wg sync.WaitGroup
+	for _, no := range wo.nodes[1:] {
+		wg.Add(1)
+		background(t, func(ctx context.Context) {
+			defer wg.Done()
+			no.mg.takeOver(ctx, no.mg.session(), inc)
+		})
+	}
+	wg.Wait()
+	wo.fl.finishAll()
+	gm.Eventually(func() (State, error) {
+		status, err := wo.nodes[1].mg.Wait(context.Background(), "job", time.Second)
+		return status.State, err
+	}, "5s").Should(Equal(StateComplete))
+	gm.Expect(wo.overstarted()).To(Succeed())
+}
+
+// TestOutage guards against a refusal that is not true, an issued id that does
+// not work without the table, and an answer that changes once the table is back.
+func TestOutage(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	wo := newWorld(t, 2, standin.TableOptions{})
+	ctx := context.Background()
+	no := wo.nodes[0]
+	issued := no.mg.IssueID()
+	wo.tb.SetFaults(standin.TableFaults{Outage: true})
+	_, err := no.mg.Submit(ctx, submission("chosen", 1))
+	gm.Expect(outcome.From(err).Outcome).To(Equal(outcome.RefusedDidNotRun))
+	gm.Expect(outcome.From(err).RetryAfter).To(BeNumerically(">", 0))
+	_, err = no.mg.Submit(ctx, submission(string(issued), 2))
+	gm.Expect(err).NotTo(HaveOccurred())
+	_, err = wo.nodes[1].mg.Submit(ctx, submission(string(issued), 2))
+	gm.Expect(outcome.From(err).Outcome).To(Equal(outcome.Unknown), "only the issuer answers")
+	status, err := no.mg.Wait(ctx, issued, 5*time.Second)
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(status.State).To(Equal(StateComplete))
+	wo.tb.SetFaults(standin.TableFaults{})
+	gm.Eventually(func() (Status, error) { return wo.nodes[1].mg.Get(ctx, issued) }, "5s", "20ms").Should(Equal(status))
+	gm.Expect(wo.startsOf("chosen/0")).To(BeZero())
+	gm.Expect(wo.overstarted()).To(Succeed())
+}
+
+// TestIssuerGone guards against a job under an issued id that another entry
+// starts, or that stays without an answer, after its issuer has ended.
+func TestIssuerGone(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	wo := newWorld(t, 2, standin.TableOptions{})
+	issuer, other := wo.nodes[0], wo.nodes[1]
+	issued := issuer.mg.IssueID()
+	issuer.table.freeze()
+	other.gone(issuer)
+	status, err := other.mg.Submit(context.Background(), submission(string(issued), 1))
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(status.State).To(Equal(StateFailed))
+	gm.Expect(wo.startsOf(taskID(issued, 0))).To(BeZero())
+}
+
+// TestCancellations guards against a wave of cancellations that costs one write
+// each, changes an answer, or leaves tasks running.
+func TestCancellations(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	wo := newWorld(t, 1, standin.TableOptions{CommitDelay: 5 * time.Millisecond})
+	no := wo.nodes[0]
+	wo.fl.hold = true
+	const jobs = 100
+	grp := group.New(context.Background())
+	var wg sync.WaitGroup
+	each := func(fn func(ctx context.Context, id string)) {
+		for i := range jobs {
+			wg.Add(1)
+			grp.Go(func(ctx context.Context) {
+				defer wg.Done()
+				fn(ctx, fmt.Sprintf("job-%d", i))
+			})
+		}
+		wg.Wait()
+	}
+	each(func(ctx context.Context, id string) { _, _ = no.mg.Submit(ctx, submission(id, 2)) })
+	gm.Eventually(func() int {
+		wo.fl.mu.Lock()
+		defer wo.fl.mu.Unlock()
+		return len(wo.fl.starts)
+	}, "5s", "1ms").Should(Equal(2 * jobs))
+	wo.fl.finish("job-0/0", worker.StateDone)
+	wo.fl.finish("job-0/1", worker.StateDone)
+	before := wo.tb.Counts().Commits
+	var mu sync.Mutex
+	got := map[string]Status{}
+	each(func(ctx context.Context, id string) {
+		status, err := no.mg.Cancel(ctx, platform.JobID(id))
+		mu.Lock()
+		defer mu.Unlock()
+		got[id] = status
+		if err != nil {
+			t.Errorf("cancel %s: %v", id, err)
+		}
+	})
+	gm.Expect(got["job-0"].State).To(Equal(StateComplete), "completion came first")
+	gm.Expect(wo.tb.Counts().Commits - before).To(BeNumerically("<", jobs/4))
+	each(func(ctx context.Context, id string) {
+		status, err := no.mg.Get(ctx, platform.JobID(id))
+		if err != nil || status.State != got[id].State || status.Reason != got[id].Reason {
+			t.Errorf("%s: the cancellation heard %v, a reader %v (%v)", id, got[id], status, err)
+		}
+	})
+	grp.Close()
+	wo.fl.mu.Lock()
+	defer wo.fl.mu.Unlock()
+	for id, state := range wo.fl.state {
+		gm.Expect(state).NotTo(Equal(worker.StateRunning), "task %s", id)
+	}
+}
+
+// TestLargeResults guards against rows that grow with the results, and against
+// answers that lose a result on the way through the object store.
+func TestLargeResults(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	wo := newWorld(t, 2, standin.TableOptions{})
+	wo.fl.answer = func(id worker.TaskID) string { return strings.Repeat("x", 5000) + string(id) }
+	_, err := wo.nodes[0].mg.Submit(context.Background(), submission("job", 30))
+	gm.Expect(err).NotTo(HaveOccurred())
+	for _, no := range wo.nodes {
+		status, err := no.mg.Wait(context.Background(), "job", 5*time.Second)
+		gm.Expect(err).NotTo(HaveOccurred())
+		gm.Expect(status.Results).To(HaveLen(30))
+		for i, raw := range status.Results {
+			gm.Expect(string(raw)).To(HaveSuffix(fmt.Sprintf("xjob/%d\"", i)))
+		}
+	}
+	gm.Expect(len(wo.tb.Rows("job/")[0].Value)).To(BeNumerically("<", maxInlineTotal+4096))
+}
+
+// ownership runs a random order of submissions, pauses, lost replies,
+// cancellations and takeovers, and checks the promises at the end.
+func ownership(rt *rapid.T, seedFault bool) error {
+	wo := openWorld(3, standin.TableOptions{})
+	defer wo.close()
+	ctx := context.Background()
+	var wg sync.WaitGroup
+	grp := group.New(ctx)
+	defer grp.Close()
+	async := func(fn func(ctx context.Context)) {
+		wg.Add(1)
+		grp.Go(func(ctx context.Context) {
+			defer wg.Done()
+			fn(ctx)
+		})
+	}
+	var mu sync.Mutex
+	heard := map[platform.JobID]Status{}
+	var broken error
+	hear := func(id platform.JobID, status Status, err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil || !status.Final() {
+			return
+		}
+		if old, ok := heard[id]; ok && (old.State != status.State || old.Reason != status.Reason) {
+			broken = errors.Join(broken, fmt.Errorf("job %s is %s (%s) and %s (%s)", id, old.State, old.Reason, status.State, status.Reason))
+		}
+		heard[id] = status
+	}
+	for _, no := range wo.nodes {
+		no.table.ignoreFence = seedFault
+	}
+	jobs := []platform.JobID{"a", "b"}
+	for range rapid.IntRange(2, 14).Draw(rt, "steps") {
+		no := wo.nodes[rapid.IntRange(0, 2).Draw(rt, "entry")]
+		id := jobs[rapid.IntRange(0, 1).Draw(rt, "job")]
+		switch rapid.SampledFrom([]string{"submit", "submit", "freeze-at", "thaw", "lose", "take-over", "take-over", "cancel", "wait"}).Draw(rt, "step") {
+		case "submit":
+			async(func(ctx context.Context) {
+				status, err := no.mg.Submit(ctx, submission(string(id), 2))
+				hear(id, status, err)
+			})
+		case "freeze-at":
+			no.table.mu.Lock()
+			no.table.freezeAt = no.table.commits + rapid.IntRange(1, 3).Draw(rt, "commit")
+			no.table.mu.Unlock()
+		case "thaw":
+			no.table.thaw()
+		case "lose":
+			no.table.mu.Lock()
+			no.table.loseReplies = 1
+			no.table.mu.Unlock()
+		case "take-over":
+			victim := wo.nodes[rapid.IntRange(0, 2).Draw(rt, "victim")]
+			if victim != no {
+				inc := victim.mg.session().inc
+				async(func(ctx context.Context) { no.mg.takeOver(ctx, no.mg.session(), inc) })
+			}
+		case "cancel":
+			async(func(ctx context.Context) {
+				status, err := no.mg.Cancel(ctx, id)
+				hear(id, status, err)
+			})
+		case "wait":
+			time.Sleep(time.Duration(rapid.IntRange(1, 8).Draw(rt, "millis")) * time.Millisecond)
+		}
+	}
+	time.Sleep(10 * time.Millisecond)
+	for _, no := range wo.nodes {
+		no.table.thaw()
+	}
+	wg.Wait()
+	for _, id := range jobs {
+		for _, no := range wo.nodes {
+			// Each resubmission must lead to the one final answer. A job whose
+			// owner was replaced waits until someone takes it over.
+			for began := time.Now(); ; {
+				status, err := no.mg.Submit(ctx, submission(string(id), 2))
+				if err == nil && !status.Final() {
+					status, err = no.mg.Wait(ctx, id, 20*time.Millisecond)
+				}
+				hear(id, status, err)
+				if err == nil && status.Final() {
+					break
+				}
+				if time.Since(began) > 5*time.Second {
+					return fmt.Errorf("job %s has no answer at %s: %v %w", id, no.mg.session().inc, status, err)
+				}
+				wo.rescue(ctx)
+			}
+		}
+	}
+	return errors.Join(broken, wo.overstarted())
+}
+
+// rescue lets one entry take over every session that has ended.
+func (wo *world) rescue(ctx context.Context) {
+	live := map[platform.Incarnation]bool{}
+	for _, no := range wo.nodes {
+		live[no.mg.session().inc] = true
+	}
+	owners, _ := wo.nodes[0].mg.logOwners(ctx)
+	for inc := range owners {
+		if !live[inc] {
+			wo.nodes[0].mg.takeOver(ctx, wo.nodes[0].mg.session(), inc)
+		}
+	}
+}
+
+// TestRandomOwnership guards against an order of pauses, lost replies and
+// takeovers that starts a task twice, loses a job, or gives two answers.
+func TestRandomOwnership(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		if err := ownership(rt, false); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// TestRandomOwnershipFindsMissingFence guards against a random run that finds
+// nothing: entries that ignore fences must be caught.
+func TestRandomOwnershipFindsMissingFence(t *testing.T) {
+	for seed := range 200 {
+		example := rapid.Custom(func(rt *rapid.T) bool { return ownership(rt, true) != nil })
+		if example.Example(seed) {
+			t.Logf("found with seed %d", seed)
+			return
+		}
+	}
+	t.Error("200 random runs did not find that fences are ignored")
+}
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,53 +22,131 @@
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
-// Rows reads and commits rows of the table service.
-type Rows interface {
-	Get(ctx context.Context, key string) (table.Row, error)
-	Commit(ctx context.Context, tx table.Transaction) (table.Version, error)
-}
-
 // Options are the dependencies of a Manager.
 type Options struct {
 	Board       *blackboard.Board
 	Rows        Rows
-	Client      *http.Client
+	Objects     Objects
+	Members     Members
+	Peers       Peers
+	Scheduler   Scheduler
+	Traffic     Traffic
 	Counters    *counter.Set
 	Incarnation platform.Incarnation
 	Log         zerolog.Logger
+	// WriteBudget is the bound on table writes a second of all entries
+	// together; 0 means DefaultWriteBudget.
+	WriteBudget float64
 }
 
-// Manager owns the jobs that this entry has admitted.
+// DefaultWriteBudget is the number of table writes a second that all entries
+// may use together for jobs.
+const DefaultWriteBudget = 300
+
+const (
+	// retention is how long an answer is kept after its decision.
+	retention = 10 * time.Minute
+	// patience bounds how long a caller waits for the commit of its submission.
+	patience = 5 * time.Second
+	// outageRetry is the time to come back that a caller is told in an outage.
+	outageRetry = 2 * time.Second
+	// maxOwnedBytes bounds the bodies and the results of the jobs that one entry
+	// holds in memory.
+	maxOwnedBytes = 64 << 20
+)
+
+// Manager owns the jobs that this entry has admitted or taken over.
 type Manager struct {
 	opt Options
 	grp *group.Group
 
-	mu   sync.Mutex
-	jobs map[platform.JobID]*ownedJob
-	next int
-}
-
-type ownedJob struct {
-	status Status
-	done   chan struct{}
-}
-
-type jobRow struct {
-	Owner  platform.Incarnation `json:"owner"`
-	Status Status               `json:"status"`
+	mu      sync.Mutex
+	se      *session
+	num     int
+	closed  bool
+	started bool
+	scan    scanState
 }
 
 // New returns a manager.
 func New(opt Options) *Manager {
-	return &Manager{opt: opt, grp: group.New(context.Background()), jobs: map[platform.JobID]*ownedJob{}}
+	if opt.WriteBudget == 0 {
+		opt.WriteBudget = DefaultWriteBudget
+	}
+	mg := &Manager{opt: opt, grp: group.New(context.Background()), num: 1}
+	mg.scan = newScanState()
+	mg.se = newSession(mg, 1)
+	return mg
 }
 
 // Start begins to own jobs.
-func (mg *Manager) Start() {}
+func (mg *Manager) Start() {
+	mg.mu.Lock()
+	mg.started = true
+	se := mg.se
+	mg.mu.Unlock()
+	se.start()
+	mg.grp.Every(scanTick, mg.scanTick)
+}
 
-// Close stops the work on jobs and waits.
+// Close stops the work on jobs and waits. It fences its own session, so that
+// the other entries take over its jobs without waiting for proof.
 func (mg *Manager) Close() {
+	mg.mu.Lock()
+	mg.closed = true
+	se := mg.se
+	mg.mu.Unlock()
 	mg.grp.Close()
+	handOver := se.owns()
+	se.drop()
+	se.close()
+	if handOver {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, _ = mg.fence(ctx, se.inc, "")
+	}
+}
+
+func (mg *Manager) session() *session {
+	mg.mu.Lock()
+	defer mg.mu.Unlock()
+	return mg.se
+}
+
+// fenced replaces a session that met its fence by the next one.
+func (mg *Manager) fenced(old *session) {
+	mg.mu.Lock()
+	if mg.se != old || mg.closed {
+		mg.mu.Unlock()
+		return
+	}
+	mg.num++
+	mg.se = newSession(mg, mg.num)
+	se := mg.se
+	if mg.started {
+		se.start()
+	}
+	mg.mu.Unlock()
+	mg.opt.Counters.Add(counter.Job, "fenced", 1)
+	mg.opt.Log.Warn().Str("session", string(old.inc)).Str("next", string(se.inc)).Msg("jobs-dropped-after-fence")
+	old.drop()
+	mg.grp.Go(func(context.Context) { old.close() })
+}
+
+// interval divides the write budget among the entries that may be writing.
+func (mg *Manager) interval() time.Duration {
+	live := 1
+	if snap := mg.opt.Members.Load(); snap != nil {
+		live += len(snap.Alive) + len(snap.Suspect)
+	}
+	return time.Duration(float64(live) / mg.opt.WriteBudget * float64(time.Second))
+}
+
+// IssueID returns an id under which this entry admits a job even while the
+// table is down.
+func (mg *Manager) IssueID() platform.JobID {
+	se := mg.session()
+	return newIssuedID(se.inc, time.Since(se.began))
 }
 
 // Submit admits a job. Submitting the same id again joins the first one.
@@ -79,191 +158,249 @@
 	if sub.ID == "" {
 		sub.ID = platform.JobID(uuid.NewString())
 	}
-	status := Status{ID: sub.ID, State: StateRunning}
-	raw, err := json.Marshal(jobRow{Owner: mg.opt.Incarnation, Status: status})
-	if err != nil {
-		return Status{}, err
+	iss, issued := parseIssuedID(sub.ID)
+	if issued && iss.owner != mg.session().inc {
+		return mg.submitToIssuer(ctx, iss, sub)
+	}
+	for range 3 {
+		se := mg.session()
+		status, err := se.submit(ctx, sub, limits.MaxQueuedJobs)
+		if !errors.Is(err, errDropped) {
+			return status, err
+		}
+		if issued {
+			return mg.Get(ctx, sub.ID)
+		}
 	}
-	_, err = mg.opt.Rows.Commit(ctx, table.Transaction{
-		ID:     uuid.NewString(),
-		Checks: []table.Check{{Key: jobKey(sub.ID), Version: table.Absent}},
-		Writes: []table.Write{{Key: jobKey(sub.ID), Value: raw}},
-	})
-	var ce *table.ConflictError
-	if errors.As(err, &ce) {
+	return Status{}, unknownOutcome("owner-changed", "the owner of the job changed several times")
+}
+
+// submitToIssuer passes a submission to the only incarnation that may start it.
+func (mg *Manager) submitToIssuer(ctx context.Context, iss issuedID, sub Submission) (Status, error) {
+	addr, ok := mg.addressOf(iss.owner)
+	if !ok {
 		return mg.Get(ctx, sub.ID)
 	}
+	raw, err := json.Marshal(sub)
 	if err != nil {
-		return Status{}, outcome.MayHaveRun("table-unavailable", err.Error(), "ask again with the same id")
+		return Status{}, err
 	}
-	oj := &ownedJob{status: status, done: make(chan struct{})}
-	mg.mu.Lock()
-	mg.jobs[sub.ID] = oj
-	mg.mu.Unlock()
-	mg.grp.Go(func(ctx context.Context) { mg.run(ctx, sub, oj) })
-	return status, nil
+	rep, err := mg.call(ctx, addr, "Submit", PeerArgs{ID: sub.ID, Body: raw}, patience+time.Second)
+	if err != nil {
+		return Status{}, unknownOutcome("issuer-unreachable", err.Error())
+	}
+	return rep.result()
+}
+
+func unknownOutcome(reason, message string) error {
+	return outcome.MayHaveRun(reason, message, "ask again with the same id")
 }
 
-func jobKey(id platform.JobID) string {
-	return "job/" + string(id)
+// unknownJob makes no statement about a submission: another entry may be about
+// to commit it.
+func unknownJob(id platform.JobID) error {
+	err := outcome.MayHaveRun("unknown-job", fmt.Sprintf("job %q has no record", id), "check the id; submit again with the same id to be sure")
+	err.Status = http.StatusNotFound
+	return err
 }
 
 // Get returns the state of a job.
 func (mg *Manager) Get(ctx context.Context, id platform.JobID) (Status, error) {
-	mg.mu.Lock()
-	oj := mg.jobs[id]
-	mg.mu.Unlock()
-	if oj != nil {
-		select {
-		case <-oj.done:
-			return oj.status, nil
-		default:
-			return Status{ID: id, State: StateRunning}, nil
-		}
+	status, _, err := mg.get(ctx, id)
+	return status, err
+}
+
+// get returns the state of a job, and its owner when that is another one.
+func (mg *Manager) get(ctx context.Context, id platform.JobID) (Status, platform.Incarnation, error) {
+	se := mg.session()
+	if oj := se.find(id); oj != nil {
+		status, err := se.statusOf(ctx, oj)
+		return status, "", err
+	}
+	if se.lookUp(id) != nil {
+		return Status{}, "", unknownOutcome("commit-outcome-unknown", "the table has not confirmed the submission")
 	}
 	row, err := mg.opt.Rows.Get(ctx, jobKey(id))
 	if err != nil {
-		return Status{}, outcome.MayHaveRun("table-unavailable", err.Error(), "ask again with the same id")
+		status, found := mg.askPeers(ctx, id)
+		if found {
+			return status, "", nil
+		}
+		return Status{}, "", unknownOutcome("table-unavailable", err.Error())
 	}
 	if row.Version == table.Absent {
-		return Status{}, outcome.Refuse(http.StatusNotFound, "unknown-job", fmt.Sprintf("job %q does not exist", id), "check the id", 0)
+		if iss, ok := parseIssuedID(id); ok {
+			return mg.getIssued(ctx, iss, id)
+		}
+		return Status{}, "", unknownJob(id)
 	}
+	status, jr, err := mg.readRow(ctx, id, row.Value)
+	return status, jr.Owner, err
+}
+
+// getIssued answers for an issued id that has no row.
+func (mg *Manager) getIssued(ctx context.Context, iss issuedID, id platform.JobID) (Status, platform.Incarnation, error) {
+	if iss.owner == mg.session().inc {
+		return Status{}, "", unknownJob(id)
+	}
+	if addr, ok := mg.addressOf(iss.owner); ok {
+		rep, err := mg.call(ctx, addr, "Find", PeerArgs{ID: id}, time.Second)
+		switch {
+		case err != nil:
+			return Status{}, "", unknownOutcome("issuer-unreachable", err.Error())
+		case rep.Found:
+			status, err := rep.result()
+			return status, iss.owner, err
+		case rep.Session == iss.owner:
+			return Status{}, "", unknownJob(id)
+		}
+		// The process goes on under a later session: this one was fenced.
+	} else if processOf(iss.owner) != mg.opt.Incarnation && !mg.unlisted(iss.owner) {
+		return Status{}, "", unknownOutcome("issuer-unreachable", "only the entry that issued the id answers for it until its VM is gone")
+	}
+	return mg.failIssued(ctx, iss, id)
+}
+
+// unlisted tells whether the VM of an incarnation is proved to be gone.
+func (mg *Manager) unlisted(inc platform.Incarnation) bool {
+	snap := mg.opt.Members.Load()
+	if snap == nil {
+		return false
+	}
+	reason, gone := snap.Gone[processOf(inc)]
+	return gone && (reason == blackboard.GoneUnlisted || reason == blackboard.GoneReplaced)
+}
+
+// failIssued records that a job failed because the only entry that could have
+// started it is gone.
+func (mg *Manager) failIssued(ctx context.Context, iss issuedID, id platform.JobID) (Status, platform.Incarnation, error) {
+	se := mg.session()
+	if _, err := mg.fence(ctx, iss.owner, se.inc); err != nil {
+		return Status{}, "", unknownOutcome("table-unavailable", err.Error())
+	}
+	jr := jobRow{Owner: se.inc, State: StateFailed, Reason: reasonIssuerGone}
+	row, err := se.change(ctx, id, 0, jr)
+	if err != nil {
+		return Status{}, "", err
+	}
+	status, _, err := mg.readRow(ctx, id, row)
+	return status, "", err
+}
+
+const reasonIssuerGone = "the entry that issued the id is gone"
+
+// readRow turns a job row into a status, with results from the object store.
+func (mg *Manager) readRow(ctx context.Context, id platform.JobID, raw []byte) (Status, jobRow, error) {
 	var jr jobRow
-	if err := json.Unmarshal(row.Value, &jr); err != nil {
-		return Status{}, err
+	if err := json.Unmarshal(raw, &jr); err != nil {
+		return Status{}, jr, fmt.Errorf("decode the row of job %s: %w", id, err)
 	}
-	return jr.Status, nil
+	status, err := mg.statusOfRow(ctx, id, &jr)
+	return status, jr, err
+}
+
+func (mg *Manager) statusOfRow(ctx context.Context, id platform.JobID, jr *jobRow) (Status, error) {
+	status := Status{ID: id, State: jr.State, Reason: jr.Reason, Results: slices.Clone(jr.Results), Failures: jr.Failures}
+	for _, task := range jr.Objects {
+		raw, err := mg.opt.Objects.Get(ctx, resultKey(id, task))
+		if err != nil {
+			return Status{}, unknownOutcome("objects-unavailable", err.Error())
+		}
+		status.Results[task] = raw
+	}
+	return status, nil
 }
 
-// Wait returns the state of a job, after up to wait when it is not final.
+// Wait returns the state of a job, after up to wait when it is not final. The
+// request is held at the owner of the job.
 func (mg *Manager) Wait(ctx context.Context, id platform.JobID, wait time.Duration) (Status, error) {
-	const pollInterval = 200 * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
+	// A job between two owners is looked up again after this time.
+	const recheck = 100 * time.Millisecond
+	deadline := time.Now().Add(wait)
 	for {
-		status, err := mg.Get(context.WithoutCancel(ctx), id)
-		if err != nil || status.Final() || ctx.Err() != nil {
+		status, owner, err := mg.get(ctx, id)
+		left := time.Until(deadline)
+		if err != nil || status.Final() || left <= 0 || ctx.Err() != nil {
 			return status, err
 		}
-		select {
-		case <-ctx.Done():
-		case <-mg.doneOf(id):
-		case <-time.After(pollInterval):
+		se := mg.session()
+		if oj := se.find(id); oj != nil {
+			waitFor(ctx, oj.done, left)
+			continue
+		}
+		if !mg.holdAtOwner(ctx, owner, id, left) {
+			waitFor(ctx, nil, min(left, recheck))
 		}
 	}
 }
 
-func (mg *Manager) doneOf(id platform.JobID) <-chan struct{} {
-	mg.mu.Lock()
-	defer mg.mu.Unlock()
-	if oj := mg.jobs[id]; oj != nil {
-		return oj.done
-	}
-	return nil
-}
-
-func (mg *Manager) run(ctx context.Context, sub Submission, oj *ownedJob) {
-	final := Status{ID: sub.ID, State: StateComplete, Results: make([]json.RawMessage, len(sub.Tasks))}
-	var wait sync.Mutex
-	tasks := group.New(ctx)
-	left := len(sub.Tasks)
-	done := make(chan struct{})
-	for i, ts := range sub.Tasks {
-		tasks.Go(func(ctx context.Context) {
-			result, err := mg.runTask(ctx, sub.ID, i, ts)
-			wait.Lock()
-			defer wait.Unlock()
-			if err != nil {
-				final.State = StateFailed
-				final.Failures = append(final.Failures, TaskFailure{Task: i, Reason: err.Error()})
-			}
-			final.Results[i] = result
-			if left--; left == 0 {
-				close(done)
-			}
-		})
-	}
+// waitFor waits until the channel is closed, ctx ends or the time is over.
+func waitFor(ctx context.Context, done <-chan struct{}, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	select {
 	case <-done:
 	case <-ctx.Done():
+	case <-timer.C:
 	}
-	tasks.Close()
-	if ctx.Err() != nil {
-		return
-	}
-	if final.State == StateFailed {
-		final.Results = nil
-	}
-	mg.decide(ctx, oj, final)
 }
 
-func (mg *Manager) decide(ctx context.Context, oj *ownedJob, final Status) {
-	raw, err := json.Marshal(jobRow{Owner: mg.opt.Incarnation, Status: final})
-	if err == nil {
-		_, err = mg.opt.Rows.Commit(ctx, table.Transaction{
-			ID:     uuid.NewString(),
-			Writes: []table.Write{{Key: jobKey(final.ID), Value: raw}},
-		})
-	}
-	if err != nil {
-		mg.opt.Log.Error().Err(err).Str("job", string(final.ID)).Msg("job-decision-not-recorded")
-		return
+// Cancel fails a job unless it has been decided. It returns the final state:
+// the cancellation has lost when that is complete.
+func (mg *Manager) Cancel(ctx context.Context, id platform.JobID) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for ctx.Err() == nil {
+		status, owner, err := mg.get(ctx, id)
+		if err != nil || status.Final() {
+			return status, err
+		}
+		se := mg.session()
+		if oj := se.find(id); oj != nil {
+			se.cancel(oj)
+			waitFor(ctx, oj.done, patience)
+			continue
+		}
+		if status, ok := mg.cancelElsewhere(ctx, owner, id); ok {
+			return status, nil
+		}
 	}
-	oj.status = final
-	close(oj.done)
-	mg.opt.Counters.Add(counter.Job, string(final.State), 1)
+	return Status{}, unknownOutcome("cancellation-not-recorded", "the cancellation is not recorded yet")
 }
 
-var errNoWorker = errors.New("no live worker")
-
-func (mg *Manager) runTask(ctx context.Context, id platform.JobID, index int, ts TaskSpec) (json.RawMessage, error) {
-	const (
-		poll  = 10 * time.Millisecond
-		lease = 30 * time.Second
-	)
-	vm, ok := mg.pick()
-	if !ok {
-		return nil, errNoWorker
-	}
-	wc := worker.NewClient("http://"+vm.Address, mg.opt.Client)
-	task := worker.Task{
-		ID:           worker.TaskID(fmt.Sprintf("%s/%d", id, index)),
-		Kind:         ts.Kind,
-		Payload:      ts.Payload,
-		Processors:   ts.Processors,
-		Memory:       ts.Memory,
-		Accelerators: ts.Accelerators,
-		RunMillis:    ts.RunMillis,
-		LeaseMillis:  lease.Milliseconds(),
+func (mg *Manager) cancelElsewhere(ctx context.Context, owner platform.Incarnation, id platform.JobID) (Status, bool) {
+	if addr, ok := mg.addressOf(owner); ok {
+		rep, err := mg.call(ctx, addr, "Cancel", PeerArgs{ID: id}, patience)
+		if err == nil && rep.Found && rep.Err == nil {
+			status, err := rep.result()
+			return status, err == nil && status.Final()
+		}
 	}
-	if err := wc.Start(ctx, task); err != nil {
-		return nil, err
+	// The owner does not answer: change the row under its hands. Its own
+	// decision then meets a conflict, and it stops the tasks.
+	row, err := mg.opt.Rows.Get(ctx, jobKey(id))
+	var jr jobRow
+	if err != nil || json.Unmarshal(row.Value, &jr) != nil || jr.State != StateRunning {
+		waitFor(ctx, nil, 50*time.Millisecond)
+		return Status{}, false
 	}
-	for {
-		rep, _, err := wc.Get(ctx, task.ID)
-		switch {
-		case err != nil:
-			return nil, err
-		case rep.State == worker.StateDone:
-			return rep.Result, nil
-		case rep.State != worker.StateRunning:
-			return nil, fmt.Errorf("the worker reports %s: %s", rep.State, rep.Error)
-		}
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(poll):
-		}
+	jr.State = StateFailed
+	jr.Reason = ReasonCancelled
+	raw, err := mg.session().change(ctx, id, int64(row.Version), jr)
+	if err != nil {
+		waitFor(ctx, nil, 50*time.Millisecond)
+		return Status{}, false
 	}
+	status, _, err := mg.readRow(ctx, id, raw)
+	return status, err == nil && status.Final()
 }
 
-func (mg *Manager) pick() (platform.VM, bool) {
-	vms := mg.opt.Board.VMs.Load()
-	if vms == nil || len(vms.Workers) == 0 {
-		return platform.VM{}, false
-	}
-	mg.mu.Lock()
-	defer mg.mu.Unlock()
-	mg.next++
-	return vms.Workers[mg.next%len(vms.Workers)], true
+// Finished takes the report of a task that has ended.
+func (mg *Manager) Finished(rep worker.Report) {
+	mg.session().finished(rep)
+}
+
+// Lost says that the result of a task cannot be had any more.
+func (mg *Manager) Lost(task worker.TaskID, reason string) {
+	mg.session().lost(task, reason)
 }
--- /dev/null
+++ b/internal/job/peers.go
@@ -0,0 +1,161 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+// PeerName is the name that the methods of a PeerService are registered under.
+const PeerName = "jobs"
+
+// PeerArgs are the arguments of the methods of a PeerService.
+type PeerArgs struct {
+	ID platform.JobID
+	// Body is the submission as JSON.
+	Body []byte
+	Wait time.Duration
+}
+
+// PeerReply is the answer of the methods of a PeerService.
+type PeerReply struct {
+	// Found tells whether the called entry owns the job.
+	Found bool
+	// Session is the present session of the called entry.
+	Session platform.Incarnation
+	// Status is the state of the job as JSON.
+	Status []byte
+	Err    *outcome.Error
+}
+
+func (rep *PeerReply) result() (Status, error) {
+	if rep.Err != nil {
+		return Status{}, rep.Err
+	}
+	var status Status
+	err := json.Unmarshal(rep.Status, &status)
+	return status, err
+}
+
+// PeerService answers other entries for the jobs that this entry owns. None of
+// its methods passes a call on.
+type PeerService struct {
+	mg *Manager
+}
+
+// PeerService returns the receiver to register for other entries.
+func (mg *Manager) PeerService() *PeerService {
+	return &PeerService{mg: mg}
+}
+
+func (ps *PeerService) reply(rep *PeerReply, status Status, err error) error {
+	if err != nil {
+		rep.Err = outcome.From(err)
+		return nil
+	}
+	raw, err := json.Marshal(status)
+	rep.Status = raw
+	return err
+}
+
+// Find returns the state of a job that this entry owns, after up to Wait when
+// it is not final.
+func (ps *PeerService) Find(args *PeerArgs, rep *PeerReply) error {
+	se := ps.mg.session()
+	rep.Session = se.inc
+	oj := se.find(args.ID)
+	if oj == nil {
+		return nil
+	}
+	if args.Wait > 0 {
+		waitFor(ps.mg.grp.Context(), oj.done, min(args.Wait, holdStep))
+	}
+	rep.Found = true
+	status, err := se.statusOf(ps.mg.grp.Context(), oj)
+	return ps.reply(rep, status, err)
+}
+
+// Submit admits a job under an id that this entry has issued.
+func (ps *PeerService) Submit(args *PeerArgs, rep *PeerReply) error {
+	var sub Submission
+	if err := json.Unmarshal(args.Body, &sub); err != nil {
+		return err
+	}
+	rep.Session = ps.mg.session().inc
+	if iss, ok := parseIssuedID(sub.ID); !ok || iss.owner != rep.Session {
+		return ps.reply(rep, Status{}, unknownOutcome("issuer-fenced", "the entry that issued the id goes on under another incarnation"))
+	}
+	rep.Found = true
+	status, err := ps.mg.Submit(ps.mg.grp.Context(), sub)
+	return ps.reply(rep, status, err)
+}
+
+// Cancel cancels a job that this entry owns.
+func (ps *PeerService) Cancel(args *PeerArgs, rep *PeerReply) error {
+	se := ps.mg.session()
+	rep.Session = se.inc
+	oj := se.find(args.ID)
+	if oj == nil {
+		return nil
+	}
+	rep.Found = true
+	se.cancel(oj)
+	waitFor(ps.mg.grp.Context(), oj.done, patience/2)
+	status, err := se.statusOf(ps.mg.grp.Context(), oj)
+	return ps.reply(rep, status, err)
+}
+
+// holdStep bounds one held call, so that a connection that has gone silent
+// holds up a caller for no longer.
+const holdStep = 2 * time.Second
+
+// call calls an entry. The time limit does not depend on ctx: the pool drops a
+// connection, with the other calls on it, when a call ends by its context.
+func (mg *Manager) call(ctx context.Context, addr, method string, args PeerArgs, limit time.Duration) (PeerReply, error) {
+	var rep PeerReply
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	defer cancel()
+	err := mg.opt.Peers.Call(ctx, addr, PeerName+"."+method, &args, &rep)
+	return rep, err
+}
+
+// addressOf returns the address of a live entry by one of its sessions.
+func (mg *Manager) addressOf(inc platform.Incarnation) (string, bool) {
+	snap := mg.opt.Members.Load()
+	if snap == nil || inc == "" || mg.opt.Peers == nil {
+		return "", false
+	}
+	base := processOf(inc)
+	mb, ok := snap.Alive[base.Entry()]
+	return mb.PeerAddress, ok && mb.Incarnation == base && base != mg.opt.Incarnation
+}
+
+// holdAtOwner waits for a job at its owner. It reports false when that did not
+// take any time.
+func (mg *Manager) holdAtOwner(ctx context.Context, owner platform.Incarnation, id platform.JobID, left time.Duration) bool {
+	addr, ok := mg.addressOf(owner)
+	if !ok {
+		return false
+	}
+	rep, err := mg.call(ctx, addr, "Find", PeerArgs{ID: id, Wait: min(left, holdStep)}, holdStep+time.Second)
+	return err == nil && rep.Found
+}
+
+// askPeers looks a job up at the live entries, for use without the table.
+func (mg *Manager) askPeers(ctx context.Context, id platform.JobID) (Status, bool) {
+	snap := mg.opt.Members.Load()
+	if snap == nil || mg.opt.Peers == nil {
+		return Status{}, false
+	}
+	for _, mb := range snap.Alive {
+		rep, err := mg.call(ctx, mb.PeerAddress, "Find", PeerArgs{ID: id}, time.Second)
+		if err == nil && rep.Found {
+			status, err := rep.result()
+			return status, err == nil
+		}
+	}
+	return Status{}, false
+}
--- /dev/null
+++ b/internal/job/retention.go
@@ -0,0 +1,122 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
+)
+
+// logInfo is what a session remembers of a log row until it deletes it. The ids
+// of decided jobs stay in the row, so that memory does not grow with the number
+// of jobs in the retention time.
+type logInfo struct {
+	version int64
+	refs    int       // records of undecided jobs in the row
+	decided bool      // the row lists decided jobs
+	at      time.Time // of the commit
+}
+
+const sweepTick = time.Second
+
+// pin keeps the log row of a record until its job is decided.
+func (se *session) pin(oj *ownedJob, res groupcommit.Result) {
+	key := logKey(se.inc, res.Seq)
+	if info := se.logs[key]; info != nil {
+		info.refs++
+		oj.logs = append(oj.logs, key)
+	}
+}
+
+func (se *session) unpin(oj *ownedJob) {
+	for _, key := range oj.logs {
+		if info := se.logs[key]; info != nil {
+			info.refs--
+		}
+	}
+	oj.logs = nil
+}
+
+// keepDecided keeps the answers that are recorded in a log row for the
+// retention time.
+func (se *session) keepDecided(res groupcommit.Result) {
+	if info := se.logs[logKey(se.inc, res.Seq)]; info != nil {
+		info.decided = true
+	}
+}
+
+// sweep deletes log rows that no undecided job needs, and the answers whose
+// retention time has passed.
+func (se *session) sweep(ctx context.Context) {
+	const (
+		most = 100 // log rows in one sweep, so that a backlog is spread
+		// least keeps an idle entry from writing one log row for each one that it
+		// deletes, without end.
+		least = 16
+		// settled is longer than the outcomes of a commit take to be reported.
+		settled = 5 * time.Second
+	)
+	due := map[string]logInfo{}
+	se.mu.Lock()
+	for key, info := range se.logs {
+		age := time.Since(info.at)
+		if len(due) < most && info.refs == 0 && (age > retention || !info.decided && age > settled) {
+			due[key] = *info
+		}
+	}
+	if len(due) < least {
+		due = nil
+	}
+	for key := range due {
+		delete(se.logs, key)
+	}
+	se.mu.Unlock()
+	for key, info := range due {
+		if !se.sweepRow(ctx, key, info) {
+			se.mu.Lock()
+			se.logs[key] = &info
+			se.mu.Unlock()
+		}
+	}
+}
+
+// sweepRow deletes a log row and the answers that it lists. It reports false
+// when that has to be tried again.
+func (se *session) sweepRow(ctx context.Context, key string, info logInfo) bool {
+	if info.decided {
+		row, err := se.mg.opt.Rows.Get(ctx, key)
+		if err != nil {
+			return false
+		}
+		var lr logRow
+		if row.Version == table.Absent {
+			return true
+		}
+		if err := json.Unmarshal(row.Value, &lr); err != nil {
+			return false
+		}
+		for _, de := range lr.Decided {
+			for _, task := range de.Objects {
+				_ = se.mg.opt.Objects.Delete(ctx, resultKey(de.Job, task))
+			}
+			// A job row that was decided in this log row has its version.
+			if !se.remove(jobKey(de.Job), info.version) {
+				return false
+			}
+		}
+	}
+	return se.remove(key, info.version)
+}
+
+func (se *session) remove(key string, version int64) bool {
+	rec := &record{changes: []groupcommit.Change{{Key: key, If: version, Delete: true}}}
+	_, err := se.com.Add(rec, func(res groupcommit.Result) {
+		if res.Err == nil {
+			se.mg.opt.Counters.Add(counter.Table, "job-rows-deleted", 1)
+		}
+	})
+	return err == nil
+}
--- /dev/null
+++ b/internal/job/session.go
@@ -0,0 +1,628 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/worker"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
+)
+
+// session is the work of the manager under one incarnation. It ends when it
+// meets its fence.
+type session struct {
+	mg    *Manager
+	inc   platform.Incarnation
+	began time.Time
+	com   *groupcommit.Committer[*record]
+	grp   *group.Group
+
+	mu      sync.Mutex
+	dropped bool
+	jobs    map[platform.JobID]*ownedJob
+	bytes   int // bodies and results of the jobs
+	logs    map[string]*logInfo
+}
+
+// taskPhase is how far a task has come. A task beyond taskIntending may run.
+type taskPhase uint8
+
+const (
+	taskWaiting   taskPhase = iota // with the scheduler
+	taskIntending                  // assigned; the intent is not committed
+	taskSent
+	taskStoring // its result is on the way to the object store
+	taskDone
+)
+
+type task struct {
+	phase    taskPhase
+	object   bool
+	attempts int
+	place    worker.Placement
+}
+
+// ownedJob is a job of this session. Its fields are guarded by session.mu.
+type ownedJob struct {
+	sub     Submission
+	issued  bool
+	size    int
+	version int64 // of its row, 0 until it is admitted
+	running bool  // its tasks are given to the scheduler
+	tasks   []task
+	left    int
+	results []json.RawMessage
+	inline  int // bytes of results that go into the row
+	total   int // bytes of all results
+	final   *jobRow
+	logs    []string
+	// admitted is closed when the outcome of the admission is known, or when
+	// the job runs without the table; admitErr holds a failure, and taken the
+	// row of a job that exists already.
+	admitted chan struct{}
+	admitErr error
+	taken    []byte
+	// done is closed when the answer may be told, or the session has dropped
+	// the job; answered tells which.
+	done     chan struct{}
+	answered bool
+}
+
+// errDropped says that the session ended before the job was admitted.
+var errDropped = errors.New("the session met its fence")
+
+func newSession(mg *Manager, num int) *session {
+	se := &session{
+		mg:    mg,
+		inc:   sessionName(mg.opt.Incarnation, num),
+		began: time.Now(),
+		grp:   group.New(context.Background()),
+		jobs:  map[platform.JobID]*ownedJob{},
+		logs:  map[string]*logInfo{},
+	}
+	se.com = groupcommit.New(groupcommit.Options[*record]{
+		Store:     commitStore{rows: mg.opt.Rows},
+		Guards:    []string{fenceKey(se.inc)},
+		LogKey:    func(seq int64) string { return logKey(se.inc, seq) },
+		Encode:    encodeLog,
+		Token:     logToken,
+		NewToken:  uuid.NewString,
+		Interval:  mg.interval,
+		Committed: se.onCommitted,
+	})
+	return se
+}
+
+func (se *session) start() {
+	const outageTick = 100 * time.Millisecond
+	se.com.Start()
+	se.grp.Every(outageTick, func(context.Context) { se.checkOutage() })
+	se.grp.Every(sweepTick, se.sweep)
+}
+
+// owns tells whether the session has jobs that another entry has to take over.
+func (se *session) owns() bool {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return len(se.jobs) > 0
+}
+
+// drop gives up the jobs of the session. Their tasks go on at the workers; the
+// next owner asks for their results there.
+func (se *session) drop() {
+	se.mu.Lock()
+	se.dropped = true
+	jobs := se.jobs
+	se.jobs = map[platform.JobID]*ownedJob{}
+	var waiting []worker.TaskID
+	for _, oj := range jobs {
+		waiting = append(waiting, oj.unsent()...)
+		se.release(oj, errDropped)
+	}
+	se.mu.Unlock()
+	se.mg.opt.Scheduler.Withdraw(waiting)
+}
+
+// close waits for the goroutines of the session. It must not be called by one
+// of them.
+func (se *session) close() {
+	se.grp.Close()
+	se.com.Close()
+}
+
+// release wakes everyone who waits for a job that the session gives up.
+func (se *session) release(oj *ownedJob, err error) {
+	if !oj.isAdmitted() {
+		oj.admitErr = err
+		close(oj.admitted)
+	}
+	if !oj.answered {
+		oj.answered = true
+		close(oj.done)
+	}
+}
+
+func (oj *ownedJob) isAdmitted() bool {
+	select {
+	case <-oj.admitted:
+		return true
+	default:
+		return false
+	}
+}
+
+// unsent returns the tasks that were not sent to a worker.
+func (oj *ownedJob) unsent() []worker.TaskID {
+	var out []worker.TaskID
+	for i := range oj.tasks {
+		if oj.running && oj.tasks[i].phase <= taskIntending {
+			out = append(out, taskID(oj.sub.ID, i))
+		}
+	}
+	return out
+}
+
+// find returns a job that was admitted.
+func (se *session) find(id platform.JobID) *ownedJob {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if oj := se.jobs[id]; oj != nil && oj.isAdmitted() {
+		return oj
+	}
+	return nil
+}
+
+// statusOf returns the state of a job that may be told to callers.
+func (se *session) statusOf(ctx context.Context, oj *ownedJob) (Status, error) {
+	se.mu.Lock()
+	final := oj.final
+	if !oj.answered {
+		final = nil
+	}
+	se.mu.Unlock()
+	if final == nil {
+		return Status{ID: oj.sub.ID, State: StateRunning}, nil
+	}
+	return se.mg.statusOfRow(ctx, oj.sub.ID, final)
+}
+
+func newOwnedJob(sub Submission, size int) *ownedJob {
+	_, issued := parseIssuedID(sub.ID)
+	return &ownedJob{
+		sub:      sub,
+		issued:   issued,
+		size:     size,
+		tasks:    make([]task, len(sub.Tasks)),
+		left:     len(sub.Tasks),
+		results:  make([]json.RawMessage, len(sub.Tasks)),
+		admitted: make(chan struct{}),
+		done:     make(chan struct{}),
+	}
+}
+
+// submit admits a job and waits until its admission is committed.
+func (se *session) submit(ctx context.Context, sub Submission, maxJobs int) (Status, error) {
+	oj, ticket, err := se.admit(sub, maxJobs)
+	if err != nil {
+		return Status{}, err
+	}
+	if err := se.awaitAdmission(ctx, oj, ticket); err != nil {
+		return Status{}, err
+	}
+	if oj.taken != nil {
+		status, _, err := se.mg.readRow(ctx, sub.ID, oj.taken)
+		return status, err
+	}
+	return se.statusOf(ctx, oj)
+}
+
+type admitTicket = *groupcommit.Ticket[*record]
+
+// admit queues the admission of a job, or joins a job of the session. The
+// ticket is nil for a joined job.
+func (se *session) admit(sub Submission, maxJobs int) (*ownedJob, admitTicket, error) {
+	raw, err := json.Marshal(sub)
+	if err != nil {
+		return nil, nil, refuseInput("invalid-payload", err.Error(), "send valid JSON")
+	}
+	if oj := se.lookUp(sub.ID); oj != nil {
+		return oj, nil, nil
+	}
+	if err := se.mayAdmit(sub, len(raw)); err != nil {
+		return nil, nil, err
+	}
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if se.dropped {
+		return nil, nil, errDropped
+	}
+	if oj := se.jobs[sub.ID]; oj != nil {
+		return oj, nil, nil
+	}
+	if len(se.jobs) >= maxJobs || se.bytes+len(raw) > maxOwnedBytes {
+		return nil, nil, se.refuseBusy("too-many-jobs", "this entry holds as many jobs as it may", time.Second)
+	}
+	oj := newOwnedJob(sub, len(raw))
+	row, err := json.Marshal(jobRow{Owner: se.inc, Token: uuid.NewString(), State: StateRunning})
+	if err != nil {
+		return nil, nil, err
+	}
+	rec := &record{
+		changes: []groupcommit.Change{{Key: jobKey(sub.ID), Value: row}},
+		admit:   &admission{Job: raw},
+	}
+	ticket, err := se.com.Add(rec, func(res groupcommit.Result) { se.onAdmitted(oj, res) })
+	switch {
+	case errors.Is(err, groupcommit.ErrFull):
+		return nil, nil, se.refuseBusy("table-backlog", "too many records wait for the table", outageRetry)
+	case errors.Is(err, groupcommit.ErrGuarded), errors.Is(err, groupcommit.ErrUnresolved):
+		return nil, nil, errDropped
+	case err != nil:
+		return nil, nil, err
+	}
+	se.jobs[sub.ID] = oj
+	se.bytes += oj.size
+	return oj, &ticket, nil
+}
+
+func (se *session) lookUp(id platform.JobID) *ownedJob {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return se.jobs[id]
+}
+
+func (se *session) refuseBusy(reason, message string, retryAfter time.Duration) error {
+	return outcome.Refuse(http.StatusServiceUnavailable, reason, message, "try again later or use another entry", retryAfter)
+}
+
+// mayAdmit checks what can be checked without the table.
+func (se *session) mayAdmit(sub Submission, size int) error {
+	if size > maxBodyBytes {
+		return outcome.Refuse(http.StatusRequestEntityTooLarge, "too-large",
+			fmt.Sprintf("the job has %d bytes; the limit is %d", size, maxBodyBytes), "split the job, or pass large payloads by reference", 0)
+	}
+	for i := range sub.Tasks {
+		if err := se.mg.opt.Scheduler.Admissible(demandOf(&sub, i)); err != nil {
+			return err
+		}
+	}
+	iss, issued := parseIssuedID(sub.ID)
+	if issued && time.Since(se.began)-iss.at > issuedLife {
+		return refuseInput("expired-id", fmt.Sprintf("the id was issued more than %s ago", issuedLife), "ask for a new id")
+	}
+	if !issued && se.com.Down() {
+		return errTableDown()
+	}
+	return nil
+}
+
+func errTableDown() error {
+	return outcome.Refuse(http.StatusServiceUnavailable, "table-unavailable",
+		"the table is down; this submission was not admitted", "come back later with the same id, or submit under an id issued beforehand", outageRetry)
+}
+
+func demandOf(sub *Submission, index int) worker.Demand {
+	ts := &sub.Tasks[index]
+	return worker.Demand{
+		Task:         taskID(sub.ID, index),
+		Team:         sub.Team,
+		Job:          sub.ID,
+		Kind:         ts.Kind,
+		Processors:   ts.Processors,
+		Memory:       ts.Memory,
+		Accelerators: ts.Accelerators,
+		RunMillis:    ts.RunMillis,
+	}
+}
+
+// awaitAdmission waits for the outcome of an admission. When it gives up, it
+// refuses the submission if the record can be taken back; otherwise the outcome
+// is unknown.
+func (se *session) awaitAdmission(ctx context.Context, oj *ownedJob, ticket admitTicket) error {
+	const downTick = 50 * time.Millisecond
+	for deadline := time.Now().Add(patience); ; {
+		waitFor(ctx, oj.admitted, downTick)
+		if oj.isAdmitted() {
+			return oj.admitErr
+		}
+		down := !oj.issued && se.com.Down()
+		if !down && ctx.Err() == nil && time.Now().Before(deadline) {
+			continue
+		}
+		if ticket != nil && se.withdrawAdmission(oj, ticket) || oj.isAdmitted() {
+			return oj.admitErr
+		}
+		return unknownOutcome("commit-outcome-unknown", "the table has not confirmed the submission")
+	}
+}
+
+// withdrawAdmission takes back an admission that provably was not committed, of
+// a job that does not run.
+func (se *session) withdrawAdmission(oj *ownedJob, ticket admitTicket) bool {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if oj.isAdmitted() || !ticket.Withdraw() {
+		return false
+	}
+	delete(se.jobs, oj.sub.ID)
+	se.bytes -= oj.size
+	se.release(oj, errTableDown())
+	return true
+}
+
+// onCommitted remembers every log row, so that it is deleted in time.
+func (se *session) onCommitted(com groupcommit.Commit) {
+	cnt := se.mg.opt.Counters
+	cnt.Add(counter.Table, "job-commits", 1)
+	cnt.Add(counter.Table, "job-records", int64(com.Records))
+	cnt.Add(counter.Table, "job-rows", int64(com.Rows))
+	cnt.Add(counter.Table, "job-bytes", int64(com.Bytes))
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	se.logs[logKey(se.inc, com.Seq)] = &logInfo{version: com.Version, at: time.Now()}
+}
+
+// onAdmitted takes the outcome of an admission.
+func (se *session) onAdmitted(oj *ownedJob, res groupcommit.Result) {
+	if errors.Is(res.Err, groupcommit.ErrGuarded) {
+		se.mg.fenced(se)
+		return
+	}
+	se.mu.Lock()
+	if se.dropped {
+		se.mu.Unlock()
+		return
+	}
+	if res.Err != nil {
+		unsent := se.notAdmitted(oj, res)
+		se.mu.Unlock()
+		se.mg.opt.Scheduler.Withdraw(unsent)
+		return
+	}
+	oj.version = res.Version
+	se.pin(oj, res)
+	run := !oj.running
+	oj.running = true
+	if !oj.isAdmitted() {
+		close(oj.admitted)
+	}
+	if oj.final != nil {
+		se.record(oj)
+	}
+	se.mu.Unlock()
+	se.mg.opt.Counters.Add(counter.Job, "admitted", 1)
+	if run {
+		se.enqueue(oj)
+	}
+}
+
+// notAdmitted forgets a job whose row belongs to someone else.
+func (se *session) notAdmitted(oj *ownedJob, res groupcommit.Result) []worker.TaskID {
+	if se.jobs[oj.sub.ID] == oj {
+		delete(se.jobs, oj.sub.ID)
+	}
+	se.bytes -= oj.size
+	err := unknownOutcome("commit-outcome-unknown", "the entry stopped before the table confirmed the submission")
+	if len(res.Conflicts) > 0 {
+		oj.taken = res.Conflicts[0].Value
+		err = nil
+	}
+	unsent := oj.unsent()
+	se.release(oj, err)
+	return unsent
+}
+
+// enqueue gives the tasks that have no intent to the scheduler.
+func (se *session) enqueue(oj *ownedJob) {
+	se.mu.Lock()
+	var dms []worker.Demand
+	if oj.final == nil && !se.dropped {
+		for i := range oj.tasks {
+			if oj.tasks[i].phase == taskWaiting {
+				dms = append(dms, demandOf(&oj.sub, i))
+			}
+		}
+	}
+	se.mu.Unlock()
+	if len(dms) > 0 {
+		se.mg.opt.Scheduler.Enqueue(dms, se.assigned)
+	}
+}
+
+// locate returns the job and the index of a task of an undecided job.
+func (se *session) locate(id worker.TaskID) (*ownedJob, int) {
+	job, index, ok := splitTask(id)
+	oj := se.jobs[job]
+	if !ok || oj == nil || oj.final != nil || index >= len(oj.tasks) {
+		return nil, 0
+	}
+	return oj, index
+}
+
+// assigned records the intent to send a task.
+func (se *session) assigned(id worker.TaskID, pl worker.Placement) {
+	se.mu.Lock()
+	oj, index := se.locate(id)
+	if oj == nil || oj.tasks[index].phase != taskWaiting {
+		se.mu.Unlock()
+		se.mg.opt.Scheduler.Withdraw([]worker.TaskID{id})
+		return
+	}
+	oj.tasks[index].phase = taskIntending
+	oj.tasks[index].place = pl
+	se.mu.Unlock()
+	se.intend(oj, index, pl)
+	if oj.issued && se.com.Down() {
+		se.sendNow(oj, index)
+	}
+}
+
+// intend commits the intent to send a task.
+func (se *session) intend(oj *ownedJob, index int, pl worker.Placement) {
+	const fullRetry = 100 * time.Millisecond
+	rec := &record{
+		intent: &intent{Job: oj.sub.ID, Worker: pl.Worker, Tasks: []int{index}},
+		place:  pl,
+	}
+	_, err := se.com.Add(rec, func(res groupcommit.Result) { se.onIntended(oj, index, res) })
+	switch {
+	case errors.Is(err, groupcommit.ErrGuarded):
+		se.mg.fenced(se)
+	case errors.Is(err, groupcommit.ErrFull):
+		se.grp.Go(func(ctx context.Context) {
+			waitFor(ctx, nil, fullRetry)
+			if ctx.Err() == nil {
+				se.intend(oj, index, pl)
+			}
+		})
+	}
+}
+
+func (se *session) onIntended(oj *ownedJob, index int, res groupcommit.Result) {
+	if errors.Is(res.Err, groupcommit.ErrGuarded) {
+		se.mg.fenced(se)
+		return
+	}
+	if res.Err != nil {
+		return
+	}
+	se.mu.Lock()
+	if oj.final == nil && !se.dropped {
+		se.pin(oj, res)
+	}
+	se.mu.Unlock()
+	se.sendNow(oj, index)
+}
+
+// sendNow sends a task whose intent is committed, or whose job has an issued
+// id while the table is down.
+func (se *session) sendNow(oj *ownedJob, index int) {
+	se.mu.Lock()
+	if oj.final != nil || se.dropped || oj.tasks[index].phase != taskIntending {
+		se.mu.Unlock()
+		return
+	}
+	oj.tasks[index].phase = taskSent
+	pl := oj.tasks[index].place
+	ts := oj.sub.Tasks[index]
+	se.mu.Unlock()
+	se.grp.Go(func(ctx context.Context) { se.send(ctx, oj, index, pl, ts) })
+}
+
+const (
+	sendTimeout = 5 * time.Second
+	lease       = 15 * time.Second
+	// maxRefusals bounds how many workers may refuse one task.
+	maxRefusals = 50
+)
+
+func (se *session) send(ctx context.Context, oj *ownedJob, index int, pl worker.Placement, ts TaskSpec) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	err := se.mg.opt.Traffic.Start(ctx, pl, worker.Task{
+		ID:           taskID(oj.sub.ID, index),
+		Kind:         ts.Kind,
+		Payload:      ts.Payload,
+		Processors:   ts.Processors,
+		Memory:       ts.Memory,
+		Accelerators: ts.Accelerators,
+		RunMillis:    ts.RunMillis,
+		LeaseMillis:  lease.Milliseconds(),
+	})
+	if errors.Is(err, worker.ErrRefused) {
+		se.refused(oj, index, pl)
+		return
+	}
+	// After any other error the task may run; the traffic follows it and reports
+	// its end.
+	se.mu.Lock()
+	stop := oj.final != nil && !se.dropped
+	if err == nil && oj.tasks[index].phase >= taskSent {
+		oj.sub.Tasks[index].Payload = nil
+	}
+	se.mu.Unlock()
+	if stop {
+		se.mg.opt.Traffic.Stop([]worker.TaskID{taskID(oj.sub.ID, index)})
+	}
+}
+
+// refused places a task again that a worker provably did not start.
+func (se *session) refused(oj *ownedJob, index int, pl worker.Placement) {
+	se.mg.opt.Counters.Add(counter.Retry, "worker-refused", 1)
+	se.mu.Lock()
+	if oj.final != nil || se.dropped || oj.tasks[index].phase != taskSent {
+		se.mu.Unlock()
+		return
+	}
+	oj.tasks[index].phase = taskWaiting
+	oj.tasks[index].attempts++
+	if oj.tasks[index].attempts >= maxRefusals {
+		act := se.fail(oj, index, fmt.Sprintf("%d workers refused the task, %s the last", maxRefusals, pl.Worker))
+		se.mu.Unlock()
+		act()
+		return
+	}
+	dm := demandOf(&oj.sub, index)
+	se.mu.Unlock()
+	se.mg.opt.Scheduler.Enqueue([]worker.Demand{dm}, se.assigned)
+}
+
+// checkOutage lets the jobs with issued ids go on while the table is down: only
+// this session may ever start them, so no record is needed to keep another
+// entry from doing so.
+func (se *session) checkOutage() {
+	if se.com.Guarded() {
+		se.mg.fenced(se)
+	}
+	if !se.com.Down() {
+		return
+	}
+	var run []*ownedJob
+	var answer []*ownedJob
+	type sending struct {
+		oj    *ownedJob
+		index int
+	}
+	var send []sending
+	se.mu.Lock()
+	for _, oj := range se.jobs {
+		if !oj.issued || se.dropped {
+			continue
+		}
+		if !oj.running {
+			oj.running = true
+			close(oj.admitted)
+			run = append(run, oj)
+		}
+		if oj.final != nil && !oj.answered {
+			answer = append(answer, oj)
+		}
+		for i := range oj.tasks {
+			if oj.tasks[i].phase == taskIntending {
+				send = append(send, sending{oj, i})
+			}
+		}
+	}
+	for _, oj := range answer {
+		se.answer(oj)
+	}
+	se.mu.Unlock()
+	for _, oj := range run {
+		se.mg.opt.Counters.Add(counter.Job, "admitted-without-table", 1)
+		se.enqueue(oj)
+	}
+	for _, sd := range send {
+		se.sendNow(sd.oj, sd.index)
+	}
+}
--- /dev/null
+++ b/internal/job/takeover.go
@@ -0,0 +1,450 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"hash/fnv"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+	"github.com/oleanderwall/oleanderwall/internal/worker"
+	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
+)
+
+const (
+	scanTick = 200 * time.Millisecond
+	// fullScan is the time between two scans when the members do not change.
+	fullScan = 2 * time.Second
+	// suspectFor is how long an entry must be silent before its jobs are taken
+	// over without proof that it has ended. The fence makes that safe, but a
+	// task whose intent is committed and that was not sent then fails its job. A
+	// pause of a VM (migration, memory pressure) is usually shorter; the lease of
+	// a task is longer, so running tasks are adopted before it lapses.
+	suspectFor = 3 * time.Second
+	// unknownFor is how long an incarnation with log rows must be missing from
+	// the members before its jobs are taken over: a new entry has to hear the
+	// others first.
+	unknownFor = 10 * time.Second
+	// rankStep is the head start of the entry with the higher rank. The entries
+	// do not have to agree on the ranks: only one can insert the fence.
+	rankStep = 400 * time.Millisecond
+)
+
+// scanState is what the search for ended incarnations remembers.
+type scanState struct {
+	mu      sync.Mutex
+	members *blackboard.Members
+	next    time.Time
+	// since is when an incarnation was first seen to be due.
+	since map[platform.Incarnation]time.Time
+	// done holds the incarnations that a session of this manager has taken over.
+	done map[platform.Incarnation]*session
+}
+
+func newScanState() scanState {
+	return scanState{since: map[platform.Incarnation]time.Time{}, done: map[platform.Incarnation]*session{}}
+}
+
+// scanTick looks for incarnations whose jobs nobody owns.
+func (mg *Manager) scanTick(ctx context.Context) {
+	sc := &mg.scan
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	snap := mg.opt.Members.Load()
+	if snap == sc.members && time.Now().Before(sc.next) {
+		return
+	}
+	sc.members = snap
+	sc.next = time.Now().Add(fullScan)
+	owners, err := mg.logOwners(ctx)
+	if err != nil {
+		return
+	}
+	se := mg.session()
+	for inc := range sc.since {
+		if !owners[inc] {
+			delete(sc.since, inc)
+			delete(sc.done, inc)
+		}
+	}
+	for inc := range owners {
+		if inc == se.inc || sc.done[inc] == se {
+			continue
+		}
+		if !mg.due(inc, snap) {
+			continue
+		}
+		if mg.takeOver(ctx, se, inc) {
+			sc.done[inc] = se
+		}
+	}
+}
+
+// logOwners returns every incarnation that has log rows. It reads one row for
+// each.
+func (mg *Manager) logOwners(ctx context.Context) (map[platform.Incarnation]bool, error) {
+	out := map[platform.Incarnation]bool{}
+	after := ""
+	for {
+		rows, err := mg.opt.Rows.List(ctx, logPrefix, after, 1)
+		if err != nil || len(rows) == 0 {
+			return out, err
+		}
+		inc := logOwner(rows[0].Key)
+		out[inc] = true
+		after = logPrefix + string(inc) + "/" + afterSeqs
+	}
+}
+
+// due tells whether it is the turn of this entry to take over an incarnation.
+func (mg *Manager) due(inc platform.Incarnation, snap *blackboard.Members) bool {
+	sc := &mg.scan
+	wait, ok := mg.waitFor(inc, snap)
+	if !ok {
+		delete(sc.since, inc)
+		return false
+	}
+	began, seen := sc.since[inc]
+	if !seen {
+		began = time.Now()
+		sc.since[inc] = began
+	}
+	wait += time.Duration(mg.rank(inc, snap)) * rankStep
+	if left := time.Until(began.Add(wait)); left > 0 {
+		if next := time.Now().Add(left); next.Before(sc.next) {
+			sc.next = next
+		}
+		return false
+	}
+	return true
+}
+
+// waitFor returns how long to wait before taking over an incarnation, or false
+// when its process lives.
+func (mg *Manager) waitFor(inc platform.Incarnation, snap *blackboard.Members) (time.Duration, bool) {
+	base := processOf(inc)
+	if base.Entry() == mg.opt.Incarnation.Entry() {
+		// An earlier session of this process, or an earlier process under the
+		// same entry id, which this one replaces.
+		return 0, true
+	}
+	if snap == nil {
+		return 0, false // without membership nothing tells who has ended
+	}
+	if _, gone := snap.Gone[base]; gone {
+		return 0, true
+	}
+	if mb, ok := snap.Alive[base.Entry()]; ok && mb.Incarnation == base {
+		return 0, false
+	}
+	if mb, ok := snap.Suspect[base.Entry()]; ok && mb.Incarnation == base {
+		return max(0, suspectFor-time.Since(mb.LastHeard)), true
+	}
+	return unknownFor, true
+}
+
+// rank orders the live entries for a takeover.
+func (mg *Manager) rank(inc platform.Incarnation, snap *blackboard.Members) int {
+	score := func(id platform.EntryID) uint64 {
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(string(inc) + " " + string(id)))
+		return hash.Sum64()
+	}
+	own := score(mg.opt.Incarnation.Entry())
+	rank := 0
+	if snap != nil {
+		for id := range snap.Alive {
+			if score(id) > own {
+				rank++
+			}
+		}
+	}
+	return rank
+}
+
+// fence forbids every further commit of an incarnation. It returns the entry
+// that wrote the fence, which may be another one.
+func (mg *Manager) fence(ctx context.Context, inc, by platform.Incarnation) (platform.Incarnation, error) {
+	// Most fences are met again at every scan; a read costs less than a write.
+	row, err := mg.opt.Rows.Get(ctx, fenceKey(inc))
+	if err == nil && row.Version != table.Absent {
+		var fr fenceRow
+		err = json.Unmarshal(row.Value, &fr)
+		return fr.By, err
+	}
+	raw, err := json.Marshal(fenceRow{By: by})
+	if err != nil {
+		return "", err
+	}
+	_, err = mg.opt.Rows.Commit(ctx, table.Transaction{
+		ID:     uuid.NewString(),
+		Checks: []table.Check{{Key: fenceKey(inc), Version: table.Absent}},
+		Writes: []table.Write{{Key: fenceKey(inc), Value: raw}},
+	})
+	var ce *table.ConflictError
+	if errors.As(err, &ce) && len(ce.Rows) > 0 {
+		var row fenceRow
+		err := json.Unmarshal(ce.Rows[0].Value, &row)
+		return row.By, err
+	}
+	return by, err
+}
+
+// takeOver fences an incarnation and adopts its jobs. It reports false when
+// another live entry does that, or when it has to be tried again. Two entries
+// may do it at once: each job is adopted by a conditional change of its row.
+func (mg *Manager) takeOver(ctx context.Context, se *session, inc platform.Incarnation) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	by, err := mg.fence(ctx, inc, se.inc)
+	if err != nil {
+		return false
+	}
+	if by != se.inc {
+		if _, alive := mg.addressOf(by); alive {
+			return false
+		}
+	}
+	began := time.Now()
+	rows, err := mg.logRows(ctx, inc)
+	if err != nil {
+		return false
+	}
+	adopted := se.adoptAll(ctx, rows)
+	se.inherit(rows)
+	mg.opt.Counters.Add(counter.Job, "takeovers", 1)
+	mg.opt.Log.Info().Str("incarnation", string(inc)).Int("jobs", adopted).Dur("took", time.Since(began)).Msg("jobs-taken-over")
+	return true
+}
+
+type logEntry struct {
+	key     string
+	version int64
+	row     logRow
+}
+
+// logRows reads the log of an incarnation in the order of its commits.
+func (mg *Manager) logRows(ctx context.Context, inc platform.Incarnation) ([]logEntry, error) {
+	var out []logEntry
+	prefix := logPrefix + string(inc) + "/"
+	after := ""
+	for limit := 64; ; {
+		rows, err := mg.opt.Rows.List(ctx, prefix, after, limit)
+		if err != nil && limit > 1 && ctx.Err() == nil && jsonhttp.StatusOf(err) != http.StatusServiceUnavailable {
+			limit /= 2 // the page may be larger than a message
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			le := logEntry{key: row.Key, version: int64(row.Version)}
+			if err := json.Unmarshal(row.Value, &le.row); err != nil {
+				return nil, err
+			}
+			out = append(out, le)
+			after = row.Key
+		}
+		if len(rows) < limit {
+			break
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].version < out[j].version })
+	return out, nil
+}
+
+// orphan is an undecided job in the log of an ended incarnation.
+type orphan struct {
+	body    json.RawMessage
+	version int64
+	places  map[int]worker.Placement // latest intents
+}
+
+// orphans collects the jobs that the log does not show as decided.
+func orphans(rows []logEntry) map[platform.JobID]*orphan {
+	out := map[platform.JobID]*orphan{}
+	for _, le := range rows {
+		for _, ad := range le.row.Admitted {
+			var head struct {
+				ID platform.JobID `json:"id"`
+			}
+			if json.Unmarshal(ad.Job, &head) != nil {
+				continue
+			}
+			or := &orphan{body: ad.Job, version: le.version, places: map[int]worker.Placement{}}
+			for _, in := range ad.Intents {
+				or.addIntent(in, in.Address)
+			}
+			out[head.ID] = or
+		}
+		for _, in := range le.row.Intents {
+			if or := out[in.Job]; or != nil {
+				or.addIntent(in, le.row.Workers[in.Worker])
+			}
+		}
+	}
+	for _, le := range rows {
+		for _, de := range le.row.Decided {
+			delete(out, de.Job)
+		}
+	}
+	return out
+}
+
+func (or *orphan) addIntent(in intent, addr string) {
+	for _, index := range in.Tasks {
+		or.places[index] = worker.Placement{Worker: in.Worker, Address: addr}
+	}
+}
+
+// adoptAll adopts the undecided jobs and returns how many it has won.
+func (se *session) adoptAll(ctx context.Context, rows []logEntry) int {
+	found := orphans(rows)
+	results := make(chan bool, len(found))
+	for _, or := range found {
+		se.adopt(or, results)
+	}
+	adopted := 0
+	for range found {
+		select {
+		case won := <-results:
+			if won {
+				adopted++
+			}
+		case <-ctx.Done():
+			return adopted
+		}
+	}
+	return adopted
+}
+
+func (se *session) adopt(or *orphan, results chan<- bool) {
+	var sub Submission
+	if json.Unmarshal(or.body, &sub) != nil {
+		results <- false
+		return
+	}
+	oj := newOwnedJob(sub, len(or.body))
+	rec := &record{admit: &admission{Job: or.body}}
+	at := map[worker.Placement]int{}
+	for index, pl := range or.places {
+		if index >= len(oj.tasks) {
+			continue
+		}
+		oj.tasks[index] = task{phase: taskSent, place: pl}
+		pos, ok := at[pl]
+		if !ok {
+			pos = len(rec.admit.Intents)
+			at[pl] = pos
+			rec.admit.Intents = append(rec.admit.Intents, intent{Worker: pl.Worker, Address: pl.Address})
+		}
+		rec.admit.Intents[pos].Tasks = append(rec.admit.Intents[pos].Tasks, index)
+	}
+	raw, err := json.Marshal(jobRow{Owner: se.inc, State: StateRunning})
+	if err != nil {
+		results <- false
+		return
+	}
+	rec.changes = []groupcommit.Change{{Key: jobKey(sub.ID), If: or.version, Value: raw}}
+	if _, err := se.com.Add(rec, func(res groupcommit.Result) { results <- se.onAdopted(oj, res) }); err != nil {
+		results <- false
+	}
+}
+
+// onAdopted takes the outcome of an adoption. A conflict means that the job was
+// decided, or adopted by another entry.
+func (se *session) onAdopted(oj *ownedJob, res groupcommit.Result) bool {
+	if errors.Is(res.Err, groupcommit.ErrGuarded) {
+		se.mg.fenced(se)
+		return false
+	}
+	se.mu.Lock()
+	if se.dropped || res.Err != nil {
+		se.mu.Unlock()
+		return false
+	}
+	se.jobs[oj.sub.ID] = oj
+	se.bytes += oj.size
+	oj.version = res.Version
+	oj.running = true
+	se.pin(oj, res)
+	close(oj.admitted)
+	act := func() {}
+	if oj.issued && len(oj.unsent()) > 0 {
+		// The issuer may have sent these tasks without an intent.
+		act = se.decide(oj, &jobRow{State: StateFailed, Reason: reasonIssuerGone})
+	}
+	var started []int
+	for i := range oj.tasks {
+		if oj.final == nil && oj.tasks[i].phase == taskSent {
+			started = append(started, i)
+		}
+	}
+	se.mu.Unlock()
+	act()
+	se.mg.opt.Counters.Add(counter.Job, "adopted", 1)
+	se.grp.Go(func(ctx context.Context) {
+		se.enqueue(oj)
+		for _, index := range started {
+			se.resolve(ctx, oj, index)
+		}
+	})
+	return true
+}
+
+// resolve asks a worker for a task that an earlier owner may have started there.
+func (se *session) resolve(ctx context.Context, oj *ownedJob, index int) {
+	const (
+		attempts = 5
+		pause    = 300 * time.Millisecond
+	)
+	se.mu.Lock()
+	pl := oj.tasks[index].place
+	decided := oj.final != nil
+	se.mu.Unlock()
+	if decided {
+		se.mg.opt.Traffic.Stop([]worker.TaskID{taskID(oj.sub.ID, index)})
+		return
+	}
+	id := taskID(oj.sub.ID, index)
+	for try := 1; ctx.Err() == nil; try++ {
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		rep, found, err := se.mg.opt.Traffic.Query(call, pl.Worker, id)
+		cancel()
+		switch {
+		case err == nil && found && rep.State == worker.StateRunning:
+			se.mg.opt.Traffic.Adopt(pl, []worker.TaskID{id})
+			return
+		case err == nil && found:
+			se.finished(rep)
+			return
+		case err == nil && try > 1:
+			// Asked twice: a start that was on the way at first has arrived by now.
+			se.lost(id, "worker "+string(pl.Worker)+" does not know the task, and it may have started before")
+			return
+		case try >= attempts:
+			se.lost(id, "worker "+string(pl.Worker)+" does not answer for the task")
+			return
+		}
+		waitFor(ctx, nil, pause)
+	}
+}
+
+// inherit keeps the log rows of an ended incarnation for the retention time.
+func (se *session) inherit(rows []logEntry) {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	for _, le := range rows {
+		se.logs[le.key] = &logInfo{version: le.version, decided: true, at: time.Now()}
+	}
+}
--- /dev/null
+++ b/internal/job/world_test.go
@@ -0,0 +1,317 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/objects"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+	"github.com/oleanderwall/oleanderwall/internal/worker"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// link carries the calls of one entry to the platform. It can freeze, as a
+// process that is paused or dead does.
+type link struct {
+	handler http.Handler
+	mu      sync.Mutex
+	gate    chan struct{} // nil, or closed when the link thaws
+	commits int
+	// freezeAt freezes the link after the effect of this commit, before its
+	// reply. loseReplies counts the commits whose reply is lost.
+	freezeAt    int
+	loseReplies int
+	ignoreFence bool // the seeded fault: fences are not checked
+}
+
+var errReplyLost = errors.New("the reply was lost")
+
+func (li *link) freeze() {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	if li.gate == nil {
+		li.gate = make(chan struct{})
+	}
+}
+
+func (li *link) thaw() {
+	li.mu.Lock()
+	defer li.mu.Unlock()
+	if li.gate != nil {
+		close(li.gate)
+		li.gate = nil
+	}
+	li.freezeAt = 0
+}
+
+func (li *link) pass(ctx context.Context) error {
+	li.mu.Lock()
+	gate := li.gate
+	li.mu.Unlock()
+	if gate == nil {
+		return nil
+	}
+	select {
+	case <-gate:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// RoundTrip serves the request in this process.
+func (li *link) RoundTrip(req *http.Request) (*http.Response, error) {
+	if err := li.pass(req.Context()); err != nil {
+		return nil, err
+	}
+	wr := httptest.NewRecorder()
+	li.handler.ServeHTTP(wr, req)
+	lost := false
+	if strings.HasSuffix(req.URL.Path, "/transactions") {
+		li.mu.Lock()
+		li.commits++
+		lost = li.loseReplies > 0
+		li.loseReplies--
+		if li.commits == li.freezeAt && li.gate == nil {
+			li.gate = make(chan struct{})
+		}
+		li.mu.Unlock()
+	}
+	if err := li.pass(req.Context()); err != nil || lost {
+		return nil, errors.Join(errReplyLost, err)
+	}
+	return wr.Result(), nil
+}
+
+// lossyRows drops the fence from the checks when the seeded fault asks for it.
+type lossyRows struct {
+	*table.Client
+	li *link
+}
+
+func (lr lossyRows) Commit(ctx context.Context, tx table.Transaction) (table.Version, error) {
+	if lr.li.ignoreFence {
+		var kept []table.Check
+		for _, ck := range tx.Checks {
+			if len(tx.Checks) == 1 || !strings.HasPrefix(ck.Key, "fence/") {
+				kept = append(kept, ck)
+			}
+		}
+		tx.Checks = kept
+	}
+	return lr.Client.Commit(ctx, tx)
+}
+
+// fleet is the workers, which remember every start.
+type fleet struct {
+	grp    *group.Group
+	run    time.Duration
+	answer func(task worker.TaskID) string
+
+	mu     sync.Mutex
+	starts map[worker.TaskID]int
+	state  map[worker.TaskID]worker.State
+	hold   bool // tasks run until finishAll
+	events map[worker.TaskID][]Events
+}
+
+func (fl *fleet) report(id worker.TaskID) worker.Report {
+	rep := worker.Report{ID: id, State: fl.state[id]}
+	if rep.State == worker.StateDone {
+		rep.Result, _ = json.Marshal(fl.answer(id))
+	}
+	return rep
+}
+
+func (fl *fleet) finish(id worker.TaskID, state worker.State) {
+	fl.mu.Lock()
+	if fl.state[id] != worker.StateRunning {
+		fl.mu.Unlock()
+		return
+	}
+	fl.state[id] = state
+	rep := fl.report(id)
+	evs := fl.events[id]
+	fl.mu.Unlock()
+	for _, ev := range evs {
+		ev.Finished(rep)
+	}
+}
+
+func (fl *fleet) finishAll() {
+	fl.mu.Lock()
+	fl.hold = false
+	var ids []worker.TaskID
+	for id := range fl.state {
+		ids = append(ids, id)
+	}
+	fl.mu.Unlock()
+	for _, id := range ids {
+		fl.finish(id, worker.StateDone)
+	}
+}
+
+// node is one entry: its manager, its links, and its Scheduler and Traffic.
+type node struct {
+	fl      *fleet
+	table   *link
+	sends   *link
+	members blackboard.Cell[blackboard.Members]
+	mg      *Manager
+}
+
+func (no *node) Admissible(worker.Demand) error { return nil }
+func (no *node) Withdraw([]worker.TaskID)       {}
+
+func (no *node) Enqueue(dms []worker.Demand, assigned func(worker.TaskID, worker.Placement)) {
+	no.fl.grp.Go(func(context.Context) {
+		for _, dm := range dms {
+			assigned(dm.Task, worker.Placement{Worker: "w1", Address: "10.0.0.1:1"})
+		}
+	})
+}
+
+func (no *node) Start(ctx context.Context, _ worker.Placement, tk worker.Task) error {
+	if err := no.sends.pass(ctx); err != nil {
+		return err
+	}
+	fl := no.fl
+	fl.mu.Lock()
+	fl.starts[tk.ID]++
+	fl.state[tk.ID] = worker.StateRunning
+	fl.events[tk.ID] = append(fl.events[tk.ID], no.mg)
+	hold := fl.hold
+	fl.mu.Unlock()
+	if !hold {
+		fl.grp.Go(func(ctx context.Context) {
+			waitFor(ctx, nil, fl.run)
+			fl.finish(tk.ID, worker.StateDone)
+		})
+	}
+	return nil
+}
+
+func (no *node) Query(_ context.Context, _ platform.WorkerID, id worker.TaskID) (worker.Report, bool, error) {
+	no.fl.mu.Lock()
+	defer no.fl.mu.Unlock()
+	return no.fl.report(id), no.fl.starts[id] > 0, nil
+}
+
+func (no *node) Adopt(_ worker.Placement, ids []worker.TaskID) {
+	no.fl.mu.Lock()
+	defer no.fl.mu.Unlock()
+	for _, id := range ids {
+		no.fl.events[id] = append(no.fl.events[id], no.mg)
+		if no.fl.state[id] != worker.StateRunning {
+			rep := no.fl.report(id)
+			no.fl.grp.Go(func(context.Context) { no.mg.Finished(rep) })
+		}
+	}
+}
+
+func (no *node) Stop(ids []worker.TaskID) {
+	for _, id := range ids {
+		no.fl.finish(id, worker.StateStopped)
+	}
+}
+
+// world is a platform in memory with some entries.
+type world struct {
+	tb    *standin.Table
+	fl    *fleet
+	nodes []*node
+}
+
+func newWorld(t testing.TB, entries int, opt standin.TableOptions) *world {
+	wo := openWorld(entries, opt)
+	t.Cleanup(wo.close)
+	return wo
+}
+
+func openWorld(entries int, opt standin.TableOptions) *world {
+	wo := &world{
+		tb: standin.NewTable(opt),
+		fl: &fleet{
+			grp:    group.New(context.Background()),
+			run:    time.Millisecond,
+			answer: func(task worker.TaskID) string { return "answer of " + string(task) },
+			starts: map[worker.TaskID]int{},
+			state:  map[worker.TaskID]worker.State{},
+			events: map[worker.TaskID][]Events{},
+		},
+	}
+	store := &http.Client{Transport: &link{handler: standin.NewObjects()}}
+	board := &blackboard.Board{}
+	board.Configuration.Publish(&configuration.Version{Document: configuration.Default()})
+	for i := range entries {
+		no := &node{fl: wo.fl, table: &link{handler: wo.tb}, sends: &link{}}
+		rows := table.New("http://table", &http.Client{Transport: no.table})
+		no.mg = New(Options{
+			Board:       board,
+			Rows:        lossyRows{rows, no.table},
+			Objects:     objects.New("http://objects", store),
+			Members:     &no.members,
+			Scheduler:   no,
+			Traffic:     no,
+			Counters:    counter.New(),
+			Incarnation: platform.NewIncarnation(platform.EntryID(fmt.Sprintf("entry-%d", i))),
+			Log:         zerolog.Nop(),
+		})
+		wo.nodes = append(wo.nodes, no)
+		no.mg.Start()
+	}
+	return wo
+}
+
+func (wo *world) close() {
+	for _, no := range wo.nodes {
+		no.table.thaw()
+		no.sends.thaw()
+		no.mg.Close()
+	}
+	wo.fl.grp.Close()
+}
+
+// gone tells the entry that another one has ended.
+func (no *node) gone(other *node) {
+	no.members.Publish(&blackboard.Members{Gone: map[platform.Incarnation]blackboard.GoneReason{
+		other.mg.opt.Incarnation: blackboard.GoneUnlisted,
+	}})
+}
+
+func submission(id string, tasks int) Submission {
+	return Submission{ID: platform.JobID(id), Tasks: make([]TaskSpec, tasks)}
+}
+
+// overstarted names a task that was started more than once.
+func (wo *world) overstarted() error {
+	wo.fl.mu.Lock()
+	defer wo.fl.mu.Unlock()
+	for id, n := range wo.fl.starts {
+		if n > 1 {
+			return fmt.Errorf("task %s was started %d times", id, n)
+		}
+	}
+	return nil
+}
+
+func (wo *world) startsOf(id worker.TaskID) int {
+	wo.fl.mu.Lock()
+	defer wo.fl.mu.Unlock()
+	return wo.fl.starts[id]
+}
--- a/pkg/groupcommit/commit.go
+++ b/pkg/groupcommit/commit.go
@@ -15,7 +15,8 @@
 // takes effect, because each checks that the log row is absent.
 type slot[R Record] struct {
 	seq      int64
-	attempts map[string][]*item[R]
+	attempts map[string]attempt[R]
+	began    time.Time
 	// open is true once an attempt was sent whose outcome was not learned from
 	// its own reply. Such an attempt may still take effect, until the log row
 	// exists.
@@ -24,6 +25,11 @@
 	backoff time.Duration
 }
 
+type attempt[R Record] struct {
+	items       []*item[R]
+	rows, bytes int
+}
+
 type heldConflict[R Record] struct {
 	it   *item[R]
 	rows []Row
@@ -32,8 +38,7 @@
 // commit writes the items in one log row, after splitting off those in
 // conflict.
 func (co *Committer[R]) commit(ctx context.Context, seq int64, items []*item[R]) {
-	sl := &slot[R]{seq: seq, attempts: map[string][]*item[R]{}, backoff: co.opt.MinBackoff}
-	began := time.Now()
+	sl := &slot[R]{seq: seq, attempts: map[string]attempt[R]{}, began: time.Now(), backoff: co.opt.MinBackoff}
 	for {
 		items = co.lock(sl, items)
 		if len(items) == 0 && !sl.open {
@@ -48,7 +53,6 @@
 		var ce *ConflictError
 		switch {
 		case err == nil:
-			co.observe(items, tx, began)
 			co.settle(sl, tx.ID, version)
 		case errors.Is(err, ErrNotApplied):
 			continue // build it again without the records withdrawn meanwhile
@@ -105,7 +109,11 @@
 			tx.Writes = append(tx.Writes, Write{Key: ch.Key, Value: ch.Value, Delete: ch.Delete})
 		}
 	}
-	sl.attempts[tx.ID] = items
+	at := attempt[R]{items: items, rows: len(tx.Writes)}
+	for _, wt := range tx.Writes {
+		at.bytes += len(wt.Key) + len(wt.Value)
+	}
+	sl.attempts[tx.ID] = at
 	return tx, nil
 }
 
@@ -205,12 +213,22 @@
 // then split off.
 func (co *Committer[R]) settle(sl *slot[R], token string, version int64) {
 	won := sl.attempts[token]
-	committed := make(map[*item[R]]bool, len(won))
-	for _, it := range won {
+	if co.opt.Committed != nil {
+		co.opt.Committed(Commit{
+			Seq:     sl.seq,
+			Version: version,
+			Records: len(won.items),
+			Rows:    won.rows,
+			Bytes:   won.bytes,
+			Took:    time.Since(sl.began),
+		})
+	}
+	committed := make(map[*item[R]]bool, len(won.items))
+	for _, it := range won.items {
 		committed[it] = true
 	}
 	sl.held = slices.DeleteFunc(sl.held, func(hc heldConflict[R]) bool { return committed[hc.it] })
-	co.report(won, Result{Version: version, Seq: sl.seq})
+	co.report(won.items, Result{Version: version, Seq: sl.seq})
 	co.reportHeld(sl, true)
 }
 
@@ -241,14 +259,3 @@
 		it.done(res)
 	}
 }
-
-func (co *Committer[R]) observe(items []*item[R], tx Transaction, began time.Time) {
-	if co.opt.Observe == nil {
-		return
-	}
-	bytes := 0
-	for _, wt := range tx.Writes {
-		bytes += len(wt.Key) + len(wt.Value)
-	}
-	co.opt.Observe(len(items), len(tx.Writes), bytes, time.Since(began))
-}
--- a/pkg/groupcommit/groupcommit.go
+++ b/pkg/groupcommit/groupcommit.go
@@ -131,6 +131,16 @@
 	Conflicts []Row
 }
 
+// Commit describes one committed transaction.
+type Commit struct {
+	Seq     int64
+	Version int64
+	Records int
+	Rows    int
+	Bytes   int // of keys and values
+	Took    time.Duration
+}
+
 // Options are the dependencies and bounds of a Committer. The bounds have
 // defaults.
 type Options[R Record] struct {
@@ -142,8 +152,9 @@
 	NewToken func() string
 	// Interval is the least time between the starts of two transactions.
 	Interval func() time.Duration
-	// Observe, when set, is called after each transaction that was committed.
-	Observe func(records, rows, bytes int, took time.Duration)
+	// Committed, when set, is called for each log row that was committed, before
+	// the outcomes of its records are reported.
+	Committed func(com Commit)
 
 	MaxRows     int
 	MaxBytes    int
@@ -306,6 +317,13 @@
 	return false
 }
 
+// Guarded tells whether the committer has met a guard row.
+func (co *Committer[R]) Guarded() bool {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	return co.guarded
+}
+
 // Pending returns the bytes that wait to be committed.
 func (co *Committer[R]) Pending() int {
 	co.mu.Lock()
