--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,211 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/oleanderwall/oleanderwall/internal/caller"
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// The behaviour of clients.
+const (
+	deadline    = 10 * time.Second
+	maxAttempts = 4
+	drainTime   = 15 * time.Second
+)
+
+func httpClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512, IdleConnTimeout: time.Minute}}
+}
+
+func runPolicy(ctx context.Context, opt Options, policy string) (*Report, error) {
+	sy, err := startSystem(opt, policy)
+	if err != nil {
+		return nil, err
+	}
+	defer sy.close()
+	sc := scenarios[opt.Scenario]
+	ld := &load{
+		sy: sy,
+		hc: httpClient(),
+		rep: &Report{
+			Options: opt,
+			Policy:  policy,
+			Ratio:   hdrhistogram.New(1, 1000*ratioScale, 3),
+		},
+	}
+	ld.run(ctx, schedule(opt, sc), sc)
+	ld.count()
+	return ld.rep, nil
+}
+
+type load struct {
+	sy *system
+	hc *http.Client
+
+	mu  sync.Mutex
+	rep *Report
+}
+
+// run sends every arrival at its time and waits for the answers.
+func (ld *load) run(ctx context.Context, arrivals []arrival, sc scenario) {
+	grp := group.New(ctx)
+	grp.Go(func(ctx context.Context) { sc.run(ctx, ld.sy, ld.sy.opt.Duration/3) })
+	began := time.Now()
+	var wait sync.WaitGroup
+	for i, ar := range arrivals {
+		time.Sleep(time.Until(began.Add(ar.at)))
+		wait.Add(1)
+		grp.Go(func(ctx context.Context) {
+			defer wait.Done()
+			ld.request(ctx, i, ar)
+		})
+	}
+	stop := time.AfterFunc(drainTime, grp.Close)
+	wait.Wait()
+	stop.Stop()
+	grp.Close()
+}
+
+// request sends one request. A client that is told to come back does so, up to
+// three times; its response time counts from the first attempt.
+func (ld *load) request(ctx context.Context, i int, ar arrival) {
+	id := fmt.Sprintf("request-%d", i)
+	began := time.Now()
+	var last attempt
+	refusals := int64(0)
+	for try := range maxAttempts {
+		last = ld.attempt(ctx, id, ar, (ar.entry+try)%len(ld.sy.urls))
+		if last.outcome != outcome.RefusedDidNotRun {
+			break
+		}
+		refusals++
+		if last.retryAfter == 0 || time.Since(began)+last.retryAfter > deadline {
+			break
+		}
+		pause(ctx, last.retryAfter)
+	}
+	ld.record(ar, last, refusals, time.Since(began))
+}
+
+func (ld *load) record(ar arrival, last attempt, refusals int64, took time.Duration) {
+	ideal := ar.run + 2*ld.sy.usr.clientDelay
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	ld.rep.Requests++
+	ld.rep.Refusals += refusals
+	switch last.outcome {
+	case outcome.Answered:
+		ld.rep.Answered++
+		if last.wrong {
+			ld.rep.Wrong++
+		}
+		_ = ld.rep.Ratio.RecordValue(min(int64(float64(took)/float64(ideal)*ratioScale), ld.rep.Ratio.HighestTrackableValue()))
+	case outcome.RefusedDidNotRun:
+		ld.rep.Refused++
+	case outcome.Unknown:
+		ld.rep.Unknown++
+	default:
+		ld.rep.Errors++
+	}
+}
+
+type attempt struct {
+	outcome    outcome.Kind
+	retryAfter time.Duration
+	wrong      bool
+}
+
+func (ld *load) attempt(ctx context.Context, id string, ar arrival, entry int) attempt {
+	pause(ctx, ld.sy.usr.clientDelay)
+	defer pause(ctx, ld.sy.usr.clientDelay)
+	raw, err := json.Marshal(standin.TargetRequest{RunMillis: ar.run.Milliseconds(), Question: id})
+	if err != nil {
+		return attempt{}
+	}
+	url := ld.sy.urls[entry] + "/v1/services/" + string(ld.sy.usr.service) + "/requests"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	if err != nil {
+		return attempt{}
+	}
+	req.Header.Set(caller.HeaderRequestID, id)
+	req.Header.Set(caller.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	req.Header.Set(caller.HeaderRepeatable, strconv.FormatBool(ar.repeatable))
+	req.Header.Set(caller.HeaderKind, kindOf(ar.run))
+	rep, err := ld.hc.Do(req)
+	if err != nil {
+		return attempt{}
+	}
+	defer rep.Body.Close()
+	body, err := io.ReadAll(rep.Body)
+	if err != nil {
+		return attempt{}
+	}
+	return judge(rep, body, id)
+}
+
+// kindOf groups run times into kinds, as callers name their requests by what
+// they ask for.
+func kindOf(run time.Duration) string {
+	switch {
+	case run < 200*time.Millisecond:
+		return "quick"
+	case run <= longest:
+		return "full"
+	}
+	return "long"
+}
+
+func judge(rep *http.Response, body []byte, id string) attempt {
+	at := attempt{outcome: outcome.Kind(rep.Header.Get(outcome.Header))}
+	if at.outcome == outcome.Answered {
+		var ans standin.TargetAnswer
+		err := json.Unmarshal(body, &ans)
+		at.wrong = err != nil || ans.Question != id || ans.RequestID != id
+		return at
+	}
+	var eb struct {
+		RetryAfterMillis int64 `json:"retry-after-millis"`
+	}
+	if json.Unmarshal(body, &eb) == nil {
+		at.retryAfter = time.Duration(eb.RetryAfterMillis) * time.Millisecond
+	}
+	return at
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// count adds up what the targets have seen.
+func (ld *load) count() {
+	for _, ta := range ld.sy.fleet.Targets {
+		counts := ta.Counts()
+		ld.rep.TargetMessages += counts.Requests
+		for _, n := range counts.Executions {
+			if n > 1 {
+				ld.rep.Double += int64(n - 1)
+			}
+		}
+	}
+	for _, en := range ld.sy.entries {
+		ld.rep.PeerMessages += en.Counters().Family("peer")
+	}
+}
--- /dev/null
+++ b/internal/bench/system.go
@@ -0,0 +1,203 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/caller"
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/entry"
+	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
+	"github.com/oleanderwall/oleanderwall/internal/logline"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/settings"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+	"github.com/oleanderwall/oleanderwall/internal/vmlist"
+)
+
+// system is a fleet with the entries of one policy.
+type system struct {
+	opt     Options
+	usr     user
+	fleet   *standin.Fleet
+	proxies []*faultproxy.Proxy
+	urls    []string
+	entries []*entry.Entry
+	closers []func()
+}
+
+func startSystem(opt Options, policy string) (*system, error) {
+	sy := &system{opt: opt, usr: users[opt.User]}
+	speed := speeds(opt)
+	fleet, err := standin.StartFleet(standin.FleetOptions{
+		Table:       standin.TableOptions{CommitDelay: 5 * time.Millisecond, WritesPerSecond: 500, ReadsPerSecond: 2000},
+		VMLag:       opt.VMLag,
+		Service:     sy.usr.service,
+		Zones:       sy.usr.zones,
+		Targets:     opt.Targets,
+		Slots:       opt.Slots,
+		Connections: opt.Slots * 8,
+		TargetSpeed: func(i int) float64 { return speed[i] },
+	})
+	if err != nil {
+		return nil, err
+	}
+	sy.fleet = fleet
+	sy.closers = append(sy.closers, fleet.Close)
+	if err := sy.start(policy); err != nil {
+		sy.close()
+		return nil, err
+	}
+	return sy, nil
+}
+
+func (sy *system) start(policy string) error {
+	if scenarios[sy.opt.Scenario].proxied {
+		if err := sy.startProxies(); err != nil {
+			return err
+		}
+	}
+	if err := sy.createService(); err != nil {
+		return err
+	}
+	if policy == PolicyNaive {
+		return sy.startNaive()
+	}
+	return sy.startPresent()
+}
+
+func (sy *system) startProxies() error {
+	var fault error
+	sy.fleet.VMs.Change(func(vms []platform.VM) []platform.VM {
+		for i := range vms {
+			px, err := faultproxy.New(vms[i].Address)
+			if err != nil {
+				fault = err
+				return vms
+			}
+			sy.proxies = append(sy.proxies, px)
+			sy.closers = append(sy.closers, px.Close)
+			vms[i].Address = px.Address()
+		}
+		return vms
+	})
+	return fault
+}
+
+func (sy *system) createService() error {
+	store := configuration.NewStore(table.New(sy.fleet.TableServer.URL(), httpClient()))
+	patch, err := json.Marshal(map[string]any{"services": map[string]any{
+		string(sy.usr.service): configuration.Service{Slots: sy.opt.Slots, Connections: sy.opt.Slots * 8},
+	}})
+	if err != nil {
+		return err
+	}
+	_, err = store.Accept(context.Background(), configuration.Patch{Patch: patch, PatchID: "bench"})
+	return err
+}
+
+// startNaive starts entries with the naive policy behind the same HTTP
+// interface.
+func (sy *system) startNaive() error {
+	for i := range sy.opt.Entries {
+		board := &blackboard.Board{}
+		cnt := counter.New()
+		hc := httpClient()
+		store := configuration.NewStore(table.New(sy.fleet.TableServer.URL(), hc))
+		version, err := store.Current(context.Background())
+		if err != nil {
+			return err
+		}
+		board.Configuration.Publish(&version)
+		poller := vmlist.NewPoller(vmlist.New(sy.fleet.VMServer.URL(), hc), board, time.Second, zerolog.Nop())
+		poller.Start()
+		sy.closers = append(sy.closers, poller.Close)
+		nv := newNaive(board, uint64(i))
+		srv, err := standin.Serve("127.0.0.1:0", caller.New(nv, nil, board, cnt).Router())
+		if err != nil {
+			return err
+		}
+		sy.closers = append(sy.closers, srv.Close)
+		sy.urls = append(sy.urls, srv.URL())
+		if err := waitFor(func() bool { return board.VMs.Load() != nil }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startPresent starts entries as the daemon does, in this process.
+func (sy *system) startPresent() error {
+	log := logline.New(sy.opt.Log, zerolog.WarnLevel)
+	var vms []platform.VM
+	for i := range sy.opt.Entries {
+		set := settings.Default()
+		set.EntryID = platform.EntryID(fmt.Sprintf("entry-%d", i+1))
+		set.AvailabilityZone = sy.usr.zones[i%len(sy.usr.zones)]
+		set.Region = "region-1"
+		set.Size = 2 + i%3 // the entry VMs are not all one size
+		set.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+		set.Platform = settings.Platform{
+			Table:   sy.fleet.TableServer.URL(),
+			Objects: sy.fleet.ObjectsServer.URL(),
+			VMList:  sy.fleet.VMServer.URL(),
+		}
+		set.Timing.BalancerNotice = settings.NewDuration(0)
+		en, err := entry.New(set, log)
+		if err != nil {
+			return err
+		}
+		sy.closers = append(sy.closers, en.Close)
+		sy.entries = append(sy.entries, en)
+		sy.urls = append(sy.urls, "http://"+en.CallerAddress())
+		vms = append(vms, platform.VM{
+			ID:               string(set.EntryID),
+			Kind:             platform.KindEntry,
+			State:            platform.StateLive,
+			Address:          en.CallerAddress(),
+			PeerAddress:      en.PeerAddress(),
+			Region:           set.Region,
+			AvailabilityZone: set.AvailabilityZone,
+			Size:             set.Size,
+		})
+	}
+	sy.fleet.VMs.Change(func(list []platform.VM) []platform.VM { return append(list, vms...) })
+	time.Sleep(sy.opt.VMLag + 100*time.Millisecond)
+	for _, en := range sy.entries {
+		en.Start()
+	}
+	err := waitFor(func() bool {
+		for _, en := range sy.entries {
+			if en.Ready() != nil {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(sy.opt.Settle)
+	return err
+}
+
+func waitFor(done func() bool) error {
+	const limit = 10 * time.Second
+	for began := time.Now(); time.Since(began) < limit; time.Sleep(10 * time.Millisecond) {
+		if done() {
+			return nil
+		}
+	}
+	return errors.New("the entries did not become ready")
+}
+
+func (sy *system) close() {
+	for i := len(sy.closers) - 1; i >= 0; i-- {
+		sy.closers[i]()
+	}
+}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -83,3 +83,14 @@
 func exported(name string) string {
 	return "oleanderwall_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
 }
+
+// Family returns the sum of all counters of a family.
+func (st *Set) Family(family string) int64 {
+	sum := int64(0)
+	st.reg.Each(func(name string, val any) {
+		if cnt, ok := val.(metrics.Counter); ok && strings.HasPrefix(name, family+".") {
+			sum += cnt.Count()
+		}
+	})
+	return sum
+}
