--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,6 +19,7 @@
 	"io"
 	"net/http"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -93,7 +94,7 @@
 			return vb, args[2:], nil
 		}
 	}
-	return verb{}, nil, fmt.Errorf("unknown command %q", args[0])
+	return verb{}, nil, fmt.Errorf("unknown command %q", strings.Join(args[:min(2, len(args))], " "))
 }
 
 func printUsage(out io.Writer) {
