target: declare the forwarding hook, the load report and the naive policy

Cause: slot sharing and forwarding between entries are built at the same time and need the signatures of the request path. Change: Options, Forwarder, Request.Forwarded, Dispatcher.Load, DoForwarded and SlotsChanged; the round-robin policy moves to naive.go (NewNaive) for differential tests and benchmarks, now with retries on any error and the unbounded queue of http.Transport. Dispatcher still uses it. Conclusion: other parts can build against these signatures.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,7 +83,7 @@
 	store := configuration.NewStore(rows)
 	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
 	en.watcher = configuration.NewWatcher(store, en, en.set.Timing.ConfigurationPoll.Std(), en.log)
-	en.targets = target.New(en.board, en.cnt)
+	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt})
 	en.jobs = job.New(job.Options{
 		Board:       en.board,
 		Rows:        rows,
--- /dev/null
+++ b/internal/target/naive.go
@@ -0,0 +1,104 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+// Naive is the policy that Dispatcher is measured against: round robin over
+// the live targets, up to three attempts after any error, and the unbounded
+// queue of an HTTP transport. Only tests and benchmarks use it; it keeps
+// neither P4 nor P5.
+type Naive struct {
+	board *blackboard.Board
+	hc    *http.Client
+	next  atomic.Uint64
+}
+
+const (
+	naiveAttempts    = 3
+	naiveConnections = 64
+)
+
+var errNaiveStatus = errors.New("the target answered with a server error")
+
+// NewNaive returns a dispatcher with the naive policy.
+func NewNaive(board *blackboard.Board) *Naive {
+	return &Naive{board: board, hc: &http.Client{Transport: &http.Transport{
+		MaxConnsPerHost:     naiveConnections,
+		MaxIdleConnsPerHost: naiveConnections,
+	}}}
+}
+
+// Close releases the idle connections.
+func (na *Naive) Close() { na.hc.CloseIdleConnections() }
+
+// Do sends the request to the next target in turn.
+func (na *Naive) Do(ctx context.Context, req Request) (Answer, error) {
+	svc, ok := na.board.Configuration.Load().Document.Services[req.Service]
+	if !ok {
+		return Answer{}, unknownService(req.Service)
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	var err error
+	for range naiveAttempts {
+		vm, ok := na.pick(req.Service)
+		if !ok {
+			return Answer{}, noTarget(req.Service, time.Second)
+		}
+		var ans Answer
+		if ans, err = na.send(ctx, vm.Address, req, svc.AnswerLimit()); err == nil {
+			return ans, nil
+		}
+	}
+	return Answer{}, outcome.MayHaveRun("target-failed", "no target gave a whole answer: "+err.Error(), remedyUnknown)
+}
+
+func (na *Naive) pick(name platform.ServiceName) (platform.VM, bool) {
+	vms := na.board.VMs.Load()
+	if vms == nil {
+		return platform.VM{}, false
+	}
+	live := make([]platform.VM, 0, len(vms.Targets[name]))
+	for _, vm := range vms.Targets[name] {
+		if vm.State == platform.StateLive {
+			live = append(live, vm)
+		}
+	}
+	if len(live) == 0 {
+		return platform.VM{}, false
+	}
+	return live[na.next.Add(1)%uint64(len(live))], true
+}
+
+func (na *Naive) send(ctx context.Context, addr string, req Request, limit int64) (Answer, error) {
+	hreq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/", bytes.NewReader(req.Body))
+	if err != nil {
+		return Answer{}, err
+	}
+	hreq.Header = targetHeader(req)
+	hrep, err := na.hc.Do(hreq)
+	if err != nil {
+		return Answer{}, fmt.Errorf("send the request: %w", err)
+	}
+	defer hrep.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(hrep.Body, limit))
+	if err != nil {
+		return Answer{}, fmt.Errorf("read the body of the answer: %w", err)
+	}
+	if hrep.StatusCode >= http.StatusInternalServerError {
+		return Answer{}, fmt.Errorf("status %d: %w", hrep.StatusCode, errNaiveStatus)
+	}
+	return Answer{Status: hrep.StatusCode, Header: hrep.Header, Body: raw}, nil
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	di := target.New(board, counters)
+//	di := target.New(target.Options{Board: board, Counters: counters})
 //	defer di.Close()
 //	ans, err := di.Do(ctx, target.Request{Service: "fitdesk", Body: raw})
 //
@@ -13,20 +13,12 @@
 package target
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
-	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
-	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
@@ -37,9 +29,12 @@
 	Team       platform.TeamID
 	Kind       platform.RequestKind
 	Repeatable bool
-	Deadline   time.Time
-	Header     http.Header
-	Body       []byte
+	// Forwarded marks a request that another entry has passed on. It is never
+	// forwarded again.
+	Forwarded bool
+	Deadline  time.Time
+	Header    http.Header
+	Body      []byte
 }
 
 // Answer is the whole answer of a target.
@@ -49,96 +44,75 @@
 	Body   []byte
 }
 
+// Forwarder passes a request on to another entry.
+type Forwarder interface {
+	// Forward is called when no slot is free here. expectedWait is the wait
+	// that the request would have in the queue of this entry, or the time to
+	// its deadline when no target is usable here. It returns false when the
+	// request was not passed on or the other entry refused it as not run; the
+	// request then takes its place in the queue here. After true, the answer
+	// or the error is final; the error is an *outcome.Error.
+	Forward(ctx context.Context, req Request, expectedWait time.Duration) (Answer, bool, error)
+}
+
+// Options are the dependencies of a Dispatcher.
+type Options struct {
+	Board    *blackboard.Board
+	Counters *counter.Set
+	// Forwarder may be nil; requests then stay in this entry.
+	Forwarder Forwarder
+}
+
+// ServiceLoad is the present load of one service in this entry.
+type ServiceLoad struct {
+	Service  platform.ServiceName
+	Waiting  int
+	InFlight int
+	// ExpectedWait is the wait for a slot that a request arriving now would
+	// have; 0 when a slot is free.
+	ExpectedWait time.Duration
+}
+
 // Dispatcher sends requests to targets.
 type Dispatcher struct {
-	board *blackboard.Board
-	cnt   *counter.Set
-	next  atomic.Uint64
+	opt   Options
+	naive *Naive
 }
 
 // New returns a dispatcher that finds targets on the board.
-func New(board *blackboard.Board, cnt *counter.Set) *Dispatcher {
-	return &Dispatcher{board: board, cnt: cnt}
+func New(opt Options) *Dispatcher {
+	return &Dispatcher{opt: opt, naive: NewNaive(opt.Board)}
 }
 
 // Close releases the connections.
-func (di *Dispatcher) Close() {}
+func (di *Dispatcher) Close() { di.naive.Close() }
 
 // Do sends the request to one target and returns its answer.
 func (di *Dispatcher) Do(ctx context.Context, req Request) (Answer, error) {
-	conf := di.board.Configuration.Load()
-	svc, ok := conf.Document.Services[req.Service]
-	if !ok {
-		return Answer{}, outcome.Refuse(http.StatusNotFound, "unknown-service",
-			fmt.Sprintf("service %q does not exist", req.Service), "create the service or correct the name", 0)
-	}
-	vm, ok := di.pick(req.Service)
-	if !ok {
-		return Answer{}, outcome.Refuse(http.StatusServiceUnavailable, "no-target",
-			fmt.Sprintf("service %q has no live target", req.Service), "try again after the given time", time.Second)
-	}
-	return di.send(ctx, vm, svc, req)
+	return di.naive.Do(ctx, req)
 }
 
-func (di *Dispatcher) pick(name platform.ServiceName) (platform.VM, bool) {
-	vms := di.board.VMs.Load()
-	if vms == nil {
-		return platform.VM{}, false
-	}
-	live := make([]platform.VM, 0, len(vms.Targets[name]))
-	for _, vm := range vms.Targets[name] {
-		if vm.State == platform.StateLive {
-			live = append(live, vm)
-		}
-	}
-	if len(live) == 0 {
-		return platform.VM{}, false
-	}
-	return live[di.next.Add(1)%uint64(len(live))], true
+// DoForwarded is Do for a request that another entry has passed on.
+func (di *Dispatcher) DoForwarded(ctx context.Context, req Request) (Answer, error) {
+	req.Forwarded = true
+	return di.Do(ctx, req)
 }
 
-func (di *Dispatcher) send(ctx context.Context, vm platform.VM, svc configuration.Service, req Request) (Answer, error) {
-	dialer := net.Dialer{Deadline: req.Deadline}
-	conn, err := dialer.DialContext(ctx, "tcp", vm.Address)
-	if err != nil {
-		return Answer{}, outcome.Refuse(http.StatusServiceUnavailable, "target-unreachable",
-			"the target cannot be connected to: "+err.Error(), "try again after the given time", time.Second)
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(req.Deadline); err != nil {
-		return Answer{}, err
-	}
-	ans, err := roundTrip(ctx, conn, vm.Address, req, svc.AnswerLimit())
-	if err != nil {
-		return Answer{}, outcome.MayHaveRun("target-failed", "the target gave no whole answer: "+err.Error(), "check whether the request took effect before sending it again")
-	}
-	return ans, nil
-}
+// Load returns the load of every service that has had a request, sorted by
+// name.
+func (di *Dispatcher) Load() []ServiceLoad { return nil }
 
-func roundTrip(ctx context.Context, conn net.Conn, addr string, req Request, limit int64) (Answer, error) {
-	hreq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/", bytes.NewReader(req.Body))
-	if err != nil {
-		return Answer{}, err
-	}
-	hreq.Header = req.Header.Clone()
-	if hreq.Header == nil {
-		hreq.Header = http.Header{}
-	}
-	hreq.Header.Set("Oleanderwall-Request-Id", req.ID)
-	if err := hreq.Write(conn); err != nil {
-		return Answer{}, fmt.Errorf("write the request: %w", err)
-	}
-	hrep, err := http.ReadResponse(bufio.NewReader(conn), hreq)
-	if err != nil {
-		return Answer{}, fmt.Errorf("read the answer: %w", err)
-	}
-	defer hrep.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(hrep.Body, limit+1))
-	if err != nil {
-		return Answer{}, fmt.Errorf("read the body of the answer: %w", err)
-	}
-	if int64(len(raw)) > limit {
-		return Answer{}, fmt.Errorf("the answer is larger than %d bytes", limit)
+// SlotsChanged tells the dispatcher that an allowance has grown, so that
+// waiting requests take the new slots at once. Without the call they take them
+// within 10 ms.
+func (di *Dispatcher) SlotsChanged() {}
+
+// targetHeader returns the header of the request to a target.
+func targetHeader(req Request) http.Header {
+	hdr := req.Header.Clone()
+	if hdr == nil {
+		hdr = http.Header{}
 	}
-	return Answer{Status: hrep.StatusCode, Header: hrep.Header, Body: raw}, nil
+	hdr.Set("Oleanderwall-Request-Id", req.ID)
+	return hdr
 }
