--- /dev/null
+++ b/internal/target/attempt.go
@@ -0,0 +1,308 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+)
+
+const (
+	// expectAfter is the idle time after which a connection proves itself with
+	// Expect: 100-continue before a body is sent on it.
+	expectAfter = time.Second
+	// continueTimeout is the wait for 100 Continue on a used connection. A round
+	// trip takes less than 1 ms; the rest is room for a busy target. A wrong
+	// alarm costs one new connection.
+	continueTimeout = 50 * time.Millisecond
+	// continueFreshTimeout is that wait on a new connection, whose failure
+	// counts against the target.
+	continueFreshTimeout = 250 * time.Millisecond
+)
+
+// exchange is one request on one connection.
+type exchange struct {
+	co    *connection
+	req   *Request
+	limit int64
+	// body has been sent, at least in part: the target may run the request.
+	body bool
+	// proved is set when the target has sent 100 Continue on the connection.
+	proved bool
+	// reusable is set when the whole answer was read and the connection may
+	// carry another request.
+	reusable bool
+}
+
+// attempt sends the request to the target of the ticket, on a second
+// connection when the first proves silent before anything could run.
+func (se *service) attempt(ctx context.Context, tk *ticket, req *Request, limit int64) (Answer, *failure) {
+	// Without a body there is no 100 Continue to prove a used connection.
+	fresh := !req.Repeatable && len(req.Body) == 0
+	for {
+		co, err := tk.ts.conns.get(ctx, fresh)
+		if err != nil {
+			return Answer{}, dialFailure(ctx, err)
+		}
+		ans, fa := se.exchange(ctx, co, tk, req, limit)
+		if fa == nil || !fa.reconnect || fresh || ctx.Err() != nil {
+			return ans, fa
+		}
+		tk.ts.conns.dropIdle()
+		se.di.opt.Counters.Add(counter.Retry, fa.reason+"-reconnect", 1)
+		fresh = true
+	}
+}
+
+func dialFailure(ctx context.Context, err error) *failure {
+	fa := &failure{reason: reasonUnreachable, notRun: true, result: resultFailed, err: err}
+	switch {
+	case errors.Is(err, errConnLimit):
+		fa.reason, fa.result = reasonConnLimit, resultNeutral
+	case errors.Is(err, errRetired):
+		fa.reason, fa.result = reasonLeaving, resultNeutral
+	case ctx.Err() != nil:
+		fa.reason, fa.result, fa.final = reasonCallerGone, resultNeutral, true
+	}
+	return fa
+}
+
+// exchange sends the request on the connection and reads the answer.
+func (se *service) exchange(ctx context.Context, co *connection, tk *ticket, req *Request, limit int64) (Answer, *failure) {
+	ex := &exchange{co: co, req: req, limit: limit}
+	co.rd.begin(ctx, req.Deadline)
+	stop := context.AfterFunc(ctx, func() { _ = co.SetDeadline(time.Unix(1, 0)) })
+	ans, err := ex.run(ctx, func() {
+		co.rd.watch(se.due(tk), func() bool { return se.answersElsewhere(ctx, tk) })
+	})
+	stopped := stop()
+	switch {
+	case err == nil && ex.reusable && stopped:
+		tk.ts.conns.put(co)
+	case errors.Is(err, errSilent):
+		tk.ts.conns.linger(co, req.Deadline, func() { se.observeLate(tk) })
+	default:
+		co.close()
+	}
+	if err != nil {
+		return Answer{}, ex.failure(ctx, err)
+	}
+	return ans, nil
+}
+
+// answersElsewhere reports whether the target answers on a new connection. A
+// target that does not is suspect.
+func (se *service) answersElsewhere(ctx context.Context, tk *ticket) bool {
+	err := tk.ts.conns.health(ctx, healthTimeout)
+	if err != nil && ctx.Err() == nil && !errors.Is(err, errConnLimit) {
+		se.condemnTarget(tk.ts)
+	}
+	return err == nil
+}
+
+var (
+	errStatus   = errors.New("the target answered with a server error")
+	errEndless  = errors.New("the answer has neither a length nor chunks, so its end cannot be verified")
+	errOversize = errors.New("the answer is larger than max-answer-bytes of the service")
+	errCrossed  = errors.New("the answer names another request")
+	errBodiless = errors.New("the target refused the request before it had the body")
+)
+
+// run sends the request and reads the whole answer. watch is called when the
+// request is on its way as a whole.
+func (ex *exchange) run(ctx context.Context, watch func()) (Answer, error) {
+	raw, split, err := ex.encode(ctx)
+	if err != nil {
+		return Answer{}, err
+	}
+	if err := ex.co.SetWriteDeadline(ex.req.Deadline); err != nil {
+		return Answer{}, err
+	}
+	if err := ctx.Err(); err != nil {
+		return Answer{}, err
+	}
+	if ex.expects() {
+		hrep, err := ex.awaitContinue(raw[:split])
+		if err != nil {
+			return Answer{}, err
+		}
+		if hrep != nil {
+			defer hrep.Body.Close()
+			ans, err := ex.readAnswer(hrep)
+			ex.reusable = false // the target may still expect the body
+			return ans, err
+		}
+		raw = raw[split:]
+	}
+	ex.body = true
+	watch()
+	if _, err := ex.co.Write(raw); err != nil {
+		return Answer{}, fmt.Errorf("write the request: %w", err)
+	}
+	hrep, err := ex.readHead(0)
+	if err != nil {
+		return Answer{}, fmt.Errorf("read the answer: %w", err)
+	}
+	defer hrep.Body.Close()
+	return ex.readAnswer(hrep)
+}
+
+// expects reports whether the connection must prove itself before the body is
+// sent.
+func (ex *exchange) expects() bool {
+	if len(ex.req.Body) == 0 {
+		return false
+	}
+	idle := !ex.co.fresh && time.Since(ex.co.since) > expectAfter
+	return !ex.req.Repeatable || idle
+}
+
+// encode returns the request as written by http.Request.Write, and where its
+// body begins.
+func (ex *exchange) encode(ctx context.Context) (raw []byte, split int, err error) {
+	url := "http://" + ex.co.RemoteAddr().String() + "/"
+	hreq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(ex.req.Body))
+	if err != nil {
+		return nil, 0, err
+	}
+	hreq.Header = targetHeader(*ex.req)
+	if ex.expects() {
+		hreq.Header.Set("Expect", "100-continue")
+	}
+	var buf bytes.Buffer
+	const headSize = 512
+	buf.Grow(headSize + len(ex.req.Body))
+	if err := hreq.Write(&buf); err != nil {
+		return nil, 0, fmt.Errorf("encode the request: %w", err)
+	}
+	return buf.Bytes(), buf.Len() - len(ex.req.Body), nil
+}
+
+// awaitContinue sends the head and returns nil once the target asks for the
+// body, or the answer of a target that needs no body. After an error the
+// target has no body and has refused the request or is not reached, so nothing
+// has run.
+func (ex *exchange) awaitContinue(head []byte) (*http.Response, error) {
+	timeout := continueTimeout
+	if ex.co.fresh {
+		timeout = continueFreshTimeout
+	}
+	rd := ex.co.rd
+	if limit := time.Now().Add(timeout); limit.Before(rd.deadline) {
+		rd.deadline = limit
+	}
+	if _, err := ex.co.Write(head); err != nil {
+		return nil, fmt.Errorf("write the head of the request: %w", err)
+	}
+	hrep, err := ex.readHead(http.StatusContinue)
+	if err != nil {
+		return nil, fmt.Errorf("wait for 100 Continue: %w", err)
+	}
+	rd.deadline = ex.req.Deadline
+	switch status := hrep.StatusCode; {
+	case status == http.StatusContinue:
+		ex.proved = true
+		return nil, hrep.Body.Close()
+	case status >= http.StatusInternalServerError, status == http.StatusExpectationFailed, status == http.StatusTooManyRequests:
+		_ = hrep.Body.Close()
+		return nil, fmt.Errorf("%w: status %d", errBodiless, status)
+	}
+	ex.body = true
+	return hrep, nil
+}
+
+// readHead reads the head of the final answer, or of the interim one with the
+// given status.
+func (ex *exchange) readHead(interim int) (*http.Response, error) {
+	const maxInterim = 5
+	for range maxInterim {
+		hrep, err := http.ReadResponse(ex.co.br, &http.Request{Method: http.MethodPost})
+		if err != nil || hrep.StatusCode >= http.StatusOK || hrep.StatusCode == interim {
+			return hrep, err
+		}
+	}
+	return nil, fmt.Errorf("more than %d interim responses: %w", maxInterim, errStatus)
+}
+
+func (ex *exchange) readAnswer(hrep *http.Response) (Answer, error) {
+	if id := hrep.Header.Get(headerRequestID); id != "" && id != ex.req.ID {
+		return Answer{}, errCrossed
+	}
+	if hrep.ContentLength > ex.limit {
+		return Answer{}, fmt.Errorf("%w: %d of at most %d bytes", errOversize, hrep.ContentLength, ex.limit)
+	}
+	if hrep.ContentLength < 0 && len(hrep.TransferEncoding) == 0 {
+		return Answer{}, errEndless
+	}
+	raw, err := io.ReadAll(io.LimitReader(hrep.Body, ex.limit+1))
+	if err != nil {
+		return Answer{}, fmt.Errorf("read the body of the answer: %w", err)
+	}
+	if int64(len(raw)) > ex.limit {
+		return Answer{}, fmt.Errorf("%w: more than %d bytes", errOversize, ex.limit)
+	}
+	ex.reusable = !hrep.Close && ex.co.br.Buffered() == 0
+	if hrep.StatusCode >= http.StatusInternalServerError {
+		return Answer{}, fmt.Errorf("%w: status %d", errStatus, hrep.StatusCode)
+	}
+	for _, key := range hopHeaders {
+		hrep.Header.Del(key)
+	}
+	return Answer{Status: hrep.StatusCode, Header: hrep.Header, Body: raw}, nil
+}
+
+// hopHeaders belong to the connection to the target, not to the answer.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Proxy-Connection"}
+
+// failure classifies the error of an exchange.
+func (ex *exchange) failure(ctx context.Context, err error) *failure {
+	fa := &failure{notRun: !ex.body, err: err, result: resultFailed}
+	switch {
+	case !time.Now().Before(ex.req.Deadline):
+		fa.reason, fa.result, fa.final = reasonDeadline, resultUnfinished, true
+	case ctx.Err() != nil:
+		fa.reason, fa.result, fa.final = reasonCallerGone, resultUnfinished, true
+	case errors.Is(err, errSilent):
+		fa.reason, fa.result = reasonSilent, resultNeutral
+	case errors.Is(err, errOversize):
+		fa.reason, fa.result, fa.final = reasonOversized, resultNeutral, true
+	case errors.Is(err, errCrossed):
+		fa.reason, fa.result = reasonCrossed, resultNeutral
+	case errors.Is(err, errStatus), errors.Is(err, errBodiless):
+		fa.reason = reasonFailed
+	case errors.Is(err, errEndless):
+		fa.reason = reasonTruncated
+	case isTimeout(err):
+		ex.silentFailure(fa)
+	default:
+		ex.closedFailure(fa)
+	}
+	return fa
+}
+
+// silentFailure is a timeout before the deadline: no 100 Continue arrived.
+func (ex *exchange) silentFailure(fa *failure) {
+	fa.reason = reasonSilent
+	if !ex.co.fresh {
+		fa.result, fa.reconnect = resultNeutral, true
+	}
+}
+
+// closedFailure is a connection that the target or something before it closed.
+// A used connection may have been closed for being idle.
+func (ex *exchange) closedFailure(fa *failure) {
+	switch {
+	case ex.body && ex.co.rd.received > 0:
+		fa.reason = reasonTruncated
+	case ex.co.fresh, ex.proved:
+		fa.reason = reasonClosed
+	default:
+		fa.reason, fa.result = reasonClosed, resultNeutral
+		fa.reconnect = fa.notRun || ex.req.Repeatable
+	}
+}
--- a/internal/target/refusal.go
+++ b/internal/target/refusal.go
@@ -23,3 +23,53 @@
 	return outcome.Refuse(http.StatusServiceUnavailable, "no-target",
 		fmt.Sprintf("service %q has no live target", name), remedyRetry, retryAfter)
 }
+
+func noSlots(name platform.ServiceName, retryAfter time.Duration) *outcome.Error {
+	return outcome.Refuse(http.StatusServiceUnavailable, "no-slots",
+		fmt.Sprintf("this entry has no slots on the targets of service %q", name), remedyRetry, retryAfter)
+}
+
+// failure is an attempt that gave no whole answer.
+type failure struct {
+	reason string
+	// notRun is set only when it is proved that the target did not start the
+	// request.
+	notRun bool
+	// reconnect is set when the connection is to blame and a new one to the
+	// same target may work.
+	reconnect bool
+	result    result
+	// final is set when sending the request again cannot help.
+	final bool
+	err   error
+}
+
+// outcome returns what the caller is told. earlier is set when an attempt
+// before this one may have run.
+func (fa *failure) outcome(earlier bool, retryAfter time.Duration) *outcome.Error {
+	if fa.notRun && !earlier {
+		return outcome.Refuse(http.StatusServiceUnavailable, fa.reason,
+			"no target took the request: "+fa.err.Error(), remedyRetry, retryAfter)
+	}
+	remedy := remedyUnknown
+	if fa.reason == reasonOversized {
+		remedy = "ask for a smaller answer, or raise max-answer-bytes of the service; the request has run"
+	}
+	return outcome.MayHaveRun(fa.reason, "the target gave no whole answer: "+fa.err.Error(), remedy)
+}
+
+// The reasons of failed attempts. They name the counters of retries, and the
+// counters of refusals when there is no further attempt.
+const (
+	reasonUnreachable = "target-unreachable"
+	reasonLeaving     = "target-leaving"
+	reasonConnLimit   = "connection-limit"
+	reasonSilent      = "connection-silent"
+	reasonClosed      = "connection-closed"
+	reasonTruncated   = "answer-truncated"
+	reasonOversized   = "answer-too-large"
+	reasonCrossed     = "answer-crossed"
+	reasonFailed      = "target-failed"
+	reasonDeadline    = "deadline-passed-in-flight"
+	reasonCallerGone  = "caller-gone-in-flight"
+)
--- /dev/null
+++ b/internal/target/runtime.go
@@ -0,0 +1,225 @@
+package target
+
+import (
+	"math"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+// seconds is a learned duration.
+type seconds float64
+
+func (sc seconds) std() time.Duration {
+	return time.Duration(float64(sc) * float64(time.Second))
+}
+
+const (
+	// maxKinds bounds the memory for kinds, which callers name freely. Further
+	// kinds of a service share one estimate.
+	maxKinds = 64
+	// priorWeight is how many observations of its own a target needs before
+	// they count as much as the estimate from kind and speed.
+	priorWeight = 8
+	// maxWeight bounds the observations that count, so that an estimate
+	// follows a change of speed.
+	maxWeight = 32
+	// unlearnedCost stands for the run time of a kind without observations.
+	unlearnedCost seconds = 0.1
+	// fewObservations is the number of observations below which an estimate
+	// refuses nothing and the time for unlearned kinds decides what is overdue.
+	fewObservations = 8
+	unlearnedDue    = 3 * time.Second
+	// minDue is the upper end of ordinary run times: most tasks take 50 ms to
+	// 1 s whatever their kind has shown so far. 250 ms condemned live requests.
+	minDue = time.Second
+	// minDueRatio lets a target that has become 10 times slower finish: it is
+	// slow, not silent. With 4 its requests were condemned.
+	minDueRatio = 12
+	// estimateMaxAge is the age after which an estimate refuses nothing, so
+	// that a wrong one cannot keep a kind from ever running again.
+	estimateMaxAge = time.Second
+	// peakDecay lets a rare long run widen the time until overdue for about a
+	// thousand observations.
+	peakDecay = 0.998
+)
+
+// kindTimes is what is known about the run times of one kind of request. Run
+// time is modelled as base times the factor of the target.
+type kindTimes struct {
+	index int
+	base  seconds
+	// dev is the mean deviation and peak the decaying maximum of the ratio of
+	// observed to estimated run time.
+	dev, peak float64
+	n         int
+	seen      time.Time
+}
+
+// targetTimes is what is known about the speed of one target.
+type targetTimes struct {
+	factor float64
+	n      int
+	seen   time.Time
+	own    []ownTime
+}
+
+// ownTime is the run time of one kind on one target.
+type ownTime struct {
+	mean seconds
+	n    float64
+}
+
+// runTimes learns the run times of one service by kind and target.
+type runTimes struct {
+	kinds map[platform.RequestKind]*kindTimes
+	// hold is the mean time that a slot is held, over all kinds and targets.
+	hold seconds
+	// best and mean are the lowest and the mean factor of the targets.
+	best, mean float64
+}
+
+func newRunTimes() runTimes {
+	return runTimes{kinds: map[platform.RequestKind]*kindTimes{}, best: 1, mean: 1}
+}
+
+// kind returns the entry of the kind. Kinds above maxKinds share one entry.
+func (rt *runTimes) kind(name platform.RequestKind) *kindTimes {
+	if kt, ok := rt.kinds[name]; ok {
+		return kt
+	}
+	if len(rt.kinds) >= maxKinds {
+		name = ""
+		if kt, ok := rt.kinds[name]; ok {
+			return kt
+		}
+	}
+	kt := &kindTimes{index: len(rt.kinds), peak: 1}
+	rt.kinds[name] = kt
+	return kt
+}
+
+// estimate returns the expected run time. A target without observations counts
+// as one of the fastest until its first request is under way, so that it gets
+// that request.
+func (rt *runTimes) estimate(kt *kindTimes, tt *targetTimes, used int) seconds {
+	factor := tt.factor
+	if tt.n == 0 {
+		factor = rt.best
+		if used > 0 {
+			factor = rt.mean
+		}
+	}
+	prior := kt.cost() * seconds(factor)
+	if kt.index >= len(tt.own) {
+		return prior
+	}
+	own := tt.own[kt.index]
+	return (own.mean*seconds(own.n) + prior*priorWeight) / seconds(own.n+priorWeight)
+}
+
+func (kt *kindTimes) cost() seconds {
+	if kt.n == 0 {
+		return unlearnedCost
+	}
+	return kt.base
+}
+
+// quickest returns a run time that few requests of the kind undercut on the
+// fastest target; 0 when too little is known to refuse anything.
+func (rt *runTimes) quickest(kt *kindTimes, now time.Time) seconds {
+	if kt.n < fewObservations || now.Sub(kt.seen) > estimateMaxAge {
+		return 0
+	}
+	const least = 0.25
+	return kt.base * seconds(rt.best*max(least, 1-2*kt.dev))
+}
+
+// due returns the time after which a request with the estimate is overdue.
+func (kt *kindTimes) due(est seconds) time.Duration {
+	if kt.n < fewObservations {
+		return unlearnedDue
+	}
+	ratio := max(minDueRatio, 1+8*kt.dev, 2*kt.peak)
+	return max(minDue, (est * seconds(ratio)).std())
+}
+
+// observe learns from one run.
+func (rt *runTimes) observe(kt *kindTimes, tt *targetTimes, took seconds, now time.Time) {
+	took = max(took, 1e-6)
+	ratio := float64(took / rt.estimate(kt, tt, 1))
+	if kt.n >= fewObservations {
+		const devGain = 0.02
+		kt.dev += devGain * (math.Abs(ratio-1) - kt.dev)
+	}
+	kt.peak = max(1, ratio, kt.peak*peakDecay)
+	const kindGain, factorGain, holdGain = 0.05, 0.1, 0.02
+	if kt.n == 0 {
+		kt.base = took / seconds(tt.factorOr(rt.mean))
+	}
+	kt.n++
+	kt.seen = now
+	gain := max(kindGain, 1/float64(kt.n))
+	kt.base += seconds(gain) * (took/seconds(tt.factorOr(rt.mean)) - kt.base)
+	tt.n++
+	tt.seen = now
+	gain = max(factorGain, 1/float64(tt.n))
+	tt.factor += gain * (float64(took/kt.base) - tt.factor)
+	tt.observeOwn(kt.index, took)
+	if rt.hold == 0 {
+		rt.hold = took
+	}
+	rt.hold += holdGain * (took - rt.hold)
+}
+
+func (tt *targetTimes) factorOr(fallback float64) float64 {
+	if tt.n == 0 {
+		return fallback
+	}
+	return tt.factor
+}
+
+func (tt *targetTimes) observeOwn(index int, took seconds) {
+	for len(tt.own) <= index {
+		tt.own = append(tt.own, ownTime{})
+	}
+	own := &tt.own[index]
+	own.n = min(maxWeight, own.n+1)
+	own.mean += (took - own.mean) / seconds(own.n)
+}
+
+// penalize counts an error as a slow run: a target that fails at once would
+// otherwise look like the fastest one.
+func (rt *runTimes) penalize(tt *targetTimes, now time.Time) {
+	const most = 100
+	tt.factor = min(most*rt.mean, 2*max(tt.factorOr(rt.mean), rt.mean))
+	tt.n = 2
+	tt.seen = now
+	tt.own = tt.own[:0]
+}
+
+// summarize refreshes best and mean, and lets slow estimates without recent
+// observations decay to the mean, so that a target that has recovered gets
+// requests again.
+func (rt *runTimes) summarize(targets []*targetState, now time.Time) {
+	const quiet, gain = 10 * time.Second, 0.03
+	best, sum, n := math.Inf(1), 0.0, 0
+	for _, ts := range targets {
+		tt := &ts.times
+		if tt.n == 0 {
+			continue
+		}
+		if tt.factor > rt.mean && now.Sub(tt.seen) > quiet {
+			tt.factor += gain * (rt.mean - tt.factor)
+			for i := range tt.own {
+				tt.own[i].n *= 1 - gain
+			}
+		}
+		best = min(best, tt.factor)
+		sum += tt.factor
+		n++
+	}
+	if n > 0 {
+		rt.best, rt.mean = best, sum/float64(n)
+	}
+}
--- /dev/null
+++ b/internal/target/state.go
@@ -0,0 +1,105 @@
+package target
+
+import (
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
+)
+
+const (
+	// suspectAfter is the number of failures in a row that makes a target
+	// suspect. One or two happen to a good target when a connection breaks.
+	suspectAfter = 3
+	firstTrial   = time.Second
+	lastTrial    = 30 * time.Second
+)
+
+// targetState is what this entry knows about one target. The mutex of its
+// service guards it, but for conns.
+type targetState struct {
+	id      platform.TargetID
+	address string
+	leaving bool
+	gate    *slotshare.Gate
+	ownGate *slotshare.Gate // used while the board holds no gates
+	conns   *connections
+	times   targetTimes
+
+	fails      int
+	suspect    bool
+	healthy    bool // answered GET /health since it became suspect
+	probing    bool
+	onTrial    bool
+	nextTrial  time.Time
+	trialPause time.Duration
+}
+
+func newTargetState(id platform.TargetID, di *Dispatcher) *targetState {
+	return &targetState{id: id, conns: newConnections(di.grp), times: targetTimes{factor: 1}}
+}
+
+// update takes over the row of the VM list, the gate and the capacity.
+func (ts *targetState) update(vm platform.VM, gates *blackboard.Gates, conf configuration.Service) {
+	if vm.Address != ts.address {
+		ts.address = vm.Address
+		ts.conns.setAddress(vm.Address)
+	}
+	ts.gate = ts.chooseGate(gates, conf)
+	ts.conns.setLimit(ts.gate, conf)
+	if vm.State != platform.StateLive {
+		ts.leave()
+	}
+}
+
+func (ts *targetState) chooseGate(gates *blackboard.Gates, conf configuration.Service) *slotshare.Gate {
+	if gates != nil {
+		return gates.ByTarget[ts.id]
+	}
+	if ts.ownGate == nil {
+		ts.ownGate = slotshare.NewGate(conf.Slots)
+	}
+	ts.ownGate.SetAllowance(conf.Slots)
+	return ts.ownGate
+}
+
+// leave ends new work; a target never comes back from it. Requests in flight
+// keep their connections.
+func (ts *targetState) leave() {
+	ts.leaving = true
+	ts.conns.retire()
+}
+
+// succeed notes an answer. It reports whether the target had failed before.
+func (ts *targetState) succeed(trial bool) bool {
+	if ts.fails == 0 {
+		return false
+	}
+	ts.fails = 0
+	ts.suspect = false
+	ts.trialPause = 0
+	if trial {
+		// The errors counted as slow runs; after a good trial the target starts
+		// as an average one.
+		ts.times = targetTimes{factor: 1}
+	}
+	return true
+}
+
+// fail notes a failure and puts the next trial off.
+func (ts *targetState) fail(now time.Time) {
+	ts.fails++
+	ts.healthy = false
+	ts.suspect = ts.fails >= suspectAfter
+	ts.postponeTrial(now)
+}
+
+func (ts *targetState) postponeTrial(now time.Time) {
+	if now.Before(ts.nextTrial) {
+		return
+	}
+	ts.trialPause = min(lastTrial, max(firstTrial, 2*ts.trialPause))
+	ts.nextTrial = now.Add(ts.trialPause)
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -15,11 +15,14 @@
 import (
 	"context"
 	"net/http"
+	"sort"
+	"sync"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // Request is a service request of a caller.
@@ -75,21 +78,147 @@
 
 // Dispatcher sends requests to targets.
 type Dispatcher struct {
-	opt   Options
-	naive *Naive
+	opt      Options
+	policy   policy
+	grp      *group.Group
+	services sync.Map // platform.ServiceName to *service
 }
 
+const (
+	// tickInterval bounds how long a slot that a controller has granted stays
+	// unused when SlotsChanged is not called.
+	tickInterval  = 10 * time.Millisecond
+	sweepInterval = 50 * time.Millisecond
+	maintenance   = time.Second
+	// maxAttempts bounds the targets that one request is sent to.
+	maxAttempts = 3
+)
+
 // New returns a dispatcher that finds targets on the board.
 func New(opt Options) *Dispatcher {
-	return &Dispatcher{opt: opt, naive: NewNaive(opt.Board)}
+	return newWithPolicy(opt, expectedCompletion())
+}
+
+func newWithPolicy(opt Options, pol policy) *Dispatcher {
+	di := &Dispatcher{opt: opt, policy: pol, grp: group.New(context.Background())}
+	var swept time.Time
+	di.grp.Every(tickInterval, func(context.Context) {
+		now := time.Now()
+		sweep := now.Sub(swept) >= sweepInterval
+		if sweep {
+			swept = now
+		}
+		di.each(func(se *service) { se.tick(now, sweep) })
+	})
+	di.grp.Every(maintenance, func(ctx context.Context) {
+		now := time.Now()
+		di.each(func(se *service) { se.maintain(ctx, now) })
+	})
+	return di
+}
+
+// Close ends the background work, closes idle connections and waits. Requests
+// in flight should have finished before.
+func (di *Dispatcher) Close() {
+	di.grp.Close()
+	di.each(func(se *service) {
+		se.mu.Lock()
+		defer se.mu.Unlock()
+		for _, ts := range se.targets {
+			ts.conns.retire()
+		}
+	})
+}
+
+func (di *Dispatcher) each(fn func(se *service)) {
+	di.services.Range(func(_, val any) bool {
+		fn(val.(*service))
+		return true
+	})
 }
 
-// Close releases the connections.
-func (di *Dispatcher) Close() { di.naive.Close() }
+func (di *Dispatcher) service(name platform.ServiceName) *service {
+	if val, ok := di.services.Load(name); ok {
+		return val.(*service)
+	}
+	val, _ := di.services.LoadOrStore(name, newService(name, di))
+	return val.(*service)
+}
 
-// Do sends the request to one target and returns its answer.
+// Do sends the request to one target and returns its answer. It returns as
+// soon as the answer is there, the request is refused, or its outcome cannot
+// become known any more.
 func (di *Dispatcher) Do(ctx context.Context, req Request) (Answer, error) {
-	return di.naive.Do(ctx, req)
+	svc, ok := di.opt.Board.Configuration.Load().Document.Services[req.Service]
+	if !ok {
+		return Answer{}, unknownService(req.Service)
+	}
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	se := di.service(req.Service)
+	if ans, done, err := di.forward(ctx, se, req); done {
+		return ans, err
+	}
+	se.budget.Deposit()
+	return se.run(ctx, &req, svc.AnswerLimit())
+}
+
+// forward offers the request to another entry when the wait here is long.
+func (di *Dispatcher) forward(ctx context.Context, se *service, req Request) (Answer, bool, error) {
+	if di.opt.Forwarder == nil || req.Forwarded {
+		return Answer{}, false, nil
+	}
+	wait, worth := se.expectedWait(&req)
+	if !worth {
+		return Answer{}, false, nil
+	}
+	return di.opt.Forwarder.Forward(ctx, req, wait)
+}
+
+// run sends the request until it has an answer or must not be sent again.
+func (se *service) run(ctx context.Context, req *Request, limit int64) (Answer, error) {
+	mayHaveRun := false
+	var avoid *targetState
+	var last *failure
+	for attempt := 1; ; attempt++ {
+		tk, err := se.acquire(ctx, req, avoid, attempt > 1)
+		if err != nil && mayHaveRun {
+			return Answer{}, last.outcome(true, 0)
+		}
+		if err != nil {
+			return Answer{}, err
+		}
+		ans, fa := se.attempt(ctx, tk, req, limit)
+		if fa == nil {
+			se.release(tk, resultAnswered)
+			return ans, nil
+		}
+		se.release(tk, fa.result)
+		mayHaveRun = mayHaveRun || !fa.notRun
+		if !se.mayRetry(fa, req, attempt) {
+			return Answer{}, fa.outcome(mayHaveRun, se.comeBack())
+		}
+		avoid, last = tk.ts, fa
+	}
+}
+
+// mayRetry reports whether the request may be sent again, and counts it.
+func (se *service) mayRetry(fa *failure, req *Request, attempt int) bool {
+	if fa.final || attempt >= maxAttempts || !fa.notRun && !req.Repeatable {
+		return false
+	}
+	if !se.budget.Withdraw() {
+		se.di.opt.Counters.Add(counter.Retry, "budget-exhausted", 1)
+		return false
+	}
+	se.di.opt.Counters.Add(counter.Retry, fa.reason, 1)
+	return true
+}
+
+func (se *service) comeBack() time.Duration {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return se.returnAfter(time.Now(), minReturn)
 }
 
 // DoForwarded is Do for a request that another entry has passed on.
@@ -100,12 +229,22 @@
 
 // Load returns the load of every service that has had a request, sorted by
 // name.
-func (di *Dispatcher) Load() []ServiceLoad { return nil }
+func (di *Dispatcher) Load() []ServiceLoad {
+	var out []ServiceLoad
+	di.each(func(se *service) { out = append(out, se.load()) })
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
 
 // SlotsChanged tells the dispatcher that an allowance has grown, so that
 // waiting requests take the new slots at once. Without the call they take them
 // within 10 ms.
-func (di *Dispatcher) SlotsChanged() {}
+func (di *Dispatcher) SlotsChanged() {
+	now := time.Now()
+	di.each(func(se *service) { se.tick(now, false) })
+}
+
+const headerRequestID = "Oleanderwall-Request-Id"
 
 // targetHeader returns the header of the request to a target.
 func targetHeader(req Request) http.Header {
@@ -113,6 +252,6 @@
 	if hdr == nil {
 		hdr = http.Header{}
 	}
-	hdr.Set("Oleanderwall-Request-Id", req.ID)
+	hdr.Set(headerRequestID, req.ID)
 	return hdr
 }
--- /dev/null
+++ b/pkg/retrybudget/retrybudget.go
@@ -0,0 +1,66 @@
+// Package retrybudget bounds retries to a share of the first attempts, so that
+// retries cannot multiply the load on back ends that are already failing.
+//
+// # Usage
+//
+//	bu := retrybudget.New(0.1, 10) // one retry for ten requests, at most 10 at once
+//	bu.Deposit()                   // once for each first attempt
+//	if bu.Withdraw() {
+//		... // send again
+//	}
+//
+// A Budget starts full, so a service with little traffic can retry from its
+// first request on.
+package retrybudget
+
+import "sync/atomic"
+
+// unit is one retry; deposits are counted in millionths of it.
+const unit = 1_000_000
+
+// Budget is a bucket of retries. It may be used by several goroutines at the
+// same time.
+type Budget struct {
+	ratio  atomic.Int64
+	most   int64
+	tokens atomic.Int64
+}
+
+// New returns a full budget. ratio is the number of retries for each first
+// attempt, from 0 to 1; burst is the largest number of retries that can be
+// saved up.
+func New(ratio float64, burst int) *Budget {
+	bu := &Budget{most: int64(burst) * unit}
+	bu.SetRatio(ratio)
+	bu.tokens.Store(bu.most)
+	return bu
+}
+
+// SetRatio replaces the number of retries for each first attempt.
+func (bu *Budget) SetRatio(ratio float64) {
+	bu.ratio.Store(int64(ratio * unit))
+}
+
+// Deposit counts a first attempt.
+func (bu *Budget) Deposit() {
+	for {
+		old := bu.tokens.Load()
+		next := min(bu.most, old+bu.ratio.Load())
+		if next == old || bu.tokens.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Withdraw takes one retry. It reports false when the budget is used up.
+func (bu *Budget) Withdraw() bool {
+	for {
+		old := bu.tokens.Load()
+		if old < unit {
+			return false
+		}
+		if bu.tokens.CompareAndSwap(old, old-unit) {
+			return true
+		}
+	}
+}
