peer: add membership by heartbeats, with proofs for entries that are gone

Cause: blackboard.Members was never published, so no component could tell which entries live, and nothing could be taken over from a dead one.

Change: entries exchange heartbeats over net/rpc. One call serves both directions; the entry with the lower id calls, and the other side calls only after 1.5 periods of silence, so that a partition in one direction raises no suspicion. A call that times out is tried again at once on a new connection. Suspect follows 2.5 silent periods. Gone needs a proof: a leave message, two refusals at the address that the incarnation itself listens on, another incarnation that answers our call at the address, or three successive VM lists without the VM while it is silent. With more than 12 peers in other zones the period between zones grows, up to four times.

pkg/pausedetect tells a process that it was paused. table.Present reads rows through a transaction that can't commit, which no stale replica answers; the row entry/<entry-id> is written with it. peer.Server.Close could wait for ever for a connection accepted while it ran.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/target"
 	"github.com/oleanderwall/oleanderwall/internal/vmlist"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
+	"github.com/oleanderwall/oleanderwall/pkg/pausedetect"
 )
 
 // Entry is one running entry process.
@@ -47,12 +48,16 @@
 	operators *httpServer
 	peers     *peer.Server
 	pool      *peer.Pool
+	pause     *pausedetect.Detector
+	members   *peer.Membership
 
 	vms     *vmlist.Poller
 	watcher *configuration.Watcher
 	targets *target.Dispatcher
 	jobs    *job.Manager
 
+	registration *registration
+
 	draining  atomic.Bool
 	drainOnce chan struct{}
 }
@@ -73,13 +78,23 @@
 		en.closeListeners()
 		return nil, err
 	}
-	en.build()
+	if err := en.build(); err != nil {
+		en.closeListeners()
+		return nil, err
+	}
 	return en, nil
 }
 
-func (en *Entry) build() {
+func (en *Entry) build() error {
 	hc := platformClient()
 	rows := table.New(en.set.Platform.Table, hc)
+	en.registration = &registration{rows: rows, inc: en.inc, log: en.log}
+	en.pause = pausedetect.New(pauseLimit)
+	var err error
+	if en.members, err = peer.NewMembership(en.membershipOptions()); err != nil {
+		en.pause.Close()
+		return err
+	}
 	store := configuration.NewStore(rows)
 	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
 	en.watcher = configuration.NewWatcher(store, en, en.set.Timing.ConfigurationPoll.Std(), en.log)
@@ -102,6 +117,32 @@
 		Incarnation: en.inc,
 		Zone:        en.set.AvailabilityZone,
 	}).Router())
+	return nil
+}
+
+// pauseLimit is the gap after which old state is not acted on. It lies well
+// above the delays of a loaded machine and below the lease of a slot loan.
+const pauseLimit = time.Second
+
+func (en *Entry) membershipOptions() peer.MembershipOptions {
+	return peer.MembershipOptions{
+		Board:  en.board,
+		Server: en.peers,
+		Pool:   en.pool,
+		Self: blackboard.Member{
+			ID:               en.set.EntryID,
+			Incarnation:      en.inc,
+			AvailabilityZone: en.set.AvailabilityZone,
+			Region:           en.set.Region,
+			Size:             en.set.Size,
+			PeerAddress:      en.peers.Address(),
+		},
+		Interval:  en.set.Timing.Heartbeat.Std(),
+		Addresses: en.set.Peers,
+		Pause:     en.pause,
+		Counters:  en.cnt,
+		Log:       en.log,
+	}
 }
 
 // platformClient returns the HTTP client for the platform and the workers. Its
@@ -167,6 +208,8 @@
 	en.watcher.Start()
 	en.jobs.Start()
 	en.peers.Start()
+	en.members.Start()
+	en.grp.Go(en.registration.run)
 	en.callers.start(en.grp)
 	en.operators.start(en.grp)
 	en.log.Info().
@@ -234,6 +277,8 @@
 
 // Close ends the entry at once and waits for its goroutines.
 func (en *Entry) Close() {
+	en.members.Close()
+	en.pause.Close()
 	en.vms.Close()
 	en.watcher.Close()
 	en.jobs.Close()
--- /dev/null
+++ b/internal/entry/registration.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+)
+
+const (
+	registrationPrefix  = "entry/"
+	registrationTimeout = 2 * time.Second
+	registrationRetry   = time.Second
+)
+
+// registration writes the incarnation to the row of the entry. It does not
+// hold up the start: the row is written once the table can be reached.
+type registration struct {
+	rows *table.Client
+	inc  platform.Incarnation
+	log  zerolog.Logger
+	seen *registered // the row before the first attempt, nil when not yet read
+}
+
+// registered is the row of an entry.
+type registered struct {
+	Incarnation platform.Incarnation `json:"incarnation"`
+	Started     time.Time            `json:"started"`
+
+	version table.Version
+}
+
+var errRegisteredByOther = errors.New("another process has registered this entry id since; give each process its own entry-id")
+
+// run tries until the row is written or another process has written it.
+func (rg *registration) run(ctx context.Context) {
+	started := time.Now().UTC()
+	for ctx.Err() == nil {
+		err := rg.attempt(ctx, started)
+		if err == nil {
+			rg.log.Info().Msg("incarnation-registered")
+			return
+		}
+		if errors.Is(err, errRegisteredByOther) {
+			rg.log.Error().Err(err).Msg("incarnation-not-registered")
+			return
+		}
+		rg.log.Warn().Err(err).Msg("incarnation-not-registered")
+		sleepContext(ctx, registrationRetry/2+time.Duration(rand.Int64N(int64(registrationRetry))))
+	}
+}
+
+func (rg *registration) attempt(ctx context.Context, started time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, registrationTimeout)
+	defer cancel()
+	row, err := rg.read(ctx)
+	if err != nil {
+		return err
+	}
+	if row.Incarnation == rg.inc {
+		return nil // a reply was lost after the row was written
+	}
+	if rg.seen == nil {
+		rg.seen = &row
+	}
+	// A process that was paused before this write must not replace the row of
+	// the process that runs in its place.
+	if row.Incarnation != rg.seen.Incarnation {
+		return errRegisteredByOther
+	}
+	raw, err := json.Marshal(registered{Incarnation: rg.inc, Started: started})
+	if err != nil {
+		return err
+	}
+	key := registrationPrefix + string(rg.inc.Entry())
+	_, err = rg.rows.Commit(ctx, table.Transaction{
+		ID:     "entry-" + uuid.NewString(),
+		Checks: []table.Check{{Key: key, Version: row.version}},
+		Writes: []table.Write{{Key: key, Value: raw}},
+	})
+	return err
+}
+
+func (rg *registration) read(ctx context.Context) (registered, error) {
+	rows, err := rg.rows.Present(ctx, registrationPrefix+string(rg.inc.Entry()))
+	if err != nil || rows[0].Version == table.Absent {
+		return registered{}, err
+	}
+	out := registered{version: rows[0].Version}
+	err = json.Unmarshal(rows[0].Value, &out)
+	return out, err
+}
--- /dev/null
+++ b/internal/peer/membership.go
@@ -0,0 +1,623 @@
+package peer
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+	"github.com/oleanderwall/oleanderwall/pkg/pausedetect"
+)
+
+// MembershipOptions are the dependencies of a Membership.
+type MembershipOptions struct {
+	Board  *blackboard.Board
+	Server *Server
+	Pool   *Pool
+	// Self describes this entry; PeerAddress is the address it listens on.
+	Self blackboard.Member
+	// Interval is the time between heartbeats to a peer of the same zone.
+	Interval time.Duration
+	// Addresses are peers that the settings name.
+	Addresses []string
+	Pause     *pausedetect.Detector
+	Counters  *counter.Set
+	Log       zerolog.Logger
+	// HigherNumber, when set, is called after a peer has shown a configuration
+	// number above the one in force here. It must not block.
+	HigherNumber func(addr string, number configuration.Number)
+}
+
+// Membership exchanges heartbeats with the other entries and publishes what it
+// knows about them as blackboard.Members.
+//
+// An entry that stops answering becomes suspect after suspectPeriods. It counts
+// as gone only with a proof; a suspicion alone never becomes one.
+type Membership struct {
+	opt MembershipOptions
+	grp *group.Group
+
+	mu       sync.Mutex
+	contacts map[string]*contact
+	states   map[platform.Incarnation]*state
+	newest   map[platform.EntryID]*state // the incarnation last heard
+	stretch  time.Duration               // factor of the period between zones
+	gone     map[platform.Incarnation]blackboard.GoneReason
+	goneList []platform.Incarnation
+	listed   map[listing]bool
+	fetched  time.Time
+	epoch    uint64
+	dirty    bool
+	shown    time.Time // of the last snapshot
+	closing  bool
+}
+
+// contact is an address at which a peer is called.
+type contact struct {
+	id       platform.EntryID // "" until known
+	next     time.Time
+	busy     bool
+	known    platform.Incarnation // knows our identity
+	failures int
+}
+
+// listing is a VM at an address, as the VM list has shown it.
+type listing struct {
+	id   platform.EntryID
+	addr string
+}
+
+// state is one incarnation of a peer.
+type state struct {
+	mem      blackboard.Member
+	listen   string
+	complete bool
+	refused  time.Time // start of the first refusal since last heard
+	missing  int       // successive lists without the VM
+	suspect  bool
+}
+
+const (
+	// suspectPeriods is two missed heartbeats and half a period of delay.
+	suspectPeriods = 2.5
+	// silentPeriods is the silence after which the side of a pair that only
+	// answers heartbeats calls by itself.
+	silentPeriods = 1.5
+	// remotePeersPerInterval bounds the cost of heartbeats between zones: with
+	// more peers in other zones their period grows, up to maxStretch. See
+	// docs/membership.md for the measured cost.
+	remotePeersPerInterval = 12
+	maxStretch             = 4
+	// ticksPerInterval is how often contacts are checked for being due.
+	ticksPerInterval = 5
+	// unlistedFetches is how many successive lists must lack a VM: a single one
+	// may come from a replica that lags.
+	unlistedFetches = 3
+	// maxGone bounds the proofs kept; 180 restarts a day fill it in 22 days.
+	maxGone = 4096
+	// refusalGap is the least time between the two refusals that make a proof.
+	refusalGap = 200 * time.Millisecond
+	// After patientFailures an address is called once per slowRetry: often
+	// enough to agree within seconds after a partition heals.
+	patientFailures = 4
+	slowRetry       = 2 * time.Second
+	// leaveTimeout bounds one leave message.
+	leaveTimeout = 500 * time.Millisecond
+)
+
+// NewMembership registers the receiver of heartbeats with the server; Start
+// begins to call peers.
+func NewMembership(opt MembershipOptions) (*Membership, error) {
+	me := &Membership{
+		opt:      opt,
+		grp:      group.New(context.Background()),
+		contacts: map[string]*contact{},
+		states:   map[platform.Incarnation]*state{},
+		newest:   map[platform.EntryID]*state{},
+		stretch:  1,
+		gone:     map[platform.Incarnation]blackboard.GoneReason{},
+		listed:   map[listing]bool{},
+		epoch:    opt.Pause.Epoch(),
+	}
+	if err := opt.Server.Register(MembershipName, receiver{me}); err != nil {
+		return nil, err
+	}
+	me.opt.Board.Members.Publish(me.snapshot())
+	return me, nil
+}
+
+// Start begins to call peers.
+func (me *Membership) Start() {
+	me.grp.Every(me.opt.Interval/ticksPerInterval, me.tick)
+}
+
+// Close stops heartbeats and waits.
+func (me *Membership) Close() {
+	me.grp.Close()
+}
+
+// Leave stops heartbeats and tells every peer that this incarnation leaves.
+// Peers that do not answer find out by themselves.
+func (me *Membership) Leave(ctx context.Context) {
+	me.mu.Lock()
+	me.closing = true
+	me.mu.Unlock()
+	me.grp.Close()
+	grp := group.New(ctx)
+	for _, addr := range me.Addresses() {
+		grp.Go(func(context.Context) {
+			callCtx, cancel := context.WithTimeout(ctx, leaveTimeout)
+			defer cancel()
+			args := Leave{Incarnation: me.opt.Self.Incarnation}
+			_ = me.opt.Pool.Call(callCtx, addr, MembershipName+".Leave", &args, &Nothing{})
+		})
+	}
+	grp.Wait()
+}
+
+// Announce sends a heartbeat to every peer now, so that they hear of a new
+// configuration number without waiting for the next period.
+func (me *Membership) Announce() {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	for _, co := range me.contacts {
+		co.next = time.Time{}
+	}
+	for addr, co := range me.contacts {
+		me.call(addr, co, me.period(co.id))
+	}
+}
+
+// Addresses returns the addresses of all known peers, reachable or not.
+func (me *Membership) Addresses() []string {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	out := make([]string, 0, len(me.contacts))
+	for addr := range me.contacts {
+		out = append(out, addr)
+	}
+	return out
+}
+
+func (me *Membership) tick(context.Context) {
+	epoch := me.opt.Pause.Epoch()
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	now := time.Now()
+	if epoch != me.epoch {
+		me.resume(now)
+		me.epoch = epoch
+	}
+	me.readList()
+	me.countRemote()
+	me.judge(now)
+	for addr, co := range me.contacts {
+		period := me.period(co.id)
+		if !co.busy && !now.Before(co.next) && me.mustCall(co, now, period) {
+			me.call(addr, co, period)
+		}
+	}
+	if now.Sub(me.shown) >= me.opt.Interval {
+		me.dirty = true
+	}
+	me.publish()
+	me.report()
+}
+
+// report exports the traffic of the connections between entries.
+func (me *Membership) report() {
+	received, sent := me.opt.Pool.Traffic().Bytes()
+	serverReceived, serverSent := me.opt.Server.Traffic().Bytes()
+	me.opt.Counters.Gauge("peer.bytes-received", received+serverReceived)
+	me.opt.Counters.Gauge("peer.bytes-sent", sent+serverSent)
+}
+
+// resume forgets what was observed before a pause: silence and refusals of that
+// time say nothing about the peers.
+func (me *Membership) resume(now time.Time) {
+	me.opt.Log.Warn().Dur("gap", me.opt.Pause.LastGap()).Msg("paused")
+	me.opt.Counters.Add(counter.Peer, "paused", 1)
+	for _, st := range me.states {
+		st.mem.LastHeard = now
+		st.refused = time.Time{}
+		st.missing = 0
+	}
+}
+
+// readList takes over contacts from the settings and the VM list.
+func (me *Membership) readList() {
+	vms := me.opt.Board.VMs.Load()
+	if vms == nil || len(vms.Entries) == 0 {
+		for _, addr := range me.opt.Addresses {
+			me.addContact(addr, "")
+		}
+		return
+	}
+	if vms.Fetched.Equal(me.fetched) {
+		return
+	}
+	me.fetched = vms.Fetched
+	shown := map[listing]bool{}
+	for _, vm := range vms.Entries {
+		id := platform.EntryID(vm.ID)
+		if id == me.opt.Self.ID || vm.PeerAddress == "" {
+			continue
+		}
+		row := listing{id: id, addr: vm.PeerAddress}
+		shown[row] = true
+		me.listed[row] = true
+		me.addContact(vm.PeerAddress, id)
+	}
+	for _, st := range me.states {
+		row := listing{id: st.mem.ID, addr: st.mem.PeerAddress}
+		if shown[row] || !me.listed[row] {
+			st.missing = 0
+			continue
+		}
+		st.missing++
+	}
+	me.dropContacts(shown)
+}
+
+func (me *Membership) addContact(addr string, id platform.EntryID) {
+	if addr == me.opt.Self.PeerAddress {
+		return
+	}
+	co := me.contacts[addr]
+	if co == nil {
+		// The first calls spread over one interval, so that a start opens no
+		// burst of connections.
+		delay := time.Duration(rand.Int64N(int64(me.opt.Interval)))
+		co = &contact{next: time.Now().Add(delay)}
+		me.contacts[addr] = co
+	}
+	if id != "" {
+		co.id = id
+	}
+}
+
+// dropContacts forgets addresses that the list shows no more and at which no
+// incarnation is left, and addresses of the settings that name an entry which
+// the list shows under another address.
+func (me *Membership) dropContacts(shown map[listing]bool) {
+	ids := map[platform.EntryID]bool{}
+	addrs := map[string]bool{}
+	for row := range shown {
+		ids[row.id] = true
+		addrs[row.addr] = true
+	}
+	for _, st := range me.states {
+		if !ids[st.mem.ID] {
+			addrs[st.mem.PeerAddress] = true
+		}
+	}
+	for addr, co := range me.contacts {
+		if !addrs[addr] && co.id != "" {
+			delete(me.contacts, addr)
+		}
+	}
+	for row := range me.listed {
+		if !addrs[row.addr] {
+			delete(me.listed, row)
+		}
+	}
+}
+
+// mustCall tells whether this side calls. The entry with the lower id calls;
+// the other side calls only when it has heard nothing, because a partition may
+// stop connections in one direction alone.
+func (me *Membership) mustCall(co *contact, now time.Time, period time.Duration) bool {
+	st := me.newest[co.id]
+	if co.id == "" || st == nil || me.opt.Self.ID < co.id {
+		return true
+	}
+	return now.Sub(st.mem.LastHeard) > time.Duration(silentPeriods*float64(period))
+}
+
+// period returns the time between heartbeats with the entry.
+func (me *Membership) period(id platform.EntryID) time.Duration {
+	st := me.newest[id]
+	if st == nil || st.mem.AvailabilityZone == me.opt.Self.AvailabilityZone {
+		return me.opt.Interval
+	}
+	return me.opt.Interval * me.stretch
+}
+
+// countRemote sets the factor of the period between zones.
+func (me *Membership) countRemote() {
+	remote := 0
+	for _, st := range me.newest {
+		if st.mem.AvailabilityZone != me.opt.Self.AvailabilityZone {
+			remote++
+		}
+	}
+	stretch := (remote + remotePeersPerInterval - 1) / remotePeersPerInterval
+	me.stretch = time.Duration(min(maxStretch, max(1, stretch)))
+}
+
+// call starts a heartbeat. The caller holds the lock.
+func (me *Membership) call(addr string, co *contact, period time.Duration) {
+	if co.busy || me.closing {
+		return
+	}
+	co.busy = true
+	wait := period
+	if co.failures > patientFailures {
+		wait = max(period, slowRetry)
+	}
+	co.next = time.Now().Add(jitter(wait))
+	me.grp.Go(func(ctx context.Context) {
+		me.beat(ctx, addr, period)
+		me.mu.Lock()
+		co.busy = false
+		me.mu.Unlock()
+	})
+}
+
+// jitter spreads a period by a tenth in both directions.
+func jitter(period time.Duration) time.Duration {
+	return period*9/10 + time.Duration(rand.Int64N(int64(period/5)+1))
+}
+
+func (me *Membership) needsIdentity(addr string) bool {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	co := me.contacts[addr]
+	return co == nil || co.known == ""
+}
+
+// received notes a heartbeat from a peer and returns the answer to it.
+func (me *Membership) received(args *Beat) Beat {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	reply := me.ownBeat(args.Identity != nil)
+	if reason, ok := me.gone[args.Incarnation]; ok {
+		reply.DeclaredGone = reason
+		if reason != blackboard.GoneLeft {
+			me.opt.Counters.Add(counter.Peer, "heard-though-gone", 1)
+		}
+		return reply
+	}
+	st := me.heard(args)
+	reply.NeedIdentity = !st.complete
+	me.publish()
+	return reply
+}
+
+// heard notes a sign of life of an incarnation. The caller holds the lock.
+func (me *Membership) heard(beat *Beat) *state {
+	st := me.states[beat.Incarnation]
+	if st == nil {
+		st = &state{mem: blackboard.Member{ID: beat.Incarnation.Entry(), Incarnation: beat.Incarnation}}
+		me.states[beat.Incarnation] = st
+		me.dirty = true
+	}
+	if id := beat.Identity; id != nil && !st.complete {
+		st.complete = true
+		st.listen = id.ListenAddress
+		st.mem.AvailabilityZone = id.AvailabilityZone
+		st.mem.Region = id.Region
+		st.mem.Size = id.Size
+		me.dirty = true
+	}
+	if st.mem.PeerAddress == "" {
+		st.mem.PeerAddress = me.addressOf(st)
+	}
+	if st.mem.Configuration != beat.Configuration || st.suspect {
+		me.dirty = true
+	}
+	st.mem.Configuration = beat.Configuration
+	st.mem.LastHeard = time.Now()
+	if me.newest[st.mem.ID] != st {
+		me.newest[st.mem.ID] = st
+		me.dirty = true
+	}
+	st.refused = time.Time{}
+	st.suspect = false
+	if me.opt.HigherNumber != nil && st.mem.PeerAddress != "" {
+		own := me.opt.Board.Configuration.Load()
+		if own == nil || own.Number < beat.Configuration {
+			me.opt.HigherNumber(st.mem.PeerAddress, beat.Configuration)
+		}
+	}
+	return st
+}
+
+// addressOf returns where the entry of an inbound heartbeat can be called: the
+// address of the list or the settings, else the one that it listens on.
+func (me *Membership) addressOf(st *state) string {
+	for addr, co := range me.contacts {
+		if co.id == st.mem.ID {
+			return addr
+		}
+	}
+	if st.listen != "" && provable(st.listen, me.opt.Self.PeerAddress) {
+		me.addContact(st.listen, st.mem.ID)
+		return st.listen
+	}
+	return ""
+}
+
+// answered notes the answer to our own call.
+func (me *Membership) answered(addr string, reply *Beat) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	co := me.contacts[addr]
+	if co == nil {
+		return
+	}
+	if reply.Incarnation == me.opt.Self.Incarnation {
+		delete(me.contacts, addr) // our own address in the settings
+		return
+	}
+	if co.known != "" && co.known != reply.Incarnation || reply.NeedIdentity {
+		co.next = time.Time{} // a new incarnation asks for our identity
+		co.known = ""
+	} else {
+		co.known = reply.Incarnation
+	}
+	co.id = reply.Incarnation.Entry()
+	co.failures = 0
+	if reply.DeclaredGone != "" {
+		me.declaredGone(addr, reply.DeclaredGone)
+	}
+	if _, ok := me.gone[reply.Incarnation]; ok {
+		me.opt.Counters.Add(counter.Peer, "heard-though-gone", 1)
+		return
+	}
+	// Two processes can't listen on one address: the one that answers now has
+	// replaced the others. A heartbeat that a peer sends us proves nothing of
+	// the kind, because it may be a late one of an old incarnation.
+	for inc, st := range me.states {
+		if st.mem.PeerAddress == addr && st.mem.ID == co.id && inc != reply.Incarnation {
+			me.end(inc, blackboard.GoneReplaced)
+		}
+	}
+	st := me.heard(reply)
+	if st.mem.PeerAddress != addr {
+		st.mem.PeerAddress = addr
+		me.dirty = true
+	}
+	if !st.complete {
+		co.known = ""
+	}
+	me.publish()
+}
+
+func (me *Membership) declaredGone(addr string, reason blackboard.GoneReason) {
+	me.opt.Counters.Add(counter.Peer, "declared-gone", 1)
+	me.opt.Log.Error().Str("peer", addr).Str("reason", string(reason)).Msg("declared-gone")
+}
+
+// failed notes a failed call and returns the incarnations to probe.
+func (me *Membership) failed(addr string) []platform.Incarnation {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	co := me.contacts[addr]
+	if co == nil {
+		return nil
+	}
+	co.known = ""
+	co.failures++
+	var out []platform.Incarnation
+	for inc, st := range me.states {
+		if st.mem.PeerAddress == addr {
+			out = append(out, inc)
+		}
+	}
+	return out
+}
+
+func (me *Membership) probeAddress(inc platform.Incarnation) string {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	st := me.states[inc]
+	if st == nil || !provable(st.listen, me.opt.Self.PeerAddress) {
+		return ""
+	}
+	return st.listen
+}
+
+// probed notes the result of a probe that began at a time. Two refusals in a
+// row, with no sign of life since before the first, are a proof.
+func (me *Membership) probed(inc platform.Incarnation, began time.Time, refused bool) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	st := me.states[inc]
+	switch {
+	case st == nil || st.mem.LastHeard.After(began):
+		return
+	case !refused:
+		st.refused = time.Time{}
+	case st.refused.IsZero():
+		st.refused = began
+	case began.Sub(st.refused) >= refusalGap:
+		me.end(inc, blackboard.GoneRefused)
+		me.publish()
+	}
+}
+
+func (me *Membership) left(inc platform.Incarnation) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	me.end(inc, blackboard.GoneLeft)
+	me.publish()
+}
+
+// judge finds suspects, and the suspects whose VM the list shows no more.
+func (me *Membership) judge(now time.Time) {
+	for inc, st := range me.states {
+		limit := time.Duration(suspectPeriods * float64(me.period(st.mem.ID)))
+		if !st.suspect && now.Sub(st.mem.LastHeard) > limit {
+			st.suspect = true
+			me.dirty = true
+			me.opt.Counters.Add(counter.Peer, "suspected", 1)
+			me.opt.Log.Warn().Str("incarnation", string(inc)).Msg("peer-suspect")
+		}
+		// An entry that answers is not gone, whatever the list shows.
+		if st.suspect && st.missing >= unlistedFetches {
+			me.end(inc, blackboard.GoneUnlisted)
+		}
+	}
+}
+
+// end records the proof that an incarnation has ended. The caller holds the
+// lock.
+func (me *Membership) end(inc platform.Incarnation, reason blackboard.GoneReason) {
+	if _, ok := me.gone[inc]; ok {
+		return
+	}
+	if st := me.states[inc]; st != nil && me.newest[st.mem.ID] == st {
+		delete(me.newest, st.mem.ID)
+	}
+	delete(me.states, inc)
+	next := maps.Clone(me.gone) // published maps never change
+	next[inc] = reason
+	me.goneList = append(me.goneList, inc)
+	if len(me.goneList) > maxGone {
+		delete(next, me.goneList[0])
+		me.goneList = me.goneList[1:]
+	}
+	me.gone = next
+	me.dirty = true
+	me.opt.Counters.Add(counter.Peer, string(reason), 1)
+	me.opt.Log.Info().Str("incarnation", string(inc)).Str("reason", string(reason)).Msg("peer-gone")
+}
+
+// publish replaces the snapshot when it has changed. The times of the last
+// heartbeats alone are published once per interval, by tick. The caller holds
+// the lock.
+func (me *Membership) publish() {
+	if me.dirty {
+		me.dirty = false
+		me.shown = time.Now()
+		me.opt.Board.Members.Publish(me.snapshot())
+	}
+}
+
+func (me *Membership) snapshot() *blackboard.Members {
+	out := &blackboard.Members{
+		Alive:   map[platform.EntryID]blackboard.Member{},
+		Suspect: map[platform.EntryID]blackboard.Member{},
+		Gone:    me.gone,
+	}
+	for _, st := range me.states {
+		if !st.complete || me.newest[st.mem.ID] != st {
+			continue
+		}
+		if st.suspect {
+			out.Suspect[st.mem.ID] = st.mem
+		} else {
+			out.Alive[st.mem.ID] = st.mem
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/membership_test.go
@@ -0,0 +1,320 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/pausedetect"
+)
+
+const testInterval = 100 * time.Millisecond
+
+// node is the membership part of one entry.
+type node struct {
+	id    platform.EntryID
+	board *blackboard.Board
+	srv   *Server
+	pool  *Pool
+	me    *Membership
+	cnt   *counter.Set
+	inc   platform.Incarnation
+	ended bool
+}
+
+func startNode(tb testing.TB, id, zone, listen string, interval time.Duration) *node {
+	tb.Helper()
+	srv, err := Listen(listen)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	nd := &node{
+		id:    platform.EntryID(id),
+		board: &blackboard.Board{},
+		srv:   srv,
+		pool:  NewPool(),
+		cnt:   counter.New(),
+		inc:   platform.NewIncarnation(platform.EntryID(id)),
+	}
+	det := pausedetect.New(10 * time.Second)
+	nd.me, err = NewMembership(MembershipOptions{
+		Board:  nd.board,
+		Server: srv,
+		Pool:   nd.pool,
+		Self: blackboard.Member{
+			ID:               nd.id,
+			Incarnation:      nd.inc,
+			AvailabilityZone: platform.AvailabilityZone(zone),
+			PeerAddress:      srv.Address(),
+			Size:             1,
+		},
+		Interval: interval,
+		Pause:    det,
+		Counters: nd.cnt,
+		Log:      zerolog.Nop(),
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	srv.Start()
+	nd.me.Start()
+	tb.Cleanup(func() {
+		det.Close()
+		nd.end()
+	})
+	return nd
+}
+
+// end ends the node as a crash would: without a message.
+func (nd *node) end() {
+	if !nd.ended {
+		nd.ended = true
+		nd.me.Close()
+		nd.srv.Close()
+		nd.pool.Close()
+	}
+}
+
+func (nd *node) list(vms ...platform.VM) {
+	nd.board.VMs.Publish(&blackboard.VMs{Fetched: time.Now(), Entries: vms})
+}
+
+func listed(id platform.EntryID, addr string) platform.VM {
+	return platform.VM{ID: string(id), Kind: platform.KindEntry, PeerAddress: addr}
+}
+
+func eventually(tb testing.TB, bound time.Duration, what string, done func() bool) {
+	tb.Helper()
+	for began := time.Now(); time.Since(began) < bound; time.Sleep(2 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	tb.Fatalf("waited %s for: %s", bound, what)
+}
+
+func (nd *node) alive(id platform.EntryID) bool {
+	_, ok := nd.board.Members.Load().Alive[id]
+	return ok
+}
+
+func (nd *node) suspect(id platform.EntryID) bool {
+	_, ok := nd.board.Members.Load().Suspect[id]
+	return ok
+}
+
+func (nd *node) gone(inc platform.Incarnation) blackboard.GoneReason {
+	return nd.board.Members.Load().Gone[inc]
+}
+
+func newTestProxy(tb testing.TB, addr string) *faultproxy.Proxy {
+	tb.Helper()
+	px, err := faultproxy.New(addr)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(px.Close)
+	return px
+}
+
+// pair starts two entries that reach each other through proxies.
+func pair(t *testing.T) (a, b *node, toA, toB *faultproxy.Proxy) {
+	t.Helper()
+	a = startNode(t, "entry-a", "north", "127.0.0.1:0", testInterval)
+	b = startNode(t, "entry-b", "south", "127.0.0.1:0", testInterval)
+	toA, toB = newTestProxy(t, a.srv.Address()), newTestProxy(t, b.srv.Address())
+	vms := []platform.VM{listed(a.id, toA.Address()), listed(b.id, toB.Address())}
+	a.list(vms...)
+	b.list(vms...)
+	eventually(t, 5*time.Second, "both see each other", func() bool { return a.alive(b.id) && b.alive(a.id) })
+	return a, b, toA, toB
+}
+
+// TestPartitionIsNoProof guards against a partition that counts as a death: a
+// cut-off entry stays suspect, and both sides agree soon after it heals.
+func TestPartitionIsNoProof(t *testing.T) {
+	a, b, toA, toB := pair(t)
+	toA.Set(faultproxy.Faults{Cut: true})
+	toB.Set(faultproxy.Faults{Cut: true})
+	eventually(t, 5*time.Second, "both suspect each other", func() bool { return a.suspect(b.id) && b.suspect(a.id) })
+	time.Sleep(10 * testInterval)
+	if len(a.board.Members.Load().Gone) > 0 || len(b.board.Members.Load().Gone) > 0 {
+		t.Fatal("an entry behind a partition counts as gone")
+	}
+	toA.Set(faultproxy.Faults{})
+	toB.Set(faultproxy.Faults{})
+	eventually(t, 4*time.Second, "both agree again", func() bool { return a.alive(b.id) && b.alive(a.id) })
+}
+
+// TestOneWayPartition guards against a false suspicion when connections open in
+// one direction alone: the heartbeats of the other side serve both.
+func TestOneWayPartition(t *testing.T) {
+	for _, blocked := range []string{"caller", "answerer"} {
+		a, b, toA, toB := pair(t)
+		if blocked == "caller" {
+			toB.Set(faultproxy.Faults{Cut: true}) // entry-a, which calls, reaches nobody
+		} else {
+			toA.Set(faultproxy.Faults{Cut: true})
+		}
+		time.Sleep(10 * testInterval)
+		if !a.alive(b.id) || !b.alive(a.id) {
+			t.Fatalf("blocked %s: a false suspicion: %+v %+v", blocked, a.board.Members.Load(), b.board.Members.Load())
+		}
+	}
+}
+
+// TestSilentConnection guards against a connection that has gone silent for
+// good and keeps an entry suspect although new connections work.
+func TestSilentConnection(t *testing.T) {
+	a, b, toA, toB := pair(t)
+	opened := toA.Opened() + toB.Opened()
+	toA.Set(faultproxy.Faults{FreezeExisting: true})
+	toB.Set(faultproxy.Faults{FreezeExisting: true})
+	began := time.Now()
+	eventually(t, 5*time.Second, "a new connection", func() bool { return toA.Opened()+toB.Opened() > opened })
+	// Two intervals, and one more for a loaded test machine.
+	if took := time.Since(began); took > 3*testInterval {
+		t.Errorf("noticed after %s", took)
+	}
+	eventually(t, 5*time.Second, "a heartbeat on it", func() bool {
+		mem, ok := a.board.Members.Load().Alive[b.id]
+		return ok && mem.LastHeard.After(began.Add(testInterval))
+	})
+}
+
+// TestProofs guards against an entry that ends and never counts as gone, and
+// against a wrong reason.
+func TestProofs(t *testing.T) {
+	for _, row := range []struct {
+		reason blackboard.GoneReason
+		cause  func(a, b *node)
+	}{
+		{blackboard.GoneRefused, func(_, b *node) { b.end() }},
+		{blackboard.GoneLeft, func(_, b *node) { b.me.Leave(context.Background()) }},
+		{blackboard.GoneReplaced, func(_, b *node) {
+			addr := b.srv.Address()
+			b.end()
+			startNode(t, string(b.id), "south", addr, testInterval)
+		}},
+		{blackboard.GoneUnlisted, func(a, b *node) {
+			addr := b.srv.Address()
+			b.end()
+			// Another process takes the address, so it refuses nothing.
+			ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = ln.Close() })
+			for range 4 {
+				time.Sleep(testInterval)
+				a.list(listed(a.id, a.srv.Address()))
+			}
+		}},
+	} {
+		a, b, _, _ := pair(t)
+		row.cause(a, b)
+		eventually(t, 5*time.Second, string(row.reason), func() bool { return a.gone(b.inc) == row.reason })
+	}
+}
+
+// TestListAloneIsNoProof guards against a list that answers from the past: an
+// entry that sends heartbeats is alive, whatever the list shows.
+func TestListAloneIsNoProof(t *testing.T) {
+	a, b, _, _ := pair(t)
+	for range 6 {
+		time.Sleep(testInterval)
+		a.list(listed(a.id, a.srv.Address()))
+	}
+	if a.gone(b.inc) != "" || !a.alive(b.id) {
+		t.Fatalf("an entry that answers counts as gone: %+v", a.board.Members.Load())
+	}
+}
+
+// TestProvable guards against proofs from addresses that other machines or
+// proxies own.
+func TestProvable(t *testing.T) {
+	for _, row := range []struct {
+		addr, own string
+		want      bool
+	}{
+		{"10.0.0.5:7000", "10.0.0.6:7000", true},
+		{"127.0.0.1:7000", "10.0.0.6:7000", false},
+		{"127.0.0.1:7000", "127.0.0.1:7001", true},
+		{"0.0.0.0:7000", "10.0.0.6:7000", false},
+		{"[::]:7000", "10.0.0.6:7000", false},
+		{"", "10.0.0.6:7000", false},
+	} {
+		if got := provable(row.addr, row.own); got != row.want {
+			t.Errorf("provable(%q, %q) = %v", row.addr, row.own, got)
+		}
+	}
+}
+
+// TestLateHeartbeatReplacesNobody guards against a delayed heartbeat of an old
+// incarnation that ends the present one.
+func TestLateHeartbeatReplacesNobody(t *testing.T) {
+	a, b, _, _ := pair(t)
+	late := Beat{Incarnation: platform.NewIncarnation(b.id), Identity: &Identity{AvailabilityZone: "south", Size: 1}}
+	a.me.received(&late)
+	time.Sleep(5 * testInterval)
+	if a.gone(b.inc) != "" {
+		t.Fatal("a late heartbeat ended the present incarnation")
+	}
+	eventually(t, 5*time.Second, "the old incarnation is replaced", func() bool {
+		return a.gone(late.Incarnation) == blackboard.GoneReplaced && a.board.Members.Load().Alive[b.id].Incarnation == b.inc
+	})
+}
+
+// BenchmarkIdle measures the traffic and the processor time of idle entries.
+// One process holds all entries, so both are divided by their number.
+func BenchmarkIdle(b *testing.B) {
+	const zones = 7
+	for _, size := range []int{7, 21, 49} {
+		b.Run(fmt.Sprintf("entries=%d", size), func(b *testing.B) {
+			var nodes []*node
+			var vms []platform.VM
+			for i := range size {
+				nd := startNode(b, fmt.Sprintf("entry-%02d", i), fmt.Sprintf("zone-%d", i%zones), "127.0.0.1:0", 500*time.Millisecond)
+				nodes = append(nodes, nd)
+				vms = append(vms, listed(nd.id, nd.srv.Address()))
+			}
+			for _, nd := range nodes {
+				nd.list(vms...)
+			}
+			for _, nd := range nodes {
+				eventually(b, 20*time.Second, "all see all", func() bool { return len(nd.board.Members.Load().Alive) == size-1 })
+			}
+			time.Sleep(2 * time.Second)
+			b.ResetTimer()
+			for range b.N {
+				measureIdle(b, nodes)
+			}
+		})
+	}
+}
+
+func measureIdle(b *testing.B, nodes []*node) {
+	b.Helper()
+	const span = 6 * time.Second
+	bytes := func() (sum int64) {
+		for _, nd := range nodes {
+			r, s := nd.pool.Traffic().Bytes()
+			r2, s2 := nd.srv.Traffic().Bytes()
+			sum += r + s + r2 + s2
+		}
+		return sum
+	}
+	cpu, sum := processorTime(b), bytes()
+	time.Sleep(span)
+	size := float64(len(nodes))
+	b.ReportMetric(float64(bytes()-sum)/span.Seconds()/size, "bytes/s/entry")
+	b.ReportMetric(100*(processorTime(b)-cpu).Seconds()/span.Seconds()/size, "%core/entry")
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -40,8 +40,11 @@
 	rs  *rpc.Server
 	grp *group.Group
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	traffic Traffic
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[net.Conn]bool
 }
 
 // Listen returns a server on the address; Start begins to accept.
@@ -81,23 +84,32 @@
 
 func (srv *Server) serve(conn net.Conn) {
 	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	// A connection accepted while Close runs would otherwise stay open, and
+	// Close would wait for it for ever.
+	if srv.closed {
+		_ = conn.Close()
+		return
+	}
 	srv.conns[conn] = true
-	srv.mu.Unlock()
-	started := srv.grp.Go(func(context.Context) {
-		srv.rs.ServeConn(conn)
+	srv.grp.Go(func(context.Context) {
+		srv.rs.ServeConn(srv.traffic.meter(conn))
 		srv.mu.Lock()
 		delete(srv.conns, conn)
 		srv.mu.Unlock()
 	})
-	if !started {
-		_ = conn.Close()
-	}
+}
+
+// Traffic returns the bytes carried by the server's connections.
+func (srv *Server) Traffic() *Traffic {
+	return &srv.traffic
 }
 
 // Close closes the listener and all connections and waits.
 func (srv *Server) Close() {
 	_ = srv.ln.Close()
 	srv.mu.Lock()
+	srv.closed = true
 	for conn := range srv.conns {
 		_ = conn.Close()
 	}
@@ -107,6 +119,8 @@
 
 // Pool holds one connection to each peer.
 type Pool struct {
+	traffic Traffic
+
 	mu      sync.Mutex
 	clients map[string]*rpc.Client
 }
@@ -157,7 +171,7 @@
 		_ = conn.Close()
 		return other, nil
 	}
-	cl = rpc.NewClient(conn)
+	cl = rpc.NewClient(po.traffic.meter(conn))
 	po.clients[addr] = cl
 	return cl, nil
 }
@@ -171,6 +185,11 @@
 	_ = cl.Close()
 }
 
+// Traffic returns the bytes carried by the pool's connections.
+func (po *Pool) Traffic() *Traffic {
+	return &po.traffic
+}
+
 // Close closes all connections.
 func (po *Pool) Close() {
 	po.mu.Lock()
--- /dev/null
+++ b/internal/table/present.go
@@ -0,0 +1,47 @@
+package table
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/google/uuid"
+)
+
+// neverVersion is a version that no row reaches. It is the largest integer that
+// every JSON decoder keeps exactly.
+const neverVersion Version = 1<<53 - 1
+
+// errCommitted says that the service committed a transaction whose check can't
+// hold.
+var errCommitted = errors.New("the table service committed a transaction whose check does not hold; report this to its operators")
+
+// Present reads rows through a transaction whose checks can't hold: a plain
+// read may be answered from the past, the conflict of a transaction is not. It
+// costs as much as a conflicting commit. Rows that do not exist have the
+// version Absent. The order is that of the keys.
+func (cl *Client) Present(ctx context.Context, keys ...string) ([]Row, error) {
+	checks := make([]Check, 0, len(keys))
+	for _, key := range keys {
+		checks = append(checks, Check{Key: key, Version: neverVersion})
+	}
+	_, err := cl.Commit(ctx, Transaction{ID: "read-" + uuid.NewString(), Checks: checks, Writes: []Write{}})
+	var ce *ConflictError
+	if !errors.As(err, &ce) {
+		if err == nil {
+			err = errCommitted
+		}
+		return nil, fmt.Errorf("read the table rows %v: %w", keys, err)
+	}
+	found := make(map[string]Row, len(ce.Rows))
+	for _, row := range ce.Rows {
+		found[row.Key] = row
+	}
+	rows := make([]Row, 0, len(keys))
+	for _, key := range keys {
+		row := found[key]
+		row.Key = key
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -78,6 +78,15 @@
 	})
 }
 
+// Wait refuses further goroutines and waits until every goroutine has returned
+// by itself, without cancelling the context.
+func (gr *Group) Wait() {
+	gr.mu.Lock()
+	gr.closed = true
+	gr.mu.Unlock()
+	gr.wg.Wait()
+}
+
 // Close cancels the context of the group and waits until every goroutine has
 // returned. It may be called more than once, but not by a goroutine of the
 // group itself.
