bench: compare with target.NewNaive

Cause: the load tool and the differential tests each had a naive policy. Change: the load tool uses the one of internal/target. Conclusion: one naive policy serves both.

--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -20,6 +20,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/settings"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/table"
+	"github.com/oleanderwall/oleanderwall/internal/target"
 	"github.com/oleanderwall/oleanderwall/internal/vmlist"
 )
 
@@ -107,7 +108,7 @@
 // startNaive starts entries with the naive policy behind the same HTTP
 // interface.
 func (sy *system) startNaive() error {
-	for i := range sy.opt.Entries {
+	for range sy.opt.Entries {
 		board := &blackboard.Board{}
 		cnt := counter.New()
 		hc := httpClient()
@@ -120,7 +121,8 @@
 		poller := vmlist.NewPoller(vmlist.New(sy.fleet.VMServer.URL(), hc), board, time.Second, zerolog.Nop())
 		poller.Start()
 		sy.closers = append(sy.closers, poller.Close)
-		nv := newNaive(board, uint64(i))
+		nv := target.NewNaive(board)
+		sy.closers = append(sy.closers, nv.Close)
 		srv, err := standin.Serve("127.0.0.1:0", caller.New(nv, nil, board, cnt).Router())
 		if err != nil {
 			return err
