vmlist: fetch the list of VMs only when it has changed

Cause: every entry fetched the whole list every second; at the design size (560 workers, 560 targets, 7 entries; about 170 bytes a row) that is about 190 kB/s against a control budget of 27 kB/s. Tests for an outage of the list and for a leaving VM that the lagging list shows as live again. Figures: computed from the row size, not measured yet; after the change a poll of an unchanged list carries headers only. Conclusion: the poll stays at one second.

--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -32,6 +34,8 @@
 	mu       sync.Mutex
 	faults   VMListFaults
 	listings []listing
+	// shown counts the lists that readers have been shown so far.
+	shown int
 }
 
 // NewVMList returns an empty list whose changes show after the lag.
@@ -81,7 +85,7 @@
 	vl.Set(fn(newest))
 }
 
-func (vl *VMList) get(wr http.ResponseWriter, _ *http.Request) {
+func (vl *VMList) get(wr http.ResponseWriter, req *http.Request) {
 	vl.mu.Lock()
 	defer vl.mu.Unlock()
 	if vl.faults.Outage {
@@ -91,6 +95,13 @@
 	now := time.Now()
 	for len(vl.listings) > 1 && !vl.listings[1].since.After(now) {
 		vl.listings = vl.listings[1:]
+		vl.shown++
+	}
+	etag := fmt.Sprintf("%q", strconv.Itoa(vl.shown))
+	wr.Header().Set("ETag", etag)
+	if req.Header.Get("If-None-Match") == etag {
+		wr.WriteHeader(http.StatusNotModified)
+		return
 	}
 	jsonhttp.Write(wr, http.StatusOK, vmlist.List{VMs: vl.listings[0].vms})
 }
--- a/internal/vmlist/poller.go
+++ b/internal/vmlist/poller.go
@@ -11,9 +11,9 @@
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
-// Fetcher reads the list of VMs.
+// Fetcher reads the list of VMs; false means that it has not changed.
 type Fetcher interface {
-	Fetch(ctx context.Context) ([]platform.VM, error)
+	Fetch(ctx context.Context) ([]platform.VM, bool, error)
 }
 
 // Poller publishes the list of VMs on the blackboard. While the service is
@@ -55,11 +55,14 @@
 func (po *Poller) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, po.interval+time.Second)
 	defer cancel()
-	vms, err := po.fe.Fetch(ctx)
+	vms, changed, err := po.fe.Fetch(ctx)
 	if err != nil {
 		po.log.Warn().Err(err).Msg("vm-list-unreachable")
 		return
 	}
+	if !changed {
+		return
+	}
 	po.board.VMs.Publish(po.split(vms))
 }
 
--- /dev/null
+++ b/internal/vmlist/vmlist_test.go
@@ -0,0 +1,90 @@
+package vmlist_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
+	"github.com/oleanderwall/oleanderwall/internal/vmlist"
+)
+
+func oneTarget(state platform.VMState) []platform.VM {
+	return []platform.VM{{ID: "target-1", Kind: platform.KindTarget, State: state, Service: "fitdesk"}}
+}
+
+func start(t *testing.T) (*standin.VMList, *blackboard.Board) {
+	t.Helper()
+	vl := standin.NewVMList(0)
+	vl.Set(oneTarget(platform.StateLive))
+	srv, err := standin.Serve("127.0.0.1:0", vl)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(srv.Close)
+	board := &blackboard.Board{}
+	po := vmlist.NewPoller(vmlist.New(srv.URL(), &http.Client{}), board, 10*time.Millisecond, zerolog.Nop())
+	po.Start()
+	t.Cleanup(po.Close)
+	return vl, board
+}
+
+func state(board *blackboard.Board) func() platform.VMState {
+	return func() platform.VMState {
+		vms := board.VMs.Load()
+		if vms == nil || len(vms.Targets["fitdesk"]) == 0 {
+			return ""
+		}
+		return vms.Targets["fitdesk"][0].State
+	}
+}
+
+// TestLeavingStays guards against a list that lags and shows a leaving target
+// as live again: it must get no new work.
+func TestLeavingStays(t *testing.T) {
+	gm := NewWithT(t)
+	vl, board := start(t)
+	gm.Eventually(state(board)).Should(Equal(platform.StateLive))
+	vl.Set(oneTarget(platform.StateLeaving))
+	gm.Eventually(state(board)).Should(Equal(platform.StateLeaving))
+	vl.Set(oneTarget(platform.StateLive))
+	gm.Consistently(state(board), "100ms").Should(Equal(platform.StateLeaving))
+}
+
+// TestOutageKeepsList guards against an outage of the list that empties it.
+func TestOutageKeepsList(t *testing.T) {
+	gm := NewWithT(t)
+	vl, board := start(t)
+	gm.Eventually(state(board)).Should(Equal(platform.StateLive))
+	vl.SetFaults(standin.VMListFaults{Outage: true})
+	gm.Consistently(state(board), "100ms").Should(Equal(platform.StateLive))
+}
+
+// TestUnchangedListIsNotSent guards against a poll that transfers the whole
+// list each time.
+func TestUnchangedListIsNotSent(t *testing.T) {
+	gm := NewWithT(t)
+	vl := standin.NewVMList(0)
+	vl.Set(oneTarget(platform.StateLive))
+	srv, err := standin.Serve("127.0.0.1:0", vl)
+	gm.Expect(err).NotTo(HaveOccurred())
+	defer srv.Close()
+	cl := vmlist.New(srv.URL(), &http.Client{})
+	_, changed, err := cl.Fetch(context.Background())
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(changed).To(BeTrue())
+	_, changed, err = cl.Fetch(context.Background())
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(changed).To(BeFalse())
+	vl.Set(oneTarget(platform.StateLeaving))
+	vms, changed, err := cl.Fetch(context.Background())
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(changed).To(BeTrue())
+	gm.Expect(vms[0].State).To(Equal(platform.StateLeaving))
+}
