--- a/internal/vmlist/poller.go
+++ b/internal/vmlist/poller.go
@@ -61,11 +61,25 @@
 		return
 	}
 	if !changed {
+		po.confirm()
 		return
 	}
 	po.board.VMs.Publish(po.split(vms))
 }
 
+// confirm renews the time of the published list: the proof that a VM is gone
+// needs a list that was read after the VM had vanished from it.
+func (po *Poller) confirm() {
+	po.board.VMs.Update(func(old *blackboard.VMs) *blackboard.VMs {
+		if old == nil {
+			return old
+		}
+		next := *old
+		next.Fetched = time.Now()
+		return &next
+	})
+}
+
 // split sorts the VMs by use. A VM once seen leaving stays leaving: the list
 // lags and may show an older state again.
 func (po *Poller) split(vms []platform.VM) *blackboard.VMs {
--- a/internal/vmlist/vmlist_test.go
+++ b/internal/vmlist/vmlist_test.go
@@ -66,6 +66,16 @@
 	gm.Consistently(state(board), "100ms").Should(Equal(platform.StateLive))
 }
 
+// TestUnchangedListIsConfirmed guards against a list whose time stands still
+// because it has not changed: the proof that a VM is gone waits for that time.
+func TestUnchangedListIsConfirmed(t *testing.T) {
+	gm := NewWithT(t)
+	_, board := start(t)
+	gm.Eventually(state(board)).Should(Equal(platform.StateLive))
+	first := board.VMs.Load().Fetched
+	gm.Eventually(func() bool { return board.VMs.Load().Fetched.After(first) }).Should(BeTrue())
+}
+
 // TestUnchangedListIsNotSent guards against a poll that transfers the whole
 // list each time.
 func TestUnchangedListIsNotSent(t *testing.T) {
