--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/target"
 	"github.com/oleanderwall/oleanderwall/internal/vmlist"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
+	"github.com/oleanderwall/oleanderwall/pkg/pausedetect"
 )
 
 // Entry is one running entry process.
@@ -47,6 +48,8 @@
 	operators *httpServer
 	peers     *peer.Server
 	pool      *peer.Pool
+	pause     *pausedetect.Detector
+	members   *peer.Membership
 
 	vms     *vmlist.Poller
 	watcher *configuration.Watcher
@@ -55,6 +58,8 @@
 
 	placement *job.SimplePlacement
 
+	registration *registration
+
 	draining  atomic.Bool
 	drainOnce chan struct{}
 }
@@ -85,10 +90,17 @@
 func (en *Entry) build() error {
 	hc := platformClient()
 	rows := table.New(en.set.Platform.Table, hc)
+	en.registration = &registration{rows: rows, inc: en.inc, log: en.log}
+	en.pause = pausedetect.New(pauseLimit)
+	var err error
+	if en.members, err = peer.NewMembership(en.membershipOptions()); err != nil {
+		en.pause.Close()
+		return err
+	}
 	store := configuration.NewStore(rows)
 	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
 	en.watcher = configuration.NewWatcher(store, en, en.set.Timing.ConfigurationPoll.Std(), en.log)
-	en.targets = target.New(en.board, en.cnt)
+	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt})
 	if err := en.buildJobs(rows, hc); err != nil {
 		return err
 	}
@@ -105,6 +117,31 @@
 	return nil
 }
 
+// pauseLimit is the gap after which old state is not acted on. It lies well
+// above the delays of a loaded machine and below the lease of a slot loan.
+const pauseLimit = time.Second
+
+func (en *Entry) membershipOptions() peer.MembershipOptions {
+	return peer.MembershipOptions{
+		Board:  en.board,
+		Server: en.peers,
+		Pool:   en.pool,
+		Self: blackboard.Member{
+			ID:               en.set.EntryID,
+			Incarnation:      en.inc,
+			AvailabilityZone: en.set.AvailabilityZone,
+			Region:           en.set.Region,
+			Size:             en.set.Size,
+			PeerAddress:      en.peers.Address(),
+		},
+		Interval:  en.set.Timing.Heartbeat.Std(),
+		Addresses: en.set.Peers,
+		Pause:     en.pause,
+		Counters:  en.cnt,
+		Log:       en.log,
+	}
+}
+
 // platformClient returns the HTTP client for the platform and the workers. Its
 // requests are idempotent or carry ids, so the resends of Go's transport are
 // harmless.
@@ -168,6 +205,8 @@
 	en.watcher.Start()
 	en.jobs.Start()
 	en.peers.Start()
+	en.members.Start()
+	en.grp.Go(en.registration.run)
 	en.callers.start(en.grp)
 	en.operators.start(en.grp)
 	en.log.Info().
@@ -235,6 +274,8 @@
 
 // Close ends the entry at once and waits for its goroutines.
 func (en *Entry) Close() {
+	en.members.Close()
+	en.pause.Close()
 	en.vms.Close()
 	en.watcher.Close()
 	en.jobs.Close()
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -255,20 +255,21 @@
 			return Status{}, "", unknownJob(id)
 		}
 		// The process goes on under a later session: this one was fenced.
-	} else if processOf(iss.owner) != mg.opt.Incarnation && !mg.unlisted(iss.owner) {
-		return Status{}, "", unknownOutcome("issuer-unreachable", "only the entry that issued the id answers for it until its VM is gone")
+	} else if processOf(iss.owner) != mg.opt.Incarnation && !mg.ended(iss.owner) {
+		return Status{}, "", unknownOutcome("issuer-unreachable", "only the entry that issued the id answers for it until it is proved to have ended")
 	}
 	return mg.failIssued(ctx, iss, id)
 }
 
-// unlisted tells whether the VM of an incarnation is proved to be gone.
-func (mg *Manager) unlisted(inc platform.Incarnation) bool {
+// ended tells whether the process of an incarnation is proved to have ended,
+// and with it what it knew without the table.
+func (mg *Manager) ended(inc platform.Incarnation) bool {
 	snap := mg.opt.Members.Load()
 	if snap == nil {
 		return false
 	}
-	reason, gone := snap.Gone[processOf(inc)]
-	return gone && (reason == blackboard.GoneUnlisted || reason == blackboard.GoneReplaced)
+	_, gone := snap.Gone[processOf(inc)]
+	return gone
 }
 
 // failIssued records that a job failed because the only entry that could have
--- a/internal/job/takeover.go
+++ b/internal/job/takeover.go
@@ -42,9 +42,9 @@
 
 // scanState is what the search for ended incarnations remembers.
 type scanState struct {
-	mu      sync.Mutex
-	members *blackboard.Members
-	next    time.Time
+	mu   sync.Mutex
+	seen memberCount
+	next time.Time
 	// since is when an incarnation was first seen to be due.
 	since map[platform.Incarnation]time.Time
 	// done holds the incarnations that a session of this manager has taken over.
@@ -55,16 +55,30 @@
 	return scanState{since: map[platform.Incarnation]time.Time{}, done: map[platform.Incarnation]*session{}}
 }
 
+// memberCount changes when an entry becomes alive, suspect or gone, and not with
+// each heartbeat.
+type memberCount struct {
+	alive, suspect, gone int
+}
+
+func countMembers(snap *blackboard.Members) memberCount {
+	if snap == nil {
+		return memberCount{}
+	}
+	return memberCount{alive: len(snap.Alive), suspect: len(snap.Suspect), gone: len(snap.Gone)}
+}
+
 // scanTick looks for incarnations whose jobs nobody owns.
 func (mg *Manager) scanTick(ctx context.Context) {
 	sc := &mg.scan
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
 	snap := mg.opt.Members.Load()
-	if snap == sc.members && time.Now().Before(sc.next) {
+	seen := countMembers(snap)
+	if seen == sc.seen && time.Now().Before(sc.next) {
 		return
 	}
-	sc.members = snap
+	sc.seen = seen
 	sc.next = time.Now().Add(fullScan)
 	owners, err := mg.logOwners(ctx)
 	if err != nil {
