configuration: accept patches exactly once and spread numbers by peers

Cause: acceptance rested on plain reads, which the table may answer from the past, and a version reached other entries by polls of the whole document only.

Seen to fail on the code before (go test ./internal/integration -ginkgo.focus 'the configuration'): - with stale reads, a patch sent again after its acceptance was answered 409 with present number 1, so the operator took it for lost; - an entry restarted during an outage of the table was never ready (10 s); - an entry without the table never heard of a new number from its peers; - a document with four faults was refused with the first one alone, and config diff did not exist.

Change: pkg/versioned holds the logic of the numbered document. It reads the number and the patch row through a transaction that can't commit, sends a commit again under the same transaction id after a lost reply, and refuses a patch id that stands for another patch. The follower polls the number, and fetches from a peer that has shown a higher one; an accepted patch is announced at once. A start takes the highest number of the table and of all reachable peers. /v1/status shows the source, whether the table answers, and the members with their numbers; status -all prints them as a list.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -50,6 +50,7 @@
 	"config get":     {"show the configuration in force", runConfigGet},
 	"config patch":   {"submit a patch against a numbered version", runConfigPatch},
 	"config history": {"list the versions of the configuration", runConfigHistory},
+	"config diff":    {"show what differs between two versions", runConfigDiff},
 	"service create": {"create a service", runServiceCreate},
 	"status":         {"show the status of an entry", runStatus},
 	"drain":          {"make an entry leave gracefully", runDrain},
--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"text/tabwriter"
 
 	"github.com/google/uuid"
 
@@ -38,8 +39,84 @@
 	return getJSON[[]configuration.Record](ctx, "config history", "/v1/configuration/history", args, st)
 }
 
+// runConfigDiff prints one line for each key that differs.
+func runConfigDiff(ctx context.Context, args []string, st Streams) error {
+	fs := flags("config diff", st)
+	base := fs.String("entry", defaultOperators, "URL of an entry for operators")
+	from := fs.Int64("from", -1, "number of the older version")
+	to := fs.Int64("to", -1, "number of the newer version; the one in force when left out")
+	if err := parse(fs, args); err != nil {
+		return err
+	}
+	if *from < 0 {
+		return &usageError{message: "flag -from is required; config history lists the numbers"}
+	}
+	before, err := documentOf(ctx, *base, *from)
+	if err != nil {
+		return err
+	}
+	after, err := documentOf(ctx, *base, *to)
+	if err != nil {
+		return err
+	}
+	for _, ch := range configuration.Diff(before, after) {
+		fmt.Fprintln(st.Out, ch)
+	}
+	return nil
+}
+
+// documentOf reads a version, the one in force for a number below 0.
+func documentOf(ctx context.Context, base string, number int64) (configuration.Document, error) {
+	path := "/v1/configuration"
+	if number >= 0 {
+		path = fmt.Sprintf("/v1/configuration/versions/%d", number)
+	}
+	version, err := jsonhttp.Call[jsonhttp.None, configuration.Version](ctx, httpClient(), http.MethodGet, base+path, jsonhttp.None{})
+	return version.Document, err
+}
+
 func runStatus(ctx context.Context, args []string, st Streams) error {
-	return getJSON[operator.Status](ctx, "status", "/v1/status", args, st)
+	fs := flags("status", st)
+	base := fs.String("entry", defaultOperators, "URL of an entry for operators")
+	all := fs.Bool("all", false, "list all entries as this entry sees them, one a line")
+	if err := parse(fs, args); err != nil {
+		return err
+	}
+	rep, err := jsonhttp.Call[jsonhttp.None, operator.Status](ctx, httpClient(), http.MethodGet, *base+"/v1/status", jsonhttp.None{})
+	if err != nil {
+		return err
+	}
+	if *all {
+		return printMembers(st, rep)
+	}
+	return printJSON(st.Out, rep)
+}
+
+// printMembers prints the entry itself first. An entry lags when its number is
+// below the highest one.
+func printMembers(st Streams, rep operator.Status) error {
+	highest := rep.Configuration
+	for _, mem := range rep.Members {
+		highest = max(highest, mem.Configuration)
+	}
+	own := operator.Member{
+		EntryID:          rep.EntryID,
+		Incarnation:      rep.Incarnation,
+		AvailabilityZone: rep.AvailabilityZone,
+		State:            "self",
+		Configuration:    rep.Configuration,
+	}
+	tw := tabwriter.NewWriter(st.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, "ENTRY\tZONE\tSTATE\tNUMBER\tLAGS\tLAST HEARD")
+	for _, mem := range append([]operator.Member{own}, rep.Members...) {
+		if mem.State == operator.StateGone {
+			fmt.Fprintf(tw, "%s\t-\t%s\t-\t-\t%s\n", mem.EntryID, mem.State, mem.GoneReason)
+			continue
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%d\t%t\t%dms\n", mem.EntryID, mem.AvailabilityZone, mem.State,
+			mem.Configuration, mem.Configuration < highest, mem.LastHeardMillis)
+	}
+	return tw.Flush()
 }
 
 func runDrain(ctx context.Context, args []string, st Streams) error {
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -13,9 +13,10 @@
 package configuration
 
 import (
-	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"reflect"
 	"sort"
 	"strings"
 	"time"
@@ -23,10 +24,6 @@
 	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
-// Number is the number of a version of the configuration. Version 0 is the
-// built-in default.
-type Number int64
-
 // Document is the configuration that all entries share.
 type Document struct {
 	Services map[platform.ServiceName]Service `json:"services,omitempty"`
@@ -59,12 +56,6 @@
 	MaxQueuedJobs   int   `json:"max-queued-jobs,omitempty"`
 }
 
-// Version is a document with its number.
-type Version struct {
-	Number   Number   `json:"number"`
-	Document Document `json:"document"`
-}
-
 // The defaults of keys that a document leaves out.
 const (
 	DefaultDeadline       = 10 * time.Second
@@ -113,15 +104,30 @@
 	return "the configuration is not valid: " + strings.Join(parts, "; ")
 }
 
-// Decode reads a document strictly and checks it.
+// Decode reads a document strictly and checks it as a whole.
 func Decode(raw []byte) (Document, error) {
 	doc := Document{}
-	dec := json.NewDecoder(bytes.NewReader(raw))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&doc); err != nil {
+	tree, err := decodeTree(raw)
+	if err != nil {
+		return doc, &InvalidError{Faults: []Fault{{Key: "document", Message: "not valid JSON: " + err.Error()}}}
+	}
+	faults := shapeFaults("", tree, reflect.TypeFor[Document]())
+	// Values of a wrong type are reported already; the others are still read.
+	var te *json.UnmarshalTypeError
+	if err := json.Unmarshal(raw, &doc); err != nil && !errors.As(err, &te) {
 		return doc, &InvalidError{Faults: []Fault{{Key: "document", Message: err.Error()}}}
 	}
-	if faults := doc.Check(); len(faults) > 0 {
+	known := map[string]bool{}
+	for _, ft := range faults {
+		known[ft.Key] = true
+	}
+	for _, ft := range doc.Check() {
+		if !known[ft.Key] {
+			faults = append(faults, ft)
+		}
+	}
+	if len(faults) > 0 {
+		sort.Slice(faults, func(i, j int) bool { return faults[i].Key < faults[j].Key })
 		return doc, &InvalidError{Faults: faults}
 	}
 	return doc, nil
--- /dev/null
+++ b/internal/configuration/follower.go
@@ -0,0 +1,336 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// Publisher holds the version in force.
+type Publisher interface {
+	// Publish makes a version the one in force, unless a version of the same or
+	// a higher number already is.
+	Publish(version Version)
+	// InForce returns the version in force, nil before the first Publish.
+	InForce() *Version
+}
+
+// Peers are the other entries.
+type Peers interface {
+	// Known reports whether it is known which peers there are.
+	Known() bool
+	Addresses() []string
+	// Fetch returns the version in force at the peer. The document is left out
+	// when its number is not above the given one. ErrNoVersion says that the
+	// peer holds no version.
+	Fetch(ctx context.Context, addr string, above Number) (Version, error)
+}
+
+// ErrNoVersion says that a peer holds no version of the configuration.
+var ErrNoVersion = errors.New("the peer holds no version of the configuration")
+
+// Source tells where the version in force came from.
+type Source string
+
+// The sources of a version.
+const (
+	FromTable Source = "table"
+	FromPeer  Source = "peer"
+)
+
+// FollowerOptions are the dependencies of a Follower.
+type FollowerOptions struct {
+	Store     *Store
+	Peers     Peers
+	Publisher Publisher
+	// Interval is the time between two polls of the table.
+	Interval time.Duration
+	Counters *counter.Set
+	Log      zerolog.Logger
+}
+
+// Follower puts newer versions in force. It hears of them in two ways, each of
+// which is enough: by polling the number in the table, and by the numbers that
+// peers show in their heartbeats.
+type Follower struct {
+	opt  FollowerOptions
+	grp  *group.Group
+	wake chan struct{}
+
+	mu     sync.Mutex
+	wanted Number
+	from   string
+	source Source
+	table  tableState
+}
+
+type tableState int
+
+const (
+	tableUntried tableState = iota
+	tableReachable
+	tableUnreachable
+)
+
+const (
+	// startWait is how long a start waits until the peers are known.
+	startWait = 2 * time.Second
+	// startRetry lies between two attempts of a start.
+	startRetry = 400 * time.Millisecond
+	// peerTimeout bounds a call of one peer; a document of 1 MB takes a few ms.
+	peerTimeout = time.Second
+	// startPeerTimeout is shorter: a start asks every peer, reachable or not.
+	startPeerTimeout = 500 * time.Millisecond
+	// askedAtOnce bounds the connections that a start opens at the same time.
+	askedAtOnce = 8
+	// fetchSpreadPerPeer spreads the fetches of many entries that have heard
+	// the same news from one peer.
+	fetchSpreadPerPeer = 2 * time.Millisecond
+	// pollSlack is the time that a slow table has to answer beyond an interval.
+	pollSlack = time.Second
+)
+
+// NewFollower returns a follower; Start begins.
+func NewFollower(opt FollowerOptions) *Follower {
+	return &Follower{opt: opt, grp: group.New(context.Background()), wake: make(chan struct{}, 1)}
+}
+
+// Start looks for the highest number of the table and the peers, puts it in
+// force, and then follows newer ones.
+func (fo *Follower) Start() {
+	fo.grp.Go(func(ctx context.Context) {
+		fo.start(ctx)
+		fo.grp.Go(fo.followPeers)
+		fo.pollTable(ctx)
+	})
+}
+
+// Close stops and waits.
+func (fo *Follower) Close() {
+	fo.grp.Close()
+}
+
+// Heard notes that a peer has shown a number. It does not block.
+func (fo *Follower) Heard(addr string, number Number) {
+	fo.mu.Lock()
+	if number >= fo.wanted {
+		fo.wanted, fo.from = number, addr
+	}
+	fo.mu.Unlock()
+	select {
+	case fo.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Put puts a version in force and notes its source.
+func (fo *Follower) Put(version Version, source Source) {
+	if present := fo.opt.Publisher.InForce(); present != nil && present.Number >= version.Number {
+		return
+	}
+	fo.mu.Lock()
+	fo.source = source
+	fo.mu.Unlock()
+	fo.opt.Counters.Add(counter.Operation, "configuration-from-"+string(source), 1)
+	fo.opt.Publisher.Publish(version)
+}
+
+// Status tells where the version in force came from, and whether the table
+// answered last.
+func (fo *Follower) Status() (source Source, reachable bool) {
+	fo.mu.Lock()
+	defer fo.mu.Unlock()
+	return fo.source, fo.table == tableReachable
+}
+
+// start repeats until a version is in force.
+func (fo *Follower) start(ctx context.Context) {
+	for began := time.Now(); !fo.opt.Peers.Known() && time.Since(began) < startWait; {
+		sleep(ctx, startWait/100)
+	}
+	for ctx.Err() == nil && !fo.attemptStart(ctx) {
+		sleep(ctx, jitter(startRetry))
+	}
+}
+
+// attemptStart asks the table and every peer. One answer is enough, but all are
+// awaited: a table that answers from the past must not win over a peer, and a
+// peer that lags must not win over the table.
+func (fo *Follower) attemptStart(ctx context.Context) bool {
+	var best Version
+	var found bool
+	var source Source
+	var mu sync.Mutex
+	take := func(version Version, from Source) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !found || version.Number > best.Number {
+			best, found, source = version, true, from
+		}
+	}
+	asks := group.New(ctx)
+	asks.Go(func(ctx context.Context) {
+		if version, err := fo.readTable(ctx); err == nil {
+			take(version, FromTable)
+		}
+	})
+	limit := make(chan struct{}, askedAtOnce)
+	for _, addr := range fo.opt.Peers.Addresses() {
+		asks.Go(func(ctx context.Context) {
+			limit <- struct{}{}
+			defer func() { <-limit }()
+			ctx, cancel := context.WithTimeout(ctx, startPeerTimeout)
+			defer cancel()
+			mu.Lock()
+			above := best.Number
+			mu.Unlock()
+			version, err := fo.opt.Peers.Fetch(ctx, addr, above)
+			if err == nil && (version.Number > above || version.Number == 0) {
+				if version.Number == 0 {
+					version.Document = Default()
+				}
+				take(version, FromPeer)
+			}
+		})
+	}
+	asks.Wait()
+	if found {
+		fo.Put(best, source)
+	}
+	return found
+}
+
+// readTable reads the present number, from the past only if the table accepts
+// no transactions.
+func (fo *Follower) readTable(ctx context.Context) (Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, fo.opt.Interval+pollSlack)
+	defer cancel()
+	number, err := fo.opt.Store.PresentNumber(ctx)
+	if err != nil {
+		number, err = fo.opt.Store.Number(ctx)
+	}
+	if err == nil {
+		var version Version
+		if version, err = fo.opt.Store.Load(ctx, number); err == nil {
+			fo.noteTable(nil)
+			return version, nil
+		}
+	}
+	fo.noteTable(err)
+	return Version{}, err
+}
+
+// noteTable logs only changes: an outage lasts for many polls.
+func (fo *Follower) noteTable(err error) {
+	state := tableReachable
+	if err != nil {
+		state = tableUnreachable
+	}
+	fo.mu.Lock()
+	changed := fo.table != state
+	fo.table = state
+	fo.mu.Unlock()
+	switch {
+	case changed && err != nil:
+		fo.opt.Log.Warn().Err(err).Msg("configuration-table-unreachable")
+	case changed:
+		fo.opt.Log.Info().Msg("configuration-table-reachable")
+	}
+}
+
+func (fo *Follower) inForce() Number {
+	if version := fo.opt.Publisher.InForce(); version != nil {
+		return version.Number
+	}
+	return -1
+}
+
+// pollTable reads the number once per interval. The interval varies by a
+// tenth, so that entries that started together do not poll together.
+func (fo *Follower) pollTable(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, jitter(fo.opt.Interval))
+		fo.poll(ctx)
+	}
+}
+
+func (fo *Follower) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, fo.opt.Interval+pollSlack)
+	defer cancel()
+	number, err := fo.opt.Store.Number(ctx)
+	if err == nil && number < fo.inForce() {
+		fo.opt.Counters.Add(counter.Table, "configuration-read-from-past", 1)
+	}
+	if err == nil && number > fo.inForce() {
+		var version Version
+		if version, err = fo.opt.Store.Load(ctx, number); err == nil {
+			fo.Put(version, FromTable)
+		}
+	}
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	fo.noteTable(err)
+}
+
+// followPeers fetches the versions that peers have shown.
+func (fo *Follower) followPeers(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-fo.wake:
+		}
+		fo.mu.Lock()
+		number, addr := fo.wanted, fo.from
+		fo.wanted = 0
+		fo.mu.Unlock()
+		if number <= fo.inForce() {
+			continue
+		}
+		spread := fetchSpreadPerPeer * time.Duration(len(fo.opt.Peers.Addresses()))
+		sleep(ctx, time.Duration(rand.Int64N(int64(spread)+1)))
+		fo.fetch(ctx, addr, number)
+	}
+}
+
+// fetch gets a version from the peer that has shown it, else from the table.
+// When both fail, the next heartbeat or poll brings the news again.
+func (fo *Follower) fetch(ctx context.Context, addr string, number Number) {
+	if number <= fo.inForce() {
+		return
+	}
+	peerCtx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	version, err := fo.opt.Peers.Fetch(peerCtx, addr, fo.inForce())
+	if err == nil && version.Number >= number {
+		fo.Put(version, FromPeer)
+		return
+	}
+	fo.opt.Counters.Add(counter.Peer, "configuration-fetch-failed", 1)
+	tableCtx, cancelTable := context.WithTimeout(ctx, fo.opt.Interval+pollSlack)
+	defer cancelTable()
+	if version, err := fo.opt.Store.Load(tableCtx, number); err == nil {
+		fo.Put(version, FromTable)
+	}
+}
+
+func jitter(wait time.Duration) time.Duration {
+	return wait*9/10 + time.Duration(rand.Int64N(int64(wait/5)+1))
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/configuration/patch.go
+++ b/internal/configuration/patch.go
@@ -13,11 +13,12 @@
 	if err != nil {
 		return doc, fmt.Errorf("encode the configuration: %w", err)
 	}
-	var base, change any
-	if err := json.Unmarshal(raw, &base); err != nil {
+	base, err := decodeTree(raw)
+	if err != nil {
 		return doc, fmt.Errorf("decode the configuration: %w", err)
 	}
-	if err := json.Unmarshal(patch, &change); err != nil {
+	change, err := decodeTree(patch)
+	if err != nil {
 		return doc, &InvalidError{Faults: []Fault{{Key: "patch", Message: "not valid JSON: " + err.Error()}}}
 	}
 	if _, ok := change.(map[string]any); !ok {
@@ -49,12 +50,42 @@
 	return out
 }
 
+// Change is a key whose value differs between two documents. A value that a
+// document lacks is empty.
+type Change struct {
+	Key    string          `json:"key"`
+	Before json.RawMessage `json:"before,omitempty"`
+	After  json.RawMessage `json:"after,omitempty"`
+}
+
+// String returns the change as "key: before -> after".
+func (ch Change) String() string {
+	show := func(raw json.RawMessage) string {
+		if raw == nil {
+			return "absent"
+		}
+		return string(raw)
+	}
+	return fmt.Sprintf("%s: %s -> %s", ch.Key, show(ch.Before), show(ch.After))
+}
+
+// Diff returns the changes between two documents, sorted by key. An object that
+// only one of them has is one change.
+func Diff(before, after Document) []Change {
+	var changes []Change
+	collect("", generic(before), generic(after), &changes)
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Key < changes[j].Key })
+	return changes
+}
+
 // ChangedKeys returns the dotted keys whose values differ between the two
 // documents, sorted.
 func ChangedKeys(before, after Document) []string {
-	var keys []string
-	collect("", generic(before), generic(after), &keys)
-	sort.Strings(keys)
+	changes := Diff(before, after)
+	keys := make([]string, 0, len(changes))
+	for _, ch := range changes {
+		keys = append(keys, ch.Key)
+	}
 	return keys
 }
 
@@ -63,34 +94,41 @@
 	if err != nil {
 		return nil
 	}
-	var out any
-	if err := json.Unmarshal(raw, &out); err != nil {
+	tree, err := decodeTree(raw)
+	if err != nil {
 		return nil
 	}
-	return out
+	return tree
 }
 
-func collect(prefix string, before, after any, keys *[]string) {
+func collect(key string, before, after any, changes *[]Change) {
 	bm, bok := before.(map[string]any)
 	am, aok := after.(map[string]any)
 	if !bok || !aok {
 		if !reflect.DeepEqual(before, after) {
-			*keys = append(*keys, prefix)
+			*changes = append(*changes, Change{Key: key, Before: encode(before), After: encode(after)})
 		}
 		return
 	}
 	union := map[string]bool{}
-	for key := range bm {
-		union[key] = true
+	for name := range bm {
+		union[name] = true
 	}
-	for key := range am {
-		union[key] = true
+	for name := range am {
+		union[name] = true
 	}
-	for key := range union {
-		name := key
-		if prefix != "" {
-			name = prefix + "." + key
-		}
-		collect(name, bm[key], am[key], keys)
+	for name := range union {
+		collect(join(key, name), bm[name], am[name], changes)
+	}
+}
+
+func encode(tree any) json.RawMessage {
+	if tree == nil {
+		return nil
+	}
+	raw, err := json.Marshal(tree)
+	if err != nil {
+		return nil
 	}
+	return raw
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,7 +52,7 @@
 	members   *peer.Membership
 
 	vms     *vmlist.Poller
-	watcher *configuration.Watcher
+	config  *configuration.Follower
 	targets *target.Dispatcher
 	jobs    *job.Manager
 
@@ -95,9 +95,20 @@
 		en.pause.Close()
 		return err
 	}
+	if err := peer.RegisterConfiguration(en.peers, en.board); err != nil {
+		en.pause.Close()
+		return err
+	}
 	store := configuration.NewStore(rows)
 	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
-	en.watcher = configuration.NewWatcher(store, en, en.set.Timing.ConfigurationPoll.Std(), en.log)
+	en.config = configuration.NewFollower(configuration.FollowerOptions{
+		Store:     store,
+		Peers:     peer.ConfigurationPeers{Pool: en.pool, Members: en.members},
+		Publisher: en,
+		Interval:  en.set.Timing.ConfigurationPoll.Std(),
+		Counters:  en.cnt,
+		Log:       en.log,
+	})
 	en.targets = target.New(en.board, en.cnt)
 	en.jobs = job.New(job.Options{
 		Board:       en.board,
@@ -110,7 +121,8 @@
 	en.callers.handle(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router()))
 	en.operators.handle(operator.New(operator.Options{
 		Board:       en.board,
-		Store:       store,
+		Store:       acceptor{store, en},
+		Follower:    en.config,
 		Lifecycle:   en,
 		Counters:    en.cnt,
 		EntryID:     en.set.EntryID,
@@ -142,6 +154,9 @@
 		Pause:     en.pause,
 		Counters:  en.cnt,
 		Log:       en.log,
+		// The follower is built after the membership, which calls this only
+		// once it has started.
+		HigherNumber: func(addr string, number configuration.Number) { en.config.Heard(addr, number) },
 	}
 }
 
@@ -205,7 +220,7 @@
 // Start begins to serve.
 func (en *Entry) Start() {
 	en.vms.Start()
-	en.watcher.Start()
+	en.config.Start()
 	en.jobs.Start()
 	en.peers.Start()
 	en.members.Start()
@@ -234,6 +249,27 @@
 	})
 }
 
+// InForce returns the version in force, nil before the first one.
+func (en *Entry) InForce() *configuration.Version {
+	return en.board.Configuration.Load()
+}
+
+// acceptor puts an accepted patch in force here and tells the peers at once.
+type acceptor struct {
+	*configuration.Store
+	en *Entry
+}
+
+// Accept applies a patch.
+func (ac acceptor) Accept(ctx context.Context, patch configuration.Patch) (configuration.Version, error) {
+	version, err := ac.Store.Accept(ctx, patch)
+	if err == nil {
+		ac.en.config.Put(version, configuration.FromTable)
+		ac.en.members.Announce()
+	}
+	return version, err
+}
+
 // The reasons why an entry takes no requests.
 var (
 	ErrNoConfiguration = errors.New("the entry holds no configuration yet; check that the table or a peer is reachable")
@@ -280,7 +316,7 @@
 	en.members.Close()
 	en.pause.Close()
 	en.vms.Close()
-	en.watcher.Close()
+	en.config.Close()
 	en.jobs.Close()
 	en.targets.Close()
 	en.closeListeners()
--- /dev/null
+++ b/internal/entry/inforce_test.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/settings"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+)
+
+// way selects how the news of a version reaches the entries.
+type way struct {
+	name string
+	// unlisted hides the entries from each other: only polls remain.
+	unlisted bool
+	// tableless freezes the table for all entries but the first.
+	tableless bool
+	// silent writes past the entries, so that the first one hears by its poll.
+	silent bool
+	delay  time.Duration
+}
+
+// BenchmarkInForce measures how long an accepted patch takes to be in force at
+// every entry, and the reads of the table meanwhile.
+func BenchmarkInForce(b *testing.B) {
+	for _, size := range []int{7, 21, 49} {
+		for _, wy := range []way{
+			{name: "both"},
+			{name: "slow-table-300ms", delay: 300 * time.Millisecond},
+			{name: "polls-alone", unlisted: true},
+			{name: "announced-heartbeats-alone", tableless: true},
+			{name: "periodic-heartbeats-alone", tableless: true, silent: true},
+		} {
+			b.Run(fmt.Sprintf("entries=%d/%s", size, wy.name), func(b *testing.B) { benchmarkInForce(b, size, wy) })
+		}
+	}
+}
+
+func benchmarkInForce(b *testing.B, size int, wy way) {
+	fleet, err := standin.StartFleet(standin.FleetOptions{
+		Table: standin.TableOptions{CommitDelay: 5 * time.Millisecond, WritesPerSecond: 500, ReadsPerSecond: 2000},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(fleet.Close)
+	entries, proxies := startEntries(b, fleet, size, wy)
+	awaitAll(b, entries, 0)
+	time.Sleep(time.Second)
+	if wy.tableless {
+		for _, px := range proxies[1:] {
+			px.Set(faultproxy.Faults{Freeze: true})
+		}
+	}
+	fleet.Table.SetFaults(standin.TableFaults{DelayMillis: wy.delay.Milliseconds()})
+	store := configuration.NewStore(table.New(fleet.TableServer.URL(), http.DefaultClient))
+	reads, began := fleet.Table.Counts().Reads, time.Now()
+	var took []time.Duration
+	b.ResetTimer()
+	for i := range b.N {
+		patch := configuration.Patch{
+			LastSeen: configuration.Number(i),
+			PatchID:  fmt.Sprintf("patch-%d", i),
+			Patch:    fmt.Appendf(nil, `{"teams":{"team-%d":{"weight":1}}}`, i),
+		}
+		if wy.silent {
+			_, err = store.Accept(context.Background(), patch)
+		} else {
+			_, err = acceptor{store, entries[0]}.Accept(context.Background(), patch)
+		}
+		if err != nil {
+			b.Fatal(err)
+		}
+		accepted := time.Now()
+		awaitAll(b, entries, configuration.Number(i+1))
+		took = append(took, time.Since(accepted))
+		time.Sleep(time.Duration(i%10) * 37 * time.Millisecond) // other phases of the polls
+	}
+	sort.Slice(took, func(i, j int) bool { return took[i] < took[j] })
+	b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "max-ms")
+	b.ReportMetric(float64(fleet.Table.Counts().Reads-reads)/time.Since(began).Seconds(), "table-reads/s")
+}
+
+func startEntries(b *testing.B, fleet *standin.Fleet, size int, wy way) ([]*Entry, []*faultproxy.Proxy) {
+	b.Helper()
+	var entries []*Entry
+	var proxies []*faultproxy.Proxy
+	var vms []platform.VM
+	for i := range size {
+		px, err := faultproxy.New(fleet.TableServer.Address())
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(px.Close)
+		set := settings.Default()
+		set.EntryID = platform.EntryID(fmt.Sprintf("entry-%02d", i))
+		set.AvailabilityZone = platform.AvailabilityZone(fmt.Sprintf("zone-%d", i%7))
+		set.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+		set.Platform = settings.Platform{
+			Table:   "http://" + px.Address(),
+			Objects: fleet.ObjectsServer.URL(),
+			VMList:  fleet.VMServer.URL(),
+		}
+		en, err := New(set, zerolog.Nop())
+		if err != nil {
+			b.Fatal(err)
+		}
+		entries = append(entries, en)
+		proxies = append(proxies, px)
+		vms = append(vms, platform.VM{
+			ID:               string(set.EntryID),
+			Kind:             platform.KindEntry,
+			State:            platform.StateLive,
+			PeerAddress:      en.PeerAddress(),
+			AvailabilityZone: set.AvailabilityZone,
+		})
+	}
+	if !wy.unlisted {
+		fleet.VMs.Set(vms)
+	}
+	for _, en := range entries {
+		en.Start()
+		b.Cleanup(en.Close)
+	}
+	return entries, proxies
+}
+
+func awaitAll(b *testing.B, entries []*Entry, number configuration.Number) {
+	b.Helper()
+	began := time.Now()
+	for _, en := range entries {
+		for en.InForce() == nil || en.InForce().Number < number {
+			if time.Since(began) > 20*time.Second {
+				b.Fatalf("%s did not reach number %d: %v", en.set.EntryID, number, en.Ready())
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
--- a/internal/entry/registration.go
+++ b/internal/entry/registration.go
@@ -42,6 +42,7 @@
 // run tries until the row is written or another process has written it.
 func (rg *registration) run(ctx context.Context) {
 	started := time.Now().UTC()
+	first := true
 	for ctx.Err() == nil {
 		err := rg.attempt(ctx, started)
 		if err == nil {
@@ -52,7 +53,10 @@
 			rg.log.Error().Err(err).Msg("incarnation-not-registered")
 			return
 		}
-		rg.log.Warn().Err(err).Msg("incarnation-not-registered")
+		if first {
+			rg.log.Warn().Err(err).Msg("incarnation-not-registered")
+		}
+		first = false
 		sleepContext(ctx, registrationRetry/2+time.Duration(rand.Int64N(int64(registrationRetry))))
 	}
 }
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -56,6 +57,8 @@
 	// proxyTargets and proxyWorkers put a proxy before each target or worker.
 	proxyTargets bool
 	proxyWorkers bool
+	// prepare, when set, runs before the entries start.
+	prepare func(cl *cluster)
 }
 
 // cluster is a platform, with a proxy before its services for each entry, and
@@ -138,6 +141,9 @@
 		}
 		return vms
 	})
+	if opt.prepare != nil {
+		opt.prepare(cl)
+	}
 	for _, en := range cl.entries {
 		en.start()
 	}
@@ -172,12 +178,21 @@
 	return px
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// freeAddress returns a loopback address whose port was free a moment ago. The
+// port lies below the range from which the kernel picks ports of proxies and of
+// outgoing connections: one of those took the port now and then before the
+// entry listened on it.
 func freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer ln.Close()
-	return ln.Addr().String()
+	const first, count = 10000, 20000
+	for range 1000 {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count)))
+		if err == nil {
+			defer ln.Close()
+			return ln.Addr().String()
+		}
+	}
+	Fail("no free port")
+	return ""
 }
 
 func newEntry(cl *cluster, i int, zone platform.AvailabilityZone) *entryProcess {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -26,12 +27,13 @@
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/versioned"
 )
 
 // Store keeps the versions of the configuration.
 type Store interface {
-	Accept(ctx context.Context, patch configuration.Patch) (configuration.Number, error)
-	Version(ctx context.Context, number configuration.Number) (configuration.Record, error)
+	Accept(ctx context.Context, patch configuration.Patch) (configuration.Version, error)
+	Version(ctx context.Context, number configuration.Number) (configuration.FullRecord, error)
 	History(ctx context.Context, after configuration.Number, limit int) ([]configuration.Record, error)
 }
 
@@ -41,10 +43,16 @@
 	Drain()
 }
 
+// Follower tells where the configuration in force came from.
+type Follower interface {
+	Status() (source configuration.Source, tableReachable bool)
+}
+
 // Options are the dependencies of a Handler.
 type Options struct {
 	Board       *blackboard.Board
 	Store       Store
+	Follower    Follower
 	Lifecycle   Lifecycle
 	Counters    *counter.Set
 	EntryID     platform.EntryID
@@ -70,8 +78,11 @@
 	Ready            bool                      `json:"ready"`
 	NotReadyReason   string                    `json:"not-ready-reason,omitempty"`
 	Configuration    configuration.Number      `json:"configuration-number"`
+	Source           configuration.Source      `json:"configuration-source,omitempty"`
+	TableReachable   bool                      `json:"table-reachable"`
 	Targets          int                       `json:"targets"`
 	Workers          int                       `json:"workers"`
+	Members          []Member                  `json:"members"`
 }
 
 // Accepted is the answer to an accepted patch.
@@ -122,10 +133,16 @@
 		jsonhttp.WriteError(wr, err)
 		return
 	}
-	number, err := ha.opt.Store.Accept(req.Context(), patch)
+	ctx, cancel := context.WithTimeout(req.Context(), acceptTimeout)
+	defer cancel()
+	version, err := ha.opt.Store.Accept(ctx, patch)
 	var race *configuration.RaceError
 	var invalid *configuration.InvalidError
+	var used *versioned.PatchIDError
 	switch {
+	case errors.As(err, &used):
+		ha.opt.Counters.Add(counter.Refusal, "patch-id-used", 1)
+		jsonhttp.WriteError(wr, outcome.Refuse(http.StatusConflict, "patch-id-used", err.Error(), "send the patch with a patch id of its own", 0))
 	case errors.As(err, &race):
 		ha.opt.Counters.Add(counter.Refusal, "configuration-changed", 1)
 		body := errorBody("configuration-changed", err, "read the configuration and state the patch against its number")
@@ -138,10 +155,13 @@
 		ha.opt.Counters.Add(counter.Refusal, "configuration-unknown", 1)
 		jsonhttp.WriteError(wr, outcome.MayHaveRun("table-unavailable", err.Error(), "send the same patch id again"))
 	default:
-		jsonhttp.Write(wr, http.StatusOK, Accepted{Number: number})
+		jsonhttp.Write(wr, http.StatusOK, Accepted{Number: version.Number})
 	}
 }
 
+// acceptTimeout bounds a patch: three calls of a slow table and its retries.
+const acceptTimeout = 15 * time.Second
+
 func errorBody(reason string, err error, remedy string) jsonhttp.ErrorBody {
 	return jsonhttp.ErrorBody{Outcome: outcome.RefusedDidNotRun, Reason: reason, Message: err.Error(), Remedy: remedy}
 }
@@ -160,8 +180,8 @@
 func (ha *Handler) version(wr http.ResponseWriter, req *http.Request) {
 	text := chi.URLParam(req, "number")
 	number, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || number < 1 {
-		jsonhttp.WriteError(wr, outcome.Refuse(http.StatusBadRequest, "invalid-number", fmt.Sprintf("%q is not a version number", text), "send a number from 1", 0))
+	if err != nil || number < 0 {
+		jsonhttp.WriteError(wr, outcome.Refuse(http.StatusBadRequest, "invalid-number", fmt.Sprintf("%q is not a version number", text), "send a number from 0", 0))
 		return
 	}
 	record, err := ha.opt.Store.Version(req.Context(), configuration.Number(number))
@@ -190,6 +210,8 @@
 	if version := ha.opt.Board.Configuration.Load(); version != nil {
 		st.Configuration = version.Number
 	}
+	st.Source, st.TableReachable = ha.opt.Follower.Status()
+	st.Members = members(ha.opt.Board.Members.Load(), time.Now())
 	if vms := ha.opt.Board.VMs.Load(); vms != nil {
 		st.Workers = len(vms.Workers)
 		for _, targets := range vms.Targets {
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -66,6 +66,7 @@
 	next     time.Time
 	busy     bool
 	known    platform.Incarnation // knows our identity
+	announce bool                 // call now, whichever side is to call
 	failures int
 }
 
@@ -168,10 +169,8 @@
 func (me *Membership) Announce() {
 	me.mu.Lock()
 	defer me.mu.Unlock()
-	for _, co := range me.contacts {
-		co.next = time.Time{}
-	}
 	for addr, co := range me.contacts {
+		co.announce = true // a call in flight may carry the old number
 		me.call(addr, co, me.period(co.id))
 	}
 }
@@ -180,6 +179,7 @@
 func (me *Membership) Addresses() []string {
 	me.mu.Lock()
 	defer me.mu.Unlock()
+	me.readList()
 	out := make([]string, 0, len(me.contacts))
 	for addr := range me.contacts {
 		out = append(out, addr)
@@ -201,7 +201,8 @@
 	me.judge(now)
 	for addr, co := range me.contacts {
 		period := me.period(co.id)
-		if !co.busy && !now.Before(co.next) && me.mustCall(co, now, period) {
+		due := !now.Before(co.next) && me.mustCall(co, now, period)
+		if co.announce || due {
 			me.call(addr, co, period)
 		}
 	}
@@ -349,6 +350,7 @@
 		return
 	}
 	co.busy = true
+	co.announce = false
 	wait := period
 	if co.failures > patientFailures {
 		wait = max(period, slowRetry)
--- /dev/null
+++ b/pkg/versioned/versioned_test.go
@@ -0,0 +1,211 @@
+package versioned
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+var errLost = errors.New("reply lost")
+
+// memory is a table in memory. It loses every second reply of a commit, and
+// answers plain reads from the state at the time of freeze.
+type memory struct {
+	mu      sync.Mutex
+	now     map[string]Row
+	past    map[string]Row
+	done    map[string]bool
+	version int64
+	lose    bool
+	commits int
+}
+
+func newMemory() *memory {
+	return &memory{now: map[string]Row{}, done: map[string]bool{}}
+}
+
+func (me *memory) freeze() {
+	me.past = map[string]Row{}
+	for key, row := range me.now {
+		me.past[key] = row
+	}
+}
+
+func (me *memory) read() map[string]Row {
+	if me.past != nil {
+		return me.past
+	}
+	return me.now
+}
+
+func (me *memory) Get(_ context.Context, key string) (Row, error) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return me.read()[key], nil
+}
+
+func (me *memory) List(_ context.Context, prefix, after string, limit int) ([]Row, error) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	var out []Row
+	for key, row := range me.read() {
+		if strings.HasPrefix(key, prefix) && key > after {
+			out = append(out, row)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out[:min(limit, len(out))], nil
+}
+
+func (me *memory) Present(_ context.Context, keys ...string) ([]Row, error) {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	var out []Row
+	for _, key := range keys {
+		row := me.now[key]
+		row.Key = key
+		out = append(out, row)
+	}
+	return out, nil
+}
+
+func (me *memory) Commit(_ context.Context, id string, checks []Check, writes []Write) error {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	if !me.done[id] {
+		for _, ck := range checks {
+			if me.now[ck.Key].Version != ck.Version {
+				return ErrConflict
+			}
+		}
+		me.version++
+		for _, wt := range writes {
+			me.now[wt.Key] = Row{Key: wt.Key, Version: me.version, Value: wt.Value}
+		}
+		me.done[id] = true
+	}
+	me.commits++
+	if me.lose && me.commits%2 == 1 {
+		return errLost
+	}
+	return nil
+}
+
+// doc is a set of keys; a patch is the name of a key to add.
+type doc map[string]bool
+
+func newStore(rows Rows) *Store[doc] {
+	return New(Options[doc]{
+		Rows:    rows,
+		Prefix:  "test/",
+		Initial: func() doc { return doc{} },
+		Apply: func(before doc, patch json.RawMessage) (doc, error) {
+			var key string
+			err := json.Unmarshal(patch, &key)
+			after := doc{key: true}
+			for old := range before {
+				after[old] = true
+			}
+			return after, err
+		},
+		Changed: func(before, after doc) []string {
+			var out []string
+			for key := range after {
+				if !before[key] {
+					out = append(out, key)
+				}
+			}
+			sort.Strings(out)
+			return out
+		},
+	})
+}
+
+func patchOf(seen Number, key string) Patch {
+	return Patch{LastSeen: seen, PatchID: "id-" + key, Patch: json.RawMessage(fmt.Sprintf("%q", key))}
+}
+
+// TestRacingPatches guards against a patch that applies twice or not at all,
+// and against gaps in the numbers, with lost replies and reads from the past.
+func TestRacingPatches(t *testing.T) {
+	rows := newMemory()
+	rows.freeze()
+	rows.lose = true
+	const writers, patches = 8, 10
+	grp := group.New(context.Background())
+	for i := range writers {
+		grp.Go(func(ctx context.Context) {
+			st, seen := newStore(rows), Number(0)
+			for k := 0; k < patches; {
+				version, err := st.Accept(ctx, patchOf(seen, fmt.Sprintf("key-%d-%d", i, k)))
+				var race *RaceError
+				switch {
+				case err == nil:
+					seen = version.Number
+					k++
+				case errors.As(err, &race):
+					seen = race.Present
+				case !errors.Is(err, ErrUnknown):
+					t.Errorf("writer %d: %v", i, err)
+					return
+				}
+			}
+		})
+	}
+	grp.Wait()
+	rows.past = nil
+	st := newStore(rows)
+	records, err := st.History(context.Background(), 0, 1000)
+	if err != nil || len(records) != writers*patches {
+		t.Fatalf("%d records, want %d: %v", len(records), writers*patches, err)
+	}
+	for i, rec := range records {
+		if rec.Number != Number(i+1) || len(rec.Changed) != 1 {
+			t.Errorf("record %d has number %d and changed %v", i, rec.Number, rec.Changed)
+		}
+	}
+	last, err := st.Load(context.Background(), writers*patches)
+	if err != nil || len(last.Document) != writers*patches {
+		t.Errorf("the last document has %d keys, want %d: %v", len(last.Document), writers*patches, err)
+	}
+}
+
+// TestAcceptRefusals guards against refusals that hide why a patch lost, and
+// against a patch id that stands for two patches.
+func TestAcceptRefusals(t *testing.T) {
+	ctx := context.Background()
+	st := newStore(newMemory())
+	for i, key := range []string{"a", "b"} {
+		if _, err := st.Accept(ctx, patchOf(Number(i), key)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	again, err := st.Accept(ctx, patchOf(0, "a"))
+	if err != nil || again.Number != 1 {
+		t.Errorf("the same patch again: number %d, %v", again.Number, err)
+	}
+	var race *RaceError
+	if _, err = st.Accept(ctx, patchOf(1, "c")); !errors.As(err, &race) || race.Present != 2 || fmt.Sprint(race.Changed) != "[b]" {
+		t.Errorf("an old number: %v", err)
+	}
+	if _, err = st.Accept(ctx, patchOf(9, "c")); !errors.As(err, &race) || race.Present != 2 {
+		t.Errorf("a number not reached: %v", err)
+	}
+	reused := patchOf(2, "c")
+	reused.PatchID = "id-a"
+	var used *PatchIDError
+	if _, err = st.Accept(ctx, reused); !errors.As(err, &used) || used.Number != 1 {
+		t.Errorf("a patch id used before: %v", err)
+	}
+	var size *SizeError
+	if _, err = st.Accept(ctx, patchOf(2, strings.Repeat("x", MaxDocument))); !errors.As(err, &size) {
+		t.Errorf("a document over the limit: %v", err)
+	}
+}
