--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -109,7 +109,7 @@
 		Counters:  en.cnt,
 		Log:       en.log,
 	})
-	en.targets = target.New(en.board, en.cnt)
+	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt})
 	en.jobs = job.New(job.Options{
 		Board:       en.board,
 		Rows:        rows,
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	di := target.New(board, counters)
+//	di := target.New(target.Options{Board: board, Counters: counters})
 //	defer di.Close()
 //	ans, err := di.Do(ctx, target.Request{Service: "fitdesk", Body: raw})
 //
@@ -13,21 +13,16 @@
 package target
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"sync/atomic"
+	"sort"
+	"sync"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
-	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
-	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // Request is a service request of a caller.
@@ -37,9 +32,12 @@
 	Team       platform.TeamID
 	Kind       platform.RequestKind
 	Repeatable bool
-	Deadline   time.Time
-	Header     http.Header
-	Body       []byte
+	// Forwarded marks a request that another entry has passed on. It is never
+	// forwarded again.
+	Forwarded bool
+	Deadline  time.Time
+	Header    http.Header
+	Body      []byte
 }
 
 // Answer is the whole answer of a target.
@@ -49,96 +47,211 @@
 	Body   []byte
 }
 
+// Forwarder passes a request on to another entry.
+type Forwarder interface {
+	// Forward is called when no slot is free here. expectedWait is the wait
+	// that the request would have in the queue of this entry, or the time to
+	// its deadline when no target is usable here. It returns false when the
+	// request was not passed on or the other entry refused it as not run; the
+	// request then takes its place in the queue here. After true, the answer
+	// or the error is final; the error is an *outcome.Error.
+	Forward(ctx context.Context, req Request, expectedWait time.Duration) (Answer, bool, error)
+}
+
+// Options are the dependencies of a Dispatcher.
+type Options struct {
+	Board    *blackboard.Board
+	Counters *counter.Set
+	// Forwarder may be nil; requests then stay in this entry.
+	Forwarder Forwarder
+}
+
+// ServiceLoad is the present load of one service in this entry.
+type ServiceLoad struct {
+	Service  platform.ServiceName
+	Waiting  int
+	InFlight int
+	// ExpectedWait is the wait for a slot that a request arriving now would
+	// have; 0 when a slot is free.
+	ExpectedWait time.Duration
+}
+
 // Dispatcher sends requests to targets.
 type Dispatcher struct {
-	board *blackboard.Board
-	cnt   *counter.Set
-	next  atomic.Uint64
+	opt      Options
+	policy   policy
+	grp      *group.Group
+	services sync.Map // platform.ServiceName to *service
 }
 
+const (
+	// tickInterval bounds how long a slot that a controller has granted stays
+	// unused when SlotsChanged is not called.
+	tickInterval  = 10 * time.Millisecond
+	sweepInterval = 50 * time.Millisecond
+	maintenance   = time.Second
+	// maxAttempts bounds the targets that one request is sent to.
+	maxAttempts = 3
+)
+
 // New returns a dispatcher that finds targets on the board.
-func New(board *blackboard.Board, cnt *counter.Set) *Dispatcher {
-	return &Dispatcher{board: board, cnt: cnt}
+func New(opt Options) *Dispatcher {
+	return newWithPolicy(opt, expectedCompletion())
 }
 
-// Close releases the connections.
-func (di *Dispatcher) Close() {}
+func newWithPolicy(opt Options, pol policy) *Dispatcher {
+	di := &Dispatcher{opt: opt, policy: pol, grp: group.New(context.Background())}
+	var swept time.Time
+	di.grp.Every(tickInterval, func(context.Context) {
+		now := time.Now()
+		sweep := now.Sub(swept) >= sweepInterval
+		if sweep {
+			swept = now
+		}
+		di.each(func(se *service) { se.tick(now, sweep) })
+	})
+	di.grp.Every(maintenance, func(ctx context.Context) {
+		now := time.Now()
+		di.each(func(se *service) { se.maintain(ctx, now) })
+	})
+	return di
+}
 
-// Do sends the request to one target and returns its answer.
+// Close ends the background work, closes idle connections and waits. Requests
+// in flight should have finished before.
+func (di *Dispatcher) Close() {
+	di.grp.Close()
+	di.each(func(se *service) {
+		se.mu.Lock()
+		defer se.mu.Unlock()
+		for _, ts := range se.targets {
+			ts.conns.retire()
+		}
+	})
+}
+
+func (di *Dispatcher) each(fn func(se *service)) {
+	di.services.Range(func(_, val any) bool {
+		fn(val.(*service))
+		return true
+	})
+}
+
+func (di *Dispatcher) service(name platform.ServiceName) *service {
+	if val, ok := di.services.Load(name); ok {
+		return val.(*service)
+	}
+	val, _ := di.services.LoadOrStore(name, newService(name, di))
+	return val.(*service)
+}
+
+// Do sends the request to one target and returns its answer. It returns as
+// soon as the answer is there, the request is refused, or its outcome cannot
+// become known any more.
 func (di *Dispatcher) Do(ctx context.Context, req Request) (Answer, error) {
-	conf := di.board.Configuration.Load()
-	svc, ok := conf.Document.Services[req.Service]
+	svc, ok := di.opt.Board.Configuration.Load().Document.Services[req.Service]
 	if !ok {
-		return Answer{}, outcome.Refuse(http.StatusNotFound, "unknown-service",
-			fmt.Sprintf("service %q does not exist", req.Service), "create the service or correct the name", 0)
+		return Answer{}, unknownService(req.Service)
 	}
-	vm, ok := di.pick(req.Service)
-	if !ok {
-		return Answer{}, outcome.Refuse(http.StatusServiceUnavailable, "no-target",
-			fmt.Sprintf("service %q has no live target", req.Service), "try again after the given time", time.Second)
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	se := di.service(req.Service)
+	if ans, done, err := di.forward(ctx, se, req); done {
+		return ans, err
 	}
-	return di.send(ctx, vm, svc, req)
+	se.budget.Deposit()
+	return se.run(ctx, &req, svc.AnswerLimit())
 }
 
-func (di *Dispatcher) pick(name platform.ServiceName) (platform.VM, bool) {
-	vms := di.board.VMs.Load()
-	if vms == nil {
-		return platform.VM{}, false
-	}
-	live := make([]platform.VM, 0, len(vms.Targets[name]))
-	for _, vm := range vms.Targets[name] {
-		if vm.State == platform.StateLive {
-			live = append(live, vm)
-		}
+// forward offers the request to another entry when the wait here is long.
+func (di *Dispatcher) forward(ctx context.Context, se *service, req Request) (Answer, bool, error) {
+	if di.opt.Forwarder == nil || req.Forwarded {
+		return Answer{}, false, nil
 	}
-	if len(live) == 0 {
-		return platform.VM{}, false
+	wait, worth := se.expectedWait(&req)
+	if !worth {
+		return Answer{}, false, nil
 	}
-	return live[di.next.Add(1)%uint64(len(live))], true
+	return di.opt.Forwarder.Forward(ctx, req, wait)
 }
 
-func (di *Dispatcher) send(ctx context.Context, vm platform.VM, svc configuration.Service, req Request) (Answer, error) {
-	dialer := net.Dialer{Deadline: req.Deadline}
-	conn, err := dialer.DialContext(ctx, "tcp", vm.Address)
-	if err != nil {
-		return Answer{}, outcome.Refuse(http.StatusServiceUnavailable, "target-unreachable",
-			"the target cannot be connected to: "+err.Error(), "try again after the given time", time.Second)
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(req.Deadline); err != nil {
-		return Answer{}, err
-	}
-	ans, err := roundTrip(ctx, conn, vm.Address, req, svc.AnswerLimit())
-	if err != nil {
-		return Answer{}, outcome.MayHaveRun("target-failed", "the target gave no whole answer: "+err.Error(), "check whether the request took effect before sending it again")
+// run sends the request until it has an answer or must not be sent again.
+func (se *service) run(ctx context.Context, req *Request, limit int64) (Answer, error) {
+	mayHaveRun := false
+	var avoid *targetState
+	var last *failure
+	for attempt := 1; ; attempt++ {
+		tk, err := se.acquire(ctx, req, avoid, attempt > 1)
+		if err != nil && mayHaveRun {
+			return Answer{}, last.outcome(true, 0)
+		}
+		if err != nil {
+			return Answer{}, err
+		}
+		ans, fa := se.attempt(ctx, tk, req, limit)
+		if fa == nil {
+			se.release(tk, resultAnswered)
+			return ans, nil
+		}
+		se.release(tk, fa.result)
+		mayHaveRun = mayHaveRun || !fa.notRun
+		if !se.mayRetry(fa, req, attempt) {
+			return Answer{}, fa.outcome(mayHaveRun, se.comeBack())
+		}
+		avoid, last = tk.ts, fa
 	}
-	return ans, nil
 }
 
-func roundTrip(ctx context.Context, conn net.Conn, addr string, req Request, limit int64) (Answer, error) {
-	hreq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/", bytes.NewReader(req.Body))
-	if err != nil {
-		return Answer{}, err
-	}
-	hreq.Header = req.Header.Clone()
-	if hreq.Header == nil {
-		hreq.Header = http.Header{}
-	}
-	hreq.Header.Set("Oleanderwall-Request-Id", req.ID)
-	if err := hreq.Write(conn); err != nil {
-		return Answer{}, fmt.Errorf("write the request: %w", err)
+// mayRetry reports whether the request may be sent again, and counts it.
+func (se *service) mayRetry(fa *failure, req *Request, attempt int) bool {
+	if fa.final || attempt >= maxAttempts || !fa.notRun && !req.Repeatable {
+		return false
 	}
-	hrep, err := http.ReadResponse(bufio.NewReader(conn), hreq)
-	if err != nil {
-		return Answer{}, fmt.Errorf("read the answer: %w", err)
+	if !se.budget.Withdraw() {
+		se.di.opt.Counters.Add(counter.Retry, "budget-exhausted", 1)
+		return false
 	}
-	defer hrep.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(hrep.Body, limit+1))
-	if err != nil {
-		return Answer{}, fmt.Errorf("read the body of the answer: %w", err)
-	}
-	if int64(len(raw)) > limit {
-		return Answer{}, fmt.Errorf("the answer is larger than %d bytes", limit)
+	se.di.opt.Counters.Add(counter.Retry, fa.reason, 1)
+	return true
+}
+
+func (se *service) comeBack() time.Duration {
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	return se.returnAfter(time.Now(), minReturn)
+}
+
+// DoForwarded is Do for a request that another entry has passed on.
+func (di *Dispatcher) DoForwarded(ctx context.Context, req Request) (Answer, error) {
+	req.Forwarded = true
+	return di.Do(ctx, req)
+}
+
+// Load returns the load of every service that has had a request, sorted by
+// name.
+func (di *Dispatcher) Load() []ServiceLoad {
+	var out []ServiceLoad
+	di.each(func(se *service) { out = append(out, se.load()) })
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
+// SlotsChanged tells the dispatcher that an allowance has grown, so that
+// waiting requests take the new slots at once. Without the call they take them
+// within 10 ms.
+func (di *Dispatcher) SlotsChanged() {
+	now := time.Now()
+	di.each(func(se *service) { se.tick(now, false) })
+}
+
+const headerRequestID = "Oleanderwall-Request-Id"
+
+// targetHeader returns the header of the request to a target.
+func targetHeader(req Request) http.Header {
+	hdr := req.Header.Clone()
+	if hdr == nil {
+		hdr = http.Header{}
 	}
-	return Answer{Status: hrep.StatusCode, Header: hrep.Header, Body: raw}, nil
+	hdr.Set(headerRequestID, req.ID)
+	return hdr
 }
--- a/pkg/versioned/store.go
+++ b/pkg/versioned/store.go
@@ -79,6 +79,15 @@
 	return decodeNumber(rows[0])
 }
 
+// Current reads the present version, never from the past.
+func (st *Store[Doc]) Current(ctx context.Context) (Version[Doc], error) {
+	number, err := st.PresentNumber(ctx)
+	if err != nil {
+		return Version[Doc]{}, err
+	}
+	return st.Load(ctx, number)
+}
+
 func decodeNumber(row Row) (Number, error) {
 	var cur currentRow
 	if row.Version == 0 {
