bench: measure what idle entries spend on control, with fitted slopes

Change: oleanderwall-bench capacity measures idle entries at several numbers of entries, targets and workers, and jobs of 1 to 540 tasks; the entry counts the bytes to and from the platform and keeps the worker traffic apart.

--- a/cmd/oleanderwall-bench/main.go
+++ b/cmd/oleanderwall-bench/main.go
@@ -1,7 +1,8 @@
 // Command oleanderwall-bench measures the system under open-loop load and
 // prints one line of key=value pairs for each run: "requests" compares the
 // naive and the present policy for service requests on one seed, "jobs"
-// measures admission and starts of jobs.
+// measures admission and starts of jobs, and "capacity" measures what idle
+// entries spend on control at several sizes and fits a line to each figure.
 package main
 
 import (
@@ -12,18 +13,21 @@
 	"io"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/bench"
 )
 
 func main() {
-	err := errors.New("usage: oleanderwall-bench requests|jobs [FLAGS]; requests -h lists the flags")
+	err := errors.New("usage: oleanderwall-bench requests|jobs|capacity [FLAGS]; requests -h lists the flags")
 	if len(os.Args) > 1 {
 		switch os.Args[1] {
 		case "requests":
 			err = requests(os.Args[2:])
 		case "jobs":
 			err = jobs(os.Args[2:])
+		case "capacity":
+			err = capacity(os.Args[2:])
 		}
 	}
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
@@ -99,6 +103,17 @@
 	return rep.Write(os.Stdout)
 }
 
+func capacity(args []string) error {
+	opt := bench.CapacityOptions{Out: os.Stdout}
+	fs := flag.NewFlagSet("oleanderwall-bench capacity", flag.ContinueOnError)
+	fs.DurationVar(&opt.Duration, "duration", 5*time.Second, "length of each measurement")
+	fs.BoolVar(&opt.Jobs, "jobs", true, "measure jobs of several sizes as well")
+	if err := fs.Parse(args); err != nil {
+		return err
+	}
+	return bench.Capacity(context.Background(), opt)
+}
+
 func logOutput(verbose bool) io.Writer {
 	if verbose {
 		return os.Stderr
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -58,6 +58,14 @@
 	metrics.GetOrRegisterGauge(name, st.reg).Update(val)
 }
 
+// GaugeValue returns the value of a gauge, 0 when it has never been set.
+func (st *Set) GaugeValue(name string) int64 {
+	if ga, ok := st.reg.Get(name).(metrics.Gauge); ok {
+		return ga.Value()
+	}
+	return 0
+}
+
 // Write writes one "name value" line for each counter and gauge, sorted by
 // name, in the text form that Prometheus scrapes: dots and dashes become
 // underscores and every name starts with oleanderwall_.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +41,8 @@
 	board *blackboard.Board
 	cnt   *counter.Set
 	grp   *group.Group
+	// platform counts the bytes to and from the platform.
+	platform peer.Traffic
 
 	callers   *httpServer
 	operators *httpServer
@@ -88,7 +88,7 @@
 }
 
 func (en *Entry) build() error {
-	hc := platformClient()
+	hc := platformClient(&en.platform)
 	rows := table.New(en.set.Platform.Table, hc)
 	en.registration = &registration{rows: rows, inc: en.inc, log: en.log}
 	en.pause = pausedetect.New(pauseLimit)
@@ -112,7 +112,7 @@
 		Log:       en.log,
 	})
 	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt})
-	if err := en.buildJobs(rows, hc); err != nil {
+	if err := en.buildJobs(rows, hc, workerClient()); err != nil {
 		return err
 	}
 	en.callers.handle(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router()))
@@ -157,17 +157,6 @@
 	}
 }
 
-// platformClient returns the HTTP client for the platform and the workers. Its
-// requests are idempotent or carry ids, so the resends of Go's transport are
-// harmless.
-func platformClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     time.Minute,
-	}}
-}
-
 func (en *Entry) listen() error {
 	var err error
 	if en.callers, err = newHTTPServer(en.set.Listen.Callers); err != nil {
@@ -222,6 +211,7 @@
 	en.peers.Start()
 	en.members.Start()
 	en.grp.Go(en.registration.run)
+	en.grp.Every(time.Second, en.reportTraffic)
 	en.callers.start(en.grp)
 	en.operators.start(en.grp)
 	en.log.Info().
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -9,12 +9,12 @@
 )
 
 // buildJobs builds the job manager and registers it for other entries.
-func (en *Entry) buildJobs(rows *table.Client, hc *http.Client) error {
-	en.placement = job.NewSimplePlacement(en.board, hc)
+func (en *Entry) buildJobs(rows *table.Client, platform, workers *http.Client) error {
+	en.placement = job.NewSimplePlacement(en.board, workers)
 	en.jobs = job.New(job.Options{
 		Board:       en.board,
 		Rows:        rows,
-		Objects:     objects.New(en.set.Platform.Objects, hc),
+		Objects:     objects.New(en.set.Platform.Objects, platform),
 		Members:     &en.board.Members,
 		Peers:       en.pool,
 		Scheduler:   en.placement,
--- /dev/null
+++ b/internal/entry/platform.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/peer"
+)
+
+const connectTimeout = time.Second
+
+// platformClient returns the HTTP client for the table, the object store and
+// the list of VMs. Their requests are idempotent or carry ids, so the resends
+// of Go's transport are harmless. The traffic counts towards control.
+func platformClient(tr *peer.Traffic) *http.Client {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	const idleConnections = 16
+	return &http.Client{Transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return tr.Meter(conn), nil
+		},
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
+// workerClient returns the HTTP client for workers.
+func workerClient() *http.Client {
+	const idleConnections = 64
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
+
+// reportTraffic exports the bytes to and from the platform.
+func (en *Entry) reportTraffic(context.Context) {
+	received, sent := en.platform.Bytes()
+	en.cnt.Gauge("platform.bytes-received", received)
+	en.cnt.Gauge("platform.bytes-sent", sent)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -93,7 +93,7 @@
 	}
 	srv.conns[conn] = true
 	srv.grp.Go(func(context.Context) {
-		srv.rs.ServeConn(srv.traffic.meter(conn))
+		srv.rs.ServeConn(srv.traffic.Meter(conn))
 		srv.mu.Lock()
 		delete(srv.conns, conn)
 		srv.mu.Unlock()
@@ -171,7 +171,7 @@
 		_ = conn.Close()
 		return other, nil
 	}
-	cl = rpc.NewClient(po.traffic.meter(conn))
+	cl = rpc.NewClient(po.traffic.Meter(conn))
 	po.clients[addr] = cl
 	return cl, nil
 }
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -15,7 +15,8 @@
 	return tr.received.Load(), tr.sent.Load()
 }
 
-func (tr *Traffic) meter(conn net.Conn) net.Conn {
+// Meter returns conn with its bytes counted.
+func (tr *Traffic) Meter(conn net.Conn) net.Conn {
 	return &meteredConn{Conn: conn, tr: tr}
 }
 
