integration: rerun the tests when the command changes

Cause: go test reported cached results of the integration tests after a change of the entry, because the tests build the binary themselves. Change: the test package imports internal/command. Conclusion: a stale pass is no longer possible.

--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -22,6 +22,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	// The tests build the command as a process; the import makes the cache of
+	// test results depend on its source.
+	_ "github.com/oleanderwall/oleanderwall/internal/command"
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
