--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -135,11 +135,33 @@
 
 // interval divides the write budget among the entries that may be writing.
 func (mg *Manager) interval() time.Duration {
+	return time.Duration(float64(mg.entriesLive()) / mg.opt.WriteBudget * float64(time.Second))
+}
+
+// entriesLive counts the entries that may be writing, with this one. A suspect
+// entry may be writing.
+func (mg *Manager) entriesLive() int {
 	live := 1
 	if snap := mg.opt.Members.Load(); snap != nil {
 		live += len(snap.Alive) + len(snap.Suspect)
 	}
-	return time.Duration(float64(live) / mg.opt.WriteBudget * float64(time.Second))
+	return live
+}
+
+func (mg *Manager) updateGauges() {
+	se := mg.session()
+	se.mu.Lock()
+	owned, bytes := len(se.jobs), se.bytes
+	se.mu.Unlock()
+	mg.opt.Counters.Gauge("job.entries-live", int64(mg.entriesLive()))
+	mg.opt.Counters.Gauge("job.owned", int64(owned))
+	mg.opt.Counters.Gauge("job.owned-bytes", int64(bytes))
+	mg.opt.Counters.Gauge("job.backlog-bytes", int64(se.com.Pending()))
+	down := int64(0)
+	if se.com.Down() {
+		down = 1
+	}
+	mg.opt.Counters.Gauge("job.table-down", down)
 }
 
 // IssueID returns an id under which this entry admits a job even while the
@@ -351,7 +373,7 @@
 func (mg *Manager) Cancel(ctx context.Context, id platform.JobID) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	for ctx.Err() == nil {
+	for began := time.Now(); ctx.Err() == nil; {
 		status, owner, err := mg.get(ctx, id)
 		if err != nil || status.Final() {
 			return status, err
@@ -362,34 +384,53 @@
 			waitFor(ctx, oj.done, patience)
 			continue
 		}
-		if status, ok := mg.cancelElsewhere(ctx, owner, id); ok {
+		status, ok := mg.cancelAtOwner(ctx, owner, id)
+		if !ok && (mg.silent(owner) || time.Since(began) > patience/2) {
+			status, ok = mg.cancelRow(ctx, id)
+		}
+		if ok {
 			return status, nil
 		}
+		waitFor(ctx, nil, 50*time.Millisecond)
 	}
 	return Status{}, unknownOutcome("cancellation-not-recorded", "the cancellation is not recorded yet")
 }
 
-func (mg *Manager) cancelElsewhere(ctx context.Context, owner platform.Incarnation, id platform.JobID) (Status, bool) {
-	if addr, ok := mg.addressOf(owner); ok {
-		rep, err := mg.call(ctx, addr, "Cancel", PeerArgs{ID: id}, patience)
-		if err == nil && rep.Found && rep.Err == nil {
-			status, err := rep.result()
-			return status, err == nil && status.Final()
-		}
+// silent tells whether an incarnation has ended or does not answer.
+func (mg *Manager) silent(inc platform.Incarnation) bool {
+	snap := mg.opt.Members.Load()
+	if snap == nil {
+		return false
 	}
-	// The owner does not answer: change the row under its hands. Its own
-	// decision then meets a conflict, and it stops the tasks.
+	_, suspect := snap.Suspect[inc.Entry()]
+	return suspect || mg.ended(inc)
+}
+
+func (mg *Manager) cancelAtOwner(ctx context.Context, owner platform.Incarnation, id platform.JobID) (Status, bool) {
+	addr, ok := mg.addressOf(owner)
+	if !ok {
+		return Status{}, false
+	}
+	rep, err := mg.call(ctx, addr, "Cancel", PeerArgs{ID: id}, patience)
+	if err != nil || !rep.Found {
+		return Status{}, false
+	}
+	status, err := rep.result()
+	return status, err == nil && status.Final()
+}
+
+// cancelRow changes the row of a job whose owner does not answer. When the
+// owner lives, its own decision meets a conflict, and its tasks go on until then.
+func (mg *Manager) cancelRow(ctx context.Context, id platform.JobID) (Status, bool) {
 	row, err := mg.opt.Rows.Get(ctx, jobKey(id))
 	var jr jobRow
 	if err != nil || json.Unmarshal(row.Value, &jr) != nil || jr.State != StateRunning {
-		waitFor(ctx, nil, 50*time.Millisecond)
 		return Status{}, false
 	}
 	jr.State = StateFailed
 	jr.Reason = ReasonCancelled
 	raw, err := mg.session().change(ctx, id, int64(row.Version), jr)
 	if err != nil {
-		waitFor(ctx, nil, 50*time.Millisecond)
 		return Status{}, false
 	}
 	status, _, err := mg.readRow(ctx, id, raw)
--- a/internal/job/takeover.go
+++ b/internal/job/takeover.go
@@ -73,6 +73,7 @@
 	sc := &mg.scan
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
+	mg.updateGauges()
 	snap := mg.opt.Members.Load()
 	seen := countMembers(snap)
 	if seen == sc.seen && time.Now().Before(sc.next) {
