--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/caller"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/home"
 	"github.com/oleanderwall/oleanderwall/internal/job"
 	"github.com/oleanderwall/oleanderwall/internal/operator"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
@@ -48,6 +49,10 @@
 	peers     *peer.Server
 	pool      *peer.Pool
 
+	// forwardPool carries forwarded requests.
+	forwardPool *peer.Pool
+	slots       *home.Controller
+
 	vms     *vmlist.Poller
 	watcher *configuration.Watcher
 	targets *target.Dispatcher
@@ -60,30 +65,40 @@
 // New builds an entry and opens its listeners.
 func New(set settings.Settings, log zerolog.Logger) (*Entry, error) {
 	en := &Entry{
-		set:       set,
-		log:       log,
-		inc:       platform.NewIncarnation(set.EntryID),
-		board:     &blackboard.Board{},
-		cnt:       counter.New(),
-		grp:       group.New(context.Background()),
-		pool:      peer.NewPool(),
+		set:   set,
+		log:   log,
+		inc:   platform.NewIncarnation(set.EntryID),
+		board: &blackboard.Board{},
+		cnt:   counter.New(),
+		grp:   group.New(context.Background()),
+		pool:  peer.NewPool(),
+
+		forwardPool: peer.NewPool(),
+
 		drainOnce: make(chan struct{}, 1),
 	}
 	if err := en.listen(); err != nil {
 		en.closeListeners()
 		return nil, err
 	}
-	en.build()
+	if err := en.build(); err != nil {
+		en.closeListeners()
+		return nil, err
+	}
 	return en, nil
 }
 
-func (en *Entry) build() {
+func (en *Entry) build() error {
 	hc := platformClient()
 	rows := table.New(en.set.Platform.Table, hc)
 	store := configuration.NewStore(rows)
 	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
 	en.watcher = configuration.NewWatcher(store, en, en.set.Timing.ConfigurationPoll.Std(), en.log)
-	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt})
+	if err := en.buildSlots(rows); err != nil {
+		return err
+	}
+	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt, Forwarder: en.slots.Forwarder()})
+	en.slots.Bind(en.targets)
 	en.jobs = job.New(job.Options{
 		Board:       en.board,
 		Rows:        rows,
@@ -102,6 +117,7 @@
 		Incarnation: en.inc,
 		Zone:        en.set.AvailabilityZone,
 	}).Router())
+	return nil
 }
 
 // platformClient returns the HTTP client for the platform and the workers. Its
@@ -165,6 +181,7 @@
 func (en *Entry) Start() {
 	en.vms.Start()
 	en.watcher.Start()
+	en.slots.Start()
 	en.jobs.Start()
 	en.peers.Start()
 	en.callers.start(en.grp)
@@ -228,6 +245,7 @@
 	en.draining.Store(true)
 	sleepContext(ctx, en.set.Timing.BalancerNotice.Std())
 	err := en.callers.shutdown(ctx)
+	en.leaveSlots(ctx)
 	en.Close()
 	return err
 }
@@ -237,8 +255,10 @@
 	en.vms.Close()
 	en.watcher.Close()
 	en.jobs.Close()
+	en.slots.Close()
 	en.targets.Close()
 	en.closeListeners()
 	en.pool.Close()
+	en.forwardPool.Close()
 	en.grp.Close()
 }
--- /dev/null
+++ b/internal/home/borrow.go
@@ -0,0 +1,329 @@
+package home
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
+)
+
+// stream is the messages of this entry to one home.
+type stream struct {
+	borrower *slotshare.Borrower
+	born     time.Duration
+	sent     time.Duration
+	busy     bool
+	// askAfter is when this home may be asked for more slots again.
+	askAfter time.Duration
+}
+
+const (
+	// renewInterval is how often loans are renewed; Terms.Use covers four.
+	renewInterval = 500 * time.Millisecond
+	// minInterval bounds the messages to one home to five a second.
+	minInterval = 200 * time.Millisecond
+	// deniedPause is the pause before a home that had nothing is asked again.
+	deniedPause = 500 * time.Millisecond
+	// maxAsked bounds the homes asked in one round for one service. Asking two
+	// at once for the same slots would get twice the need.
+	maxAsked = 1
+	// reserveShare is the part of the slots in use that is kept free above
+	// them, so that a rising load rarely waits for a message.
+	reserveShare = 8
+	// needDecay is the time in which the remembered peak of slots in use halves.
+	needDecay = 500 * time.Millisecond
+	// peerTimeout bounds a message; a reply later than a loan is of no use.
+	peerTimeout = time.Second
+)
+
+// need is the slots of one service that this entry has use for.
+type need struct {
+	peak    float64
+	waiting int
+}
+
+func (co *Controller) needOf(service platform.ServiceName) int {
+	ne := co.needs[service]
+	if ne == nil || co.leaving {
+		return 0
+	}
+	inUse := int(ne.peak + 0.5)
+	return inUse + ne.waiting + max(1, inUse/reserveShare)
+}
+
+// measureNeeds updates the need of every service from its gates and queue.
+func (co *Controller) measureNeeds() {
+	used := map[platform.ServiceName]int{}
+	for _, st := range co.targets {
+		if st.slots > 0 {
+			_, n := st.gate.Allowance()
+			used[st.vm.Service] += n
+		}
+	}
+	waiting := map[platform.ServiceName]int{}
+	for _, sl := range co.load.Load() {
+		waiting[sl.Service] = sl.Waiting
+	}
+	for service, n := range used {
+		ne := co.needs[service]
+		if ne == nil {
+			ne = &need{}
+			co.needs[service] = ne
+		}
+		ne.peak = max(float64(n), ne.peak*(1-float64(lendingTick)/float64(2*needDecay)))
+		ne.waiting = waiting[service]
+	}
+}
+
+func (co *Controller) stream(inc platform.Incarnation) *stream {
+	str := co.streams[inc]
+	if str == nil {
+		now := co.opt.Clock()
+		str = &stream{borrower: slotshare.NewBorrower(co.opt.Terms, co.opt.Clock), born: now, sent: now - renewInterval}
+		co.streams[inc] = str
+	}
+	return str
+}
+
+// order is what one message to a home asks for.
+type order struct {
+	keep map[platform.TargetID]int
+	more map[platform.ServiceName]int
+	give bool
+}
+
+// borrow decides what to keep and what to ask for, and sends the messages that
+// are due.
+func (co *Controller) borrow() {
+	others := co.others()
+	orders := map[platform.Incarnation]*order{}
+	at := func(inc platform.Incarnation) *order {
+		if orders[inc] == nil {
+			orders[inc] = &order{keep: map[platform.TargetID]int{}, more: map[platform.ServiceName]int{}}
+		}
+		return orders[inc]
+	}
+	ids := make([]platform.TargetID, 0, len(co.targets))
+	for id := range co.targets {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	deficit := co.keepLoans(ids, at)
+	if !co.leaving {
+		co.askForMore(ids, deficit, others, at)
+	}
+	now := co.opt.Clock()
+	for inc, or := range orders {
+		str := co.stream(inc)
+		renew := len(or.keep) > 0 && now-str.sent >= renewInterval
+		if str.busy || now-str.sent < minInterval || !renew && !or.give && len(or.more) == 0 {
+			continue
+		}
+		if addr := co.addressOf(others, inc); addr != "" {
+			co.send(inc, str, or, addr)
+		} else {
+			co.dropLoans(inc)
+		}
+	}
+	co.pruneStreams()
+}
+
+// keepLoans divides the need that own slots do not cover over the loans, and
+// returns what is still missing, by service.
+func (co *Controller) keepLoans(ids []platform.TargetID, at func(platform.Incarnation) *order) map[platform.ServiceName]int {
+	missing := map[platform.ServiceName]int{}
+	for service := range co.needs {
+		missing[service] = co.needOf(service)
+	}
+	for _, st := range co.targets {
+		if st.home != nil {
+			slots, _ := st.gate.Allowance()
+			missing[st.vm.Service] -= slots
+		}
+	}
+	for _, id := range ids {
+		st := co.targets[id]
+		if st.home != nil || st.lender == "" {
+			continue
+		}
+		slots, used := st.gate.Allowance()
+		kept := min(slots, max(0, missing[st.vm.Service]))
+		missing[st.vm.Service] -= kept
+		or := at(st.lender)
+		or.keep[id] = kept
+		// A returned slot is worth a message of its own; one in use is not free.
+		or.give = or.give || max(kept, used) < slots || slots == 0 && used == 0
+	}
+	return missing
+}
+
+// askForMore adds requests for missing slots to the orders for the homes of the
+// zone; a zone without homes for a service borrows from all of them.
+func (co *Controller) askForMore(ids []platform.TargetID, missing map[platform.ServiceName]int, others []entryView, at func(platform.Incarnation) *order) {
+	now := co.opt.Clock()
+	for service, n := range missing {
+		if n <= 0 {
+			continue
+		}
+		near, far := map[platform.Incarnation]bool{}, map[platform.Incarnation]bool{}
+		for _, id := range ids {
+			st := co.targets[id]
+			if st.vm.Service != service || st.vm.State != platform.StateLive || st.slots == 0 {
+				continue
+			}
+			if st.vm.AvailabilityZone == co.opt.Self.Zone {
+				near[st.owner] = true
+			} else {
+				far[st.owner] = true
+			}
+		}
+		homes := near
+		if len(near) == 0 {
+			homes = far
+		}
+		for _, inc := range co.askable(homes, others, now) {
+			at(inc).more[service] = n
+		}
+	}
+}
+
+// askable returns the homes to ask, those first that were asked longest ago.
+func (co *Controller) askable(homes map[platform.Incarnation]bool, others []entryView, now time.Duration) []platform.Incarnation {
+	var out []platform.Incarnation
+	for inc := range homes {
+		if inc == "" || inc == co.opt.Self.Incarnation || co.addressOf(others, inc) == "" {
+			continue
+		}
+		if str := co.stream(inc); now >= str.askAfter && !str.busy && now-str.sent >= minInterval {
+			out = append(out, inc)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if si, sj := co.streams[out[i]].sent, co.streams[out[j]].sent; si != sj {
+			return si < sj
+		}
+		return out[i] < out[j]
+	})
+	return out[:min(maxAsked, len(out))]
+}
+
+// send starts one message. The gates are lowered before the message states
+// what is kept, and after the time has been noted.
+func (co *Controller) send(inc platform.Incarnation, str *stream, or *order, addr string) {
+	args := &ExchangeArgs{From: co.opt.Self.Incarnation, To: inc, Size: co.opt.Self.Size, Number: str.borrower.Begin()}
+	for id, want := range or.keep {
+		if kept := slotshare.Keep(co.targets[id].gate, want); kept > 0 {
+			args.Keep = append(args.Keep, TargetSlots{Target: id, Slots: kept})
+		} else {
+			co.targets[id].lender = ""
+		}
+	}
+	for service, n := range or.more {
+		args.More = append(args.More, ServiceSlots{Service: service, Slots: n})
+	}
+	str.sent, str.busy = co.opt.Clock(), true
+	co.opt.Counters.Add(familySlots, "loan-message", 1)
+	co.grp.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		rep := &ExchangeReply{}
+		err := co.opt.Peers.Call(ctx, addr, exchangeMethod, args, rep)
+		co.mu.Lock()
+		defer co.mu.Unlock()
+		str.busy = false
+		if err != nil {
+			co.opt.Counters.Add(familySlots, "loan-message-lost", 1)
+			str.askAfter = co.opt.Clock() + deniedPause
+			return
+		}
+		co.accept(inc, str, args, rep)
+	})
+}
+
+// accept applies the reply of a home to the gates.
+func (co *Controller) accept(inc platform.Incarnation, str *stream, args *ExchangeArgs, rep *ExchangeReply) {
+	deadline, ok := str.borrower.Accept(args.Number)
+	if !ok || !rep.Known {
+		str.askAfter = co.opt.Clock() + deniedPause
+		co.wakeClaims()
+		return
+	}
+	granted := map[platform.TargetID]int{}
+	for _, ts := range rep.Loans {
+		granted[ts.Target] = ts.Slots
+	}
+	gained := 0
+	for _, ts := range args.Keep {
+		gained -= ts.Slots
+		st := co.targets[ts.Target]
+		if _, ok := granted[ts.Target]; !ok && st != nil && st.lender == inc {
+			granted[ts.Target] = 0
+		}
+	}
+	for id, slots := range granted {
+		st := co.targets[id]
+		if st == nil || st.home != nil {
+			continue
+		}
+		gained += slots
+		st.gate.SetLoan(slots, deadline)
+		st.lender = inc
+	}
+	if len(args.More) > 0 && gained <= 0 {
+		str.askAfter = co.opt.Clock() + deniedPause
+		co.opt.Counters.Add(familySlots, "loan-denied", 1)
+	}
+	if gained > 0 {
+		co.opt.Counters.Add(familySlots, "loan-gained", int64(gained))
+		co.load.SlotsChanged()
+	}
+}
+
+// wakeClaims makes the claiming goroutine read the rows now.
+func (co *Controller) wakeClaims() {
+	co.stale.Store(true)
+	select {
+	case co.wake <- struct{}{}:
+	default:
+	}
+}
+
+// dropLoans forgets loans of a home that can no longer be reached, once they
+// have ended and no request uses them.
+func (co *Controller) dropLoans(inc platform.Incarnation) {
+	for _, st := range co.targets {
+		if slots, used := st.gate.Allowance(); st.home == nil && st.lender == inc && slots == 0 && used == 0 {
+			st.lender = ""
+		}
+	}
+}
+
+// pruneStreams drops streams to incarnations that have ended. The numbers of a
+// stream must not start again while its home may remember them.
+func (co *Controller) pruneStreams() {
+	gone := co.gone()
+	for inc, str := range co.streams {
+		if !str.busy && gone(inc) {
+			delete(co.streams, inc)
+		}
+	}
+}
+
+// hint tells other entries to read the rows of homes.
+func (co *Controller) hint(addrs []string) {
+	co.mu.Lock()
+	args := &HintArgs{From: co.opt.Self.Incarnation, Leaving: co.leaving}
+	co.mu.Unlock()
+	for _, addr := range addrs {
+		call := func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+			defer cancel()
+			_ = co.opt.Peers.Call(ctx, addr, hintMethod, args, &HintReply{}) // the rows are read within refreshInterval anyway
+		}
+		if !co.grp.Go(call) {
+			call(context.Background())
+		}
+	}
+}
--- /dev/null
+++ b/internal/home/claim.go
@@ -0,0 +1,398 @@
+package home
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
+)
+
+// rowValue is the value of a row home/<target-id>.
+type rowValue struct {
+	Incarnation platform.Incarnation `json:"incarnation"`
+}
+
+const (
+	// refreshInterval bounds the reads of the table while nothing happens.
+	refreshInterval = 10 * time.Second
+	// vacantRefreshInterval applies while a target has no home.
+	vacantRefreshInterval = time.Second
+	// rankDelay is how long an entry waits for each better candidate to claim.
+	rankDelay = 3 * time.Second
+	// maxBatch bounds the rows of one transaction, well below table.MaxRows.
+	maxBatch = 1000
+)
+
+// claimBatch is a transaction whose outcome is not known yet. It is sent again
+// under the same id until the table answers.
+type claimBatch struct {
+	tx       table.Transaction
+	claims   map[platform.TargetID]time.Duration // how long each new home waits
+	releases []platform.TargetID
+}
+
+// read takes over a row. A row read is never newer than the table.
+func (st *state) read(row table.Row) {
+	var val rowValue
+	_ = json.Unmarshal(row.Value, &val) // a row without an owner can be claimed
+	st.owner, st.version = val.Incarnation, row.Version
+}
+
+// claimRound resolves the open transaction, reads the rows when it is time, and
+// claims and releases homes in one transaction.
+func (co *Controller) claimRound(ctx context.Context) {
+	if co.pending != nil && !co.resolve(ctx) {
+		return
+	}
+	co.refresh(ctx)
+	co.mu.Lock()
+	batch := co.plan()
+	co.mu.Unlock()
+	if batch != nil {
+		co.pending = batch
+		co.resolve(ctx)
+	}
+}
+
+// refresh lists the rows. During an outage everything stays as it is.
+func (co *Controller) refresh(ctx context.Context) {
+	if !co.stale.Swap(false) && co.opt.Clock() < co.refreshAt {
+		return
+	}
+	co.refreshAt = co.opt.Clock() + vacantRefreshInterval
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	rows := map[string]table.Row{}
+	for after := ""; ; {
+		page, err := co.opt.Rows.List(ctx, rowPrefix, after, table.MaxRows)
+		if err != nil {
+			co.opt.Counters.Add(familySlots, "home-list-failed", 1)
+			return
+		}
+		for _, row := range page {
+			rows[row.Key] = row
+			after = row.Key
+		}
+		if len(page) < table.MaxRows {
+			break
+		}
+	}
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.readTargets()
+	co.applyRows(rows)
+	co.listed = true
+}
+
+func (co *Controller) applyRows(rows map[string]table.Row) {
+	vacant := false
+	gone := co.gone()
+	for id, st := range co.targets {
+		key := rowPrefix + string(id)
+		row := rows[key]
+		delete(rows, key)
+		if st.home != nil {
+			co.checkHome(id, st, row)
+			continue
+		}
+		st.read(row)
+		vacant = vacant || st.owner == "" || gone(st.owner)
+	}
+	co.orphans = rows
+	if !vacant {
+		co.refreshAt = co.opt.Clock() + refreshInterval
+	}
+}
+
+// checkHome gives up a home whose row names another owner. A list may be stale,
+// so only a newer version counts.
+func (co *Controller) checkHome(id platform.TargetID, st *state, row table.Row) {
+	if row.Version <= st.version {
+		return
+	}
+	st.read(row)
+	if st.owner == co.opt.Self.Incarnation {
+		return
+	}
+	co.opt.Log.Error().Str("target", string(id)).Str("owner", string(st.owner)).Msg("home-lost")
+	co.opt.Counters.Add(familySlots, "home-lost", 1)
+	co.dropHome(st)
+}
+
+func (co *Controller) dropHome(st *state) {
+	st.home.CloseWhenIdle()
+	st.home = nil
+	st.lender = ""
+}
+
+// plan returns the claims and releases that are due, nil for none.
+func (co *Controller) plan() *claimBatch {
+	if !co.listed || co.leaving {
+		return nil
+	}
+	others := co.others()
+	candidates := co.candidates(others)
+	co.planMoves(candidates)
+	batch := &claimBatch{claims: map[platform.TargetID]time.Duration{}}
+	gone := co.gone()
+	for id, st := range co.targets {
+		if len(batch.tx.Writes) >= maxBatch {
+			break
+		}
+		switch {
+		case st.home != nil:
+			if st.home.Idle() {
+				batch.release(id, st)
+			}
+		case st.vm.State == platform.StateLive && st.slots > 0:
+			if wait, ok := co.mayClaim(id, st, gone, candidates); ok {
+				batch.claim(id, st, co.opt.Self.Incarnation, wait)
+			}
+		}
+	}
+	if len(batch.tx.Writes) == 0 {
+		return nil
+	}
+	batch.tx.ID = uuid.NewString()
+	return batch
+}
+
+// mayClaim tells whether this entry should claim the target now, and how long
+// it then has to wait for loans of the previous home to end.
+func (co *Controller) mayClaim(id platform.TargetID, st *state, gone func(platform.Incarnation) bool, candidates func(platform.VM) []entryView) (time.Duration, bool) {
+	now := co.opt.Clock()
+	wait := co.opt.Terms.Outstanding()
+	switch {
+	case st.owner == co.opt.Self.Incarnation:
+		// A claim whose reply was lost. What was lent before it is not known.
+		return wait, true
+	case st.owner == "":
+		// A row is deleted only when nothing is lent.
+		wait = 0
+	case st.owner.Entry() == co.opt.Self.ID:
+		return wait, true
+	case !gone(st.owner):
+		st.vacant = now
+		return 0, false
+	}
+	for i, en := range rank(id, candidates(st.vm)) {
+		if en.id == co.opt.Self.ID {
+			return wait, now-st.vacant >= time.Duration(i)*rankDelay
+		}
+	}
+	return 0, false
+}
+
+func (cb *claimBatch) claim(id platform.TargetID, st *state, inc platform.Incarnation, wait time.Duration) {
+	raw, _ := json.Marshal(rowValue{Incarnation: inc}) // a struct of strings always encodes
+	key := rowPrefix + string(id)
+	cb.claims[id] = wait
+	cb.tx.Checks = append(cb.tx.Checks, table.Check{Key: key, Version: st.version})
+	cb.tx.Writes = append(cb.tx.Writes, table.Write{Key: key, Value: raw})
+}
+
+func (cb *claimBatch) release(id platform.TargetID, st *state) {
+	key := rowPrefix + string(id)
+	cb.releases = append(cb.releases, id)
+	cb.tx.Checks = append(cb.tx.Checks, table.Check{Key: key, Version: st.version})
+	cb.tx.Writes = append(cb.tx.Writes, table.Write{Key: key, Delete: true})
+}
+
+// resolve sends the open transaction, perhaps not for the first time. It
+// reports whether the outcome is now known.
+func (co *Controller) resolve(ctx context.Context) bool {
+	cctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	version, err := co.opt.Rows.Commit(cctx, co.pending.tx)
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+		co.mu.Lock()
+		co.committed(co.pending, version)
+		peers := co.concerned(co.pending)
+		co.mu.Unlock()
+		co.hint(peers)
+	case errors.As(err, &conflict):
+		co.opt.Counters.Add(familySlots, "home-conflict", 1)
+		co.mu.Lock()
+		co.conflicting(conflict.Rows)
+		co.mu.Unlock()
+	default:
+		co.opt.Counters.Add(familySlots, "home-commit-unknown", 1)
+		return false
+	}
+	co.pending = nil
+	return true
+}
+
+func (co *Controller) committed(batch *claimBatch, version table.Version) {
+	now := co.opt.Clock()
+	for id, wait := range batch.claims {
+		st := co.targets[id]
+		if st == nil {
+			// The target left the list meanwhile; its row is deleted when idle.
+			st = &state{gate: slotshare.NewGateWithClock(0, co.opt.Clock), vm: platform.VM{ID: string(id), State: platform.StateLeaving}}
+			co.targets[id] = st
+		}
+		st.owner, st.version = co.opt.Self.Incarnation, version
+		st.home = slotshare.NewHome[platform.Incarnation](st.gate, st.slots, co.opt.Terms, co.opt.Clock, now+wait)
+		if co.leaving || st.vm.State == platform.StateLeaving {
+			st.home.CloseWhenIdle()
+		}
+		reason := "home-claimed"
+		if wait > 0 {
+			reason = "home-taken-over"
+		}
+		co.opt.Counters.Add(familySlots, reason, 1)
+	}
+	for _, id := range batch.releases {
+		st := co.targets[id]
+		co.dropHome(st)
+		st.owner, st.version, st.vacant, st.closing = "", table.Absent, now, 0
+		co.opt.Counters.Add(familySlots, "home-released", 1)
+		// A target that is no longer listed is forgotten at the next reading.
+		co.conf = -1
+	}
+	co.load.SlotsChanged()
+	co.opt.Log.Info().Int("claimed", len(batch.claims)).Int("released", len(batch.releases)).Msg("homes-changed")
+}
+
+// conflicting takes over the rows that were not as assumed. They come from the
+// commit itself, so they are not stale.
+func (co *Controller) conflicting(rows []table.Row) {
+	for _, row := range rows {
+		st := co.targets[platform.TargetID(row.Key[len(rowPrefix):])]
+		if st == nil {
+			continue
+		}
+		st.read(row)
+		if st.home != nil && st.owner != co.opt.Self.Incarnation {
+			co.opt.Counters.Add(familySlots, "home-lost", 1)
+			co.dropHome(st)
+		}
+	}
+}
+
+const (
+	// moveAfter is how long a better home has to be alive before targets move.
+	moveAfter = 2 * time.Second
+	// closeTimeout bounds how long a target is kept free in order to move it.
+	closeTimeout = 3 * time.Second
+	// moveRetry is the pause after a move that did not become idle in time.
+	moveRetry = 10 * time.Second
+	// moveShare is the part of the homes that may be closing at one time.
+	moveShare = 8
+)
+
+// planMoves closes some homes that belong to another entry by rank, such as one
+// that has just started. The others follow once these have moved.
+func (co *Controller) planMoves(candidates func(platform.VM) []entryView) {
+	now := co.opt.Clock()
+	homes, closing := 0, 0
+	for _, st := range co.targets {
+		if st.home == nil {
+			continue
+		}
+		homes++
+		if !st.home.Closing() {
+			continue
+		}
+		closing++
+		if st.vm.State == platform.StateLive && now-st.closing > closeTimeout {
+			st.home.Reopen()
+			co.opt.Counters.Add(familySlots, "home-move-abandoned", 1)
+		}
+	}
+	for id, st := range co.targets {
+		if st.home == nil || st.home.Closing() {
+			continue
+		}
+		unlisted := st.vm.State == platform.StateLeaving && !co.isListed(id)
+		if !unlisted && (closing >= max(1, homes/moveShare) || st.closing != 0 && now-st.closing < moveRetry || !co.betterHome(id, st, candidates)) {
+			continue
+		}
+		closing++
+		st.closing = now
+		st.home.CloseWhenIdle()
+	}
+}
+
+// betterHome tells whether another entry that has been alive for a while ranks
+// first for the target.
+func (co *Controller) betterHome(id platform.TargetID, st *state, candidates func(platform.VM) []entryView) bool {
+	ranked := rank(id, candidates(st.vm))
+	if len(ranked) == 0 || ranked[0].id == co.opt.Self.ID || ranked[0].incarnation == "" {
+		return false
+	}
+	str := co.stream(ranked[0].incarnation)
+	return co.opt.Clock()-str.born > moveAfter
+}
+
+func (co *Controller) isListed(id platform.TargetID) bool {
+	if co.vms == nil {
+		return false
+	}
+	for _, vm := range co.vms.Targets[co.targets[id].vm.Service] {
+		if platform.TargetID(vm.ID) == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Leave gives back loans, hands over all homes that become idle before ctx
+// ends, and tells the other entries of the zone. Call it after the last request
+// has finished; homes that are still in use are taken over after Close.
+func (co *Controller) Leave(ctx context.Context) {
+	co.mu.Lock()
+	co.leaving = true
+	for _, st := range co.targets {
+		if st.home != nil {
+			st.home.CloseWhenIdle()
+		}
+	}
+	co.mu.Unlock()
+	tick := time.NewTicker(lendingTick)
+	defer tick.Stop()
+	for co.inUse() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+	co.grp.Close()
+	if co.pending != nil && !co.resolve(ctx) {
+		return
+	}
+	co.mu.Lock()
+	batch := &claimBatch{tx: table.Transaction{ID: uuid.NewString()}}
+	for id, st := range co.targets {
+		if st.home != nil && st.home.Idle() {
+			batch.release(id, st)
+		}
+	}
+	co.mu.Unlock()
+	if len(batch.releases) > 0 {
+		co.pending = batch
+		co.resolve(ctx)
+	}
+}
+
+// inUse counts the homes that are not idle and the loans not yet returned.
+func (co *Controller) inUse() int {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	n := 0
+	for _, st := range co.targets {
+		if st.home != nil && !st.home.Idle() || st.home == nil && st.lender != "" {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/home/forward.go
@@ -0,0 +1,354 @@
+package home
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net/http"
+	"net/rpc"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/peer"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/target"
+)
+
+const (
+	offerMethod   = ServiceName + ".Offer"
+	forwardMethod = ServiceName + ".Forward"
+	familyForward = "forward"
+)
+
+const (
+	// maxForwarded bounds the requests of other entries that run here.
+	maxForwarded = 64
+	// maxTries bounds the entries that one request is offered to.
+	maxTries = 2
+	// offerTimeout bounds the question whether a peer has free slots. A peer
+	// that is silent longer gets no request.
+	offerTimeout = 100 * time.Millisecond
+	// freshFor is how long an answer of a peer shows that its connection works.
+	freshFor = 500 * time.Millisecond
+	// The first and the longest pause after a peer had no free slot.
+	firstPause   = 20 * time.Millisecond
+	longestPause = time.Second
+	// replyGrace is how long after the deadline an answer is still awaited: the
+	// peer decides at the deadline and its message takes a trip.
+	replyGrace = 200 * time.Millisecond
+	// The cost of a trip that is assumed until one has been measured.
+	assumedNearTrip = time.Millisecond
+	assumedFarTrip  = 2 * time.Millisecond
+)
+
+// OfferArgs asks for the free slots of a service.
+type OfferArgs struct {
+	Service platform.ServiceName
+}
+
+// OfferReply tells the free slots of the service.
+type OfferReply struct {
+	Free int
+}
+
+// ForwardArgs is a service request that another entry passes on. Times are
+// relative: the clocks of entries need not agree.
+type ForwardArgs struct {
+	ID         string
+	Service    platform.ServiceName
+	Team       platform.TeamID
+	Kind       platform.RequestKind
+	Repeatable bool
+	Remaining  time.Duration
+	Header     http.Header
+	Body       []byte
+}
+
+// ForwardReply is the answer to a forwarded request. Refused says that it
+// provably did not run.
+type ForwardReply struct {
+	Refused bool
+	Failed  bool
+	Error   outcome.Error
+	Answer  target.Answer
+	Free    int
+}
+
+type peerKey struct {
+	entry   platform.EntryID
+	service platform.ServiceName
+}
+
+// peerLoad is what is known of the free slots of a peer in one service.
+type peerLoad struct {
+	free    int
+	heard   time.Duration
+	pause   time.Duration
+	askFrom time.Duration
+	trip    time.Duration
+}
+
+// Forwarder passes requests on to entries with free slots, at most one hop.
+type Forwarder struct {
+	co      *Controller
+	peers   atomic.Pointer[[]entryView]
+	running atomic.Int64
+
+	mu    sync.Mutex
+	loads map[peerKey]*peerLoad
+}
+
+func newForwarder(co *Controller) *Forwarder {
+	return &Forwarder{co: co, loads: map[peerKey]*peerLoad{}}
+}
+
+func (fw *Forwarder) setPeers(peers []entryView) { fw.peers.Store(&peers) }
+
+// Forward passes the request on when a peer has a free slot and the expected
+// wait here is longer than the trip. It returns false when the request provably
+// did not run elsewhere.
+func (fw *Forwarder) Forward(ctx context.Context, req target.Request, expectedWait time.Duration) (target.Answer, bool, error) {
+	peers := fw.peers.Load()
+	if req.Forwarded || peers == nil {
+		return target.Answer{}, false, nil
+	}
+	for _, en := range fw.choose(*peers, req.Service, expectedWait) {
+		if !fw.hasFree(ctx, en, req.Service) {
+			continue
+		}
+		if ans, done, err := fw.send(ctx, en, req); done {
+			return ans, true, err
+		}
+	}
+	return target.Answer{}, false, nil
+}
+
+// choose returns the peers to try: those of the own zone first, then those with
+// more free slots. A trip must cost less than the wait that it saves.
+func (fw *Forwarder) choose(peers []entryView, service platform.ServiceName, wait time.Duration) []entryView {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	now := fw.co.opt.Clock()
+	type choice struct {
+		en   entryView
+		far  bool
+		free int
+	}
+	var found []choice
+	for _, en := range peers {
+		far := en.zone != fw.co.opt.Self.Zone
+		pl := fw.load(en, service, far)
+		if now < pl.askFrom || pl.trip >= wait {
+			continue
+		}
+		found = append(found, choice{en, far, pl.free})
+	}
+	sort.SliceStable(found, func(i, j int) bool {
+		if found[i].far != found[j].far {
+			return !found[i].far
+		}
+		return found[i].free > found[j].free
+	})
+	out := make([]entryView, 0, maxTries)
+	for _, ch := range found[:min(maxTries, len(found))] {
+		out = append(out, ch.en)
+	}
+	return out
+}
+
+func (fw *Forwarder) load(en entryView, service platform.ServiceName, far bool) *peerLoad {
+	key := peerKey{en.id, service}
+	pl := fw.loads[key]
+	if pl == nil {
+		pl = &peerLoad{trip: assumedNearTrip, heard: math.MinInt64 / 2}
+		if far {
+			pl.trip = assumedFarTrip
+		}
+		fw.loads[key] = pl
+	}
+	return pl
+}
+
+// hasFree reports whether the peer has a free slot. It asks unless a recent
+// answer says so, because a request that is not repeatable must not be written
+// to a connection that has gone silent.
+func (fw *Forwarder) hasFree(ctx context.Context, en entryView, service platform.ServiceName) bool {
+	far := en.zone != fw.co.opt.Self.Zone
+	fw.mu.Lock()
+	pl := fw.load(en, service, far)
+	now := fw.co.opt.Clock()
+	if pl.free > 0 && now-pl.heard < freshFor {
+		pl.free--
+		fw.mu.Unlock()
+		return true
+	}
+	// Others wait for this answer instead of asking as well.
+	pl.askFrom = now + firstPause
+	fw.mu.Unlock()
+	octx, cancel := context.WithTimeout(ctx, offerTimeout)
+	defer cancel()
+	rep := &OfferReply{}
+	err := fw.co.opt.ForwardPeers.Call(octx, en.address, offerMethod, &OfferArgs{Service: service}, rep)
+	fw.co.opt.Counters.Add(familyForward, "offer", 1)
+	fw.heard(pl, rep.Free, err == nil)
+	if err != nil || rep.Free == 0 {
+		return false
+	}
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	pl.free--
+	// A moving average over about four trips.
+	pl.trip += (fw.co.opt.Clock() - now - pl.trip) / 4
+	return true
+}
+
+// heard notes the free slots of a peer. A peer without any is left alone for a
+// pause that doubles.
+func (fw *Forwarder) heard(pl *peerLoad, free int, answered bool) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	now := fw.co.opt.Clock()
+	pl.free = free
+	if answered {
+		pl.heard = now
+	}
+	if free > 0 {
+		pl.pause, pl.askFrom = 0, 0
+		return
+	}
+	pl.pause = min(longestPause, max(firstPause, 2*pl.pause))
+	pl.askFrom = now + pl.pause
+}
+
+type forwardResult struct {
+	rep *ForwardReply
+	err error
+}
+
+// send passes the request on. It returns false when the peer was not reached or
+// refused the request as not run.
+func (fw *Forwarder) send(ctx context.Context, en entryView, req target.Request) (target.Answer, bool, error) {
+	remaining := time.Until(req.Deadline)
+	args := &ForwardArgs{
+		ID: req.ID, Service: req.Service, Team: req.Team, Kind: req.Kind, Repeatable: req.Repeatable,
+		Remaining: remaining, Header: req.Header, Body: req.Body,
+	}
+	cnt := fw.co.opt.Counters
+	cnt.Add(familyForward, "sent", 1)
+	done := make(chan forwardResult, 1)
+	// The call does not end with ctx: a call that is given up closes the
+	// connection, and other requests wait for answers on it.
+	started := fw.co.grp.Go(func(gctx context.Context) {
+		cctx, cancel := context.WithTimeout(gctx, remaining+replyGrace)
+		defer cancel()
+		rep := &ForwardReply{}
+		err := fw.co.opt.ForwardPeers.Call(cctx, en.address, forwardMethod, args, rep)
+		done <- forwardResult{rep, err}
+	})
+	if !started {
+		return target.Answer{}, false, nil
+	}
+	select {
+	case <-ctx.Done():
+		cnt.Add(familyForward, "unknown", 1)
+		return target.Answer{}, true, outcome.MayHaveRun("forward-abandoned", "the request was passed on to another entry, whose answer did not arrive in time: "+ctx.Err().Error(), "check whether the request took effect before sending it again")
+	case res := <-done:
+		return fw.result(en, req.Service, res)
+	}
+}
+
+func (fw *Forwarder) result(en entryView, service platform.ServiceName, res forwardResult) (target.Answer, bool, error) {
+	cnt := fw.co.opt.Counters
+	fw.mu.Lock()
+	pl := fw.load(en, service, en.zone != fw.co.opt.Self.Zone)
+	fw.mu.Unlock()
+	var se rpc.ServerError
+	switch {
+	// Receiver.Forward returns no error, so a ServerError says that the peer
+	// could not call it.
+	case errors.Is(res.err, peer.ErrUnreachable), errors.As(res.err, &se):
+		fw.heard(pl, 0, false)
+		cnt.Add(familyForward, "unreachable", 1)
+		return target.Answer{}, false, nil
+	case res.err != nil:
+		fw.heard(pl, 0, false)
+		cnt.Add(familyForward, "unknown", 1)
+		return target.Answer{}, true, outcome.MayHaveRun("forward-broken", "the request was passed on to another entry, and the connection broke: "+res.err.Error(), "check whether the request took effect before sending it again")
+	}
+	fw.heard(pl, res.rep.Free, true)
+	if res.rep.Refused {
+		cnt.Add(familyForward, "refused", 1)
+		return target.Answer{}, false, nil
+	}
+	cnt.Add(familyForward, "answered", 1)
+	if res.rep.Failed {
+		oe := res.rep.Error
+		return target.Answer{}, true, &oe
+	}
+	return res.rep.Answer, true, nil
+}
+
+// Offer tells how many slots of the service are free for other entries.
+func (rc *Receiver) Offer(args OfferArgs, rep *OfferReply) error {
+	rep.Free = rc.co.free(args.Service)
+	return nil
+}
+
+// Forward runs the request of another entry when a slot is free.
+func (rc *Receiver) Forward(args ForwardArgs, rep *ForwardReply) error {
+	co := rc.co
+	running := &co.fwd.running
+	defer running.Add(-1)
+	if running.Add(1) > maxForwarded || args.Remaining <= 0 || co.free(args.Service) == 0 {
+		co.opt.Counters.Add(familyForward, "received-refused", 1)
+		rep.Refused = true
+		return nil
+	}
+	co.opt.Counters.Add(familyForward, "received", 1)
+	ctx, cancel := context.WithTimeout(co.grp.Context(), args.Remaining)
+	defer cancel()
+	ans, err := co.load.DoForwarded(ctx, target.Request{
+		ID: args.ID, Service: args.Service, Team: args.Team, Kind: args.Kind, Repeatable: args.Repeatable,
+		Forwarded: true, Deadline: time.Now().Add(args.Remaining), Header: args.Header, Body: args.Body,
+	})
+	rep.Free = co.free(args.Service)
+	if err != nil {
+		rep.Error = *outcome.From(err)
+		rep.Refused = rep.Error.Outcome == outcome.RefusedDidNotRun
+		rep.Failed = !rep.Refused
+		return nil
+	}
+	rep.Answer = ans
+	return nil
+}
+
+// free returns the slots that other entries' requests may take now: not the
+// last one, and none while requests wait here.
+func (co *Controller) free(service platform.ServiceName) int {
+	vms, gates := co.opt.Board.VMs.Load(), co.opt.Board.Gates.Load()
+	if vms == nil || gates == nil {
+		return 0
+	}
+	co.mu.Lock()
+	leaving := co.leaving
+	co.mu.Unlock()
+	if leaving {
+		return 0
+	}
+	for _, sl := range co.load.Load() {
+		if sl.Service == service && sl.Waiting > 0 {
+			return 0
+		}
+	}
+	sum := 0
+	for _, vm := range vms.Targets[service] {
+		if gate := gates.ByTarget[platform.TargetID(vm.ID)]; gate != nil && vm.State == platform.StateLive {
+			slots, used := gate.Allowance()
+			sum += max(0, slots-used)
+		}
+	}
+	return max(0, sum-1)
+}
--- /dev/null
+++ b/internal/home/home.go
@@ -0,0 +1,281 @@
+// Package home shares the slots of targets among the entries.
+//
+// Each target has one home, the entry incarnation in the table row
+// home/<target-id>. The home hands out the slots of its target: it uses them
+// itself and lends them to other entries for a limited time. Homes are claimed
+// by conditional transactions and taken over only with proof that the old
+// incarnation has ended, so two entries never hand out the same slot.
+//
+// # Usage
+//
+//	ctl := home.New(home.Options{Board: board, Rows: rows, Peers: pool, ...})
+//	ctl.Bind(target.New(target.Options{Board: board, Forwarder: ctl.Forwarder()}))
+//	err := server.Register(home.ServiceName, ctl.Receiver())
+//	ctl.Start()
+//	...
+//	ctl.Leave(ctx) // after the last request has finished
+//	ctl.Close()
+//
+// The request path takes slots from the gates in board.Gates. A Forwarder
+// passes requests that find no free slot on to other entries.
+package home
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+	"github.com/oleanderwall/oleanderwall/internal/target"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
+)
+
+// Self describes the entry that a controller belongs to.
+type Self struct {
+	ID          platform.EntryID
+	Incarnation platform.Incarnation
+	Zone        platform.AvailabilityZone
+	Region      platform.RegionName
+	Size        int
+}
+
+// Rows reads and writes the table.
+type Rows interface {
+	Commit(ctx context.Context, tx table.Transaction) (table.Version, error)
+	List(ctx context.Context, prefix, after string, limit int) ([]table.Row, error)
+}
+
+// Peers calls other entries.
+type Peers interface {
+	Call(ctx context.Context, addr, method string, args, reply any) error
+}
+
+// Members tells which entries are alive and which incarnations have ended.
+type Members interface {
+	Load() *blackboard.Members
+}
+
+// Dispatcher runs service requests and tells how many wait for slots.
+type Dispatcher interface {
+	Load() []target.ServiceLoad
+	SlotsChanged()
+	DoForwarded(ctx context.Context, req target.Request) (target.Answer, error)
+}
+
+// Options are the dependencies of a Controller.
+type Options struct {
+	Self    Self
+	Board   *blackboard.Board
+	Members Members
+	Rows    Rows
+	Peers   Peers
+	// ForwardPeers carries forwarded requests on connections of their own: a
+	// message on Peers that times out closes its connection.
+	ForwardPeers Peers
+	Counters     *counter.Set
+	Log          zerolog.Logger
+	// Terms are the terms of loans; all entries must have the same. The zero
+	// value means DefaultTerms.
+	Terms slotshare.Terms
+	// Clock is slotshare.Monotonic unless a test sets it.
+	Clock slotshare.Clock
+}
+
+// DefaultTerms are the terms of loans. Use outlasts three lost renewals. Margin
+// covers the run time of most requests (50 ms to 1 s); a longer one that is
+// running when its loan ends may meet the next user of its slot.
+var DefaultTerms = slotshare.Terms{Use: 2 * time.Second, Margin: time.Second}
+
+const (
+	lendingTick  = 50 * time.Millisecond
+	claimTick    = 200 * time.Millisecond
+	familySlots  = "slots"
+	rowPrefix    = "home/"
+	tableTimeout = 2 * time.Second
+)
+
+// state is what the controller knows about one target.
+type state struct {
+	vm    platform.VM
+	slots int
+	gate  *slotshare.Gate
+	// home is set while this incarnation is the home.
+	home *slotshare.Home[platform.Incarnation]
+	// owner and version are the row as last read; version Absent means no row.
+	owner   platform.Incarnation
+	version table.Version
+	// lender is the home that has granted the present loan.
+	lender platform.Incarnation
+	// vacant is when the target was first seen without a home.
+	vacant time.Duration
+	// closing is when this home began to close in order to hand the target over.
+	closing time.Duration
+}
+
+// borrower is what a home remembers of an entry that has asked for slots.
+type borrower struct {
+	number uint64
+	size   int
+	demand map[platform.ServiceName]int
+	heard  time.Duration
+}
+
+// Controller claims homes, lends and borrows slots and publishes board.Gates.
+type Controller struct {
+	opt  Options
+	load Dispatcher
+	fwd  *Forwarder
+	grp  *group.Group
+
+	mu        sync.Mutex
+	targets   map[platform.TargetID]*state
+	borrowers map[platform.Incarnation]*borrower
+	streams   map[platform.Incarnation]*stream
+	needs     map[platform.ServiceName]*need
+	left      map[platform.EntryID]platform.Incarnation
+	orphans   map[string]table.Row
+	leaving   bool
+	listed    bool
+
+	// The sources of the targets as last read.
+	vms  *blackboard.VMs
+	conf int64
+
+	// These belong to the goroutine that claims.
+	pending   *claimBatch
+	refreshAt time.Duration
+
+	// stale is set when rows are known to have changed; wake starts a round.
+	stale atomic.Bool
+	wake  chan struct{}
+}
+
+// New returns a controller; Start begins to claim and lend.
+func New(opt Options) *Controller {
+	if opt.Terms == (slotshare.Terms{}) {
+		opt.Terms = DefaultTerms
+	}
+	if opt.Clock == nil {
+		opt.Clock = slotshare.Monotonic
+	}
+	if opt.Members == nil {
+		opt.Members = &opt.Board.Members
+	}
+	co := &Controller{
+		opt:       opt,
+		grp:       group.New(context.Background()),
+		targets:   map[platform.TargetID]*state{},
+		borrowers: map[platform.Incarnation]*borrower{},
+		streams:   map[platform.Incarnation]*stream{},
+		needs:     map[platform.ServiceName]*need{},
+		left:      map[platform.EntryID]platform.Incarnation{},
+		orphans:   map[string]table.Row{},
+		conf:      -1,
+		wake:      make(chan struct{}, 1),
+	}
+	co.fwd = newForwarder(co)
+	// Without any gates on the board the request path would use every slot.
+	co.publish()
+	return co
+}
+
+// Bind sets the dispatcher that uses the slots. Call it before Start.
+func (co *Controller) Bind(di Dispatcher) { co.load = di }
+
+// Forwarder returns the forwarder to give to the dispatcher.
+func (co *Controller) Forwarder() *Forwarder { return co.fwd }
+
+// Start begins to claim homes and to lend and borrow slots.
+func (co *Controller) Start() {
+	co.grp.Every(lendingTick, co.lendingRound)
+	co.grp.Go(func(ctx context.Context) {
+		tick := time.NewTicker(claimTick)
+		defer tick.Stop()
+		for {
+			co.claimRound(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			case <-co.wake:
+			}
+		}
+	})
+}
+
+// Close stops at once and waits. Homes that have not been handed over stay in
+// the table until another entry has proof that this incarnation has ended.
+func (co *Controller) Close() {
+	co.grp.Close()
+}
+
+// lendingRound brings the targets up to date, ends loans of entries that have
+// ended, and borrows and returns slots.
+func (co *Controller) lendingRound(context.Context) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.readTargets()
+	co.settle()
+	co.measureNeeds()
+	co.borrow()
+	co.fwd.setPeers(co.others())
+	co.report()
+}
+
+// settle gives own gates what has come back.
+func (co *Controller) settle() {
+	gone := co.gone()
+	grown := false
+	for _, st := range co.targets {
+		if st.home == nil {
+			continue
+		}
+		before, _ := st.gate.Allowance()
+		for inc := range co.borrowers {
+			if gone(inc) && st.home.LentTo(inc) > 0 {
+				st.home.Forget(inc)
+			}
+		}
+		st.home.Settle()
+		after, _ := st.gate.Allowance()
+		grown = grown || after > before
+	}
+	now := co.opt.Clock()
+	for inc, bo := range co.borrowers {
+		if now-bo.heard > borrowerMemory {
+			delete(co.borrowers, inc)
+		}
+	}
+	if grown {
+		co.load.SlotsChanged()
+	}
+}
+
+// borrowerMemory outlasts every loan.
+const borrowerMemory = 10 * time.Second
+
+func (co *Controller) report() {
+	var own, lent, borrowed, homes int
+	for _, st := range co.targets {
+		slots, _ := st.gate.Allowance()
+		if st.home == nil {
+			borrowed += slots
+			continue
+		}
+		homes++
+		own += slots
+		lent += st.home.Lent()
+	}
+	cnt := co.opt.Counters
+	cnt.Gauge("slots.homes", int64(homes))
+	cnt.Gauge("slots.own", int64(own))
+	cnt.Gauge("slots.lent", int64(lent))
+	cnt.Gauge("slots.borrowed", int64(borrowed))
+}
--- /dev/null
+++ b/internal/home/home_test.go
@@ -0,0 +1,309 @@
+package home
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/peer"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/table"
+	"github.com/oleanderwall/oleanderwall/internal/target"
+)
+
+var errBroken = errors.New("the connection broke")
+
+// world is a table, targets and entries with one clock that the test moves.
+type world struct {
+	tb      testing.TB
+	now     time.Duration
+	vms     blackboard.VMs
+	entries []*testEntry
+
+	mu          sync.Mutex
+	rows        map[string]table.Row
+	done        map[string]table.Version
+	version     table.Version
+	loseReplies bool
+	outage      bool
+	commits     int
+	messages    int
+	bytes       int
+	cut         map[string]bool // addresses that nobody reaches and that reach nobody
+	loseAnswers bool
+}
+
+type testEntry struct {
+	wo      *world
+	id      string
+	co      *Controller
+	board   *blackboard.Board
+	used    []platform.TargetID
+	stopped bool
+	waiting int
+	runs    int
+}
+
+func newWorld(tb testing.TB, targets int, zones ...platform.AvailabilityZone) *world {
+	wo := &world{tb: tb, rows: map[string]table.Row{}, done: map[string]table.Version{}, cut: map[string]bool{}}
+	wo.vms.Targets = map[platform.ServiceName][]platform.VM{}
+	for i := range targets {
+		vm := platform.VM{ID: fmt.Sprint("target-", i), State: platform.StateLive, Service: "fitdesk", AvailabilityZone: zones[i%len(zones)]}
+		wo.vms.Targets["fitdesk"] = append(wo.vms.Targets["fitdesk"], vm)
+	}
+	return wo
+}
+
+func (wo *world) add(zone platform.AvailabilityZone) *testEntry {
+	en := &testEntry{wo: wo, id: fmt.Sprint("entry-", len(wo.entries)), board: &blackboard.Board{}}
+	en.co = New(Options{
+		Self: Self{
+			ID: platform.EntryID(en.id), Incarnation: platform.NewIncarnation(platform.EntryID(en.id)), Zone: zone, Size: 4,
+		},
+		Board: en.board, Rows: wo, Peers: en, ForwardPeers: en, Counters: counter.New(), Log: zerolog.Nop(),
+		Clock: func() time.Duration { return wo.now },
+	})
+	en.co.Bind(en)
+	doc := configuration.Document{Services: map[platform.ServiceName]configuration.Service{"fitdesk": {Slots: 8, Connections: 64}}}
+	en.board.Configuration.Publish(&configuration.Version{Number: 1, Document: doc})
+	en.board.VMs.Publish(&wo.vms)
+	wo.entries = append(wo.entries, en)
+	wo.tb.Cleanup(en.co.Close)
+	for _, other := range wo.entries {
+		other.sees(wo.entries...)
+	}
+	return en
+}
+
+// sees publishes that the entry takes exactly these for alive.
+func (en *testEntry) sees(alive ...*testEntry) {
+	mem := &blackboard.Members{Alive: map[platform.EntryID]blackboard.Member{}, Gone: map[platform.Incarnation]blackboard.GoneReason{}}
+	for _, other := range alive {
+		self := other.co.opt.Self
+		mem.Alive[self.ID] = blackboard.Member{ID: self.ID, Incarnation: self.Incarnation, AvailabilityZone: self.Zone, Size: self.Size, PeerAddress: other.id}
+	}
+	if old := en.board.Members.Load(); old != nil {
+		mem.Gone = old.Gone
+	}
+	en.board.Members.Publish(mem)
+}
+
+// gone publishes proof to every other entry that this one has ended.
+func (en *testEntry) gone() {
+	en.stopped = true
+	en.release()
+	for _, gate := range en.board.Gates.Load().ByTarget {
+		gate.SetAllowance(0)
+	}
+	for _, other := range en.wo.entries {
+		mem := *other.board.Members.Load()
+		mem.Alive = maps.Clone(mem.Alive)
+		delete(mem.Alive, en.co.opt.Self.ID)
+		mem.Gone = map[platform.Incarnation]blackboard.GoneReason{en.co.opt.Self.Incarnation: blackboard.GoneRefused}
+		other.board.Members.Publish(&mem)
+	}
+}
+
+// run lets every entry that is not stopped do its rounds for the duration, and
+// checks after each that the slots of no target are exceeded.
+func (wo *world) run(dur time.Duration) {
+	for end := wo.now + dur; wo.now < end; {
+		wo.now += lendingTick
+		for _, en := range wo.entries {
+			if en.stopped {
+				continue
+			}
+			if wo.now%claimTick == 0 {
+				en.co.claimRound(context.Background())
+			}
+			en.co.lendingRound(context.Background())
+			en.awaitReplies()
+			wo.check()
+		}
+	}
+}
+
+func (en *testEntry) awaitReplies() {
+	for busy := true; busy; {
+		busy = false
+		en.co.mu.Lock()
+		for _, str := range en.co.streams {
+			busy = busy || str.busy
+		}
+		en.co.mu.Unlock()
+	}
+}
+
+// usable returns the slots of the target that the entry may take or uses.
+func (en *testEntry) usable(id platform.TargetID) int {
+	if gate := en.board.Gates.Load().ByTarget[id]; gate != nil {
+		slots, used := gate.Allowance()
+		return max(slots, used)
+	}
+	return 0
+}
+
+func (en *testEntry) total() int {
+	sum := 0
+	for _, vm := range en.wo.vms.Targets["fitdesk"] {
+		sum += en.usable(platform.TargetID(vm.ID))
+	}
+	return sum
+}
+
+func (wo *world) check() {
+	for _, vm := range wo.vms.Targets["fitdesk"] {
+		sum, parts := 0, []string{}
+		for _, en := range wo.entries {
+			sum += en.usable(platform.TargetID(vm.ID))
+			parts = append(parts, fmt.Sprint(en.id, " ", en.usable(platform.TargetID(vm.ID))))
+		}
+		if sum > 8 {
+			wo.tb.Fatalf("at %s %d slots of %s are usable: %s", wo.now, sum, vm.ID, strings.Join(parts, ", "))
+		}
+	}
+}
+
+// take takes every slot that the entry can get, release gives all back.
+func (en *testEntry) take() {
+	for id, gate := range en.board.Gates.Load().ByTarget {
+		for gate.TryAcquire() {
+			en.used = append(en.used, id)
+		}
+	}
+}
+
+func (en *testEntry) release() {
+	for _, id := range en.used {
+		en.board.Gates.Load().ByTarget[id].Release()
+	}
+	en.used = nil
+}
+
+func (en *testEntry) Load() []target.ServiceLoad {
+	return []target.ServiceLoad{{Service: "fitdesk", Waiting: en.waiting}}
+}
+func (en *testEntry) SlotsChanged() {}
+
+// DoForwarded counts the runs of forwarded requests.
+func (en *testEntry) DoForwarded(_ context.Context, req target.Request) (target.Answer, error) {
+	en.runs++
+	if !req.Forwarded {
+		return target.Answer{}, errors.New("not marked as forwarded")
+	}
+	return target.Answer{Status: 200, Body: req.Body}, nil
+}
+
+// Call delivers a message unless the network is cut.
+func (en *testEntry) Call(_ context.Context, addr, method string, args, reply any) error {
+	wo := en.wo
+	wo.mu.Lock()
+	cut := wo.cut[addr] || wo.cut[en.id]
+	wo.messages++
+	if _, ok := args.(*HintArgs); !ok {
+		wo.bytes += size(args)
+	}
+	wo.mu.Unlock()
+	i := 0
+	if n, err := fmt.Sscanf(addr, "entry-%d", &i); n != 1 || err != nil || cut || wo.entries[i].stopped {
+		return peer.ErrUnreachable
+	}
+	rc := wo.entries[i].co.Receiver()
+	var err error
+	switch method {
+	case hintMethod:
+		err = rc.Hint(*args.(*HintArgs), reply.(*HintReply))
+	case exchangeMethod:
+		err = rc.Exchange(*args.(*ExchangeArgs), reply.(*ExchangeReply))
+	case offerMethod:
+		err = rc.Offer(*args.(*OfferArgs), reply.(*OfferReply))
+	case forwardMethod:
+		err = rc.Forward(*args.(*ForwardArgs), reply.(*ForwardReply))
+		if wo.loseAnswers {
+			return errBroken
+		}
+	}
+	wo.mu.Lock()
+	wo.bytes += size(reply)
+	wo.mu.Unlock()
+	return err
+}
+
+// size returns the bytes of a message without the type descriptions that net/rpc
+// sends once on each connection.
+func size(msg any) int {
+	var buf bytes.Buffer
+	enc := gob.NewEncoder(&buf)
+	_ = enc.Encode(msg)
+	first := buf.Len()
+	_ = enc.Encode(msg)
+	return buf.Len() - first
+}
+
+// Commit commits as the table does, and may lose the reply.
+func (wo *world) Commit(_ context.Context, tx table.Transaction) (table.Version, error) {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	if wo.outage {
+		return 0, errBroken
+	}
+	if version, ok := wo.done[tx.ID]; ok {
+		return version, nil
+	}
+	var conflicts []table.Row
+	for _, ck := range tx.Checks {
+		if row := wo.rows[ck.Key]; row.Version != ck.Version {
+			conflicts = append(conflicts, table.Row{Key: ck.Key, Version: row.Version, Value: row.Value})
+		}
+	}
+	if conflicts != nil {
+		return 0, &table.ConflictError{Rows: conflicts}
+	}
+	wo.version++
+	wo.commits++
+	for _, wt := range tx.Writes {
+		wo.rows[wt.Key] = table.Row{Key: wt.Key, Version: wo.version, Value: wt.Value}
+		if wt.Delete {
+			delete(wo.rows, wt.Key)
+		}
+	}
+	wo.done[tx.ID] = wo.version
+	if wo.loseReplies {
+		return 0, errBroken
+	}
+	return wo.version, nil
+}
+
+// List lists the rows in one page.
+func (wo *world) List(context.Context, string, string, int) ([]table.Row, error) {
+	wo.mu.Lock()
+	defer wo.mu.Unlock()
+	if wo.outage {
+		return nil, errBroken
+	}
+	return slices.Collect(maps.Values(wo.rows)), nil
+}
+
+func (wo *world) homes() map[platform.EntryID]int {
+	out := map[platform.EntryID]int{}
+	for _, row := range wo.rows {
+		var val rowValue
+		_ = json.Unmarshal(row.Value, &val)
+		out[val.Incarnation.Entry()]++
+	}
+	return out
+}
--- /dev/null
+++ b/internal/home/lending.go
@@ -0,0 +1,246 @@
+package home
+
+import (
+	"sort"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
+)
+
+// ServiceName is the name under which a Receiver is registered.
+const ServiceName = "slots"
+
+const (
+	exchangeMethod = ServiceName + ".Exchange"
+	hintMethod     = ServiceName + ".Hint"
+)
+
+// TargetSlots are slots of one target.
+type TargetSlots struct {
+	Target platform.TargetID
+	Slots  int
+}
+
+// ServiceSlots are slots of any targets of one service.
+type ServiceSlots struct {
+	Service platform.ServiceName
+	Slots   int
+}
+
+// ExchangeArgs is the message of a borrower to a home: what it keeps of its
+// loans, and how many more slots it could use. A loan that is not listed has
+// been returned.
+type ExchangeArgs struct {
+	From, To platform.Incarnation
+	Number   uint64
+	Size     int
+	Keep     []TargetSlots
+	More     []ServiceSlots
+}
+
+// ExchangeReply is the answer of a home. Loans not listed have ended.
+type ExchangeReply struct {
+	// Known is false when the message was for another incarnation or is older
+	// than one already handled; the reply then says nothing about loans.
+	Known bool
+	Loans []TargetSlots
+}
+
+// HintArgs tells that rows of homes have changed.
+type HintArgs struct {
+	From platform.Incarnation
+	// Leaving says that the sender will claim no home any more.
+	Leaving bool
+}
+
+// HintReply is empty.
+type HintReply struct{}
+
+// Receiver handles the messages of other entries.
+type Receiver struct {
+	co *Controller
+}
+
+// Receiver returns the receiver to register under ServiceName.
+func (co *Controller) Receiver() *Receiver { return &Receiver{co: co} }
+
+// Hint makes the controller read the rows of homes soon.
+func (rc *Receiver) Hint(args HintArgs, _ *HintReply) error {
+	co := rc.co
+	if args.Leaving {
+		co.mu.Lock()
+		co.left[args.From.Entry()] = args.From
+		co.mu.Unlock()
+	}
+	co.wakeClaims()
+	return nil
+}
+
+// Exchange lends, renews and takes back slots.
+func (rc *Receiver) Exchange(args ExchangeArgs, rep *ExchangeReply) error {
+	co := rc.co
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if args.To != co.opt.Self.Incarnation {
+		return nil
+	}
+	bo := co.borrowers[args.From]
+	if bo == nil {
+		bo = &borrower{}
+		co.borrowers[args.From] = bo
+	}
+	if args.Number <= bo.number {
+		return nil
+	}
+	bo.number, bo.size, bo.heard = args.Number, args.Size, co.opt.Clock()
+	rep.Known = true
+	keep := map[platform.TargetID]int{}
+	for _, ts := range args.Keep {
+		keep[ts.Target] = ts.Slots
+	}
+	more := map[platform.ServiceName]int{}
+	for _, ss := range args.More {
+		more[ss.Service] = ss.Slots
+	}
+	bo.demand = map[platform.ServiceName]int{}
+	for service, pool := range co.pools() {
+		pool.lend(co, args, bo, keep, more[service], rep)
+	}
+	return nil
+}
+
+// pool is the targets of one service that this entry is the home of.
+type pool struct {
+	service platform.ServiceName
+	ids     []platform.TargetID
+}
+
+func (co *Controller) pools() map[platform.ServiceName]*pool {
+	out := map[platform.ServiceName]*pool{}
+	for id, st := range co.targets {
+		if st.home == nil {
+			continue
+		}
+		po := out[st.vm.Service]
+		if po == nil {
+			po = &pool{service: st.vm.Service}
+			out[st.vm.Service] = po
+		}
+		po.ids = append(po.ids, id)
+	}
+	for _, po := range out {
+		sort.Slice(po.ids, func(i, j int) bool { return po.ids[i] < po.ids[j] })
+	}
+	return out
+}
+
+// lend settles the loans of one borrower in one service: its part of the pool
+// by size and demand, taken from or given back to single targets.
+func (po *pool) lend(co *Controller, args ExchangeArgs, bo *borrower, keep map[platform.TargetID]int, more int, rep *ExchangeReply) {
+	held := 0
+	for _, id := range po.ids {
+		held += min(keep[id], co.targets[id].home.LentTo(args.From))
+	}
+	bo.demand[po.service] = held + more
+	part, spare := po.part(co, args.From)
+	want := make(map[platform.TargetID]int, len(po.ids))
+	for _, id := range po.ids {
+		want[id] = min(keep[id], co.targets[id].home.LentTo(args.From))
+	}
+	if part < held {
+		po.recall(want, held-part)
+	} else {
+		po.spread(co, want, min(part-held, more, spare))
+	}
+	for _, id := range po.ids {
+		ho := co.targets[id].home
+		if keep[id] == 0 && want[id] == 0 && ho.LentTo(args.From) == 0 {
+			continue
+		}
+		granted, ok := ho.Exchange(args.From, args.Number, keep[id], want[id], 0)
+		if ok && granted > 0 {
+			rep.Loans = append(rep.Loans, TargetSlots{Target: id, Slots: granted})
+		}
+	}
+}
+
+// part returns the borrower's part of the pool, and how many more slots can be
+// lent without taking from this entry's own part.
+func (po *pool) part(co *Controller, from platform.Incarnation) (part, spare int) {
+	total, lent := 0, 0
+	for _, id := range po.ids {
+		ho := co.targets[id].home
+		if !ho.Closing() {
+			total += ho.Slots()
+		}
+		lent += ho.Lent()
+	}
+	claims := []slotshare.Claim{{Size: co.opt.Self.Size, Demand: co.needOf(po.service)}}
+	at := 0
+	now := co.opt.Clock()
+	incs := make([]platform.Incarnation, 0, len(co.borrowers))
+	for inc := range co.borrowers {
+		incs = append(incs, inc)
+	}
+	sort.Slice(incs, func(i, j int) bool { return incs[i] < incs[j] })
+	for _, inc := range incs {
+		bo := co.borrowers[inc]
+		if now-bo.heard > demandMemory {
+			continue
+		}
+		if inc == from {
+			at = len(claims)
+		}
+		claims = append(claims, slotshare.Claim{Size: bo.size, Demand: bo.demand[po.service]})
+	}
+	parts := slotshare.Apportion(total, claims)
+	return parts[at], max(0, total-lent-parts[0])
+}
+
+// demandMemory is how long the demand of a borrower counts after its message;
+// it renews several times in this time.
+const demandMemory = 1500 * time.Millisecond
+
+// recall lowers the wanted loans by n, the largest first.
+func (po *pool) recall(want map[platform.TargetID]int, n int) {
+	for ; n > 0; n-- {
+		best := po.ids[0]
+		for _, id := range po.ids {
+			if want[id] > want[best] {
+				best = id
+			}
+		}
+		want[best]--
+	}
+}
+
+// spread raises the wanted loans by n, on targets with free slots first, and
+// evenly, so that the borrower has a choice of targets.
+func (po *pool) spread(co *Controller, want map[platform.TargetID]int, n int) {
+	free := make(map[platform.TargetID]int, len(po.ids))
+	unlent := make(map[platform.TargetID]int, len(po.ids))
+	for _, id := range po.ids {
+		ho := co.targets[id].home
+		if ho.Closing() {
+			continue
+		}
+		_, used := co.targets[id].gate.Allowance()
+		unlent[id] = max(0, ho.Slots()-ho.Lent())
+		free[id] = max(0, unlent[id]-used)
+	}
+	for ; n > 0; n-- {
+		best := platform.TargetID("")
+		for _, id := range po.ids {
+			if unlent[id] > 0 && (best == "" || free[id] > free[best]) {
+				best = id
+			}
+		}
+		if best == "" {
+			return
+		}
+		want[best]++
+		unlent[best]--
+		free[best] = max(0, free[best]-1)
+	}
+}
--- /dev/null
+++ b/internal/home/sharing_test.go
@@ -0,0 +1,202 @@
+package home
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/target"
+)
+
+const zone = platform.AvailabilityZone("nalon")
+
+// pair returns a home of one target with 8 slots and an entry that borrows.
+func pair(t *testing.T) (*world, *testEntry, *testEntry) {
+	wo := newWorld(t, 1, zone)
+	wo.add(zone)
+	wo.add(zone)
+	wo.run(time.Second)
+	for i, en := range wo.entries {
+		if en.co.targets["target-0"].home != nil {
+			return wo, en, wo.entries[1-i]
+		}
+	}
+	t.Fatal("no entry has claimed the target")
+	return nil, nil, nil
+}
+
+// TestDisagreeingEntries guards against two entries, each of which believes to
+// be alone, that use more than the target's 8 slots together.
+func TestDisagreeingEntries(t *testing.T) {
+	gm := NewWithT(t)
+	wo := newWorld(t, 1, zone)
+	one, two := wo.add(zone), wo.add(zone)
+	one.sees(one)
+	two.sees(two)
+	for range 40 {
+		one.take()
+		two.take()
+		wo.run(200 * time.Millisecond)
+		one.release()
+		two.release()
+	}
+	gm.Expect(one.total() + two.total()).To(Equal(8))
+}
+
+// TestLoansFollowDemand guards against slots that stay where nobody needs them.
+func TestLoansFollowDemand(t *testing.T) {
+	gm := NewWithT(t)
+	wo, ho, bo := pair(t)
+	bo.waiting = 20
+	wo.run(600 * time.Millisecond)
+	gm.Expect(bo.total()).To(Equal(7), "the home keeps a reserve of one slot")
+	ho.waiting = 20
+	wo.run(2 * time.Second)
+	gm.Expect(ho.total()).To(Equal(4), "equal sizes share equally under overload")
+	bo.waiting, ho.waiting = 0, 0
+	wo.run(2 * time.Second)
+	gm.Expect(bo.total()).To(Equal(1), "unused slots come back, but for the borrower's reserve")
+}
+
+// TestPausedBorrower guards against a process that uses an expired loan after
+// SIGCONT, before any of its controllers has run again.
+func TestPausedBorrower(t *testing.T) {
+	gm := NewWithT(t)
+	wo, ho, bo := pair(t)
+	bo.waiting = 20
+	wo.run(time.Second)
+	gm.Expect(bo.total()).To(Equal(7))
+	bo.stopped = true
+	ho.waiting = 20
+	wo.run(DefaultTerms.Outstanding() + lendingTick)
+	gm.Expect(ho.total()).To(Equal(8))
+	bo.take()
+	gm.Expect(bo.used).To(BeEmpty())
+	bo.stopped = false
+	wo.run(time.Second)
+}
+
+// TestPartitionInZone guards against a home that gives away slots that a
+// borrower on the other side of a partition still uses.
+func TestPartitionInZone(t *testing.T) {
+	gm := NewWithT(t)
+	wo, ho, bo := pair(t)
+	bo.waiting = 20
+	wo.run(time.Second)
+	bo.take()
+	wo.cut[bo.id] = true
+	ho.waiting = 20
+	wo.run(DefaultTerms.Use)
+	gm.Expect(ho.total()).To(Equal(1), "the loan is still counted")
+	bo.release()
+	wo.run(DefaultTerms.Margin + lendingTick)
+	gm.Expect([]int{ho.total(), bo.total()}).To(Equal([]int{8, 0}))
+	wo.cut[bo.id] = false
+	wo.run(2 * time.Second)
+	gm.Expect(bo.total()).To(Equal(4))
+}
+
+// TestTakeOver guards against a home that is taken over on suspicion, and
+// against targets that stay idle after proof of death.
+func TestTakeOver(t *testing.T) {
+	gm := NewWithT(t)
+	wo, ho, bo := pair(t)
+	ho.stopped = true
+	bo.sees(bo)
+	wo.run(10 * time.Second)
+	gm.Expect(bo.co.targets["target-0"].home).To(BeNil(), "there is no proof yet")
+	ho.gone()
+	wo.run(DefaultTerms.Outstanding() + 2*claimTick)
+	gm.Expect(bo.total()).To(Equal(8))
+}
+
+// TestLostClaimReplies guards against two homes of one target, and against a
+// claim that is forgotten because its reply was lost.
+func TestLostClaimReplies(t *testing.T) {
+	gm := NewWithT(t)
+	wo := newWorld(t, 6, zone)
+	one, two := wo.add(zone), wo.add(zone)
+	wo.loseReplies = true
+	wo.run(2 * time.Second)
+	gm.Expect(one.total() + two.total()).To(Equal(48))
+	wo.outage = true
+	wo.run(20 * time.Second)
+	gm.Expect(one.total()+two.total()).To(Equal(48), "an outage changes nothing")
+	wo.outage, wo.loseReplies = false, false
+	wo.run(2 * time.Second)
+	gm.Expect(one.total() + two.total()).To(Equal(48))
+}
+
+// TestLeaveAndJoin guards against targets that idle after a graceful leave, and
+// against a new entry that gets no homes.
+func TestLeaveAndJoin(t *testing.T) {
+	gm := NewWithT(t)
+	wo := newWorld(t, 12, zone)
+	one, two := wo.add(zone), wo.add(zone)
+	wo.run(time.Second)
+	one.stopped = true
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	one.co.Leave(ctx)
+	wo.run(2 * claimTick)
+	gm.Expect([]int{one.total(), two.total()}).To(Equal([]int{0, 96}))
+	three := wo.add(zone)
+	one.gone()
+	wo.run(10 * time.Second)
+	gm.Expect(wo.homes()[three.co.opt.Self.ID]).To(BeNumerically(">=", 3))
+	gm.Expect(two.total() + three.total()).To(Equal(96))
+}
+
+// TestZoneWithoutEntry guards against targets that nobody serves because their
+// zone has no entry, and against homes that are claimed in zones that have one.
+func TestZoneWithoutEntry(t *testing.T) {
+	gm := NewWithT(t)
+	wo := newWorld(t, 4, zone, "cimadevilla")
+	en := wo.add(zone)
+	wo.run(time.Second)
+	gm.Expect(en.total()).To(Equal(32))
+	late := wo.add("cimadevilla")
+	wo.run(10 * time.Second)
+	gm.Expect([]int{en.total(), late.total()}).To(Equal([]int{16, 16}))
+}
+
+// TestForward guards against a request that runs twice, that is forwarded in
+// vain, or that waits behind the peer's own.
+func TestForward(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		prepare func(wo *world, ho *testEntry)
+		wait    time.Duration
+		done    bool
+		outcome outcome.Kind
+		runs    int
+	}{
+		{"free slots", func(*world, *testEntry) {}, time.Second, true, "", 1},
+		{"the wait is shorter than the trip", func(*world, *testEntry) {}, 500 * time.Microsecond, false, "", 0},
+		{"requests wait at the peer", func(_ *world, ho *testEntry) { ho.waiting = 1 }, time.Second, false, "", 0},
+		{"no free slot", func(_ *world, ho *testEntry) { ho.take() }, time.Second, false, "", 0},
+		{"never reached", func(wo *world, ho *testEntry) { wo.cut[ho.id] = true }, time.Second, false, "", 0},
+		{"the answer is lost", func(wo *world, _ *testEntry) { wo.loseAnswers = true }, time.Second, true, outcome.Unknown, 1},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			gm := NewWithT(t)
+			wo, ho, bo := pair(t)
+			wo.run(time.Second)
+			row.prepare(wo, ho)
+			req := target.Request{ID: "1", Service: "fitdesk", Deadline: time.Now().Add(time.Minute)}
+			_, done, err := bo.co.Forwarder().Forward(context.Background(), req, row.wait)
+			gm.Expect(done).To(Equal(row.done))
+			gm.Expect(ho.runs).To(Equal(row.runs))
+			if row.outcome != "" {
+				gm.Expect(outcome.From(err).Outcome).To(Equal(row.outcome))
+			}
+			req.Forwarded = true
+			_, done, _ = bo.co.Forwarder().Forward(context.Background(), req, time.Minute)
+			gm.Expect(done).To(BeFalse(), "one hop at most")
+		})
+	}
+}
--- /dev/null
+++ b/internal/home/view.go
@@ -0,0 +1,155 @@
+package home
+
+import (
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
+)
+
+// entryView is another entry, as far as sharing slots needs it.
+type entryView struct {
+	id      platform.EntryID
+	zone    platform.AvailabilityZone
+	region  platform.RegionName
+	size    int
+	address string
+	// incarnation is empty until the entry has been heard of.
+	incarnation platform.Incarnation
+}
+
+// others returns the other entries that seem alive, and the listed ones that
+// have not been heard of yet: just after a start these are all of them.
+func (co *Controller) others() []entryView {
+	var out []entryView
+	known := map[platform.EntryID]bool{co.opt.Self.ID: true}
+	if mem := co.opt.Members.Load(); mem != nil {
+		for id, me := range mem.Alive {
+			known[id] = true
+			if id != co.opt.Self.ID && co.left[id] != me.Incarnation {
+				out = append(out, entryView{id, me.AvailabilityZone, me.Region, me.Size, me.PeerAddress, me.Incarnation})
+			}
+		}
+		for id := range mem.Suspect {
+			known[id] = true
+		}
+		for inc := range mem.Gone {
+			known[inc.Entry()] = true
+		}
+	}
+	for id := range co.left {
+		known[id] = true
+	}
+	if vms := co.opt.Board.VMs.Load(); vms != nil {
+		for _, vm := range vms.Entries {
+			if id := platform.EntryID(vm.ID); vm.State == platform.StateLive && !known[id] {
+				out = append(out, entryView{id, vm.AvailabilityZone, vm.Region, vm.Size, vm.PeerAddress, ""})
+			}
+		}
+	}
+	return out
+}
+
+// addressOf returns the address of the entry that runs the incarnation.
+func (co *Controller) addressOf(others []entryView, inc platform.Incarnation) string {
+	for _, en := range others {
+		if en.id == inc.Entry() && (en.incarnation == "" || en.incarnation == inc) {
+			return en.address
+		}
+	}
+	return ""
+}
+
+// concerned returns the addresses of the other entries of this zone and of the
+// zones whose targets the batch changes.
+func (co *Controller) concerned(batch *claimBatch) []string {
+	zones := map[platform.AvailabilityZone]bool{co.opt.Self.Zone: true}
+	for id := range batch.claims {
+		zones[co.targets[id].vm.AvailabilityZone] = true
+	}
+	for _, id := range batch.releases {
+		zones[co.targets[id].vm.AvailabilityZone] = true
+	}
+	var out []string
+	for _, en := range co.others() {
+		if zones[en.zone] {
+			out = append(out, en.address)
+		}
+	}
+	return out
+}
+
+// gone returns a function that tells whether an incarnation is proved to have
+// ended. An earlier incarnation of this entry has ended: its address is ours.
+func (co *Controller) gone() func(platform.Incarnation) bool {
+	mem := co.opt.Members.Load()
+	self := co.opt.Self
+	return func(inc platform.Incarnation) bool {
+		if inc.Entry() == self.ID {
+			return inc != self.Incarnation
+		}
+		if mem == nil {
+			return false
+		}
+		_, ok := mem.Gone[inc]
+		return ok
+	}
+}
+
+// readTargets brings the targets up to date with the list of VMs and the
+// configuration, and publishes the gates when the set has changed.
+func (co *Controller) readTargets() {
+	vms := co.opt.Board.VMs.Load()
+	conf := co.opt.Board.Configuration.Load()
+	if vms == nil || conf == nil || vms == co.vms && int64(conf.Number) == co.conf {
+		return
+	}
+	co.vms, co.conf = vms, int64(conf.Number)
+	listed := map[platform.TargetID]bool{}
+	changed := false
+	for service, list := range vms.Targets {
+		for _, vm := range list {
+			id := platform.TargetID(vm.ID)
+			listed[id] = true
+			st := co.targets[id]
+			if st == nil {
+				st = &state{gate: slotshare.NewGateWithClock(0, co.opt.Clock), vacant: co.opt.Clock()}
+				co.targets[id] = st
+				co.adoptOrphan(id, st)
+				changed = true
+			}
+			st.vm = vm
+			st.slots = conf.Document.Services[service].Slots
+			if st.home != nil && st.home.Slots() != st.slots {
+				st.home.SetSlots(st.slots)
+			}
+		}
+	}
+	for id, st := range co.targets {
+		// A home is kept until its row has been deleted.
+		if !listed[id] && st.home == nil {
+			delete(co.targets, id)
+			changed = true
+		} else if !listed[id] {
+			st.vm.State = platform.StateLeaving
+		}
+	}
+	if changed {
+		co.publish()
+	}
+}
+
+func (co *Controller) adoptOrphan(id platform.TargetID, st *state) {
+	key := rowPrefix + string(id)
+	if row, ok := co.orphans[key]; ok {
+		st.read(row)
+		delete(co.orphans, key)
+	}
+}
+
+func (co *Controller) publish() {
+	gates := make(map[platform.TargetID]*slotshare.Gate, len(co.targets))
+	for id, st := range co.targets {
+		gates[id] = st.gate
+	}
+	co.opt.Board.Gates.Publish(&blackboard.Gates{ByTarget: gates})
+}
