--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/target"
 	"github.com/oleanderwall/oleanderwall/internal/vmlist"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
+	"github.com/oleanderwall/oleanderwall/pkg/pausedetect"
 )
 
 // Entry is one running entry process.
@@ -48,6 +49,8 @@
 	operators *httpServer
 	peers     *peer.Server
 	pool      *peer.Pool
+	pause     *pausedetect.Detector
+	members   *peer.Membership
 
 	// forwardPool carries forwarded requests.
 	forwardPool *peer.Pool
@@ -58,6 +61,8 @@
 	targets *target.Dispatcher
 	jobs    *job.Manager
 
+	registration *registration
+
 	draining  atomic.Bool
 	drainOnce chan struct{}
 }
@@ -91,6 +96,13 @@
 func (en *Entry) build() error {
 	hc := platformClient()
 	rows := table.New(en.set.Platform.Table, hc)
+	en.registration = &registration{rows: rows, inc: en.inc, log: en.log}
+	en.pause = pausedetect.New(pauseLimit)
+	var err error
+	if en.members, err = peer.NewMembership(en.membershipOptions()); err != nil {
+		en.pause.Close()
+		return err
+	}
 	store := configuration.NewStore(rows)
 	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
 	en.watcher = configuration.NewWatcher(store, en, en.set.Timing.ConfigurationPoll.Std(), en.log)
@@ -120,6 +132,31 @@
 	return nil
 }
 
+// pauseLimit is the gap after which old state is not acted on. It lies well
+// above the delays of a loaded machine and below the lease of a slot loan.
+const pauseLimit = time.Second
+
+func (en *Entry) membershipOptions() peer.MembershipOptions {
+	return peer.MembershipOptions{
+		Board:  en.board,
+		Server: en.peers,
+		Pool:   en.pool,
+		Self: blackboard.Member{
+			ID:               en.set.EntryID,
+			Incarnation:      en.inc,
+			AvailabilityZone: en.set.AvailabilityZone,
+			Region:           en.set.Region,
+			Size:             en.set.Size,
+			PeerAddress:      en.peers.Address(),
+		},
+		Interval:  en.set.Timing.Heartbeat.Std(),
+		Addresses: en.set.Peers,
+		Pause:     en.pause,
+		Counters:  en.cnt,
+		Log:       en.log,
+	}
+}
+
 // platformClient returns the HTTP client for the platform and the workers. Its
 // requests are idempotent or carry ids, so the resends of Go's transport are
 // harmless.
@@ -184,6 +221,8 @@
 	en.slots.Start()
 	en.jobs.Start()
 	en.peers.Start()
+	en.members.Start()
+	en.grp.Go(en.registration.run)
 	en.callers.start(en.grp)
 	en.operators.start(en.grp)
 	en.log.Info().
@@ -252,10 +291,13 @@
 
 // Close ends the entry at once and waits for its goroutines.
 func (en *Entry) Close() {
+	// No slot may be taken once the others hear that this incarnation has ended.
+	en.slots.Close()
+	en.members.Close()
+	en.pause.Close()
 	en.vms.Close()
 	en.watcher.Close()
 	en.jobs.Close()
-	en.slots.Close()
 	en.targets.Close()
 	en.closeListeners()
 	en.pool.Close()
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -210,10 +210,17 @@
 	})
 }
 
-// Close stops at once and waits. Homes that have not been handed over stay in
-// the table until another entry has proof that this incarnation has ended.
+// Close stops at once and waits; no slot can be taken any more. Homes that have
+// not been handed over stay in the table until another entry has proof that
+// this incarnation has ended.
 func (co *Controller) Close() {
 	co.grp.Close()
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	co.leaving = true
+	for _, st := range co.targets {
+		st.gate.SetAllowance(0)
+	}
 }
 
 // lendingRound brings the targets up to date, ends loans of entries that have
