home: test slot sharing with processes; end slots that a pause has outlived

Cause: sharing was tested with fakes only. Change: specs with two entries of one zone (partition, kill -9 with lost replies of the table, SIGSTOP past the loan). A request that took its slot more than 400 ms ago is not sent any more: it provably did not run and takes a new slot. Owners of rows that membership has never heard of are judged by the list of VMs and by later incarnations of their entry; their homes were stuck for ever. Conclusion: the slots of a target hold under the three faults.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -141,6 +141,7 @@
 	needs     map[platform.ServiceName]*need
 	left      map[platform.EntryID]platform.Incarnation
 	orphans   map[string]table.Row
+	strangers map[platform.Incarnation]*stranger
 	leaving   bool
 	listed    bool
 
@@ -229,6 +230,7 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	co.readTargets()
+	co.judgeStrangers()
 	co.settle()
 	co.measureNeeds()
 	co.borrow()
--- /dev/null
+++ b/internal/home/proof.go
@@ -0,0 +1,71 @@
+package home
+
+import (
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+// Membership proves the end of incarnations that it has heard of. The owner of
+// a row may be another: it ended before this entry started, or before it sent a
+// heartbeat. Such a home would stay without a user for ever.
+const (
+	// replacedAfter is how long after a row was seen another incarnation of its
+	// entry must still be heard. Incarnations of one entry follow each other,
+	// so the owner then ended before; the time covers heartbeats under way.
+	replacedAfter = 5 * time.Second
+	// unlistedFor is how long fresh lists must lack the VM of the owner. The
+	// list lags by seconds, so an entry that has just started is listed by then.
+	unlistedFor = 30 * time.Second
+)
+
+// stranger is what is known of an owner that membership has not heard of.
+type stranger struct {
+	seen     time.Time
+	unlisted time.Time // of the first list without its VM, zero when it is listed
+	gone     bool
+}
+
+// judgeStrangers looks for proof about owners that membership does not know.
+func (co *Controller) judgeStrangers() {
+	mem, vms := co.opt.Members.Load(), co.vms
+	if mem == nil || vms == nil {
+		return
+	}
+	listed := make(map[platform.EntryID]bool, len(vms.Entries))
+	for _, vm := range vms.Entries {
+		listed[platform.EntryID(vm.ID)] = true
+	}
+	owners := map[platform.Incarnation]*stranger{}
+	for _, st := range co.targets {
+		if st.home != nil || st.owner == "" || owners[st.owner] != nil || isKnown(mem, st.owner) {
+			continue
+		}
+		sr := co.strangers[st.owner]
+		if sr == nil {
+			sr = &stranger{seen: time.Now()}
+		}
+		owners[st.owner] = sr
+		sr.judge(mem, vms, st.owner.Entry(), listed[st.owner.Entry()])
+	}
+	co.strangers = owners
+}
+
+func (sr *stranger) judge(mem *blackboard.Members, vms *blackboard.VMs, id platform.EntryID, listed bool) {
+	switch {
+	case listed:
+		sr.unlisted = time.Time{}
+	case sr.unlisted.IsZero():
+		sr.unlisted = vms.Fetched
+	}
+	heir, ok := mem.Alive[id]
+	replaced := ok && heir.LastHeard.Sub(sr.seen) > replacedAfter
+	unlisted := !ok && !sr.unlisted.IsZero() && vms.Fetched.Sub(sr.unlisted) > unlistedFor
+	sr.gone = sr.gone || replaced || unlisted
+}
+
+func isKnown(mem *blackboard.Members, inc platform.Incarnation) bool {
+	_, gone := mem.Gone[inc]
+	return gone || mem.Alive[inc.Entry()].Incarnation == inc || mem.Suspect[inc.Entry()].Incarnation == inc
+}
--- a/internal/home/sharing_test.go
+++ b/internal/home/sharing_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/target"
@@ -200,3 +201,35 @@
 		})
 	}
 }
+
+// TestStranger guards against a home that is lost for good because its owner
+// ended before any present entry had heard of it, and against a takeover from
+// an owner that is only new.
+func TestStranger(t *testing.T) {
+	start := time.Now()
+	for _, row := range []struct {
+		name    string
+		listed  bool
+		heard   time.Duration // of another incarnation, 0 for none
+		elapsed time.Duration
+		gone    bool
+	}{
+		{"listed and never heard", true, 0, time.Hour, false},
+		{"not listed yet", false, 0, unlistedFor, false},
+		{"unlisted for long", false, 0, unlistedFor + time.Second, true},
+		{"another incarnation was heard before", true, time.Second, time.Hour, false},
+		{"another incarnation is heard after", true, replacedAfter + time.Second, time.Hour, true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			sr := &stranger{seen: start}
+			mem := &blackboard.Members{Alive: map[platform.EntryID]blackboard.Member{}}
+			if row.heard > 0 {
+				mem.Alive["entry-9"] = blackboard.Member{Incarnation: "entry-9/2", LastHeard: start.Add(row.heard)}
+			}
+			for _, fetched := range []time.Duration{0, row.elapsed} {
+				sr.judge(mem, &blackboard.VMs{Fetched: start.Add(fetched)}, "entry-9", row.listed)
+			}
+			NewWithT(t).Expect(sr.gone).To(Equal(row.gone))
+		})
+	}
+}
--- a/internal/home/view.go
+++ b/internal/home/view.go
@@ -87,6 +87,9 @@
 		if inc.Entry() == self.ID {
 			return inc != self.Incarnation
 		}
+		if sr := co.strangers[inc]; sr != nil && sr.gone {
+			return true
+		}
 		if mem == nil {
 			return false
 		}
--- /dev/null
+++ b/internal/integration/slots_test.go
@@ -0,0 +1,117 @@
+package integration
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+var _ = Describe("slot sharing", func() {
+	const targetSlots = 8
+
+	// sharing starts two entries of one zone. The stand-in targets would run
+	// 64 requests at once, so that requests above the 8 slots show.
+	sharing := func(targets int) *cluster {
+		fleet := defaultFleet()
+		fleet.Zones = []platform.AvailabilityZone{"nalon"}
+		fleet.Targets, fleet.Workers = targets, 0
+		fleet.Slots, fleet.Connections = 64, 1000
+		fleet.VMLag = 100 * time.Millisecond
+		cl := startCluster(clusterOptions{fleet: fleet, entries: []platform.AvailabilityZone{"nalon", "nalon"}})
+		Eventually(func() int64 {
+			return cl.entries[0].counter("slots_homes") + cl.entries[1].counter("slots_homes")
+		}, "5s", "20ms").Should(Equal(int64(targets)))
+		// Two heartbeats: an entry that nobody has heard of is not missed.
+		time.Sleep(time.Second)
+		return cl
+	}
+
+	// load sends requests from twelve callers until stop is called, and returns
+	// how many were answered.
+	load := func(en *entryProcess) (stop func() int64) {
+		grp := group.New(context.Background())
+		var answered atomic.Int64
+		for range 12 {
+			grp.Go(func(ctx context.Context) {
+				for ctx.Err() == nil {
+					rep := en.call(http.MethodPost, "/v1/services/fitdesk/requests", standin.TargetRequest{RunMillis: 30}, nil)
+					if rep.outcome == "answered" {
+						answered.Add(1)
+					}
+				}
+			})
+		}
+		return func() int64 { grp.Close(); return answered.Load() }
+	}
+
+	check := func(cl *cluster) {
+		for _, ta := range cl.fleet.Targets {
+			Expect(ta.Counts().MaxBusy).To(BeNumerically("<=", targetSlots))
+			Expect(ta.Counts().MaxConnections).To(BeNumerically("<=", 64))
+			for id, runs := range ta.Counts().Executions {
+				Expect(runs).To(Equal(1), "executions of %s", id)
+			}
+		}
+	}
+
+	// Guards against entries that use a target's slots twice while each of them
+	// takes the other for dead, behind a partition within a zone.
+	It("never exceeds a target's slots while entries disagree on who is alive", func() {
+		cl := sharing(2)
+		stopOne, stopTwo := load(cl.entries[0]), load(cl.entries[1])
+		time.Sleep(700 * time.Millisecond)
+		for _, en := range cl.entries {
+			en.peer.Set(faultproxy.Faults{Cut: true})
+		}
+		time.Sleep(3500 * time.Millisecond)
+		for _, en := range cl.entries {
+			en.peer.Set(faultproxy.Faults{})
+		}
+		time.Sleep(700 * time.Millisecond)
+		Expect(stopOne()).To(BeNumerically(">", 0))
+		Expect(stopTwo()).To(BeNumerically(">", 0))
+		check(cl)
+	})
+
+	// Guards against targets that stay idle after the death of their home, and
+	// against a claim that is lost with the reply of the table.
+	It("takes over the homes of a killed entry with proof, though replies of the table are lost", func() {
+		cl := sharing(4)
+		stop := load(cl.entries[1])
+		cl.fleet.Table.SetFaults(standin.TableFaults{DropReplies: 1})
+		cl.entries[0].kill()
+		began := time.Now()
+		Eventually(func() int64 { return cl.entries[1].counter("slots_own") }, "10s", "20ms").Should(Equal(int64(4 * targetSlots)))
+		AddReportEntry("full capacity after kill -9", time.Since(began).String())
+		stop()
+		check(cl)
+	})
+
+	// Guards against an entry that uses an expired loan after a pause.
+	It("never uses a loan that expired while the entry was paused", func() {
+		cl := sharing(1)
+		ho, bo := cl.entries[0], cl.entries[1]
+		if ho.counter("slots_homes") == 0 {
+			ho, bo = bo, ho
+		}
+		stopHome, stopBorrower := load(ho), load(bo)
+		Eventually(func() int64 { return bo.counter("slots_borrowed") }, "3s", "20ms").Should(BeNumerically(">=", 3))
+		bo.signal(syscall.SIGSTOP)
+		Eventually(func() int64 { return ho.counter("slots_own") }, "5s", "20ms").Should(Equal(int64(targetSlots)))
+		bo.signal(syscall.SIGCONT)
+		time.Sleep(500 * time.Millisecond)
+		Expect(stopHome()).To(BeNumerically(">", 0))
+		Expect(stopBorrower()).To(BeNumerically(">", 0))
+		check(cl)
+	})
+})
--- a/internal/target/attempt.go
+++ b/internal/target/attempt.go
@@ -25,11 +25,22 @@
 	continueFreshTimeout = 250 * time.Millisecond
 )
 
+// maxSendDelay is how long after its slot was taken a request may be sent. The
+// process may have been paused in between and the slot lent to another entry;
+// the margin of slot loans (1 s) covers this delay and the run time of most
+// requests.
+const maxSendDelay = 400 * time.Millisecond
+
+// errSlotEnded ends an attempt before anything could run.
+var errSlotEnded = errors.New("the slot was taken too long ago to be used; this process may have been paused")
+
 // exchange is one request on one connection.
 type exchange struct {
 	co    *connection
 	req   *Request
 	limit int64
+	// slotTaken is when the slot for the request was taken.
+	slotTaken time.Time
 	// body has been sent, at least in part: the target may run the request.
 	body bool
 	// proved is set when the target has sent 100 Continue on the connection.
@@ -74,7 +85,7 @@
 
 // exchange sends the request on the connection and reads the answer.
 func (se *service) exchange(ctx context.Context, co *connection, tk *ticket, req *Request, limit int64) (Answer, *failure) {
-	ex := &exchange{co: co, req: req, limit: limit}
+	ex := &exchange{co: co, req: req, limit: limit, slotTaken: tk.began}
 	co.rd.begin(ctx, req.Deadline)
 	stop := context.AfterFunc(ctx, func() { _ = co.SetDeadline(time.Unix(1, 0)) })
 	ans, err := ex.run(ctx, func() {
@@ -139,6 +150,9 @@
 		}
 		raw = raw[split:]
 	}
+	if time.Since(ex.slotTaken) > maxSendDelay {
+		return Answer{}, errSlotEnded
+	}
 	ex.body = true
 	watch()
 	if _, err := ex.co.Write(raw); err != nil {
@@ -269,6 +283,8 @@
 		fa.reason, fa.result, fa.final = reasonCallerGone, resultUnfinished, true
 	case errors.Is(err, errSilent):
 		fa.reason, fa.result = reasonSilent, resultNeutral
+	case errors.Is(err, errSlotEnded):
+		fa.reason, fa.result = reasonSlotEnded, resultNeutral
 	case errors.Is(err, errOversize):
 		fa.reason, fa.result, fa.final = reasonOversized, resultNeutral, true
 	case errors.Is(err, errCrossed):
--- a/internal/target/refusal.go
+++ b/internal/target/refusal.go
@@ -69,6 +69,7 @@
 	reasonTruncated   = "answer-truncated"
 	reasonOversized   = "answer-too-large"
 	reasonCrossed     = "answer-crossed"
+	reasonSlotEnded   = "slot-ended"
 	reasonFailed      = "target-failed"
 	reasonDeadline    = "deadline-passed-in-flight"
 	reasonCallerGone  = "caller-gone-in-flight"
