--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/caller"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/home"
 	"github.com/oleanderwall/oleanderwall/internal/job"
 	"github.com/oleanderwall/oleanderwall/internal/operator"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
@@ -51,6 +52,10 @@
 	pause     *pausedetect.Detector
 	members   *peer.Membership
 
+	// forwardPool carries forwarded requests.
+	forwardPool *peer.Pool
+	slots       *home.Controller
+
 	vms     *vmlist.Poller
 	config  *configuration.Follower
 	targets *target.Dispatcher
@@ -67,13 +72,16 @@
 // New builds an entry and opens its listeners.
 func New(set settings.Settings, log zerolog.Logger) (*Entry, error) {
 	en := &Entry{
-		set:       set,
-		log:       log,
-		inc:       platform.NewIncarnation(set.EntryID),
-		board:     &blackboard.Board{},
-		cnt:       counter.New(),
-		grp:       group.New(context.Background()),
-		pool:      peer.NewPool(),
+		set:   set,
+		log:   log,
+		inc:   platform.NewIncarnation(set.EntryID),
+		board: &blackboard.Board{},
+		cnt:   counter.New(),
+		grp:   group.New(context.Background()),
+		pool:  peer.NewPool(),
+
+		forwardPool: peer.NewPool(),
+
 		drainOnce: make(chan struct{}, 1),
 	}
 	if err := en.listen(); err != nil {
@@ -111,7 +119,11 @@
 		Counters:  en.cnt,
 		Log:       en.log,
 	})
-	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt})
+	if err := en.buildSlots(rows); err != nil {
+		return err
+	}
+	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt, Forwarder: en.slots.Forwarder()})
+	en.slots.Bind(en.targets)
 	if err := en.buildJobs(rows, hc, workerClient()); err != nil {
 		return err
 	}
@@ -207,6 +219,7 @@
 func (en *Entry) Start() {
 	en.vms.Start()
 	en.config.Start()
+	en.slots.Start()
 	en.jobs.Start()
 	en.peers.Start()
 	en.members.Start()
@@ -294,12 +307,15 @@
 	en.draining.Store(true)
 	sleepContext(ctx, en.set.Timing.BalancerNotice.Std())
 	err := en.callers.shutdown(ctx)
+	en.leaveSlots(ctx)
 	en.Close()
 	return err
 }
 
 // Close ends the entry at once and waits for its goroutines.
 func (en *Entry) Close() {
+	// No slot may be taken once the others hear that this incarnation has ended.
+	en.slots.Close()
 	en.members.Close()
 	en.pause.Close()
 	en.vms.Close()
@@ -309,5 +325,6 @@
 	en.targets.Close()
 	en.closeListeners()
 	en.pool.Close()
+	en.forwardPool.Close()
 	en.grp.Close()
 }
