target: let requests wait for slots that are on their way

Cause: an entry that had just started refused requests with no-target although the list showed live targets: their gates were not published yet. Change: no-target is said only when the list shows no live target. Conclusion: partial; a home that is taken over may use its slots only after 3 s, longer than the 2 s that a request waits for them.

--- a/internal/integration/path_test.go
+++ b/internal/integration/path_test.go
@@ -50,6 +50,6 @@
 		cl.entries[0].start()
 		cl.entries[0].awaitReady()
 		rep := cl.entries[0].call(http.MethodPost, "/v1/services/fitdesk/requests", body, nil)
-		Expect(rep.outcome).To(Equal("answered"), rep.body)
+		Expect(rep.outcome).To(Equal("answered"), "%s after %s; %s; %s", rep.body, rep.took, cl.entries[0].get("/metrics"), cl.entries[0].log)
 	})
 })
--- a/internal/target/admission.go
+++ b/internal/target/admission.go
@@ -74,7 +74,7 @@
 // refuse returns the refusal of a request that must wait but cannot be
 // answered in time, nil for a request that may wait.
 func (se *service) refuse(now time.Time, wa *waiter, tq *teamQueue, again bool) error {
-	if len(se.listed) == 0 {
+	if se.live == 0 {
 		return noTarget(se.name, se.returnAfter(now, time.Second))
 	}
 	total, _ := se.slots()
@@ -195,7 +195,7 @@
 	if total > 0 {
 		se.slotsSeen = now
 	}
-	stranded := len(se.listed) == 0 || total == 0 && now.Sub(se.slotsSeen) > slotsPatience
+	stranded := se.live == 0 || total == 0 && now.Sub(se.slotsSeen) > slotsPatience
 	for tq := range se.queue.active {
 		var own seconds
 		for elem := tq.waiters.Front(); elem != nil; {
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -28,6 +28,7 @@
 	weights  map[platform.TeamID]float64
 	seen     boardView
 	targets  map[platform.TargetID]*targetState
+	live     int            // targets that the list of VMs shows as live
 	listed   []*targetState // listed as live, with a gate
 	usable   []*targetState // listed without suspects, or all when all are suspect
 	troubled []*targetState // listed, whose last request failed
@@ -107,6 +108,7 @@
 	}
 	listed := make(map[platform.TargetID]bool, len(vms))
 	se.listed = se.listed[:0]
+	se.live = 0
 	for _, vm := range vms {
 		id := platform.TargetID(vm.ID)
 		listed[id] = true
@@ -116,7 +118,11 @@
 			se.targets[id] = ts
 		}
 		ts.update(vm, view.gates, se.conf)
-		if !ts.leaving && ts.gate != nil {
+		if ts.leaving {
+			continue
+		}
+		se.live++
+		if ts.gate != nil {
 			se.listed = append(se.listed, ts)
 		}
 	}
