entry: leave in named steps and answer what a drain meets

Cause: a draining entry closed idle connections of callers, on which a request could be on its way, never answered with Connection: close, took the platform's SIGTERM during an operator's drain for the second signal, and gave up without saying what.

Seen to fail on the code before (go test ./internal/integration -ginkgo.focus shutdown): - an answer of a draining entry lacked Connection: close; - after the second signal, and at the bound, the log had no list of what was given up (only 'requests were still in flight: context canceled'); - SIGTERM 500 ms after oleanderwall drain cut off 4 requests in flight. Rolling replacement under load passed before and after (no failed request).

Change: Shutdown runs named steps: await-balancer, finish-requests, the steps that AddLeaveStep has added, stop-components, tell-peers. Each gets the context of the bound and is left behind when it does not heed it. Connections of callers stay open to the end; answers ask to close them. A caller that waits for a job hears its present state. What is given up is logged by service with number and age, its callers hear outcome-unknown, and the exit code is 1.

Also: the follower's start spun for up to 2 s after Close while no peers were known; TestLeaveSteps showed it as a step over its bound. Entries are suspected after three silent periods instead of two and a half, which leaves the other side of a pair 750 ms instead of 500 ms to call by itself.

Specs for partitions (a zone cut off with traffic on both sides, one-way, single pairs), pauses and proofs of death over processes; -partition 30s runs the long partition.

--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -36,6 +37,9 @@
 	return nil
 }
 
+// maxSignals is the number of signals that end the daemon at once.
+const maxSignals = 2
+
 // runEntry runs the daemon until SIGTERM, SIGINT or an operator's drain, and
 // then shuts down gracefully. A second signal ends it at once.
 func runEntry(ctx context.Context, args []string, st Streams) error {
@@ -55,25 +59,36 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	en.Start()
+	// A SIGTERM during an operator's drain is the platform's first one.
+	left := maxSignals
 	select {
 	case sig := <-signals:
+		left--
 		log.Info().Str("signal", sig.String()).Msg("shutdown-started")
 	case <-en.Draining():
 		log.Info().Msg("shutdown-started")
 	}
 	ctx, cancel := context.WithTimeout(ctx, set.Timing.ShutdownBound.Std())
 	defer cancel()
-	second := group.New(ctx)
-	defer second.Close()
-	second.Go(func(ctx context.Context) {
-		select {
-		case <-signals:
-			log.Warn().Msg("second-signal")
-			cancel()
-		case <-ctx.Done():
+	more := group.New(ctx)
+	defer more.Close()
+	more.Go(func(ctx context.Context) {
+		for ; left > 0; left-- {
+			select {
+			case <-signals:
+			case <-ctx.Done():
+				return
+			}
 		}
+		log.Warn().Msg("second-signal")
+		cancel()
 	})
-	if err := en.Shutdown(ctx); err != nil {
+	err = en.Shutdown(ctx)
+	var ab *entry.Abandoned
+	if errors.As(err, &ab) {
+		log.Error().Str("requests", ab.RequestList()).Str("steps", ab.StepList()).Msg("shutdown-abandoned")
+	}
+	if err != nil {
 		return err
 	}
 	log.Info().Msg("entry-stopped")
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -152,7 +152,7 @@
 
 // start repeats until a version is in force.
 func (fo *Follower) start(ctx context.Context) {
-	for began := time.Now(); !fo.opt.Peers.Known() && time.Since(began) < startWait; {
+	for began := time.Now(); ctx.Err() == nil && !fo.opt.Peers.Known() && time.Since(began) < startWait; {
 		sleep(ctx, startWait/100)
 	}
 	for ctx.Err() == nil && !fo.attemptStart(ctx) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -58,6 +59,10 @@
 
 	registration *registration
 
+	requests *inflight
+	steps    []LeaveStep
+	stopOnce sync.Once
+
 	draining  atomic.Bool
 	drainOnce chan struct{}
 }
@@ -72,6 +77,7 @@
 		cnt:       counter.New(),
 		grp:       group.New(context.Background()),
 		pool:      peer.NewPool(),
+		requests:  newInflight(),
 		drainOnce: make(chan struct{}, 1),
 	}
 	if err := en.listen(); err != nil {
@@ -118,7 +124,7 @@
 		Incarnation: en.inc,
 		Log:         en.log,
 	})
-	en.callers.handle(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router()))
+	en.callers.handle(en.requests.track(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router())))
 	en.operators.handle(operator.New(operator.Options{
 		Board:       en.board,
 		Store:       acceptor{store, en},
@@ -301,24 +307,21 @@
 // Draining receives one value when an operator asks the entry to drain.
 func (en *Entry) Draining() <-chan struct{} { return en.drainOnce }
 
-// Shutdown drains the entry: readiness fails, requests are still accepted until
-// the balancer has noticed, and requests in flight finish, until ctx ends.
-func (en *Entry) Shutdown(ctx context.Context) error {
-	en.draining.Store(true)
-	sleepContext(ctx, en.set.Timing.BalancerNotice.Std())
-	err := en.callers.shutdown(ctx)
-	en.Close()
-	return err
+// stopComponents ends everything that acts on its own.
+func (en *Entry) stopComponents() {
+	en.stopOnce.Do(func() {
+		en.vms.Close()
+		en.config.Close()
+		en.jobs.Close()
+		en.targets.Close()
+	})
 }
 
 // Close ends the entry at once and waits for its goroutines.
 func (en *Entry) Close() {
 	en.members.Close()
 	en.pause.Close()
-	en.vms.Close()
-	en.config.Close()
-	en.jobs.Close()
-	en.targets.Close()
+	en.stopComponents()
 	en.closeListeners()
 	en.pool.Close()
 	en.grp.Close()
--- /dev/null
+++ b/internal/entry/inflight.go
@@ -0,0 +1,199 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+)
+
+// jobRequests stands for the requests about jobs in lists by service.
+const jobRequests = "jobs"
+
+// inflight knows the requests of callers that are being answered.
+type inflight struct {
+	mu       sync.Mutex
+	draining bool
+	closed   bool
+	requests map[*request]bool
+	changed  chan struct{} // closed when a request ends during a drain
+}
+
+// request is one request of a caller.
+type request struct {
+	service string
+	method  string
+	since   time.Time
+	cancel  context.CancelFunc
+}
+
+func newInflight() *inflight {
+	return &inflight{requests: map[*request]bool{}, changed: make(chan struct{})}
+}
+
+// track counts the requests that pass, and makes answers of a draining entry
+// close their connections. Connections are not closed from this side: a request
+// may be on its way on a connection that looks idle.
+func (in *inflight) track(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wr http.ResponseWriter, hreq *http.Request) {
+		dw := &drainWriter{ResponseWriter: wr, in: in}
+		ctx, cancel := context.WithCancel(hreq.Context())
+		defer cancel()
+		req := &request{service: serviceOf(hreq.URL.Path), method: hreq.Method, since: time.Now(), cancel: cancel}
+		if !in.begin(req) {
+			jsonhttp.WriteError(dw, outcome.Refuse(http.StatusServiceUnavailable, "draining",
+				"this entry has stopped serving", "use another entry", time.Second))
+			return
+		}
+		defer in.end(req)
+		next.ServeHTTP(dw, hreq.WithContext(ctx))
+	})
+}
+
+func serviceOf(path string) string {
+	if rest, ok := strings.CutPrefix(path, "/v1/services/"); ok {
+		name, _, _ := strings.Cut(rest, "/")
+		return name
+	}
+	return jobRequests
+}
+
+func (in *inflight) begin(req *request) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.closed {
+		return false
+	}
+	in.requests[req] = true
+	return true
+}
+
+func (in *inflight) end(req *request) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	delete(in.requests, req)
+	if in.draining {
+		close(in.changed)
+		in.changed = make(chan struct{})
+	}
+}
+
+// drain makes every answer from now on close its connection.
+func (in *inflight) drain() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.draining = true
+}
+
+const (
+	// submitTime is what a submission gets to be admitted. What remains of its
+	// request after that is the wait for the answer.
+	submitTime      = 2 * time.Second
+	waitEndInterval = 100 * time.Millisecond
+)
+
+// finish waits until no request is in flight and then refuses new ones.
+// Callers that wait for a job hear its present state at once: the wait may be
+// longer than a shutdown, and another entry answers the next one.
+func (in *inflight) finish(ctx context.Context) error {
+	for {
+		in.mu.Lock()
+		if len(in.requests) == 0 {
+			in.closed = true
+			in.mu.Unlock()
+			return nil
+		}
+		changed := in.changed
+		in.endWaits()
+		in.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(waitEndInterval):
+		}
+	}
+}
+
+func (in *inflight) endWaits() {
+	for req := range in.requests {
+		if req.service == jobRequests && (req.method == http.MethodGet || time.Since(req.since) > submitTime) {
+			req.cancel()
+		}
+	}
+}
+
+// abandon ends the requests in flight, so that their callers hear an outcome,
+// and returns what they were.
+func (in *inflight) abandon() []AbandonedRequests {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.closed = true
+	byService := map[string]AbandonedRequests{}
+	for req := range in.requests {
+		ab := byService[req.service]
+		ab.Service = req.service
+		ab.Count++
+		ab.Oldest = max(ab.Oldest, time.Since(req.since))
+		byService[req.service] = ab
+		req.cancel()
+	}
+	out := make([]AbandonedRequests, 0, len(byService))
+	for _, ab := range byService {
+		out = append(out, ab)
+	}
+	slices.SortFunc(out, func(a, b AbandonedRequests) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+// drainWriter adds Connection: close to answers that begin while the entry
+// drains, also when the request came before.
+type drainWriter struct {
+	http.ResponseWriter
+	in    *inflight
+	wrote bool
+}
+
+// WriteHeader sends the header.
+func (dw *drainWriter) WriteHeader(status int) {
+	if !dw.wrote {
+		dw.wrote = true
+		dw.in.mu.Lock()
+		draining := dw.in.draining
+		dw.in.mu.Unlock()
+		if draining {
+			dw.Header().Set("Connection", "close")
+		}
+	}
+	dw.ResponseWriter.WriteHeader(status)
+}
+
+// Write sends a part of the body.
+func (dw *drainWriter) Write(raw []byte) (int, error) {
+	if !dw.wrote {
+		dw.WriteHeader(http.StatusOK)
+	}
+	return dw.ResponseWriter.Write(raw)
+}
+
+// Unwrap serves http.ResponseController.
+func (dw *drainWriter) Unwrap() http.ResponseWriter { return dw.ResponseWriter }
+
+// AbandonedRequests are requests of one service that a shutdown gave up.
+type AbandonedRequests struct {
+	Service string
+	Count   int
+	Oldest  time.Duration
+}
+
+// String returns the service, the number and the age of the oldest request.
+func (ab AbandonedRequests) String() string {
+	return fmt.Sprintf("%s: %d in flight, oldest %.1fs", ab.Service, ab.Count, ab.Oldest.Seconds())
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -34,14 +34,6 @@
 	grp.Go(func(context.Context) { _ = sv.hs.Serve(sv.ln) })
 }
 
-// shutdown stops accepting connections and waits for requests in flight.
-func (sv *httpServer) shutdown(ctx context.Context) error {
-	if err := sv.hs.Shutdown(ctx); err != nil {
-		return fmt.Errorf("requests were still in flight: %w", err)
-	}
-	return nil
-}
-
 func (sv *httpServer) close() {
 	_ = sv.hs.Close()
 	_ = sv.ln.Close()
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -227,6 +227,14 @@
 	Expect(os.WriteFile(en.settings, []byte(text), 0o600)).To(Succeed())
 }
 
+// replaceSetting changes a part of the settings file.
+func (en *entryProcess) replaceSetting(old, text string) {
+	raw, err := os.ReadFile(en.settings)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(raw)).To(ContainSubstring(old))
+	Expect(os.WriteFile(en.settings, []byte(strings.Replace(string(raw), old, text, 1)), 0o600)).To(Succeed())
+}
+
 func (en *entryProcess) vm() platform.VM {
 	return platform.VM{
 		ID:               en.id,
--- /dev/null
+++ b/internal/integration/membership_test.go
@@ -0,0 +1,185 @@
+package integration
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
+)
+
+// partitionLength is how long a zone is cut off: go test ./internal/integration
+// -partition 30s runs the long version.
+var partitionLength = flag.Duration("partition", 3*time.Second, "length of the partition of a zone")
+
+// pairProxies puts a proxy on the way from each entry to each other one, so
+// that single pairs and directions can be cut.
+type pairProxies map[[2]int]*faultproxy.Proxy
+
+// prepare gives each entry a list of VMs of its own, in which the peer address
+// of another entry is the proxy between the two.
+func (pp pairProxies) prepare(cl *cluster) {
+	for i, from := range cl.entries {
+		var pairs []string
+		for k, to := range cl.entries {
+			if i != k {
+				pp[[2]int{i, k}] = newProxy(to.peers)
+				pairs = append(pairs, to.peer.Address(), pp[[2]int{i, k}].Address())
+			}
+		}
+		rewrite := strings.NewReplacer(pairs...)
+		srv, err := standin.Serve("127.0.0.1:0", http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
+			rec := httptest.NewRecorder()
+			cl.fleet.VMs.ServeHTTP(rec, req)
+			if etag := rec.Header().Get("ETag"); etag != "" {
+				wr.Header().Set("ETag", etag)
+			}
+			wr.WriteHeader(rec.Code)
+			_, _ = rewrite.WriteString(wr, rec.Body.String())
+		}))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(srv.Close)
+		old := from.vms.Address()
+		from.vms = newProxy(srv.Address())
+		from.replaceSetting(old, from.vms.Address())
+	}
+}
+
+// cutOff separates entry i from the other entries and from the platform.
+func (pp pairProxies) cutOff(cl *cluster, i int, faults faultproxy.Faults) {
+	for pair, px := range pp {
+		if pair[0] == i || pair[1] == i {
+			px.Set(faults)
+		}
+	}
+	for _, px := range []*faultproxy.Proxy{cl.entries[i].table, cl.entries[i].objects, cl.entries[i].vms} {
+		px.Set(faults)
+	}
+}
+
+// sees returns the states of all members at an entry, such as "entry-2=alive".
+func (en *entryProcess) sees() []string {
+	var out []string
+	for _, mem := range en.status().Members {
+		out = append(out, mem.ID+"="+mem.State+mem.Reason)
+	}
+	return out
+}
+
+func (cl *cluster) awaitAllAlive() {
+	for i, en := range cl.entries {
+		var want []string
+		for k, other := range cl.entries {
+			if i != k {
+				want = append(want, other.id+"=alive")
+			}
+		}
+		Eventually(en.sees, "5s", "20ms").Should(ConsistOf(want), en.id)
+	}
+}
+
+var _ = Describe("membership", func() {
+	// Guards against a cut-off zone that stops serving or changes its
+	// configuration, and against a heal after which entries disagree or rush.
+	It("serves on both sides of a cut-off zone and agrees after it heals", func() {
+		pp := pairProxies{}
+		cl := startCluster(clusterOptions{fleet: defaultFleet(), entries: threeEntries(), prepare: pp.prepare})
+		cl.awaitAllAlive()
+		Expect(cl.entries[0].number()).To(Equal(int64(1)))
+		sides := []*balancer{newBalancer(cl.entries[:1]), newBalancer(cl.entries[1:])}
+		stops := []func(){sides[0].start(2), sides[1].start(2)}
+		// Frozen, not closed: a partition tells nobody that it is there.
+		pp.cutOff(cl, 0, faultproxy.Faults{Freeze: true})
+		cutAt := time.Now()
+		Eventually(cl.entries[0].sees, "5s", "20ms").Should(ConsistOf("entry-2=suspect", "entry-3=suspect"))
+		Eventually(cl.entries[1].sees, "5s", "20ms").Should(ConsistOf("entry-1=suspect", "entry-3=alive"))
+		_, err := cl.entries[1].patch(1, "during-the-partition", "one")
+		Expect(err).NotTo(HaveOccurred())
+		cl.awaitNumber(2, cl.entries[1:]...)
+		time.Sleep(time.Until(cutAt.Add(*partitionLength)))
+		st := cl.entries[0].status()
+		Expect(st.Ready).To(BeTrue())
+		Expect(st.Number).To(Equal(int64(1)))
+		Expect(st.Table).To(BeFalse())
+		reads := cl.fleet.Table.Counts().Reads
+		pp.cutOff(cl, 0, faultproxy.Faults{})
+		healed := time.Now()
+		cl.awaitNumber(2, cl.entries...)
+		cl.awaitAllAlive()
+		// Three entries poll twice a second in these specs, and fetch once.
+		Expect(cl.fleet.Table.Counts().Reads - reads).To(BeNumerically("<", 20+10*time.Since(healed).Seconds()))
+		for i, stop := range stops {
+			stop()
+			sides[i].expectNoFailure()
+		}
+	})
+
+	// Guards against suspicion of an entry that can only be reached in one
+	// direction, or by all but one.
+	It("keeps entries alive in one-way partitions and suspects single pairs alone", func() {
+		pp := pairProxies{}
+		cl := startCluster(clusterOptions{fleet: defaultFleet(), entries: threeEntries(), prepare: pp.prepare})
+		cl.awaitAllAlive()
+		pp[[2]int{0, 1}].Set(faultproxy.Faults{Cut: true})
+		pp[[2]int{2, 0}].Set(faultproxy.Faults{Freeze: true})
+		Consistently(func() int64 {
+			return cl.entries[0].counter("peer_suspected") + cl.entries[1].counter("peer_suspected") + cl.entries[2].counter("peer_suspected")
+		},
+			"2s", "100ms").Should(BeZero())
+		_, err := cl.entries[0].patch(1, "one-way", "one")
+		Expect(err).NotTo(HaveOccurred())
+		cl.awaitNumber(2, cl.entries...)
+		pp[[2]int{1, 0}].Set(faultproxy.Faults{Cut: true})
+		Eventually(cl.entries[0].sees, "5s", "20ms").Should(ConsistOf("entry-2=suspect", "entry-3=alive"))
+		Expect(cl.entries[2].sees()).To(ConsistOf("entry-1=alive", "entry-2=alive"))
+	})
+
+	// Guards against a paused process that counts as dead, and one that acts on
+	// its old view of the others when it resumes.
+	It("does not take a paused entry for gone, nor the others after the pause", func() {
+		cl := startCluster(clusterOptions{fleet: defaultFleet(), entries: threeEntries()})
+		cl.awaitAllAlive()
+		cl.entries[0].signal(syscall.SIGSTOP)
+		Eventually(cl.entries[1].sees, "5s", "20ms").Should(ContainElement("entry-1=suspect"))
+		Consistently(cl.entries[1].sees, "1s", "100ms").Should(ContainElement("entry-1=suspect"))
+		cl.entries[0].signal(syscall.SIGCONT)
+		cl.awaitAllAlive()
+		Expect(cl.entries[0].counter("peer_paused")).To(BeNumerically(">=", 1))
+		Expect(cl.entries[0].counter("peer_suspected")).To(BeZero())
+	})
+
+	// Guards against a death that nobody proves, a restart that does not replace
+	// the old incarnation in the table and at the peers, and a list of members
+	// that hides the entry that lags.
+	It("proves the death of an entry and registers its next incarnation", func() {
+		cl := startCluster(clusterOptions{fleet: defaultFleet(), entries: threeEntries()})
+		cl.awaitAllAlive()
+		row := func() string {
+			rows := cl.fleet.Table.Rows("entry/entry-1")
+			if len(rows) != 1 {
+				return fmt.Sprint(rows)
+			}
+			return string(rows[0].Value)
+		}
+		Eventually(row, "3s", "20ms").Should(ContainSubstring("entry-1/"))
+		before := row()
+		Eventually(func() (string, error) { return command("status", "-all", "-entry", "http://"+cl.entries[0].operators) }, "5s", "100ms").
+			Should(And(MatchRegexp(`entry-1 +austin-north +self +1 +false`), MatchRegexp(`entry-3 +temple-south +alive +1 +false`)))
+		cl.entries[0].kill()
+		for _, en := range cl.entries[1:] {
+			Eventually(en.sees, "5s", "20ms").Should(ContainElement("entry-1=goneconnection-refused"))
+		}
+		cl.entries[0].start()
+		cl.entries[0].awaitReady()
+		cl.awaitAllAlive()
+		Eventually(row, "3s", "20ms").ShouldNot(Equal(before))
+	})
+})
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -87,8 +87,9 @@
 }
 
 const (
-	// suspectPeriods is two missed heartbeats and half a period of delay.
-	suspectPeriods = 2.5
+	// suspectPeriods is two missed heartbeats and one period more, within which
+	// the side that only answers has called by itself.
+	suspectPeriods = 3
 	// silentPeriods is the silence after which the side of a pair that only
 	// answers heartbeats calls by itself.
 	silentPeriods = 1.5
@@ -557,7 +558,7 @@
 // judge finds suspects, and the suspects whose VM the list shows no more.
 func (me *Membership) judge(now time.Time) {
 	for inc, st := range me.states {
-		limit := time.Duration(suspectPeriods * float64(me.period(st.mem.ID)))
+		limit := suspectPeriods * me.period(st.mem.ID)
 		if !st.suspect && now.Sub(st.mem.LastHeard) > limit {
 			st.suspect = true
 			me.dirty = true
--- a/internal/peer/membership_test.go
+++ b/internal/peer/membership_test.go
@@ -141,6 +141,7 @@
 // TestPartitionIsNoProof guards against a partition that counts as a death: a
 // cut-off entry stays suspect, and both sides agree soon after it heals.
 func TestPartitionIsNoProof(t *testing.T) {
+	t.Parallel()
 	a, b, toA, toB := pair(t)
 	toA.Set(faultproxy.Faults{Cut: true})
 	toB.Set(faultproxy.Faults{Cut: true})
@@ -157,6 +158,7 @@
 // TestOneWayPartition guards against a false suspicion when connections open in
 // one direction alone: the heartbeats of the other side serve both.
 func TestOneWayPartition(t *testing.T) {
+	t.Parallel()
 	for _, blocked := range []string{"caller", "answerer"} {
 		a, b, toA, toB := pair(t)
 		if blocked == "caller" {
@@ -174,6 +176,7 @@
 // TestSilentConnection guards against a connection that has gone silent for
 // good and keeps an entry suspect although new connections work.
 func TestSilentConnection(t *testing.T) {
+	t.Parallel()
 	a, b, toA, toB := pair(t)
 	opened := toA.Opened() + toB.Opened()
 	toA.Set(faultproxy.Faults{FreezeExisting: true})
@@ -193,6 +196,7 @@
 // TestProofs guards against an entry that ends and never counts as gone, and
 // against a wrong reason.
 func TestProofs(t *testing.T) {
+	t.Parallel()
 	for _, row := range []struct {
 		reason blackboard.GoneReason
 		cause  func(a, b *node)
@@ -228,6 +232,7 @@
 // TestListAloneIsNoProof guards against a list that answers from the past: an
 // entry that sends heartbeats is alive, whatever the list shows.
 func TestListAloneIsNoProof(t *testing.T) {
+	t.Parallel()
 	a, b, _, _ := pair(t)
 	for range 6 {
 		time.Sleep(testInterval)
@@ -261,6 +266,7 @@
 // TestLateHeartbeatReplacesNobody guards against a delayed heartbeat of an old
 // incarnation that ends the present one.
 func TestLateHeartbeatReplacesNobody(t *testing.T) {
+	t.Parallel()
 	a, b, _, _ := pair(t)
 	late := Beat{Incarnation: platform.NewIncarnation(b.id), Identity: &Identity{AvailabilityZone: "south", Size: 1}}
 	a.me.received(&late)
