--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,24 +66,30 @@
 
 	registration *registration
 
+	requests *inflight
+	steps    []LeaveStep
+	stopOnce sync.Once
+
 	draining  atomic.Bool
+	wasReady  atomic.Bool
+	began     time.Time
 	drainOnce chan struct{}
 }
 
 // New builds an entry and opens its listeners.
 func New(set settings.Settings, log zerolog.Logger) (*Entry, error) {
 	en := &Entry{
-		set:   set,
-		log:   log,
-		inc:   platform.NewIncarnation(set.EntryID),
-		board: &blackboard.Board{},
-		cnt:   counter.New(),
-		grp:   group.New(context.Background()),
-		pool:  peer.NewPool(),
-
+		set:         set,
+		log:         log,
+		inc:         platform.NewIncarnation(set.EntryID),
+		board:       &blackboard.Board{},
+		cnt:         counter.New(),
+		grp:         group.New(context.Background()),
+		pool:        peer.NewPool(),
 		forwardPool: peer.NewPool(),
-
-		drainOnce: make(chan struct{}, 1),
+		requests:    newInflight(),
+		began:       time.Now(),
+		drainOnce:   make(chan struct{}, 1),
 	}
 	if err := en.listen(); err != nil {
 		en.closeListeners()
@@ -127,7 +134,7 @@
 	if err := en.buildJobs(rows, hc, workerClient()); err != nil {
 		return err
 	}
-	en.callers.handle(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router()))
+	en.callers.handle(en.requests.track(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router())))
 	en.operators.handle(operator.New(operator.Options{
 		Board:       en.board,
 		Store:       acceptor{store, en},
@@ -274,6 +281,7 @@
 var (
 	ErrNoConfiguration = errors.New("the entry holds no configuration yet; check that the table or a peer is reachable")
 	ErrNoVMList        = errors.New("the entry has not yet read the list of VMs; check that the platform is reachable")
+	ErrNoSlots         = errors.New("the entry has not yet any slots of the targets; they come within seconds of its start")
 	ErrDraining        = errors.New("the entry is draining; use another entry")
 )
 
@@ -286,7 +294,10 @@
 		return ErrNoConfiguration
 	case en.board.VMs.Load() == nil:
 		return ErrNoVMList
+	case en.awaitsSlots():
+		return ErrNoSlots
 	}
+	en.wasReady.Store(true)
 	return nil
 }
 
@@ -301,15 +312,15 @@
 // Draining receives one value when an operator asks the entry to drain.
 func (en *Entry) Draining() <-chan struct{} { return en.drainOnce }
 
-// Shutdown drains the entry: readiness fails, requests are still accepted until
-// the balancer has noticed, and requests in flight finish, until ctx ends.
-func (en *Entry) Shutdown(ctx context.Context) error {
-	en.draining.Store(true)
-	sleepContext(ctx, en.set.Timing.BalancerNotice.Std())
-	err := en.callers.shutdown(ctx)
-	en.leaveSlots(ctx)
-	en.Close()
-	return err
+// stopComponents ends everything that acts on its own.
+func (en *Entry) stopComponents() {
+	en.stopOnce.Do(func() {
+		en.vms.Close()
+		en.config.Close()
+		en.jobs.Close()
+		en.placement.Close()
+		en.targets.Close()
+	})
 }
 
 // Close ends the entry at once and waits for its goroutines.
@@ -318,11 +329,7 @@
 	en.slots.Close()
 	en.members.Close()
 	en.pause.Close()
-	en.vms.Close()
-	en.config.Close()
-	en.jobs.Close()
-	en.placement.Close()
-	en.targets.Close()
+	en.stopComponents()
 	en.closeListeners()
 	en.pool.Close()
 	en.forwardPool.Close()
--- a/internal/target/admission.go
+++ b/internal/target/admission.go
@@ -23,8 +23,8 @@
 	// to another entry; a round trip between entries takes about 1 ms.
 	forwardWorth = 5 * time.Millisecond
 	// slotsPatience is how long requests wait in an entry that has no slots at
-	// all, because its loans may be on their way.
-	slotsPatience = 2 * time.Second
+	// all: a home that is taken over may use its slots after 3 s.
+	slotsPatience = 5 * time.Second
 	// maxReturn bounds the time after which a refused caller is asked back.
 	maxReturn = 30 * time.Second
 	minReturn = 20 * time.Millisecond
