worker: report finished tasks to their owner

Cause: GET /finished returned the tasks of all owners, so with seven entries each result crossed the network seven times. The stand-in also summed the use over all tasks ever started, finished ones included, at every step of every task.

Change: Task carries an owner, the incarnation that started it, and /finished takes an owner parameter with a cursor in that owner's list. Without the parameter all tasks are listed as before. The stand-in keeps running tasks apart.

Conclusion: an entry reads only its own results. The cost of the stand-in was seen in the code, not measured.

--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -75,9 +75,14 @@
 	router chi.Router
 	grp    *group.Group
 
-	mu       sync.Mutex
-	tasks    map[worker.TaskID]*runningTask
-	finished []worker.Report
+	mu    sync.Mutex
+	tasks map[worker.TaskID]*runningTask
+	// running holds the tasks that use resources. Sums over all tasks ever
+	// started made each start slower than the one before.
+	running map[worker.TaskID]*runningTask
+	// finished holds the reports of each owner in the order of finishing; the
+	// empty owner holds the reports of all.
+	finished map[platform.Incarnation][]worker.Report
 	wake     chan struct{}
 	counts   WorkerCounts
 	usage    []worker.Usage
@@ -87,12 +92,14 @@
 // NewWorker returns a worker.
 func NewWorker(opt WorkerOptions) *Worker {
 	wk := &Worker{
-		opt:    opt,
-		router: chi.NewRouter(),
-		grp:    group.New(context.Background()),
-		tasks:  map[worker.TaskID]*runningTask{},
-		wake:   make(chan struct{}),
-		counts: WorkerCounts{Starts: map[worker.TaskID]int{}},
+		opt:      opt,
+		router:   chi.NewRouter(),
+		grp:      group.New(context.Background()),
+		tasks:    map[worker.TaskID]*runningTask{},
+		running:  map[worker.TaskID]*runningTask{},
+		finished: map[platform.Incarnation][]worker.Report{},
+		wake:     make(chan struct{}),
+		counts:   WorkerCounts{Starts: map[worker.TaskID]int{}},
 	}
 	wk.faults.Store(&WorkerFaults{})
 	wk.router.Post("/tasks", wk.start)
@@ -113,6 +120,8 @@
 
 const (
 	usageInterval = 100 * time.Millisecond
+	// everyOwner is the owner parameter of a request that leaves it out.
+	everyOwner platform.Incarnation = ""
 )
 
 // Close stops every task.
@@ -182,6 +191,7 @@
 		share:   1,
 	}
 	wk.tasks[task.ID] = rt
+	wk.running[task.ID] = rt
 	wk.grp.Go(func(context.Context) { wk.run(ctx, rt, faults) })
 	return rt.report
 }
@@ -238,10 +248,7 @@
 
 func (wk *Worker) use() worker.Usage {
 	var use worker.Usage
-	for id, rt := range wk.tasks {
-		if rt.report.State != worker.StateRunning {
-			continue
-		}
+	for id, rt := range wk.running {
 		tu := worker.TaskUsage{
 			ID:           id,
 			Kind:         rt.task.Kind,
@@ -279,7 +286,11 @@
 	if state == worker.StateStopped {
 		wk.counts.Stopped++
 	}
-	wk.finished = append(wk.finished, rt.report)
+	delete(wk.running, rt.task.ID)
+	wk.finished[everyOwner] = append(wk.finished[everyOwner], rt.report)
+	if rt.task.Owner != everyOwner {
+		wk.finished[rt.task.Owner] = append(wk.finished[rt.task.Owner], rt.report)
+	}
 	close(wk.wake)
 	wk.wake = make(chan struct{})
 }
@@ -341,14 +352,15 @@
 
 func (wk *Worker) listFinished(wr http.ResponseWriter, req *http.Request) {
 	query := req.URL.Query()
+	owner := platform.Incarnation(query.Get("owner"))
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	waitMillis, _ := strconv.ParseInt(query.Get("wait-millis"), 10, 64)
 	ctx, cancel := context.WithTimeout(req.Context(), time.Duration(waitMillis)*time.Millisecond)
 	defer cancel()
 	for {
 		wk.mu.Lock()
-		after = min(max(after, 0), int64(len(wk.finished)))
-		tasks := append([]worker.Report(nil), wk.finished[after:]...)
+		after = min(max(after, 0), int64(len(wk.finished[owner])))
+		tasks := append([]worker.Report(nil), wk.finished[owner][after:]...)
 		wake := wk.wake
 		wk.mu.Unlock()
 		if len(tasks) > 0 || ctx.Err() != nil {
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -5,7 +5,7 @@
 //
 //	wk := worker.NewClient("http://10.0.0.7:9100", client)
 //	err := wk.Start(ctx, worker.Task{ID: "job-1/0", LeaseMillis: 10000})
-//	page, err := wk.Finished(ctx, cursor, time.Second)
+//	page, err := wk.Finished(ctx, owner, cursor, time.Second)
 //
 // # Errors
 //
@@ -20,6 +20,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
@@ -53,6 +54,8 @@
 	Accelerators int                  `json:"accelerators,omitempty"`
 	RunMillis    int64                `json:"run-millis,omitempty"`
 	LeaseMillis  int64                `json:"lease-millis"`
+	// Owner is the incarnation that the worker reports the end of the task to.
+	Owner platform.Incarnation `json:"owner,omitempty"`
 }
 
 // Report is the state of a task as its worker reports it.
@@ -130,11 +133,15 @@
 	return rep, err == nil, err
 }
 
-// Finished returns the tasks that have finished after the cursor. It waits up
-// to wait for the first one.
-func (cl *Client) Finished(ctx context.Context, after Cursor, wait time.Duration) (FinishedPage, error) {
-	url := fmt.Sprintf("%s/finished?after=%d&wait-millis=%d", cl.base, after, wait.Milliseconds())
-	return jsonhttp.Call[jsonhttp.None, FinishedPage](ctx, cl.hc, http.MethodGet, url, jsonhttp.None{})
+// Finished returns the tasks of the owner that have finished after the cursor,
+// which counts in that owner's list. It waits up to wait for the first one.
+func (cl *Client) Finished(ctx context.Context, owner platform.Incarnation, after Cursor, wait time.Duration) (FinishedPage, error) {
+	query := url.Values{
+		"owner":       {string(owner)},
+		"after":       {strconv.FormatInt(int64(after), 10)},
+		"wait-millis": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	return jsonhttp.Call[jsonhttp.None, FinishedPage](ctx, cl.hc, http.MethodGet, cl.base+"/finished?"+query.Encode(), jsonhttp.None{})
 }
 
 // Renew extends the leases of tasks.
