--- a/internal/worker/dispatcher.go
+++ b/internal/worker/dispatcher.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // Demand is one task that waits for a worker, with its declared sizes.
@@ -51,16 +56,47 @@
 	Log         zerolog.Logger
 }
 
+// counterFamily is the family of all counters of this package.
+const counterFamily = "worker"
+
+// ErrNotAssigned says that Start was called for a task without a reserved
+// place: withdrawn, sent before, or ended. The call has sent nothing.
+var ErrNotAssigned = errors.New("the task has no reserved place; enqueue it first, and start it once")
+
 // Dispatcher places tasks on workers and carries the traffic with them.
 type Dispatcher struct {
 	opt    Options
 	events Events
+	grp    *group.Group
+	wake   chan struct{}
+	fresh  *freshClient
+	polls  pollBudget
+	bounds bounds
+
+	mu    sync.Mutex
+	sched *scheduler
+
+	// The snapshots of the blackboard that the scheduler has taken over.
+	vms     *blackboard.VMs
+	members *blackboard.Members
+	version *configuration.Version
+	ticks   int
+	closed  atomic.Bool
 }
 
 // New returns a dispatcher. Call SetEvents and then Run before any other
 // method.
 func New(opt Options) *Dispatcher {
-	return &Dispatcher{opt: opt}
+	self := entryInfo{id: opt.Incarnation.Entry(), zone: opt.Zone}
+	return &Dispatcher{
+		opt:    opt,
+		grp:    group.New(context.Background()),
+		wake:   make(chan struct{}, 1),
+		fresh:  newFreshClient(),
+		polls:  newPollBudget(time.Now()),
+		bounds: defaultBounds,
+		sched:  newScheduler(self, opt.Counters, time.Now),
+	}
 }
 
 // SetEvents sets the receiver of the ends of tasks.
@@ -68,51 +104,155 @@
 	di.events = ev
 }
 
+// tickInterval is the step of everything that depends on time: leases, polls,
+// late tasks, and changes of the blackboard.
+const tickInterval = 100 * time.Millisecond
+
 // Run begins to place tasks.
-func (di *Dispatcher) Run() {}
+func (di *Dispatcher) Run() {
+	di.takeOver()
+	di.grp.Go(di.placeLoop)
+	di.grp.Every(tickInterval, di.tick)
+}
 
 // Close ends all traffic and waits. Running tasks stay on their workers until
 // their leases lapse.
-func (di *Dispatcher) Close() {}
+func (di *Dispatcher) Close() {
+	di.closed.Store(true)
+	di.grp.Close()
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	for _, ma := range di.sched.machines {
+		if ma.link != nil {
+			ma.link.close()
+		}
+	}
+}
 
 // Admissible returns nil when some worker is large enough for the demand. An
 // *outcome.Error with status 422 names the dimension that fits no worker.
 func (di *Dispatcher) Admissible(dm Demand) error {
-	return nil
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	return di.sched.admissible(&dm)
 }
 
 // Enqueue queues tasks. It calls assigned for each one, from a goroutine of the
 // dispatcher, once room on a worker is reserved. assigned must not block. The
 // room stays reserved until Start returns ErrRefused, the task ends, or
-// Withdraw frees it.
+// Withdraw frees it. A task that is already queued, assigned or running is
+// passed over.
 func (di *Dispatcher) Enqueue(dms []Demand, assigned func(task TaskID, pl Placement)) {
+	di.mu.Lock()
+	for i := range dms {
+		if di.sched.tasks[dms[i].Task] == nil {
+			di.sched.enqueue(&dms[i], assigned)
+		}
+	}
+	di.mu.Unlock()
+	di.wakeUp()
 }
 
 // Withdraw takes back tasks that have not been sent: queued ones, and assigned
 // ones whose room it frees. A call of assigned that is already under way may
-// still arrive; such a task must not be passed to Start.
+// still arrive; Start then returns ErrNotAssigned.
 func (di *Dispatcher) Withdraw(tasks []TaskID) {
+	di.mu.Lock()
+	for _, id := range tasks {
+		di.sched.withdraw(id)
+	}
+	di.mu.Unlock()
+	di.wakeUp()
+}
+
+func (di *Dispatcher) wakeUp() {
+	select {
+	case di.wake <- struct{}{}:
+	default:
+	}
+}
+
+// placeLoop announces assignments in small batches, so that the lock is held
+// for well under a millisecond.
+func (di *Dispatcher) placeLoop(ctx context.Context) {
+	const batch = 64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-di.wake:
+		}
+		for ctx.Err() == nil {
+			di.mu.Lock()
+			placed := di.sched.place(batch)
+			di.mu.Unlock()
+			for _, as := range placed {
+				as.tk.assigned(as.tk.id, as.pl)
+			}
+			if len(placed) < batch {
+				break
+			}
+		}
+	}
+}
+
+// takeOver passes changed snapshots of the blackboard to the scheduler.
+func (di *Dispatcher) takeOver() {
+	board := di.opt.Board
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	if vms := board.VMs.Load(); vms != nil && vms != di.vms {
+		di.vms = vms
+		di.sched.setMachines(vms.Workers)
+	}
+	if members := board.Members.Load(); members != nil && members != di.members {
+		di.members = members
+		di.sched.setEntries(di.liveEntries(members))
+	}
+	if version := board.Configuration.Load(); version != nil && version != di.version {
+		di.version = version
+		di.sched.setTeams(version.Document.Teams)
+	}
 }
 
-// Start sends a task to its worker, once. After ErrRefused the task has
-// provably not started and its room is free. After any other error it may have
-// started; the dispatcher follows it, and Events tells how it ended.
-func (di *Dispatcher) Start(ctx context.Context, pl Placement, task Task) error {
-	return errors.New("the dispatcher does not start tasks yet")
+func (di *Dispatcher) liveEntries(members *blackboard.Members) []entryInfo {
+	entries := []entryInfo{di.sched.self}
+	for id, me := range members.Alive {
+		if id != di.sched.self.id {
+			entries = append(entries, entryInfo{id: id, zone: me.AvailabilityZone})
+		}
+	}
+	return entries
 }
 
-// Query asks a worker for the state of a task, over a new connection. It
-// reports false when the worker does not know the task.
-func (di *Dispatcher) Query(ctx context.Context, wk platform.WorkerID, task TaskID) (Report, bool, error) {
-	return Report{}, false, errors.New("the dispatcher does not query workers yet")
+func (di *Dispatcher) tick(ctx context.Context) {
+	const slowEvery = 5
+	di.takeOver()
+	di.ticks++
+	if di.ticks%slowEvery == 0 {
+		di.mu.Lock()
+		di.sched.tick(slowEvery * tickInterval)
+		di.publishGauges()
+		di.mu.Unlock()
+	}
+	di.followAll()
+	di.renewLeases()
+	di.pollUsage(time.Now())
+	di.wakeUp()
 }
 
-// Adopt follows tasks that an earlier owner may have started on the worker, and
-// renews their leases. It starts nothing.
-func (di *Dispatcher) Adopt(pl Placement, tasks []TaskID) {
+func (di *Dispatcher) publishGauges() {
+	if di.opt.Counters == nil {
+		return
+	}
+	di.opt.Counters.Gauge(counterFamily+".queued", int64(di.sched.queued))
+	di.opt.Counters.Gauge(counterFamily+".in-flight", int64(len(di.sched.tasks)-di.sched.queued))
+	di.opt.Counters.Gauge(counterFamily+".suspended-now", int64(di.sched.suspendedMachines()))
+	di.opt.Counters.Gauge(counterFamily+".control-bytes", di.fresh.bytes.Load())
 }
 
-// Stop asks the workers of tasks that have been sent to stop them. A stopped
-// task ends with a call of Events like any other.
-func (di *Dispatcher) Stop(tasks []TaskID) {
+func (di *Dispatcher) count(reason string, n int) {
+	if di.opt.Counters != nil && n > 0 {
+		di.opt.Counters.Add(counterFamily, reason, int64(n))
+	}
 }
--- /dev/null
+++ b/internal/worker/learning.go
@@ -0,0 +1,192 @@
+package worker
+
+import (
+	"math"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+// size is an amount of each dimension: cores, megabytes and accelerators.
+type size struct {
+	cores, memory, accelerators float64
+}
+
+func sizeOf(cores platform.Cores, memory platform.Megabytes, accelerators int) size {
+	return size{float64(cores), float64(memory), float64(accelerators)}
+}
+
+func (sz size) plus(other size) size {
+	return size{sz.cores + other.cores, sz.memory + other.memory, sz.accelerators + other.accelerators}
+}
+
+func (sz size) minus(other size) size {
+	return size{sz.cores - other.cores, sz.memory - other.memory, sz.accelerators - other.accelerators}
+}
+
+func (sz size) times(factor float64) size {
+	return size{sz.cores * factor, sz.memory * factor, sz.accelerators * factor}
+}
+
+func (sz size) atLeast(other size) size {
+	return size{max(sz.cores, other.cores), max(sz.memory, other.memory), max(sz.accelerators, other.accelerators)}
+}
+
+func (sz size) atMost(other size) size {
+	return size{min(sz.cores, other.cores), min(sz.memory, other.memory), min(sz.accelerators, other.accelerators)}
+}
+
+// fits tells whether sz fits into room. The tolerance absorbs rounding in sums
+// of many sizes.
+func (sz size) fits(room size) bool {
+	const tolerance = 1e-6
+	return sz.cores <= room.cores+tolerance && sz.memory <= room.memory+tolerance &&
+		sz.accelerators <= room.accelerators+tolerance
+}
+
+const (
+	// enoughSamples is how many observations of a kind replace its declared
+	// sizes. Fewer let a single odd task decide.
+	enoughSamples = 8
+	// memorySamples bounds the weight of the past: after this many further
+	// observations an old one counts less than 1/e.
+	memorySamples = 64
+	// maxKinds bounds the memory for kinds, whose names callers choose.
+	maxKinds = 4096
+)
+
+// The sizes and run time of a task that declares none and whose kind is
+// unknown.
+const (
+	defaultCores     = 1
+	defaultMemory    = 256
+	defaultRunMillis = 500
+)
+
+// average is a mean and a mean deviation that forget slowly.
+type average struct {
+	samples   int
+	mean, dev float64
+}
+
+func (av *average) add(val float64) {
+	av.samples = min(av.samples+1, memorySamples)
+	if av.samples == 1 {
+		av.mean = val
+		return
+	}
+	alpha := 1 / float64(av.samples)
+	av.dev += alpha * (math.Abs(val-av.mean) - av.dev)
+	av.mean += alpha * (val - av.mean)
+}
+
+// kindStats is what is known about the tasks of one kind.
+type kindStats struct {
+	cores, memory, accelerators average
+	// run is in milliseconds at the speed of an ordinary worker.
+	run average
+	// failures is the share of tasks that fail. A worker under suspicion
+	// counts only once, so that one bad worker cannot discredit a kind.
+	failures average
+	seen     time.Time
+}
+
+// learner holds the statistics of all kinds.
+type learner struct {
+	kinds map[platform.RequestKind]*kindStats
+}
+
+func newLearner() *learner {
+	return &learner{kinds: map[platform.RequestKind]*kindStats{}}
+}
+
+func (le *learner) kind(name platform.RequestKind, now time.Time) *kindStats {
+	ks := le.kinds[name]
+	if ks == nil {
+		if len(le.kinds) >= maxKinds {
+			le.dropOldest()
+		}
+		ks = &kindStats{}
+		le.kinds[name] = ks
+	}
+	ks.seen = now
+	return ks
+}
+
+func (le *learner) dropOldest() {
+	var oldest platform.RequestKind
+	var at time.Time
+	for name, ks := range le.kinds {
+		if at.IsZero() || ks.seen.Before(at) {
+			oldest, at = name, ks.seen
+		}
+	}
+	delete(le.kinds, oldest)
+}
+
+// observe learns the size of one running task.
+func (le *learner) observe(name platform.RequestKind, sz size, now time.Time) {
+	ks := le.kind(name, now)
+	ks.cores.add(sz.cores)
+	ks.memory.add(sz.memory)
+	ks.accelerators.add(sz.accelerators)
+}
+
+// need returns the room to reserve for a task: mean and deviation of its kind
+// once enough tasks were seen. Until then it is the declared size or what was
+// seen, whichever is larger. Nothing needs more than the largest worker.
+func (le *learner) need(dm *Demand, largest size) size {
+	declared := declaredSize(dm)
+	ks := le.kinds[dm.Kind]
+	if ks == nil || ks.cores.samples == 0 {
+		return declared
+	}
+	learned := size{
+		cores:        ks.cores.mean + ks.cores.dev,
+		memory:       ks.memory.mean + ks.memory.dev,
+		accelerators: math.Ceil(ks.accelerators.mean + ks.accelerators.dev - 0.1),
+	}.atMost(largest)
+	if ks.cores.samples < enoughSamples {
+		return learned.atLeast(declared)
+	}
+	return learned
+}
+
+func declaredSize(dm *Demand) size {
+	sz := sizeOf(dm.Processors, dm.Memory, dm.Accelerators)
+	if sz.cores == 0 {
+		sz.cores = defaultCores
+	}
+	if sz.memory == 0 {
+		sz.memory = defaultMemory
+	}
+	return sz
+}
+
+// runTime returns the expected run time of a task on an ordinary worker, and a
+// time that few tasks of its kind exceed.
+func (le *learner) runTime(dm *Demand) (expected, late time.Duration) {
+	ks := le.kinds[dm.Kind]
+	if ks == nil || ks.run.samples < enoughSamples {
+		millis := dm.RunMillis
+		if millis == 0 {
+			millis = defaultRunMillis
+		}
+		expected = time.Duration(millis) * time.Millisecond
+		return expected, 3 * expected
+	}
+	expected = time.Duration(ks.run.mean * float64(time.Millisecond))
+	return expected, expected + time.Duration(3*ks.run.dev*float64(time.Millisecond))
+}
+
+// finished learns from the run time of a finished task and returns by how much
+// the task was slower than its kind, 0 when that is not known yet.
+func (le *learner) finished(name platform.RequestKind, ranMillis, slowness float64, now time.Time) float64 {
+	ks := le.kind(name, now)
+	ratio := 0.0
+	if ks.run.samples >= enoughSamples && ks.run.mean > 0 {
+		ratio = ranMillis / ks.run.mean
+	}
+	ks.run.add(ranMillis / slowness)
+	return ratio
+}
--- /dev/null
+++ b/internal/worker/link.go
@@ -0,0 +1,209 @@
+package worker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout = time.Second
+	// maxStartConnections bounds the connections for starts to one worker. One
+	// carries over 1,000 starts a second.
+	maxStartConnections = 4
+	// idleConnection is how long a connection may be idle and be used again. A
+	// connection that has gone silent would take a start with it.
+	idleConnection = time.Second
+	// connectionBuffer keeps 560 workers with two connections each within the
+	// memory budget; the default is 4 KB in each direction.
+	connectionBuffer = 1 << 10
+	// freshTimeout bounds a request on a connection of its own.
+	freshTimeout = time.Second
+)
+
+// newTransport returns a transport for POST requests that must not be sent
+// twice. Go's transport repeats a request by itself only when no byte of it has
+// been written, or when the request is replayable. A POST without an
+// Idempotency-Key header is not replayable.
+func newTransport(maxConnections int) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxConnsPerHost:     maxConnections,
+		MaxIdleConnsPerHost: maxConnections,
+		IdleConnTimeout:     idleConnection,
+		ReadBufferSize:      connectionBuffer,
+		WriteBufferSize:     connectionBuffer,
+		DisableCompression:  true,
+	}
+}
+
+// never is a wait for 100 Continue that the bound of the request always cuts
+// short. Go's transport would send the body when it ends.
+const never = 24 * time.Hour
+
+// expecting is a transport that sends the body of a request with Expect:
+// 100-continue, only after the worker has asked for it. Until then a connection
+// that has gone silent, or a worker that has died, proves that nothing ran.
+type expecting struct {
+	tr *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (ex expecting) RoundTrip(req *http.Request) (*http.Response, error) {
+	if req.Method == http.MethodPost {
+		req = req.Clone(req.Context())
+		req.Header.Set("Expect", "100-continue")
+	}
+	return ex.tr.RoundTrip(req)
+}
+
+// newHTTPClient returns a client that follows no redirect: following a 307
+// would send a start twice.
+func newHTTPClient(tr http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     tr,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// link is the traffic with one worker.
+type link struct {
+	address string
+	starts  *http.Transport
+	held    *http.Transport
+	sender  *Client
+	holder  *Client
+
+	// The rest is guarded by Dispatcher.mu.
+	cursor     Cursor
+	holding    bool
+	cancelHold context.CancelFunc
+	renewing   bool
+	polling    bool
+	polledAt   time.Time
+	// heardAt is when the worker last answered anything. It is set anew when
+	// the first task is sent after a time without tasks.
+	heardAt time.Time
+	// failures counts failed requests since then.
+	failures int
+	// refusedSince is when connections began to be refused; zero after any
+	// other result.
+	refusedSince time.Time
+	throttled    bool
+}
+
+func newLink(address string) *link {
+	lk := &link{
+		address: address,
+		starts:  newTransport(maxStartConnections),
+		held:    newTransport(1),
+	}
+	lk.starts.ExpectContinueTimeout = never
+	lk.sender = NewClient("http://"+address, newHTTPClient(expecting{lk.starts}))
+	lk.holder = NewClient("http://"+address, newHTTPClient(lk.held))
+	return lk
+}
+
+func (lk *link) close() {
+	lk.starts.CloseIdleConnections()
+	lk.held.CloseIdleConnections()
+}
+
+// freshClient opens a new connection for each request, so that a silent
+// connection cannot mislead it, and counts the bytes of control traffic.
+type freshClient struct {
+	hc    *http.Client
+	tr    *http.Transport
+	bytes atomic.Int64
+}
+
+// handshakeBytes is what opening and closing a TCP connection costs, packet
+// headers included.
+const handshakeBytes = 400
+
+func newFreshClient() *freshClient {
+	fc := &freshClient{}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	fc.tr = newTransport(0)
+	fc.tr.DisableKeepAlives = true
+	fc.tr.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		fc.bytes.Add(handshakeBytes)
+		return &countingConn{Conn: conn, bytes: &fc.bytes}, nil
+	}
+	fc.hc = newHTTPClient(fc.tr)
+	return fc
+}
+
+func (fc *freshClient) to(address string) *Client {
+	return NewClient("http://"+address, fc.hc)
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (cc *countingConn) Read(buf []byte) (int, error) {
+	n, err := cc.Conn.Read(buf)
+	cc.bytes.Add(int64(n))
+	return n, err
+}
+
+func (cc *countingConn) Write(buf []byte) (int, error) {
+	n, err := cc.Conn.Write(buf)
+	cc.bytes.Add(int64(n))
+	return n, err
+}
+
+// linkOf returns the traffic with a worker. A worker that comes back under
+// another address gets a new link. Dispatcher.mu is held.
+func (di *Dispatcher) linkOf(ma *machine) *link {
+	if ma.link == nil || ma.link.address != ma.address {
+		if ma.link != nil {
+			ma.link.close()
+		}
+		ma.link = newLink(ma.address)
+	}
+	return ma.link
+}
+
+// heard records that the worker has answered.
+func (di *Dispatcher) heard(ma *machine, lk *link) {
+	lk.heardAt = time.Now()
+	lk.failures = 0
+	lk.refusedSince = time.Time{}
+	if ma.silent {
+		ma.silent = false
+		di.sched.refreshMachine(ma)
+	}
+}
+
+// unheard records a failed request. After two in a row without an answer the
+// worker gets no new tasks.
+func (di *Dispatcher) unheard(ma *machine, lk *link, err error) {
+	const enough = 2
+	lk.failures++
+	switch {
+	case !isConnectionRefused(err):
+		lk.refusedSince = time.Time{}
+	case lk.refusedSince.IsZero():
+		lk.refusedSince = time.Now()
+	}
+	if lk.failures >= enough && !ma.silent {
+		ma.silent = true
+		di.count("silent-worker", 1)
+		di.opt.Log.Warn().Str("worker", string(ma.id)).Err(err).Msg("worker-does-not-answer")
+		di.sched.refreshMachine(ma)
+	}
+}
+
+func unlisted(ma *machine) string {
+	return fmt.Sprintf("worker %s is no longer listed and does not answer", ma.id)
+}
--- /dev/null
+++ b/internal/worker/scheduler.go
@@ -0,0 +1,430 @@
+package worker
+
+import (
+	"fmt"
+	"math"
+	"net/http"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+// taskState is where a task is on its way.
+type taskState int8
+
+const (
+	taskQueued taskState = iota
+	taskAssigned
+	taskSent
+	taskEnded
+)
+
+// task is one task from Enqueue or Adopt until its end.
+type task struct {
+	id       TaskID
+	demand   Demand
+	job      *jobState
+	team     *team
+	state    taskState
+	queuedAt time.Time
+	assigned func(task TaskID, pl Placement)
+
+	// The rest is set once the task has a worker.
+	ma   *machine
+	size size
+	// reserved is the room reserved at first; size follows the reports.
+	reserved size
+	// reservedAt is when the room was reserved.
+	reservedAt time.Time
+	adopted    bool
+	// followed is the state of the task in the traffic with its worker.
+	followed following
+}
+
+// assignment is a task with its worker, to be announced.
+type assignment struct {
+	tk *task
+	pl Placement
+}
+
+// scheduler decides which task goes to which worker. It does no traffic and
+// starts no goroutine; the caller serializes all calls.
+type scheduler struct {
+	now      func() time.Time
+	sharing  sharing
+	self     entryInfo
+	entries  []entryInfo
+	counters *counter.Set
+
+	learner  *learner
+	machines []*machine
+	byID     map[platform.WorkerID]*machine
+	racks    map[platform.RackID]int
+	largest  size
+	total    size
+
+	teams    map[platform.TeamID]*team
+	quotas   map[platform.TeamID]configuration.Team
+	weights  float64
+	lanes    []*lane
+	turn     int64
+	reserved int
+	rescan   bool
+	// pressed says that tasks have waited too long; see press.
+	pressed      bool
+	pressedUntil time.Time
+	mostAreSlow  bool
+	grown        []*machine
+
+	tasks    map[TaskID]*task
+	jobs     map[platform.JobID]*jobState
+	idleJobs []*jobState
+	queued   int
+}
+
+func newScheduler(self entryInfo, counters *counter.Set, now func() time.Time) *scheduler {
+	return &scheduler{
+		now:      now,
+		sharing:  defaultSharing,
+		self:     self,
+		entries:  []entryInfo{self},
+		counters: counters,
+		learner:  newLearner(),
+		byID:     map[platform.WorkerID]*machine{},
+		racks:    map[platform.RackID]int{},
+		teams:    map[platform.TeamID]*team{},
+		weights:  1,
+		tasks:    map[TaskID]*task{},
+		jobs:     map[platform.JobID]*jobState{},
+	}
+}
+
+func (sc *scheduler) count(reason string) {
+	if sc.counters != nil {
+		sc.counters.Add(counterFamily, reason, 1)
+	}
+}
+
+// admissible refuses a demand that is larger than every listed worker. A demand
+// whose dimensions fit only different workers is refused as a combination.
+func (sc *scheduler) admissible(dm *Demand) error {
+	if len(sc.machines) == 0 {
+		return nil
+	}
+	need := sc.learner.need(dm, sc.largest)
+	if ks := sc.learner.kinds[dm.Kind]; ks == nil || ks.cores.samples < enoughSamples {
+		need = declaredSize(dm)
+	}
+	dimension, most := "", 0.0
+	switch {
+	case need.cores > sc.largest.cores:
+		dimension, most = "processors", sc.largest.cores
+	case need.memory > sc.largest.memory:
+		dimension, most = "memory-mb", sc.largest.memory
+	case need.accelerators > sc.largest.accelerators:
+		dimension, most = "accelerators", sc.largest.accelerators
+	default:
+		for _, ma := range sc.machines {
+			if ma.listed && need.fits(ma.capacity) {
+				return nil
+			}
+		}
+		dimension = "the combination of processors, memory-mb and accelerators"
+	}
+	sc.count("inadmissible")
+	msg := fmt.Sprintf("task %s fits no worker: %s", dm.Task, dimension)
+	if most > 0 {
+		msg += fmt.Sprintf(" is larger than the %v of the largest worker", most)
+	}
+	return outcome.Refuse(http.StatusUnprocessableEntity, "fits-no-worker", msg, "lower the declared size or split the task", 0)
+}
+
+func (sc *scheduler) enqueue(dm *Demand, assigned func(TaskID, Placement)) {
+	tm := sc.team(dm.Team)
+	tk := &task{id: dm.Task, demand: *dm, team: tm, job: sc.job(dm.Job), queuedAt: sc.now(), assigned: assigned}
+	sc.tasks[dm.Task] = tk
+	tm.lane(sc, dm.Kind).push(tk)
+	sc.queued++
+}
+
+func (sc *scheduler) job(id platform.JobID) *jobState {
+	job := sc.jobs[id]
+	if job == nil {
+		job = &jobState{id: id}
+		sc.jobs[id] = job
+	}
+	job.tasks++
+	return job
+}
+
+// releaseJob forgets a job without tasks. One that has failed somewhere is kept
+// for a while, because other workers' failures are weighed by it.
+func (sc *scheduler) releaseJob(job *jobState) {
+	job.tasks--
+	if job.tasks > 0 {
+		return
+	}
+	if len(job.failedOn) == 0 {
+		delete(sc.jobs, job.id)
+		return
+	}
+	job.idleSince = sc.now()
+	sc.idleJobs = append(sc.idleJobs, job)
+}
+
+func (sc *scheduler) sweepJobs() {
+	const keep = 2 * time.Second
+	kept := sc.idleJobs[:0]
+	for _, job := range sc.idleJobs {
+		switch {
+		case job.tasks > 0:
+		case sc.now().Sub(job.idleSince) < keep:
+			kept = append(kept, job)
+		default:
+			delete(sc.jobs, job.id)
+		}
+	}
+	clear(sc.idleJobs[len(kept):])
+	sc.idleJobs = kept
+}
+
+// withdraw takes a task back that has not been sent.
+func (sc *scheduler) withdraw(id TaskID) {
+	tk := sc.tasks[id]
+	if tk == nil {
+		return
+	}
+	switch tk.state {
+	case taskQueued:
+		tk.state = taskEnded
+		sc.queued--
+		delete(sc.tasks, id)
+		sc.releaseJob(tk.job)
+	case taskAssigned:
+		sc.release(tk)
+	}
+}
+
+// place assigns as many queued tasks as there is room for. The team with the
+// smallest share of its quota comes first.
+func (sc *scheduler) place(limit int) []assignment {
+	sc.unblock()
+	var out []assignment
+	for len(out) < limit {
+		ln := sc.nextLane()
+		if ln == nil {
+			break
+		}
+		tk := ln.head()
+		need := sc.learner.need(&tk.demand, sc.largest)
+		ma := sc.find(tk, need)
+		if ma == nil && sc.press(sc.now().Sub(tk.queuedAt)) {
+			continue
+		}
+		if ma == nil {
+			ln.blocked = true
+			ln.need = need
+			sc.reserveMachine(ln)
+			continue
+		}
+		ln.pop()
+		sc.queued--
+		ln.unreserve(sc)
+		sc.assign(tk, ma, need)
+		out = append(out, assignment{tk: tk, pl: Placement{Worker: ma.id, Address: ma.address}})
+	}
+	return out
+}
+
+// unblock makes those lanes eligible again whose next task fits a worker that
+// has gained room since the last call.
+func (sc *scheduler) unblock() {
+	for _, ln := range sc.lanes {
+		if !ln.blocked {
+			continue
+		}
+		if sc.rescan {
+			ln.blocked = false
+			continue
+		}
+		for _, ma := range sc.grown {
+			if ma.open(ln.need, ln) {
+				ln.blocked = false
+				break
+			}
+		}
+	}
+	sc.rescan = false
+	for _, ma := range sc.grown {
+		ma.grown = false
+	}
+	sc.grown = sc.grown[:0]
+}
+
+// The weights of the choice of a worker. Lower is better. A zone outweighs
+// everything; the rank among entries outweighs load and racks; a worker twice
+// as slow is passed over for one in another entry's share.
+const (
+	costOtherZone = 1000.0
+	costRank      = 10.0
+	costSlowness  = 30.0
+	costLoad      = 4.0
+	costRack      = 0.5
+	maxRackCount  = 10
+)
+
+func (sc *scheduler) find(tk *task, need size) *machine {
+	var best *machine
+	bestCost := math.Inf(1)
+	ln := tk.team.lanes[tk.demand.Kind]
+	for _, ma := range sc.machines {
+		if ma.baseCost >= bestCost || !ma.open(need, ln) {
+			continue
+		}
+		cost := ma.baseCost + costLoad*ma.load()
+		if tk.job.racks != nil {
+			cost += costRack * float64(min(tk.job.racks[ma.rack], maxRackCount))
+		}
+		if cost < bestCost {
+			best, bestCost = ma, cost
+		}
+	}
+	if best != nil && best.rank > 0 {
+		best.wantedAt = sc.now()
+	}
+	return best
+}
+
+func (sc *scheduler) assign(tk *task, ma *machine, need size) {
+	tk.state = taskAssigned
+	tk.ma = ma
+	tk.size, tk.reserved = need, need
+	tk.reservedAt = sc.now()
+	ma.own[tk.id] = tk
+	ma.change(need)
+	tk.team.change(sc, need)
+	if tk.job.tasks > 1 {
+		if tk.job.racks == nil {
+			tk.job.racks = map[int]int{}
+		}
+		tk.job.racks[ma.rack]++
+	}
+}
+
+// adopt accounts for a task that an earlier owner may have started. Its size is
+// unknown; it counts as use of others until a usage report names it.
+func (sc *scheduler) adopt(id TaskID, ma *machine) *task {
+	tk := &task{id: id, team: sc.team(""), job: sc.job(""), state: taskSent, ma: ma, reservedAt: sc.now(), adopted: true}
+	sc.tasks[id] = tk
+	ma.own[id] = tk
+	return tk
+}
+
+// release frees the room of a task that has a worker and forgets it.
+func (sc *scheduler) release(tk *task) {
+	if tk.state != taskAssigned && tk.state != taskSent {
+		return
+	}
+	ma := tk.ma
+	if tk.state == taskSent {
+		ma.ended[tk.id] = sc.now()
+	}
+	tk.state = taskEnded
+	delete(sc.tasks, tk.id)
+	delete(ma.own, tk.id)
+	ma.change(size{}.minus(tk.size))
+	tk.team.change(sc, size{}.minus(tk.size))
+	if tk.job.racks != nil {
+		tk.job.racks[ma.rack]--
+	}
+	sc.releaseJob(tk.job)
+	sc.noteGrown(ma)
+}
+
+func (sc *scheduler) noteGrown(ma *machine) {
+	if !ma.grown {
+		ma.grown = true
+		sc.grown = append(sc.grown, ma)
+	}
+}
+
+// finished accounts for the end of a task as its worker reports it.
+func (sc *scheduler) finished(tk *task, rep Report) {
+	ma := tk.ma
+	switch {
+	case tk.adopted:
+	case rep.State == StateDone:
+		sc.noteSuccess(ma, tk)
+		slowness := math.Exp(ma.health.slowness)
+		sc.noteSpeed(ma, sc.learner.finished(tk.demand.Kind, float64(rep.RanMillis), slowness, sc.now()))
+	case rep.State == StateFailed:
+		sc.noteFailure(ma, tk)
+	}
+	sc.release(tk)
+}
+
+// lost accounts for a task of which no report will come.
+func (sc *scheduler) lost(tk *task) {
+	sc.release(tk)
+}
+
+// refused accounts for a start that provably did not happen.
+func (sc *scheduler) refused(tk *task) {
+	sc.count("start-refused")
+	ma := tk.ma
+	sc.release(tk)
+	delete(ma.ended, tk.id)
+	sc.noteRefusal(ma)
+}
+
+// tick updates what depends on time alone.
+func (sc *scheduler) tick(elapsed time.Duration) {
+	sc.decaySlowness(elapsed)
+	sc.sweepJobs()
+	sc.sweepTeams()
+	sc.unpress()
+	sc.pressWaiting()
+	sc.noteLateTasks()
+	for _, ma := range sc.machines {
+		ma.forgetEnded(sc.now())
+		sc.refreshMachine(ma)
+	}
+	sc.moveReservations()
+}
+
+// noteLateTasks makes a worker slow before its tasks have ended, when at least
+// two of them are far beyond the time of their kinds.
+func (sc *scheduler) noteLateTasks() {
+	const (
+		enough = 2
+		least  = 100 * time.Millisecond
+	)
+	now := sc.now()
+	for _, ma := range sc.machines {
+		late, sum := 0, 0.0
+		for _, tk := range ma.own {
+			age := now.Sub(tk.reservedAt)
+			expected, bound := sc.learner.runTime(&tk.demand)
+			if tk.state == taskSent && age > least && age > 2*bound && expected > 0 {
+				late++
+				sum += float64(age) / float64(expected)
+			}
+		}
+		if late >= enough {
+			estimate := math.Log(sum / float64(late))
+			ma.health.slowness = max(ma.health.slowness, (ma.health.slowness+estimate)/2)
+		}
+	}
+}
+
+// pressWaiting looks at lanes that stay blocked while no room comes free.
+func (sc *scheduler) pressWaiting() {
+	for _, ln := range sc.lanes {
+		if tk := ln.head(); tk != nil && ln.blocked {
+			sc.press(sc.now().Sub(tk.queuedAt))
+		}
+	}
+}
--- /dev/null
+++ b/internal/worker/scheduler_test.go
@@ -0,0 +1,268 @@
+package worker
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+var ordinary = simOptions{
+	entries: 1, workers: 10, racks: 5, capacity: size{16, 32_000, 2},
+	sharing: defaultSharing, lag: 300 * time.Millisecond, polls: 10,
+}
+
+func (opt simOptions) asNaive() simOptions {
+	opt.naive = true
+	return opt
+}
+
+// TestNeverBeyondReportedRoom guards against a start that the last report and
+// the own starts since say will not fit, also while three entries share the
+// workers. The naive version overcommits, because declared sizes are wrong.
+func TestNeverBeyondReportedRoom(t *testing.T) {
+	gm := NewWithT(t)
+	run := func(opt simOptions) (beyond int, over float64) {
+		opt.entries, opt.zones = 3, 2
+		si := newSim(opt)
+		si.onStart = func(st *simTask, _ *simWorker) {
+			if ma := st.tk.ma; !opt.naive && !ma.others.plus(ma.ownUse).fits(ma.capacity) {
+				beyond++
+			}
+		}
+		si.advance(8*time.Second, func() {
+			mk := mixedKinds[si.rng.IntN(3)]
+			dm := Demand{Kind: mk.kind, Processors: platform.Cores(mk.declared.cores), Memory: platform.Megabytes(mk.declared.memory)}
+			si.submit(si.rng.IntN(3), dm, mk.truth)
+		})
+		return beyond, si.overShare()
+	}
+	beyond, over := run(ordinary)
+	_, naiveOver := run(ordinary.asNaive())
+	t.Logf("busy time over capacity: %.3f, naive %.3f", over, naiveOver)
+	gm.Expect(beyond).To(BeZero())
+	gm.Expect(over).To(BeNumerically("<", naiveOver/2), "part of busy time over the capacity; naive %v", naiveOver)
+}
+
+// TestAdmissible guards against a job that waits for ever because it fits no
+// worker, and against a refusal that does not name the dimension.
+func TestAdmissible(t *testing.T) {
+	sc := newSim(ordinary).scheduler(0)
+	cases := []struct {
+		dm   Demand
+		want string
+	}{
+		{Demand{Processors: 16, Memory: 32_000, Accelerators: 2}, ""},
+		{Demand{}, ""},
+		{Demand{Processors: 17}, "processors"},
+		{Demand{Memory: 32_001}, "memory-mb"},
+		{Demand{Accelerators: 3}, "accelerators"},
+	}
+	for _, tc := range cases {
+		gm := NewWithT(t)
+		err := sc.admissible(&tc.dm)
+		if tc.want == "" {
+			gm.Expect(err).NotTo(HaveOccurred())
+			continue
+		}
+		var oe *outcome.Error
+		gm.Expect(errors.As(err, &oe)).To(BeTrue())
+		gm.Expect(oe.Status).To(Equal(http.StatusUnprocessableEntity))
+		gm.Expect(oe.Outcome).To(Equal(outcome.RefusedDidNotRun))
+		gm.Expect(oe.Message).To(ContainSubstring(tc.want))
+	}
+}
+
+// TestWorkerThatFailsEverything guards against a worker that fails fast, is
+// always free and so attracts work and kills one job after another.
+func TestWorkerThatFailsEverything(t *testing.T) {
+	gm := NewWithT(t)
+	run := func(opt simOptions) (*sim, int) {
+		si := newSim(opt)
+		si.workers[0].failAll = true
+		si.advance(10*time.Second, func() {
+			si.submit(0, Demand{Kind: "check", Processors: 2}, truth{size: size{2, 256, 0}, run: 200 * time.Millisecond})
+		})
+		return si, si.startsOn["worker-0"]
+	}
+	si, bad := run(ordinary)
+	_, naive := run(ordinary.asNaive())
+	t.Logf("starts on the bad worker: %d, naive %d", bad, naive)
+	gm.Expect(naive).To(BeNumerically(">=", 200))
+	gm.Expect(bad).To(BeNumerically("<=", 2*unprovenTasks))
+	gm.Expect(si.scheduler(0).suspendedMachines()).To(Equal(1))
+	gm.Expect(si.startsOn["worker-1"]).To(BeNumerically(">", 100))
+
+	// Once repaired, a probe finds it well again.
+	si.workers[0].failAll = false
+	si.advance(2*firstProbe, func() {
+		si.submit(0, Demand{Kind: "check", Processors: 2}, truth{size: size{2, 256, 0}, run: 200 * time.Millisecond})
+	})
+	gm.Expect(si.scheduler(0).suspendedMachines()).To(BeZero())
+	gm.Expect(si.startsOn["worker-0"]).To(BeNumerically(">", 50))
+}
+
+// TestFailingWorkSparesWorkers guards against good workers that lose their work
+// because a job, or a kind of single-task jobs, fails wherever it runs.
+func TestFailingWorkSparesWorkers(t *testing.T) {
+	for name, job := range map[string]platform.JobID{"one job": "job-1", "one kind": ""} {
+		gm := NewWithT(t)
+		si := newSim(ordinary)
+		good := func() {
+			si.submit(0, Demand{Team: "good", Kind: "check"}, truth{size: size{1, 256, 0}, run: 100 * time.Millisecond})
+		}
+		si.advance(time.Second, good)
+		for i := range 540 {
+			task := TaskID(fmt.Sprintf("bad/%d", i))
+			si.submit(0, Demand{Task: task, Job: job, Kind: "broken"}, truth{size: size{1, 256, 0}, run: 20 * time.Millisecond, fail: true})
+		}
+		si.waitOf["good"] = nil
+		si.advance(5*time.Second, good)
+		gm.Expect(si.scheduler(0).suspendedMachines()).To(BeZero(), name)
+		gm.Expect(quantile(si.waitOf["good"], 0.99)).To(BeNumerically("<=", 20*time.Millisecond), name)
+		gm.Expect(si.waiting).To(BeEmpty(), name)
+	}
+}
+
+// TestWrongSizesAreLearned guards against declared sizes that are far off:
+// too small ones overload workers, too large ones leave them idle.
+func TestWrongSizesAreLearned(t *testing.T) {
+	for _, tc := range []struct {
+		name           string
+		declared, real platform.Cores
+	}{{"too small", 1, 8}, {"too large", 16, 1}} {
+		run := func(opt simOptions) (float64, int) {
+			si := newSim(opt)
+			arrive := func() {
+				for len(si.waiting) < 50 {
+					si.submit(0, Demand{Kind: "match", Processors: tc.declared}, truth{size: size{float64(tc.real), 256, 0}, run: 500 * time.Millisecond})
+				}
+			}
+			si.advance(3*time.Second, arrive)
+			si.busySteps, si.overSteps = 0, 0
+			before := len(si.waits)
+			si.advance(5*time.Second, arrive)
+			return si.overShare(), len(si.waits) - before
+		}
+		gm := NewWithT(t)
+		over, started := run(ordinary)
+		naiveOver, naiveStarted := run(ordinary.asNaive())
+		t.Logf("%s: over %.3f, naive %.3f; started %d, naive %d", tc.name, over, naiveOver, started, naiveStarted)
+		gm.Expect(over).To(BeNumerically("<", 0.01), tc.name)
+		switch tc.declared {
+		case 1: // 10 workers of 16 cores run 20 tasks of 8 cores twice a second
+			gm.Expect(naiveOver).To(BeNumerically(">", 0.9))
+			gm.Expect(started).To(BeNumerically(">", 150), tc.name)
+		default:
+			gm.Expect(started).To(BeNumerically(">", 5*naiveStarted), tc.name)
+		}
+	}
+}
+
+// TestBurstOfOneTeam guards against a burst that delays the other 39 teams by
+// more than the length of one of its tasks, and against room that stays idle
+// although a team would borrow it.
+func TestBurstOfOneTeam(t *testing.T) {
+	gm := NewWithT(t)
+	const length = time.Second
+	run := func(opt simOptions) (longest time.Duration, borrowed int) {
+		si := newSim(opt)
+		for range 2000 {
+			si.submit(0, Demand{Team: "burst", Kind: "match", Processors: 2}, truth{size: size{2, 256, 0}, run: length})
+		}
+		si.advance(5*length/2, nil)
+		for _, wk := range si.workers {
+			borrowed += len(wk.running)
+		}
+		for i := range 39 {
+			si.submit(0, Demand{Team: platform.TeamID(fmt.Sprintf("team-%d", i)), Kind: "check", Processors: 2}, truth{size: size{2, 256, 0}, run: 100 * time.Millisecond})
+		}
+		si.advance(30*length, nil)
+		for i := range 39 {
+			longest = max(longest, quantile(si.waitOf[platform.TeamID(fmt.Sprintf("team-%d", i))], 1))
+		}
+		return longest, borrowed
+	}
+	longest, borrowed := run(ordinary)
+	naiveLongest, _ := run(ordinary.asNaive())
+	t.Logf("longest wait of the others: %v, naive %v", longest, naiveLongest)
+	gm.Expect(longest).To(BeNumerically("<=", length))
+	gm.Expect(borrowed).To(Equal(80), "10 workers of 16 cores hold 80 tasks of 2 cores")
+	gm.Expect(naiveLongest).To(BeNumerically(">", 10*length))
+}
+
+// TestQuotasHoldUnderContention guards against quotas that only exist on paper:
+// teams that all want everything get what their quotas and weights say.
+func TestQuotasHoldUnderContention(t *testing.T) {
+	gm := NewWithT(t)
+	si := newSim(ordinary)
+	si.scheduler(0).setTeams(map[platform.TeamID]configuration.Team{
+		"large": {Processors: 120}, "small": {Processors: 40},
+	})
+	running := map[platform.TeamID]int{}
+	si.advance(5*time.Second, func() {
+		waiting := map[platform.TeamID]int{}
+		for _, st := range si.waiting {
+			waiting[st.team]++
+		}
+		for _, team := range []platform.TeamID{"small", "large"} {
+			for ; waiting[team] < 200; waiting[team]++ {
+				si.submit(0, Demand{Team: team, Kind: "check"}, truth{size: size{1, 256, 0}, run: 300 * time.Millisecond})
+			}
+		}
+	})
+	for _, wk := range si.workers {
+		for _, st := range wk.running {
+			running[st.team]++
+		}
+	}
+	gm.Expect(running["large"]).To(BeNumerically("~", 120, 4))
+	gm.Expect(running["small"]).To(BeNumerically("~", 40, 4))
+}
+
+// TestLargeTaskIsNotStarved guards against a task as large as a worker that
+// never starts, because smaller tasks take every piece of room that comes free.
+func TestLargeTaskIsNotStarved(t *testing.T) {
+	gm := NewWithT(t)
+	si := newSim(ordinary)
+	flood := func() {
+		for len(si.waiting) < 300 {
+			si.submit(0, Demand{Team: "flood", Kind: "check"}, truth{size: size{1, 256, 0}, run: time.Duration(500+si.rng.IntN(500)) * time.Millisecond})
+		}
+	}
+	si.advance(2*time.Second, flood)
+	si.submit(0, Demand{Team: "large", Kind: "realign", Processors: 16}, truth{size: size{16, 256, 0}, run: time.Second})
+	si.advance(2*time.Second, flood)
+	gm.Expect(si.waitOf["large"]).To(HaveLen(1))
+	gm.Expect(si.waitOf["large"][0]).To(BeNumerically("<=", time.Second), "the length of the tasks in its way")
+}
+
+// TestStragglersAndRacks guards against work that goes on to a straggler while
+// ordinary workers are free, and against a job in one rack.
+func TestStragglersAndRacks(t *testing.T) {
+	gm := NewWithT(t)
+	si := newSim(ordinary)
+	si.workers[3].slow = 8
+	si.advance(10*time.Second, func() {
+		si.submit(0, Demand{Kind: "check"}, truth{size: size{1, 256, 0}, run: 100 * time.Millisecond})
+	})
+	gm.Expect(si.startsOn["worker-3"]).To(BeNumerically("<", 40), "an even part would be 200")
+
+	racks := map[platform.RackID]int{}
+	si.onStart = func(_ *simTask, wk *simWorker) { racks[wk.vm.Rack]++ }
+	for i := range 10 {
+		si.submit(0, Demand{Task: TaskID(fmt.Sprintf("spread/%d", i)), Job: "spread", Kind: "check"}, truth{size: size{1, 256, 0}, run: time.Second})
+	}
+	si.advance(10*time.Millisecond, nil)
+	gm.Expect(racks).To(HaveLen(5))
+	for rack, n := range racks {
+		gm.Expect(n).To(BeNumerically("<=", 3), string(rack))
+	}
+}
--- /dev/null
+++ b/internal/worker/teams.go
@@ -0,0 +1,254 @@
+package worker
+
+import (
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+// team is the queue and the use of one team.
+type team struct {
+	id    platform.TeamID
+	quota configuration.Team
+	// entitlement is what the team may use while all teams are busy.
+	entitlement size
+	use         size
+	// share is the largest part of the entitlement in use over the dimensions.
+	share float64
+	lanes map[platform.RequestKind]*lane
+}
+
+// lane is the queue of one team's tasks of one kind, in order of arrival. Kinds
+// queue separately, so that a task for which there is no room does not hold up
+// smaller ones of another kind.
+type lane struct {
+	team    *team
+	kind    platform.RequestKind
+	tasks   []*task
+	first   int
+	turn    int64
+	blocked bool
+	// need is the room that the first task lacked when the lane was blocked.
+	need     size
+	reserves *machine
+	since    time.Time
+}
+
+func (sc *scheduler) team(id platform.TeamID) *team {
+	tm := sc.teams[id]
+	if tm == nil {
+		tm = &team{id: id, lanes: map[platform.RequestKind]*lane{}}
+		sc.teams[id] = tm
+		sc.entitle(tm)
+	}
+	return tm
+}
+
+func (tm *team) lane(sc *scheduler, kind platform.RequestKind) *lane {
+	ln := tm.lanes[kind]
+	if ln == nil {
+		ln = &lane{team: tm, kind: kind}
+		tm.lanes[kind] = ln
+		sc.lanes = append(sc.lanes, ln)
+	}
+	return ln
+}
+
+func (ln *lane) push(tk *task) {
+	ln.tasks = append(ln.tasks, tk)
+}
+
+// head returns the first task that has not been withdrawn.
+func (ln *lane) head() *task {
+	for ln.first < len(ln.tasks) {
+		if tk := ln.tasks[ln.first]; tk.state == taskQueued {
+			return tk
+		}
+		ln.pop()
+	}
+	return nil
+}
+
+func (ln *lane) pop() {
+	const compactAt = 256
+	ln.tasks[ln.first] = nil
+	ln.first++
+	if ln.first >= compactAt && 2*ln.first >= len(ln.tasks) {
+		n := copy(ln.tasks, ln.tasks[ln.first:])
+		clear(ln.tasks[n:])
+		ln.tasks = ln.tasks[:n]
+		ln.first = 0
+	}
+}
+
+// nextLane returns the lane to serve: the team with the smallest share of its
+// entitlement, the longest unserved lane among equals. Empty lanes are dropped.
+func (sc *scheduler) nextLane() *lane {
+	var best *lane
+	for i := 0; i < len(sc.lanes); i++ {
+		ln := sc.lanes[i]
+		if ln.head() == nil {
+			sc.dropLane(i)
+			i--
+			continue
+		}
+		if ln.blocked {
+			continue
+		}
+		if best == nil || ln.team.share < best.team.share ||
+			ln.team.share == best.team.share && ln.turn < best.turn {
+			best = ln
+		}
+	}
+	if best != nil {
+		sc.turn++
+		best.turn = sc.turn
+	}
+	return best
+}
+
+func (sc *scheduler) dropLane(i int) {
+	ln := sc.lanes[i]
+	ln.unreserve(sc)
+	delete(ln.team.lanes, ln.kind)
+	last := len(sc.lanes) - 1
+	sc.lanes[i] = sc.lanes[last]
+	sc.lanes[last] = nil
+	sc.lanes = sc.lanes[:last]
+}
+
+func (tm *team) change(_ *scheduler, by size) {
+	tm.use = tm.use.plus(by)
+	tm.share = max(
+		part(tm.use.cores, tm.entitlement.cores),
+		part(tm.use.memory, tm.entitlement.memory),
+		part(tm.use.accelerators, tm.entitlement.accelerators),
+	)
+}
+
+func part(use, of float64) float64 {
+	if use <= 0 || of <= 0 {
+		return 0
+	}
+	return use / of
+}
+
+// setTeams puts the quotas of a configuration in force.
+func (sc *scheduler) setTeams(quotas map[platform.TeamID]configuration.Team) {
+	sc.quotas = quotas
+	sc.weights = 0
+	for _, quota := range quotas {
+		sc.weights += weightOf(quota)
+	}
+	sc.weights = max(sc.weights, 1)
+	for _, tm := range sc.teams {
+		sc.entitle(tm)
+	}
+}
+
+func weightOf(quota configuration.Team) float64 {
+	return float64(max(quota.Weight, 1))
+}
+
+// entitle computes the entitlement of a team: its quota where the configuration
+// states one, and its weight's part of all workers elsewhere.
+func (sc *scheduler) entitle(tm *team) {
+	tm.quota = sc.quotas[tm.id]
+	ent := sc.total.times(weightOf(tm.quota) / max(sc.weights, weightOf(tm.quota)))
+	if tm.quota.Processors > 0 {
+		ent.cores = float64(tm.quota.Processors)
+	}
+	if tm.quota.Memory > 0 {
+		ent.memory = float64(tm.quota.Memory)
+	}
+	if tm.quota.Accelerators > 0 {
+		ent.accelerators = float64(tm.quota.Accelerators)
+	}
+	tm.entitlement = ent
+	tm.change(sc, size{})
+}
+
+// sweepTeams forgets teams that have nothing here. Callers choose the names of
+// teams, so their number needs a bound.
+func (sc *scheduler) sweepTeams() {
+	for id, tm := range sc.teams {
+		if len(tm.lanes) == 0 && tm.use.cores < 1e-6 && id != "" {
+			delete(sc.teams, id)
+		}
+	}
+}
+
+const (
+	// reservationAge is how long a reservation waits for one worker before it
+	// moves to another.
+	reservationAge = 2 * time.Second
+	// reservedPart bounds the workers held for waiting tasks.
+	reservedPart = 8
+)
+
+// reserveMachine holds a worker for a task that fits nowhere at present, so
+// that smaller tasks do not take every piece of room that comes free. The task
+// then waits at most until the tasks that run there have ended.
+func (sc *scheduler) reserveMachine(ln *lane) {
+	if ln.reserves != nil {
+		return
+	}
+	if sc.reserved >= max(1, len(sc.machines)/reservedPart) && !sc.takeReservation(ln) {
+		return
+	}
+	var best *machine
+	bestFree := -1.0
+	for _, ma := range sc.machines {
+		if ma.slots == 0 || ma.reservedBy != nil || !ln.need.fits(ma.ceiling) {
+			continue
+		}
+		free := min(part(ma.room.cores, ln.need.cores), part(ma.room.memory, ln.need.memory))
+		free -= ma.baseCost / costOtherZone
+		if best == nil || free > bestFree {
+			best, bestFree = ma, free
+		}
+	}
+	if best == nil {
+		return
+	}
+	best.reservedBy = ln
+	ln.reserves = best
+	ln.since = sc.now()
+	sc.reserved++
+}
+
+// takeReservation ends the reservation of the team with the largest share, when
+// that is larger than the share of the lane's team.
+func (sc *scheduler) takeReservation(ln *lane) bool {
+	var most *lane
+	for _, other := range sc.lanes {
+		if other.reserves != nil && (most == nil || other.team.share > most.team.share) {
+			most = other
+		}
+	}
+	if most == nil || most.team.share <= ln.team.share {
+		return false
+	}
+	most.unreserve(sc)
+	return true
+}
+
+func (ln *lane) unreserve(sc *scheduler) {
+	if ln.reserves == nil {
+		return
+	}
+	ln.reserves.reservedBy = nil
+	sc.noteGrown(ln.reserves)
+	ln.reserves = nil
+	sc.reserved--
+}
+
+func (sc *scheduler) moveReservations() {
+	for _, ln := range sc.lanes {
+		if ln.reserves != nil && sc.now().Sub(ln.since) > reservationAge {
+			ln.unreserve(sc)
+			sc.rescan = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/worker/traffic.go
@@ -0,0 +1,328 @@
+package worker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptrace"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+const (
+	// defaultLease is the lease of a task that states none. It is renewed when
+	// half of it is left, so tasks under 10 s need no renewal.
+	defaultLease = 20 * time.Second
+	// heldGrace is how much later than bounds.held the answer may come.
+	heldGrace = 2 * time.Second
+)
+
+// following is the state of a sent task in the traffic with its worker.
+type following struct {
+	sentAt   time.Time
+	starting bool
+	// unknownSince is when the reply to the start was lost.
+	unknownSince time.Time
+	lease        time.Duration
+	leaseUntil   time.Time
+	nextQuery    time.Time
+	queryWait    time.Duration
+	querying     bool
+	checkpointed bool
+	stopped      bool
+}
+
+// Start sends a task to its worker, once. After ErrRefused the task has
+// provably not started and its room is free. After ErrNotAssigned nothing was
+// sent. After any other error it may have started; the dispatcher follows it,
+// and Events tells how it ended. The end may arrive before Start returns.
+func (di *Dispatcher) Start(ctx context.Context, pl Placement, task Task) error {
+	if task.LeaseMillis <= 0 {
+		task.LeaseMillis = defaultLease.Milliseconds()
+	}
+	task.Owner = di.opt.Incarnation
+	di.mu.Lock()
+	tk := di.sched.tasks[task.ID]
+	if tk == nil || tk.state != taskAssigned || tk.ma.id != pl.Worker || di.closed.Load() {
+		di.mu.Unlock()
+		return fmt.Errorf("start task %s on worker %s: %w", task.ID, pl.Worker, ErrNotAssigned)
+	}
+	lk := di.beginSending(tk, time.Duration(task.LeaseMillis)*time.Millisecond)
+	di.mu.Unlock()
+
+	err := di.send(ctx, lk, task)
+	di.endSending(tk, lk, err)
+	return err
+}
+
+// send sends the start. An error wraps ErrRefused when the worker has refused
+// the task, or has not asked for the body within the bound: the body then never
+// left, because the transport closes the connection before it returns.
+func (di *Dispatcher) send(ctx context.Context, lk *link, task Task) error {
+	ctx, cancel := context.WithTimeout(ctx, di.bounds.start)
+	defer cancel()
+	// The bound counts from the moment at which the request has a connection: it
+	// may wait for one behind other starts.
+	impatient := time.AfterFunc(di.bounds.start, cancel)
+	defer impatient.Stop()
+	var invited atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { impatient.Reset(di.bounds.invite) },
+		Got100Continue: func() {
+			invited.Store(true)
+			impatient.Stop()
+		},
+	}
+	err := lk.sender.Start(httptrace.WithClientTrace(ctx, trace), task)
+	if err != nil && !invited.Load() && jsonhttp.StatusOf(err) == 0 {
+		di.count("start-not-invited", 1)
+		lk.starts.CloseIdleConnections()
+		return fmt.Errorf("%w (%w)", ErrRefused, err)
+	}
+	return err
+}
+
+func (di *Dispatcher) beginSending(tk *task, lease time.Duration) *link {
+	now := time.Now()
+	lk := di.linkOf(tk.ma)
+	tk.state = taskSent
+	tk.followed = following{sentAt: now, starting: true, lease: lease, leaseUntil: now.Add(lease)}
+	di.follow(tk.ma, lk)
+	return lk
+}
+
+func (di *Dispatcher) endSending(tk *task, lk *link, err error) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	fo := &tk.followed
+	fo.starting = false
+	switch {
+	case err == nil:
+		di.heard(tk.ma, lk)
+		return
+	case errors.Is(err, ErrRefused):
+		if tk.state == taskSent {
+			di.sched.refused(tk)
+			di.wakeUp()
+		}
+		return
+	}
+	di.count("start-unknown", 1)
+	di.opt.Log.Warn().Str("task", string(tk.id)).Str("worker", string(tk.ma.id)).Err(err).Msg("start-reply-lost")
+	// Other idle connections to the worker may have gone silent as well.
+	lk.starts.CloseIdleConnections()
+	fo.unknownSince = time.Now()
+	fo.nextQuery = fo.unknownSince
+}
+
+// Query asks a worker for the state of a task, over a new connection. It
+// reports false when the worker does not know the task.
+func (di *Dispatcher) Query(ctx context.Context, wk platform.WorkerID, task TaskID) (Report, bool, error) {
+	di.mu.Lock()
+	ma := di.sched.byID[wk]
+	var address string
+	if ma != nil {
+		address = ma.address
+	}
+	di.mu.Unlock()
+	if ma == nil {
+		return Report{}, false, fmt.Errorf("query task %s: worker %q is not listed; treat the task as lost", task, wk)
+	}
+	ctx, cancel := context.WithTimeout(ctx, freshTimeout)
+	defer cancel()
+	rep, found, err := di.fresh.to(address).Get(ctx, task)
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	lk := di.linkOf(ma)
+	if err != nil && jsonhttp.StatusOf(err) == 0 {
+		di.unheard(ma, lk, err)
+	} else {
+		di.heard(ma, lk)
+	}
+	return rep, found, err
+}
+
+// Adopt follows tasks that an earlier owner may have started on the worker, and
+// renews their leases. It starts nothing. The worker reports their ends to the
+// earlier owner, so they are found by Query.
+func (di *Dispatcher) Adopt(pl Placement, tasks []TaskID) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	ma := di.sched.byID[pl.Worker]
+	if ma == nil {
+		ma = di.sched.addUnlisted(pl)
+	}
+	now := time.Now()
+	lk := di.linkOf(ma)
+	for _, id := range tasks {
+		if di.sched.tasks[id] != nil {
+			continue
+		}
+		tk := di.sched.adopt(id, ma)
+		// The lease may be about to lapse: renew it with the next tick.
+		tk.followed = following{sentAt: now, lease: defaultLease, leaseUntil: now, nextQuery: now}
+		di.follow(ma, lk)
+	}
+	di.count("adopted", len(tasks))
+}
+
+// Stop asks the workers of tasks that have been sent to stop them. A stopped
+// task ends with a call of Events like any other.
+func (di *Dispatcher) Stop(tasks []TaskID) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	byLink := map[*link][]TaskID{}
+	for _, id := range tasks {
+		if tk := di.sched.tasks[id]; tk != nil && tk.state == taskSent {
+			lk := di.linkOf(tk.ma)
+			byLink[lk] = append(byLink[lk], id)
+		}
+	}
+	for lk, ids := range byLink {
+		di.stopOn(lk, ids)
+	}
+}
+
+func (di *Dispatcher) stopOn(lk *link, ids []TaskID) {
+	di.count("stopped", len(ids))
+	di.grp.Go(func(ctx context.Context) {
+		for _, id := range ids {
+			ctx, cancel := context.WithTimeout(ctx, di.bounds.start)
+			err := lk.sender.Stop(ctx, id)
+			cancel()
+			if err != nil {
+				di.opt.Log.Warn().Str("task", string(id)).Err(err).Msg("stop-failed")
+			}
+		}
+	})
+}
+
+// follow makes sure that a request for finished tasks is held at the worker.
+func (di *Dispatcher) follow(ma *machine, lk *link) {
+	if lk.holding {
+		return
+	}
+	lk.holding = true
+	lk.heardAt = time.Now()
+	lk.failures = 0
+	if !di.grp.Go(func(ctx context.Context) { di.hold(ctx, ma, lk) }) {
+		lk.holding = false
+	}
+}
+
+// hold collects finished tasks while the worker has any of this entry.
+func (di *Dispatcher) hold(ctx context.Context, ma *machine, lk *link) {
+	const firstPause, lastPause = 50 * time.Millisecond, time.Second
+	pause := firstPause
+	for {
+		di.mu.Lock()
+		if ctx.Err() != nil || !ma.anySent() || ma.link != lk {
+			lk.holding = false
+			di.mu.Unlock()
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, di.bounds.held+heldGrace)
+		lk.cancelHold = cancel
+		after := lk.cursor
+		di.mu.Unlock()
+
+		page, err := lk.holder.Finished(callCtx, di.opt.Incarnation, after, di.bounds.held)
+		condemned := err != nil && callCtx.Err() != nil
+		cancel()
+		switch {
+		case err == nil:
+			pause = firstPause
+			di.takePage(ma, lk, after, page)
+		case condemned:
+			// Replaced by a new connection at once.
+		default:
+			di.mu.Lock()
+			di.unheard(ma, lk, err)
+			di.mu.Unlock()
+			wait(ctx, pause)
+			pause = min(2*pause, lastPause)
+		}
+	}
+}
+
+func (ma *machine) anySent() bool {
+	for _, tk := range ma.own {
+		if tk.state == taskSent {
+			return true
+		}
+	}
+	return false
+}
+
+// takePage takes over a page of finished tasks. A cursor that goes back shows
+// that the worker has restarted and counts anew; its list is then read from the
+// start, and every task is queried, because the old ones are gone.
+func (di *Dispatcher) takePage(ma *machine, lk *link, after Cursor, page FinishedPage) {
+	di.mu.Lock()
+	di.heard(ma, lk)
+	lk.cursor = page.Next
+	if page.Next < after {
+		lk.cursor = 0
+		di.count("worker-restarted", 1)
+		for _, tk := range ma.own {
+			tk.followed.nextQuery = time.Now()
+		}
+	}
+	di.mu.Unlock()
+	di.finish(ma, page.Tasks)
+}
+
+// finish ends tasks that their worker has reported.
+func (di *Dispatcher) finish(ma *machine, reps []Report) {
+	if len(reps) == 0 {
+		return
+	}
+	ended := reps[:0:0]
+	di.mu.Lock()
+	for _, rep := range reps {
+		tk := di.sched.tasks[rep.ID]
+		if tk != nil && tk.ma == ma && tk.state == taskSent && rep.State != StateRunning {
+			di.sched.finished(tk, rep)
+			ended = append(ended, rep)
+		}
+	}
+	di.mu.Unlock()
+	di.wakeUp()
+	for _, rep := range ended {
+		di.events.Finished(rep)
+	}
+}
+
+// lose gives tasks up.
+func (di *Dispatcher) lose(tks []*task, reason string) {
+	lost := tks[:0:0]
+	di.mu.Lock()
+	for _, tk := range tks {
+		if tk.state == taskSent {
+			di.sched.lost(tk)
+			lost = append(lost, tk)
+		}
+	}
+	di.mu.Unlock()
+	di.wakeUp()
+	di.count("lost", len(lost))
+	for _, tk := range lost {
+		di.opt.Log.Warn().Str("task", string(tk.id)).Str("worker", string(tk.ma.id)).Str("reason", reason).Msg("task-lost")
+		di.events.Lost(tk.id, reason)
+	}
+}
+
+func wait(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
+
+func isConnectionRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/internal/worker/usage.go
@@ -0,0 +1,150 @@
+package worker
+
+import (
+	"context"
+	"sort"
+	"time"
+)
+
+const (
+	// pollBytesPerSecond bounds the traffic of usage polls. It is under half of
+	// the 27 KB/s that one daemon may use for control, because leases, queries
+	// and the traffic between entries need the rest.
+	pollBytesPerSecond = 12 << 10
+	// pollBurst is how many bytes may be saved up.
+	pollBurst = 24 << 10
+	// pollEvery is the shortest time between two polls of one worker.
+	pollEvery = time.Second
+	// wantedFor is how long a worker of another entry's share is polled after a
+	// task was placed there.
+	wantedFor = 5 * time.Second
+	// maxPolls bounds the polls under way.
+	maxPolls = 8
+)
+
+// pollBudget is a token bucket in bytes. The size of a report is known only
+// afterwards, so the balance may fall below zero.
+type pollBudget struct {
+	balance float64
+	filled  time.Time
+	counted int64
+	polling int
+}
+
+func newPollBudget(now time.Time) pollBudget {
+	return pollBudget{balance: pollBurst, filled: now}
+}
+
+// update adds what the time has brought and takes off what all requests on
+// fresh connections have cost since.
+func (pb *pollBudget) update(now time.Time, bytes int64) {
+	pb.balance += pollBytesPerSecond * now.Sub(pb.filled).Seconds()
+	pb.balance = min(pb.balance, pollBurst)
+	pb.filled = now
+	pb.balance -= float64(bytes - pb.counted)
+	pb.counted = bytes
+}
+
+// pollUsage polls the workers that are in use or about to be used, the one with
+// the oldest report first, as far as the budget goes.
+func (di *Dispatcher) pollUsage(now time.Time) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.polls.update(now, di.fresh.bytes.Load())
+	if di.polls.balance <= 0 || di.polls.polling >= maxPolls {
+		return
+	}
+	due := make([]*machine, 0, len(di.sched.machines))
+	for _, ma := range di.sched.machines {
+		if di.sched.wantsPoll(ma, now) {
+			due = append(due, ma)
+		}
+	}
+	sort.Slice(due, func(i, j int) bool { return due[i].polledAt().Before(due[j].polledAt()) })
+	// A poll under way has not been charged yet; assume what a small one costs.
+	const leastCost = 1 << 10
+	room := min(maxPolls-di.polls.polling, int(di.polls.balance/leastCost)+1)
+	for _, ma := range due[:min(len(due), room)] {
+		lk := di.linkOf(ma)
+		lk.polling = true
+		lk.polledAt = now
+		di.polls.polling++
+		di.grp.Go(func(ctx context.Context) { di.poll(ctx, ma, lk) })
+	}
+}
+
+func (ma *machine) polledAt() time.Time {
+	if ma.link == nil {
+		return time.Time{}
+	}
+	return ma.link.polledAt
+}
+
+// wantsPoll tells whether a report of the worker would be of use: it runs own
+// tasks, received one a short while ago, or is the home of the next ones.
+func (sc *scheduler) wantsPoll(ma *machine, now time.Time) bool {
+	if ma.link != nil && (ma.link.polling || now.Sub(ma.link.polledAt) < pollEvery) {
+		return false
+	}
+	if !ma.listed {
+		return false
+	}
+	next := ma.rank == 0 && (!ma.reported || sc.queued > 0)
+	return len(ma.own) > 0 || now.Sub(ma.wantedAt) < wantedFor || ma.silent || next
+}
+
+func (di *Dispatcher) poll(ctx context.Context, ma *machine, lk *link) {
+	callCtx, cancel := context.WithTimeout(ctx, freshTimeout)
+	use, err := di.fresh.to(lk.address).Usage(callCtx)
+	cancel()
+	at := time.Now().Add(-time.Duration(use.AgeMillis) * time.Millisecond)
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	di.polls.polling--
+	lk.polling = false
+	if err != nil {
+		di.unheard(ma, lk, err)
+		return
+	}
+	di.heard(ma, lk)
+	di.count("usage-polls", 1)
+	di.sched.report(ma, use, at)
+	di.throttleHogs(ma, lk, use)
+	di.wakeUp()
+}
+
+// throttleHogs slows the own tasks down that use far more processors than was
+// reserved for them while their worker has too few, so that its other tasks are
+// not slowed with them. It gives them their speed back once the report fits.
+func (di *Dispatcher) throttleHogs(ma *machine, lk *link, use Usage) {
+	const farMore = 1.5
+	over := float64(use.Processors) > ma.capacity.cores && ma.capacity.cores > 0
+	if over == lk.throttled {
+		return
+	}
+	share := 1.0
+	if over {
+		share = ma.capacity.cores / float64(use.Processors)
+	}
+	var hogs []TaskID
+	for _, tu := range use.Tasks {
+		tk := ma.own[tu.ID]
+		if tk != nil && float64(tu.Processors) > farMore*tk.reserved.cores {
+			hogs = append(hogs, tu.ID)
+		}
+	}
+	lk.throttled = over && len(hogs) > 0
+	if len(hogs) == 0 {
+		return
+	}
+	di.count("throttled", len(hogs))
+	di.grp.Go(func(ctx context.Context) {
+		for _, id := range hogs {
+			ctx, cancel := context.WithTimeout(ctx, di.bounds.start)
+			if err := lk.sender.Throttle(ctx, id, share); err != nil {
+				di.opt.Log.Debug().Str("task", string(id)).Err(err).Msg("throttle-failed")
+			}
+			cancel()
+		}
+	})
+}
