--- a/cmd/oleanderwall-bench/main.go
+++ b/cmd/oleanderwall-bench/main.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/pprof"
 	"strings"
 	"time"
 
@@ -90,12 +91,24 @@
 	fs.IntVar(&opt.Workers, "workers", opt.Workers, "workers")
 	fs.IntVar(&opt.Teams, "teams", opt.Teams, "teams")
 	fs.DurationVar(&opt.CommitDelay, "commit-delay", opt.CommitDelay, "duration of a synced table write")
+	profile := fs.String("cpuprofile", "", "file for a processor profile of the run")
 	fs.Float64Var(&opt.WritesPerSecond, "table-writes", opt.WritesPerSecond, "cap of table writes a second, 0 for none")
 	verbose := fs.Bool("verbose", false, "print the warnings of the entries")
 	if err := fs.Parse(args); err != nil {
 		return err
 	}
 	opt.Log = logOutput(*verbose)
+	if *profile != "" {
+		file, err := os.Create(*profile)
+		if err != nil {
+			return fmt.Errorf("create the profile: %w", err)
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return fmt.Errorf("start the profile: %w", err)
+		}
+		defer pprof.StopCPUProfile()
+	}
 	rep, err := bench.RunJobs(context.Background(), opt)
 	if err != nil {
 		return err
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -127,7 +127,7 @@
 	starts map[worker.TaskID]int
 	state  map[worker.TaskID]worker.State
 	hold   bool // tasks run until finishAll
-	events map[worker.TaskID][]Events
+	events map[worker.TaskID][]worker.Events
 }
 
 func (fl *fleet) report(id worker.TaskID) worker.Report {
@@ -252,7 +252,7 @@
 			answer: func(task worker.TaskID) string { return "answer of " + string(task) },
 			starts: map[worker.TaskID]int{},
 			state:  map[worker.TaskID]worker.State{},
-			events: map[worker.TaskID][]Events{},
+			events: map[worker.TaskID][]worker.Events{},
 		},
 	}
 	store := &http.Client{Transport: &link{handler: standin.NewObjects()}}
--- a/internal/worker/health.go
+++ b/internal/worker/health.go
@@ -16,6 +16,11 @@
 	// unprovenTasks bounds the tasks in flight on a worker that has not yet
 	// finished one, or has failed since: they may all fail together.
 	unprovenTasks = 4
+	// survivalTime is how long a task runs before it speaks for an unproven
+	// worker like a finished one: workers that fail everything fail at once.
+	// Without it, a new worker that gets tasks of 20 s ran four of them on 64
+	// cores.
+	survivalTime = time.Second
 	// The time between probes of a suspended worker doubles between these. A
 	// probe that fails costs a job.
 	firstProbe = 10 * time.Second
@@ -202,12 +207,25 @@
 		return 1
 	case he.slowness > math.Log(slowLimit) && !sc.mostAreSlow:
 		return 0
-	case !he.proven || sc.suspicion(ma) >= 0.5:
+	case sc.suspicion(ma) >= 0.5:
 		return unprovenTasks
+	case !he.proven:
+		return unprovenTasks * (1 + sc.survivors(ma))
 	}
 	return math.MaxInt
 }
 
+// survivors counts the own tasks that have run for the survival time.
+func (sc *scheduler) survivors(ma *machine) int {
+	n := 0
+	for _, tk := range ma.own {
+		if sc.now().Sub(tk.reservedAt) >= survivalTime {
+			n++
+		}
+	}
+	return n
+}
+
 // noteSpeed learns from a task that took ratio times as long as its kind.
 func (sc *scheduler) noteSpeed(ma *machine, ratio float64) {
 	const (
--- a/internal/worker/scheduler_test.go
+++ b/internal/worker/scheduler_test.go
@@ -80,6 +80,22 @@
 	}
 }
 
+// TestLongTasksOnNewWorkers guards against new workers that stay nearly empty
+// until their first task, a long one, has ended.
+func TestLongTasksOnNewWorkers(t *testing.T) {
+	gm := NewWithT(t)
+	si := newSim(ordinary)
+	for range 100 {
+		si.submit(0, Demand{Kind: "long", Processors: 1}, truth{size: size{1, 256, 0}, run: time.Minute})
+	}
+	si.advance(5*time.Second, func() {})
+	starts := 0
+	for _, n := range si.startsOn {
+		starts += n
+	}
+	gm.Expect(starts).To(Equal(100))
+}
+
 // TestWorkerThatFailsEverything guards against a worker that fails fast, is
 // always free and so attracts work and kills one job after another.
 func TestWorkerThatFailsEverything(t *testing.T) {
