command: word the answers of entries with their remedy

Cause: tried as a new operator: a lost race and an invalid patch were printed as raw JSON, cut off after 300 characters. Change: the message, the outcome, the reason and the remedy are printed. Conclusion: the message names what was wrong and what to do.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -21,6 +22,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
 )
 
 // Streams are the standard streams of a command.
@@ -80,10 +83,28 @@
 		fmt.Fprintln(st.Err, "oleanderwall:", err)
 		return exitUsage
 	}
-	fmt.Fprintln(st.Err, "oleanderwall:", err)
+	fmt.Fprintln(st.Err, "oleanderwall:", explain(err))
 	return exitFailed
 }
 
+// explain words the error that an entry has answered with its remedy. Other
+// errors stay as they are.
+func explain(err error) error {
+	var se *jsonhttp.StatusError
+	if !errors.As(err, &se) {
+		return err
+	}
+	var body jsonhttp.ErrorBody
+	if json.Unmarshal(se.Body, &body) != nil || body.Message == "" {
+		return err
+	}
+	after := ""
+	if body.RetryAfterMillis > 0 {
+		after = fmt.Sprintf(" after %s", time.Duration(body.RetryAfterMillis)*time.Millisecond)
+	}
+	return fmt.Errorf("%s (%s, %s): %s%s", body.Message, body.Outcome, body.Reason, body.Remedy, after)
+}
+
 func find(args []string) (verb, []string, error) {
 	if len(args) == 0 {
 		return verb{}, nil, errors.New("no command given")
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -8,10 +8,13 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderwall/oleanderwall/internal/command"
+	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
 )
 
 func run(in string, args ...string) (code int, out, errs string) {
@@ -79,3 +82,16 @@
 	gm.Expect(out).To(ContainSubstring("queue-full"))
 	gm.Expect(errs).To(ContainSubstring("the outcome is refused-did-not-run (HTTP status 429)"))
 }
+
+// TestExplain guards against an answer of an entry that is shown as raw JSON,
+// or cut off before its remedy.
+func TestExplain(t *testing.T) {
+	gm := NewWithT(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		jsonhttp.WriteError(wr, outcome.Refuse(http.StatusServiceUnavailable, "table-unavailable", "the table is down", "try again", 2*time.Second))
+	}))
+	defer srv.Close()
+	code, _, errs := run("", "config", "get", "-entry", srv.URL)
+	gm.Expect(code).To(Equal(1))
+	gm.Expect(errs).To(Equal("oleanderwall: the table is down (refused-did-not-run, table-unavailable): try again after 2s\n"))
+}
