--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +43,8 @@
 	board *blackboard.Board
 	cnt   *counter.Set
 	grp   *group.Group
+	// platform counts the bytes to and from the platform.
+	platform peer.Traffic
 
 	callers   *httpServer
 	operators *httpServer
@@ -57,30 +58,38 @@
 	slots       *home.Controller
 
 	vms     *vmlist.Poller
-	watcher *configuration.Watcher
+	config  *configuration.Follower
 	targets *target.Dispatcher
 	jobs    *job.Manager
 
+	placement *job.SimplePlacement
+
 	registration *registration
 
+	requests *inflight
+	steps    []LeaveStep
+	stopOnce sync.Once
+
 	draining  atomic.Bool
+	wasReady  atomic.Bool
+	began     time.Time
 	drainOnce chan struct{}
 }
 
 // New builds an entry and opens its listeners.
 func New(set settings.Settings, log zerolog.Logger) (*Entry, error) {
 	en := &Entry{
-		set:   set,
-		log:   log,
-		inc:   platform.NewIncarnation(set.EntryID),
-		board: &blackboard.Board{},
-		cnt:   counter.New(),
-		grp:   group.New(context.Background()),
-		pool:  peer.NewPool(),
-
+		set:         set,
+		log:         log,
+		inc:         platform.NewIncarnation(set.EntryID),
+		board:       &blackboard.Board{},
+		cnt:         counter.New(),
+		grp:         group.New(context.Background()),
+		pool:        peer.NewPool(),
 		forwardPool: peer.NewPool(),
-
-		drainOnce: make(chan struct{}, 1),
+		requests:    newInflight(),
+		began:       time.Now(),
+		drainOnce:   make(chan struct{}, 1),
 	}
 	if err := en.listen(); err != nil {
 		en.closeListeners()
@@ -94,7 +103,7 @@
 }
 
 func (en *Entry) build() error {
-	hc := platformClient()
+	hc := platformClient(&en.platform)
 	rows := table.New(en.set.Platform.Table, hc)
 	en.registration = &registration{rows: rows, inc: en.inc, log: en.log}
 	en.pause = pausedetect.New(pauseLimit)
@@ -103,26 +112,33 @@
 		en.pause.Close()
 		return err
 	}
+	if err := peer.RegisterConfiguration(en.peers, en.board); err != nil {
+		en.pause.Close()
+		return err
+	}
 	store := configuration.NewStore(rows)
 	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
-	en.watcher = configuration.NewWatcher(store, en, en.set.Timing.ConfigurationPoll.Std(), en.log)
+	en.config = configuration.NewFollower(configuration.FollowerOptions{
+		Store:     store,
+		Peers:     peer.ConfigurationPeers{Pool: en.pool, Members: en.members},
+		Publisher: en,
+		Interval:  en.set.Timing.ConfigurationPoll.Std(),
+		Counters:  en.cnt,
+		Log:       en.log,
+	})
 	if err := en.buildSlots(rows); err != nil {
 		return err
 	}
 	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt, Forwarder: en.slots.Forwarder()})
 	en.slots.Bind(en.targets)
-	en.jobs = job.New(job.Options{
-		Board:       en.board,
-		Rows:        rows,
-		Client:      hc,
-		Counters:    en.cnt,
-		Incarnation: en.inc,
-		Log:         en.log,
-	})
-	en.callers.handle(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router()))
+	if err := en.buildJobs(rows, hc, workerClient()); err != nil {
+		return err
+	}
+	en.callers.handle(en.requests.track(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router())))
 	en.operators.handle(operator.New(operator.Options{
 		Board:       en.board,
-		Store:       store,
+		Store:       acceptor{store, en},
+		Follower:    en.config,
 		Lifecycle:   en,
 		Counters:    en.cnt,
 		EntryID:     en.set.EntryID,
@@ -154,20 +170,12 @@
 		Pause:     en.pause,
 		Counters:  en.cnt,
 		Log:       en.log,
+		// The follower is built after the membership, which calls this only
+		// once it has started.
+		HigherNumber: func(addr string, number configuration.Number) { en.config.Heard(addr, number) },
 	}
 }
 
-// platformClient returns the HTTP client for the platform and the workers. Its
-// requests are idempotent or carry ids, so the resends of Go's transport are
-// harmless.
-func platformClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     time.Minute,
-	}}
-}
-
 func (en *Entry) listen() error {
 	var err error
 	if en.callers, err = newHTTPServer(en.set.Listen.Callers); err != nil {
@@ -217,12 +225,13 @@
 // Start begins to serve.
 func (en *Entry) Start() {
 	en.vms.Start()
-	en.watcher.Start()
+	en.config.Start()
 	en.slots.Start()
 	en.jobs.Start()
 	en.peers.Start()
 	en.members.Start()
 	en.grp.Go(en.registration.run)
+	en.grp.Every(time.Second, en.reportTraffic)
 	en.callers.start(en.grp)
 	en.operators.start(en.grp)
 	en.log.Info().
@@ -247,10 +256,32 @@
 	})
 }
 
+// InForce returns the version in force, nil before the first one.
+func (en *Entry) InForce() *configuration.Version {
+	return en.board.Configuration.Load()
+}
+
+// acceptor puts an accepted patch in force here and tells the peers at once.
+type acceptor struct {
+	*configuration.Store
+	en *Entry
+}
+
+// Accept applies a patch.
+func (ac acceptor) Accept(ctx context.Context, patch configuration.Patch) (configuration.Version, error) {
+	version, err := ac.Store.Accept(ctx, patch)
+	if err == nil {
+		ac.en.config.Put(version, configuration.FromTable)
+		ac.en.members.Announce()
+	}
+	return version, err
+}
+
 // The reasons why an entry takes no requests.
 var (
 	ErrNoConfiguration = errors.New("the entry holds no configuration yet; check that the table or a peer is reachable")
 	ErrNoVMList        = errors.New("the entry has not yet read the list of VMs; check that the platform is reachable")
+	ErrNoSlots         = errors.New("the entry has not yet any slots of the targets; they come within seconds of its start")
 	ErrDraining        = errors.New("the entry is draining; use another entry")
 )
 
@@ -263,7 +294,10 @@
 		return ErrNoConfiguration
 	case en.board.VMs.Load() == nil:
 		return ErrNoVMList
+	case en.awaitsSlots():
+		return ErrNoSlots
 	}
+	en.wasReady.Store(true)
 	return nil
 }
 
@@ -278,15 +312,15 @@
 // Draining receives one value when an operator asks the entry to drain.
 func (en *Entry) Draining() <-chan struct{} { return en.drainOnce }
 
-// Shutdown drains the entry: readiness fails, requests are still accepted until
-// the balancer has noticed, and requests in flight finish, until ctx ends.
-func (en *Entry) Shutdown(ctx context.Context) error {
-	en.draining.Store(true)
-	sleepContext(ctx, en.set.Timing.BalancerNotice.Std())
-	err := en.callers.shutdown(ctx)
-	en.leaveSlots(ctx)
-	en.Close()
-	return err
+// stopComponents ends everything that acts on its own.
+func (en *Entry) stopComponents() {
+	en.stopOnce.Do(func() {
+		en.vms.Close()
+		en.config.Close()
+		en.jobs.Close()
+		en.placement.Close()
+		en.targets.Close()
+	})
 }
 
 // Close ends the entry at once and waits for its goroutines.
@@ -295,10 +329,7 @@
 	en.slots.Close()
 	en.members.Close()
 	en.pause.Close()
-	en.vms.Close()
-	en.watcher.Close()
-	en.jobs.Close()
-	en.targets.Close()
+	en.stopComponents()
 	en.closeListeners()
 	en.pool.Close()
 	en.forwardPool.Close()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -34,14 +35,6 @@
 	grp.Go(func(context.Context) { _ = sv.hs.Serve(sv.ln) })
 }
 
-// shutdown stops accepting connections and waits for requests in flight.
-func (sv *httpServer) shutdown(ctx context.Context) error {
-	if err := sv.hs.Shutdown(ctx); err != nil {
-		return fmt.Errorf("requests were still in flight: %w", err)
-	}
-	return nil
-}
-
 func (sv *httpServer) close() {
 	_ = sv.hs.Close()
 	_ = sv.ln.Close()
@@ -52,7 +45,7 @@
 func (en *Entry) onlyReady(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
 		err := en.Ready()
-		if err != nil && err != ErrDraining { //nolint:errorlint // Ready returns the sentinel itself
+		if errors.Is(err, ErrNoConfiguration) || errors.Is(err, ErrNoVMList) {
 			jsonhttp.WriteError(wr, outcome.Refuse(http.StatusServiceUnavailable, "not-ready", err.Error(), "use another entry or try again", time.Second))
 			return
 		}
--- a/internal/home/claim.go
+++ b/internal/home/claim.go
@@ -25,6 +25,10 @@
 	vacantRefreshInterval = time.Second
 	// rankDelay is how long an entry waits for each better candidate to claim.
 	rankDelay = 3 * time.Second
+	// foreignDelay is how long a target of another availability zone must have
+	// no home before an entry claims it. The list of VMs lags, so a zone whose
+	// entries have just started looks like a zone without any.
+	foreignDelay = 15 * time.Second
 	// maxBatch bounds the rows of one transaction, well below table.MaxRows.
 	maxBatch = 1000
 )
@@ -181,10 +185,15 @@
 		st.vacant = now
 		return 0, false
 	}
-	for i, en := range rank(id, candidates(st.vm)) {
+	delay := time.Duration(0)
+	if st.vm.AvailabilityZone != co.opt.Self.Zone {
+		delay = foreignDelay
+	}
+	for _, en := range rank(id, candidates(st.vm)) {
 		if en.id == co.opt.Self.ID {
-			return wait, now-st.vacant >= time.Duration(i)*rankDelay
+			return wait, now-st.vacant >= delay
 		}
+		delay += rankDelay
 	}
 	return 0, false
 }
--- a/internal/integration/path_test.go
+++ b/internal/integration/path_test.go
@@ -49,6 +49,7 @@
 		}
 		cl.entries[0].start()
 		cl.entries[0].awaitReady()
-		Expect(cl.entries[0].call(http.MethodPost, "/v1/services/fitdesk/requests", body, nil).outcome).To(Equal("answered"))
+		rep := cl.entries[0].call(http.MethodPost, "/v1/services/fitdesk/requests", body, nil)
+		Expect(rep.outcome).To(Equal("answered"), rep.body)
 	})
 })
--- a/internal/vmlist/poller.go
+++ b/internal/vmlist/poller.go
@@ -11,9 +11,9 @@
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
-// Fetcher reads the list of VMs.
+// Fetcher reads the list of VMs; false means that it has not changed.
 type Fetcher interface {
-	Fetch(ctx context.Context) ([]platform.VM, error)
+	Fetch(ctx context.Context) ([]platform.VM, bool, error)
 }
 
 // Poller publishes the list of VMs on the blackboard. While the service is
@@ -55,14 +55,31 @@
 func (po *Poller) poll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, po.interval+time.Second)
 	defer cancel()
-	vms, err := po.fe.Fetch(ctx)
+	vms, changed, err := po.fe.Fetch(ctx)
 	if err != nil {
 		po.log.Warn().Err(err).Msg("vm-list-unreachable")
 		return
 	}
+	if !changed {
+		po.confirm()
+		return
+	}
 	po.board.VMs.Publish(po.split(vms))
 }
 
+// confirm renews the time of the published list: the proof that a VM is gone
+// needs a list that was read after the VM had vanished from it.
+func (po *Poller) confirm() {
+	po.board.VMs.Update(func(old *blackboard.VMs) *blackboard.VMs {
+		if old == nil {
+			return old
+		}
+		next := *old
+		next.Fetched = time.Now()
+		return &next
+	})
+}
+
 // split sorts the VMs by use. A VM once seen leaving stays leaving: the list
 // lags and may show an older state again.
 func (po *Poller) split(vms []platform.VM) *blackboard.VMs {
