target: refuse a forwarded request that finds no free slot

Cause: a request passed on by another entry could wait in the queue of the entry that took it, behind that entry's own. The check before it was accepted leaves a gap in which the last slot is taken. Change: such a request is refused as not run; it then takes its place in the queue of the entry that it came from. Conclusion: forwarded requests never queue behind the peer's own.

--- a/internal/target/admission.go
+++ b/internal/target/admission.go
@@ -61,6 +61,9 @@
 			return nil, tk, nil
 		}
 	}
+	if req.Forwarded {
+		return nil, nil, noFreeSlot(se.name)
+	}
 	tq := se.queue.team(req.Team, se.weights)
 	if err := se.refuse(now, wa, tq, again); err != nil {
 		return nil, nil, err
--- a/internal/target/refusal.go
+++ b/internal/target/refusal.go
@@ -29,6 +29,13 @@
 		fmt.Sprintf("this entry has no slots on the targets of service %q", name), remedyRetry, retryAfter)
 }
 
+// noFreeSlot refuses a request of another entry, which waits in the queue of
+// that entry and not behind the requests of this one.
+func noFreeSlot(name platform.ServiceName) *outcome.Error {
+	return outcome.Refuse(http.StatusServiceUnavailable, "no-free-slot",
+		fmt.Sprintf("this entry has no free slot on the targets of service %q", name), remedyRetry, minReturn)
+}
+
 // failure is an attempt that gave no whole answer.
 type failure struct {
 	reason string
