job: combine the transactions of all entries, and void decisions that were not told

Cause: with pacing alone seven entries write 43 times a second each, and an admission waits for the interval. A session that met its fence also told its own undecided outcome to callers who waited there: the SIGSTOP spec saw failed at the resumed owner and complete everywhere else, because the owner had lost sight of its workers before it met the fence.

Change: groupcommit.Merger combines whole transactions of several committers. Each transaction keeps its own log row, so the way it was sent does not matter for its outcome. A dropped job loses a decision that was not committed, and running tasks are stopped after the commit of the decision, so a fenced owner does not stop tasks that its successor adopted.

Seen to fail first: TestPausedOwnerMeetsFence with a decision pending at the paused owner heard failed instead of complete.

--- a/internal/job/bench_test.go
+++ b/internal/job/bench_test.go
@@ -55,13 +55,22 @@
 // than 300 writes a second. b.N counts starts. The table stand-in, the workers
 // and the entries share the process.
 func BenchmarkStarts(b *testing.B) {
-	for _, size := range []struct{ nodes, entries int }{{1, 1}, {1, 7}, {7, 7}} {
+	for _, size := range []struct {
+		nodes, entries int
+		combined       bool
+	}{{1, 1, false}, {1, 7, false}, {7, 7, false}, {7, 7, true}} {
 		for _, tasks := range []int{1, 10, 100, 540} {
-			b.Run(fmt.Sprintf("nodes=%d/entries=%d/tasks=%d", size.nodes, size.entries, tasks), func(b *testing.B) {
-				wo := newWorld(b, size.nodes, standin.TableOptions{CommitDelay: 5 * time.Millisecond, WritesPerSecond: 300})
-				for _, no := range wo.nodes {
-					no.live(size.entries)
+			b.Run(fmt.Sprintf("nodes=%d/entries=%d/combined=%t/tasks=%d", size.nodes, size.entries, size.combined, tasks), func(b *testing.B) {
+				wo := openWorld(size.nodes, standin.TableOptions{CommitDelay: 5 * time.Millisecond, WritesPerSecond: 300})
+				if size.combined {
+					wo.connect()
+				} else {
+					for _, no := range wo.nodes {
+						no.live(size.entries)
+					}
 				}
+				wo.start()
+				defer wo.close()
 				jobs := max(1, b.N/tasks)
 				callers := min(jobs, max(16, 4000/tasks))
 				delays := make([]time.Duration, jobs)
@@ -110,15 +119,26 @@
 }
 
 // BenchmarkAdmission measures the delay of an admission under an open load of
-// small jobs, by the number of entries that share the write budget. The synced
-// write takes 5 ms.
+// small jobs at each entry, by the number of entries that share the write
+// budget: one of them at its own pace, or all of them combined (negative and
+// positive numbers). The synced write takes 5 ms.
 func BenchmarkAdmission(b *testing.B) {
-	for _, load := range []int{10, 500} {
-		for _, entries := range []int{1, 2, 3, 7} {
-			b.Run(fmt.Sprintf("jobs-a-second=%d/entries=%d", load, entries), func(b *testing.B) {
-				wo := newWorld(b, 1, standin.TableOptions{CommitDelay: 5 * time.Millisecond})
-				no := wo.nodes[0]
-				no.live(entries)
+	for _, load := range []int{50, 500} {
+		for _, entries := range []int{-1, -2, -3, -7, 3, 7} {
+			name := fmt.Sprintf("combined/jobs-a-second=%d/entries=%d", load, entries)
+			if entries < 0 {
+				name = fmt.Sprintf("paced/jobs-a-second=%d/entries=%d", load, -entries)
+			}
+			b.Run(name, func(b *testing.B) {
+				wo := openWorld(abs(entries), standin.TableOptions{CommitDelay: 5 * time.Millisecond, WritesPerSecond: 300})
+				if entries > 1 {
+					wo.connect()
+				} else {
+					wo.nodes = wo.nodes[:1]
+					wo.nodes[0].live(abs(entries))
+				}
+				wo.start()
+				defer wo.close()
 				delays := make([]time.Duration, b.N)
 				var wg sync.WaitGroup
 				grp := group.New(context.Background())
@@ -127,12 +147,13 @@
 					grp.Go(func(ctx context.Context) {
 						defer wg.Done()
 						began := time.Now()
+						no := wo.nodes[i%len(wo.nodes)]
 						if _, err := no.mg.Submit(ctx, benchJob(fmt.Sprintf("job-%d", i), 4)); err != nil {
 							b.Error(err)
 						}
 						delays[i] = time.Since(began)
 					})
-					time.Sleep(time.Duration(rand.ExpFloat64() / float64(load) * float64(time.Second)))
+					time.Sleep(time.Duration(rand.ExpFloat64() / float64(load*len(wo.nodes)) * float64(time.Second)))
 				}
 				wg.Wait()
 				grp.Close()
@@ -142,13 +163,15 @@
 	}
 }
 
+func abs(n int) int { return max(n, -n) }
+
 // BenchmarkTakeover measures the time from the news that an entry has ended to
 // the adoption of its 500 jobs of 4 running tasks.
 func BenchmarkTakeover(b *testing.B) {
 	const jobs = 500
 	var total time.Duration
 	for range b.N {
-		wo := openWorld(2, standin.TableOptions{CommitDelay: 5 * time.Millisecond})
+		wo := openWorld(2, standin.TableOptions{CommitDelay: 5 * time.Millisecond}).start()
 		owner, other := wo.nodes[0], wo.nodes[1]
 		wo.fl.hold = true
 		grp := group.New(context.Background())
--- a/internal/job/decide.go
+++ b/internal/job/decide.go
@@ -170,17 +170,13 @@
 }
 
 // decide sets the answer of a job and records it. The answer is told after the
-// commit. The returned function frees the tasks that are left.
+// commit, and running tasks are stopped after it: a session that meets its fence
+// must not stop tasks that the next owner has adopted. The returned function
+// withdraws the tasks that were not sent.
 func (se *session) decide(oj *ownedJob, row *jobRow) func() {
 	row.Owner = se.inc
 	oj.final = row
 	unsent := oj.unsent()
-	var running []worker.TaskID
-	for i := range oj.tasks {
-		if oj.tasks[i].phase == taskSent {
-			running = append(running, taskID(oj.sub.ID, i))
-		}
-	}
 	if oj.version > 0 {
 		se.record(oj)
 	}
@@ -191,10 +187,18 @@
 		if len(unsent) > 0 {
 			se.mg.opt.Scheduler.Withdraw(unsent)
 		}
-		if len(running) > 0 {
-			se.mg.opt.Traffic.Stop(running)
+	}
+}
+
+// sent returns the tasks that may run.
+func (oj *ownedJob) sent() []worker.TaskID {
+	var out []worker.TaskID
+	for i := range oj.tasks {
+		if oj.tasks[i].phase == taskSent {
+			out = append(out, taskID(oj.sub.ID, i))
 		}
 	}
+	return out
 }
 
 // record adds the decision of a job to the group commit. The caller holds the
@@ -229,10 +233,18 @@
 		se.mg.fenced(se)
 		return
 	}
+	if stop := se.settleDecision(oj, res); len(stop) > 0 {
+		se.mg.opt.Traffic.Stop(stop)
+	}
+}
+
+// settleDecision takes the outcome of a recorded decision and returns the tasks
+// to stop.
+func (se *session) settleDecision(oj *ownedJob, res groupcommit.Result) []worker.TaskID {
 	se.mu.Lock()
 	defer se.mu.Unlock()
 	if se.dropped || errors.Is(res.Err, groupcommit.ErrUnresolved) {
-		return
+		return nil
 	}
 	if se.jobs[oj.sub.ID] == oj {
 		delete(se.jobs, oj.sub.ID)
@@ -244,18 +256,21 @@
 		se.recent.add(oj.sub.ID, oj.final)
 		se.answer(oj)
 		se.mg.opt.Counters.Add(counter.Job, string(oj.final.State), 1)
-		return
+		return oj.sent()
 	}
 	// Another entry has cancelled the job or taken it over; its row is the
 	// answer, and callers read it there.
 	var row jobRow
+	var stop []worker.TaskID
 	if len(res.Conflicts) == 0 || json.Unmarshal(res.Conflicts[0].Value, &row) != nil || row.State == StateRunning {
 		oj.final = nil
 	} else {
 		oj.final = &row
+		stop = oj.sent()
 	}
 	se.answer(oj)
 	se.mg.opt.Counters.Add(counter.Job, "decided-elsewhere", 1)
+	return stop
 }
 
 // recentRows keeps the last answers. A caller that waits with its submission
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -119,7 +119,8 @@
 }
 
 // TestPausedOwnerMeetsFence guards against an owner that goes on after it was
-// replaced: it drops its jobs and admits new ones under another session.
+// replaced: it drops its jobs, with decisions that are not recorded, and admits
+// new ones under another session.
 func TestPausedOwnerMeetsFence(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
@@ -131,6 +132,12 @@
 	gm.Expect(err).NotTo(HaveOccurred())
 	gm.Eventually(func() int { return wo.startsOf("job/1") }, "5s", "1ms").Should(Equal(1))
 	owner.table.freeze()
+	owner.mg.Lost("job/0", "the worker does not answer") // a decision that meets the fence
+	heard := make(chan Status, 1)
+	background(t, func(ctx context.Context) {
+		status, _ := owner.mg.Wait(ctx, "job", 5*time.Second)
+		heard <- status
+	})
 	other.gone(owner)
 	gm.Eventually(func() int64 { return other.mg.opt.Counters.Value("job", "takeovers") }, "5s", "5ms").Should(Equal(int64(1)))
 	owner.table.thaw()
@@ -143,6 +150,7 @@
 		gm.Expect(err).NotTo(HaveOccurred())
 		gm.Expect(status.State).To(Equal(StateComplete), "job %s", id)
 	}
+	gm.Expect((<-heard).State).To(Equal(StateComplete), "the answer of one who waited at the paused owner")
 	gm.Expect(wo.overstarted()).To(Succeed())
 }
 
@@ -297,7 +305,7 @@
 // ownership runs a random order of submissions, pauses, lost replies,
 // cancellations and takeovers, and checks the promises at the end.
 func ownership(rt *rapid.T, seedFault bool) error {
-	wo := openWorld(3, standin.TableOptions{})
+	wo := openWorld(3, standin.TableOptions{}).start()
 	defer wo.close()
 	ctx := context.Background()
 	var wg sync.WaitGroup
@@ -426,3 +434,31 @@
 	}
 	t.Error("200 random runs did not find that fences are ignored")
 }
+
+// TestCombinerFrozen guards against entries that cannot commit, or that refuse
+// submissions, because the entry that combines their transactions is paused.
+func TestCombinerFrozen(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	wo := openWorld(3, standin.TableOptions{CommitDelay: time.Millisecond})
+	wo.connect()
+	wo.start()
+	t.Cleanup(wo.close)
+	for _, no := range wo.nodes {
+		if addr, routed := no.mg.store.combiner(); routed && addr == "" {
+			no.table.freeze()
+		}
+	}
+	for i, no := range wo.nodes {
+		if addr, _ := no.mg.store.combiner(); addr == "" {
+			continue
+		}
+		id := platform.JobID(fmt.Sprintf("job-%d", i))
+		_, err := no.mg.Submit(context.Background(), submission(string(id), 2))
+		gm.Expect(err).NotTo(HaveOccurred())
+		status, err := no.mg.Wait(context.Background(), id, 5*time.Second)
+		gm.Expect(err).NotTo(HaveOccurred())
+		gm.Expect(status.State).To(Equal(StateComplete))
+	}
+	gm.Expect(wo.overstarted()).To(Succeed())
+}
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -57,8 +57,9 @@
 
 // Manager owns the jobs that this entry has admitted or taken over.
 type Manager struct {
-	opt Options
-	grp *group.Group
+	opt   Options
+	grp   *group.Group
+	store *routedStore
 
 	mu      sync.Mutex
 	se      *session
@@ -75,6 +76,7 @@
 	}
 	mg := &Manager{opt: opt, grp: group.New(context.Background()), num: 1}
 	mg.scan = newScanState()
+	mg.store = newRoutedStore(mg)
 	mg.se = newSession(mg, 1)
 	return mg
 }
@@ -83,6 +85,7 @@
 func (mg *Manager) Start() {
 	mg.mu.Lock()
 	mg.started = true
+	mg.store.merger.Start()
 	se := mg.se
 	mg.mu.Unlock()
 	se.start()
@@ -100,6 +103,7 @@
 	handOver := se.owns()
 	se.drop()
 	se.close()
+	mg.store.merger.Close()
 	if handOver {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
--- a/internal/job/session.go
+++ b/internal/job/session.go
@@ -97,13 +97,13 @@
 		outage: make(chan struct{}),
 	}
 	se.com = groupcommit.New(groupcommit.Options[*record]{
-		Store:     commitStore{rows: mg.opt.Rows},
+		Store:     mg.store,
 		Guards:    []string{fenceKey(se.inc)},
 		LogKey:    func(seq int64) string { return logKey(se.inc, seq) },
 		Encode:    encodeLog,
 		Token:     logToken,
 		NewToken:  uuid.NewString,
-		Interval:  mg.interval,
+		Interval:  mg.store.interval,
 		Committed: se.onCommitted,
 	})
 	return se
@@ -146,13 +146,15 @@
 	se.com.Close()
 }
 
-// release wakes everyone who waits for a job that the session gives up.
+// release wakes everyone who waits for a job that the session gives up. A
+// decision that was not told is void: the next owner may decide otherwise.
 func (se *session) release(oj *ownedJob, err error) {
 	if !oj.isAdmitted() {
 		oj.admitErr = err
 		close(oj.admitted)
 	}
 	if !oj.answered {
+		oj.final = nil
 		oj.answered = true
 		close(oj.done)
 	}
@@ -575,7 +577,7 @@
 	// After any other error the task may run; the traffic follows it and reports
 	// its end.
 	se.mu.Lock()
-	stop := oj.final != nil && !se.dropped
+	stop := oj.final != nil && oj.answered && !se.dropped
 	if err == nil && oj.tasks[index].phase >= taskSent {
 		oj.sub.Tasks[index].Payload = nil
 	}
--- a/internal/job/takeover.go
+++ b/internal/job/takeover.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"hash/fnv"
 	"net/http"
 	"sort"
 	"sync"
@@ -170,16 +169,11 @@
 
 // rank orders the live entries for a takeover.
 func (mg *Manager) rank(inc platform.Incarnation, snap *blackboard.Members) int {
-	score := func(id platform.EntryID) uint64 {
-		hash := fnv.New64a()
-		_, _ = hash.Write([]byte(string(inc) + " " + string(id)))
-		return hash.Sum64()
-	}
-	own := score(mg.opt.Incarnation.Entry())
+	own := score(string(inc), mg.opt.Incarnation.Entry())
 	rank := 0
 	if snap != nil {
 		for id := range snap.Alive {
-			if score(id) > own {
+			if score(string(inc), id) > own {
 				rank++
 			}
 		}
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -23,6 +23,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
+	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
 )
 
 // link carries the calls of one entry to the platform. It can freeze, as a
@@ -230,6 +231,43 @@
 	}
 }
 
+// localPeers carries calls between the entries of a world, with the latency
+// between two zones.
+type localPeers struct {
+	wo *world
+}
+
+func (lp localPeers) Call(ctx context.Context, addr, method string, args, reply any) error {
+	waitFor(ctx, nil, time.Millisecond)
+	var index int
+	if _, err := fmt.Sscanf(addr, "peer-%d", &index); err != nil {
+		return err
+	}
+	ps := lp.wo.nodes[index].mg.PeerService()
+	switch method {
+	case "jobs.Commit":
+		return ps.Commit(args.(*groupcommit.Transaction), reply.(*CommitReply))
+	case "jobs.Find":
+		return ps.Find(args.(*PeerArgs), reply.(*PeerReply))
+	}
+	return fmt.Errorf("no method %s", method)
+}
+
+// connect makes the entries know and reach each other.
+func (wo *world) connect() {
+	for i, no := range wo.nodes {
+		alive := map[platform.EntryID]blackboard.Member{}
+		for k, other := range wo.nodes {
+			if k != i {
+				inc := other.mg.opt.Incarnation
+				alive[inc.Entry()] = blackboard.Member{Incarnation: inc, PeerAddress: fmt.Sprintf("peer-%d", k)}
+			}
+		}
+		no.mg.opt.Peers = localPeers{wo}
+		no.members.Publish(&blackboard.Members{Alive: alive})
+	}
+}
+
 // world is a platform in memory with some entries.
 type world struct {
 	tb    *standin.Table
@@ -238,7 +276,7 @@
 }
 
 func newWorld(t testing.TB, entries int, opt standin.TableOptions) *world {
-	wo := openWorld(entries, opt)
+	wo := openWorld(entries, opt).start()
 	t.Cleanup(wo.close)
 	return wo
 }
@@ -273,6 +311,12 @@
 			Log:         zerolog.Nop(),
 		})
 		wo.nodes = append(wo.nodes, no)
+	}
+	return wo
+}
+
+func (wo *world) start() *world {
+	for _, no := range wo.nodes {
 		no.mg.Start()
 	}
 	return wo
--- a/pkg/groupcommit/groupcommit_test.go
+++ b/pkg/groupcommit/groupcommit_test.go
@@ -9,11 +9,13 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
 )
 
@@ -328,3 +330,47 @@
 	b.ReportMetric(millis(0.99), "p99-ms")
 	b.ReportMetric(float64(calls)/b.Elapsed().Seconds(), "commits/s")
 }
+
+// TestMergedOutcomesMatchRows guards against an outcome that differs from what
+// the store holds when several committers share transactions.
+func TestMergedOutcomesMatchRows(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		st := newStore()
+		st.script = rapid.StringOfN(rapid.RuneFrom([]rune("ldr...")), 0, 8, -1).Draw(rt, "script")
+		if rapid.Bool().Draw(rt, "fenced") {
+			st.rows["fence/b"] = groupcommit.Row{Version: 1}
+		}
+		me := groupcommit.NewMerger(groupcommit.MergerOptions{Store: st, NewToken: uuid, Interval: func() time.Duration { return 100 * time.Microsecond }, MaxInFlight: 2})
+		me.Start()
+		defer me.Close()
+		grp := group.New(context.Background())
+		results := make(chan error, 3)
+		for i, name := range []string{"a", "b", "c"} {
+			opt := options(st)
+			opt.Store = me
+			opt.Guards = []string{"fence/" + name}
+			opt.LogKey = func(seq int64) string { return fmt.Sprintf("log/%s/%04d", name, seq) }
+			opt.NewToken = uuid
+			var recs []record
+			for k := range 4 {
+				recs = append(recs, job(fmt.Sprintf("%s%d", name, k), fmt.Sprintf("job/%d", i+k), 0))
+			}
+			grp.Go(func(context.Context) {
+				got := run(opt, recs)
+				st.mu.Lock()
+				defer st.mu.Unlock()
+				results <- check(st, recs, got)
+			})
+		}
+		for range 3 {
+			if err := <-results; err != nil {
+				rt.Error(err)
+			}
+		}
+		grp.Close()
+	})
+}
+
+var tokens atomic.Int64
+
+func uuid() string { return strconv.FormatInt(tokens.Add(1), 10) }
--- /dev/null
+++ b/pkg/groupcommit/merge.go
@@ -0,0 +1,226 @@
+package groupcommit
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// MergerOptions are the dependencies and bounds of a Merger. The bounds have
+// the defaults of Options.
+type MergerOptions struct {
+	Store    Store
+	NewToken func() string
+	// Interval is the least time between the starts of two transactions.
+	Interval func() time.Duration
+
+	MaxRows     int
+	MaxBytes    int
+	MaxInFlight int
+	Timeout     time.Duration
+}
+
+// Merger is a Store that combines the transactions of several committers into
+// fewer ones, so that they share one pace. It keeps no state that outlives a
+// call: each transaction still decides by its own log row whether it took
+// effect, so a committer may send it again through another Merger or directly.
+type Merger struct {
+	opt  MergerOptions
+	grp  *group.Group
+	wake chan struct{}
+
+	mu       sync.Mutex
+	queue    []*part
+	inFlight int
+}
+
+type part struct {
+	tx    Transaction
+	size  int
+	reply chan partReply
+}
+
+type partReply struct {
+	version int64
+	err     error
+}
+
+// NewMerger returns a merger; Start begins to commit.
+func NewMerger(opt MergerOptions) *Merger {
+	opt.MaxRows = orDefault(opt.MaxRows, DefaultMaxRows)
+	opt.MaxBytes = orDefault(opt.MaxBytes, DefaultMaxBytes)
+	opt.MaxInFlight = orDefault(opt.MaxInFlight, DefaultMaxInFlight)
+	opt.Timeout = orDefault(opt.Timeout, DefaultTimeout)
+	return &Merger{opt: opt, grp: group.New(context.Background()), wake: make(chan struct{}, 1)}
+}
+
+// Start begins to commit.
+func (me *Merger) Start() { me.grp.Go(me.collect) }
+
+// Close stops committing and waits. The outcome of calls under way stays open.
+func (me *Merger) Close() { me.grp.Close() }
+
+// Commit implements Store. An end of ctx leaves the outcome open.
+func (me *Merger) Commit(ctx context.Context, tx Transaction) (int64, error) {
+	pt := &part{tx: tx, reply: make(chan partReply, 1)}
+	for _, wt := range tx.Writes {
+		pt.size += 2*len(wt.Key) + len(wt.Value) + rowOverhead
+	}
+	for _, ck := range tx.Checks {
+		pt.size += len(ck.Key) + rowOverhead/2
+	}
+	me.mu.Lock()
+	me.queue = append(me.queue, pt)
+	me.mu.Unlock()
+	me.signal()
+	select {
+	case rep := <-pt.reply:
+		return rep.version, rep.err
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case <-me.grp.Context().Done():
+		return 0, context.Canceled
+	}
+}
+
+func (me *Merger) signal() {
+	select {
+	case me.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (me *Merger) collect(ctx context.Context) {
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-me.wake:
+		}
+		for me.waiting() && sleep(ctx, time.Until(last.Add(me.opt.Interval()))) {
+			parts := me.take()
+			if len(parts) == 0 {
+				break // a transaction that ends signals again
+			}
+			last = time.Now()
+			me.grp.Go(func(ctx context.Context) { me.commit(ctx, parts) })
+		}
+	}
+}
+
+func (me *Merger) waiting() bool {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	return len(me.queue) > 0
+}
+
+// take removes the next transactions that fit together. Two that touch the same
+// written row do not: the second must see the outcome of the first.
+func (me *Merger) take() []*part {
+	me.mu.Lock()
+	defer me.mu.Unlock()
+	if me.inFlight >= me.opt.MaxInFlight {
+		return nil
+	}
+	written, checked := map[string]bool{}, map[string]int64{}
+	rows, bytes := 0, 0
+	var out []*part
+	for len(me.queue) > 0 {
+		pt := me.queue[0]
+		rows += len(pt.tx.Writes)
+		bytes += pt.size
+		if len(out) > 0 && (rows > me.opt.MaxRows || bytes > me.opt.MaxBytes || meets(written, checked, &pt.tx)) {
+			break
+		}
+		for _, wt := range pt.tx.Writes {
+			written[wt.Key] = true
+		}
+		for _, ck := range pt.tx.Checks {
+			checked[ck.Key] = ck.Version
+		}
+		out = append(out, pt)
+		me.queue[0] = nil
+		me.queue = me.queue[1:]
+	}
+	if len(out) > 0 {
+		me.inFlight++
+	}
+	return out
+}
+
+func meets(written map[string]bool, checked map[string]int64, tx *Transaction) bool {
+	for _, wt := range tx.Writes {
+		if _, ok := checked[wt.Key]; ok || written[wt.Key] {
+			return true
+		}
+	}
+	for _, ck := range tx.Checks {
+		if version, ok := checked[ck.Key]; written[ck.Key] || ok && version != ck.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// commit sends the parts in one transaction and splits off those in conflict.
+// It sends nothing twice: after a lost reply each committer does that.
+func (me *Merger) commit(ctx context.Context, parts []*part) {
+	for len(parts) > 0 {
+		tx := Transaction{ID: me.opt.NewToken()}
+		for _, pt := range parts {
+			tx.Checks = append(tx.Checks, pt.tx.Checks...)
+			tx.Writes = append(tx.Writes, pt.tx.Writes...)
+		}
+		call, cancel := context.WithTimeout(ctx, me.opt.Timeout)
+		version, err := me.opt.Store.Commit(call, tx)
+		cancel()
+		var ce *ConflictError
+		if !errors.As(err, &ce) {
+			for _, pt := range parts {
+				pt.reply <- partReply{version: version, err: err}
+			}
+			break
+		}
+		parts = split(parts, ce.Rows)
+	}
+	me.mu.Lock()
+	me.inFlight--
+	me.mu.Unlock()
+	me.signal()
+}
+
+// split answers the parts in conflict and returns the others.
+func split(parts []*part, rows []Row) []*part {
+	byKey := make(map[string]Row, len(rows))
+	for _, row := range rows {
+		byKey[row.Key] = row
+	}
+	var rest []*part
+	for _, pt := range parts {
+		seen := map[string]bool{}
+		ce := &ConflictError{}
+		for _, ck := range pt.tx.Checks {
+			if row, ok := byKey[ck.Key]; ok && !seen[ck.Key] {
+				seen[ck.Key] = true
+				ce.Rows = append(ce.Rows, row)
+			}
+		}
+		if len(ce.Rows) == 0 {
+			rest = append(rest, pt)
+			continue
+		}
+		pt.reply <- partReply{err: ce}
+	}
+	if len(rest) == len(parts) {
+		// The conflict names no row of these parts; sending them again would not end.
+		for _, pt := range parts {
+			pt.reply <- partReply{err: &ConflictError{Rows: rows}}
+		}
+		return nil
+	}
+	return rest
+}
