worker: renew leases together and shorten the tests

Cause: TestLeasesRenewed failed in 1 of 5 runs, with 13 batches against a bound of 12: tasks that start one after another kept renewal times of their own.

Change: a batch takes along every lease with at most three quarters left. The simulation and the rig of the tests are shorter; what they check is unchanged. The rig starts tasks over 64 goroutines, which BenchmarkStarts now shares. BenchmarkScheduler is new.

--- a/internal/worker/bench_test.go
+++ b/internal/worker/bench_test.go
@@ -40,8 +40,7 @@
 	for _, skew := range []float64{0, 0.5} {
 		for _, load := range []float64{0.5, 0.8, 0.95} {
 			for _, po := range policies {
-				name := fmt.Sprintf("skew=%v/load=%v/%s", skew, load, po.name)
-				b.Run(name, func(b *testing.B) {
+				b.Run(fmt.Sprintf("skew=%v/load=%v/%s", skew, load, po.name), func(b *testing.B) {
 					for range b.N {
 						runSharing(b, po.sh, po.naive, load, skew)
 					}
@@ -51,6 +50,9 @@
 	}
 }
 
+// runSharing runs 50 workers for 20 s after 10 s of learning, at the load as a
+// part of all cores. One of seven entries receives the part skew of all tasks
+// on top of its even part of the rest.
 func runSharing(b *testing.B, sh sharing, naive bool, load, skew float64) {
 	const entries, workers = 7, 50
 	capacity := size{64, 128_000, 0}
@@ -62,7 +64,7 @@
 	for _, mk := range mixedKinds {
 		work += mk.part * mk.truth.size.cores * mk.truth.run.Seconds()
 	}
-	perStep := load * workers * capacity.cores / work * si.step.Seconds()
+	perStep := load * workers * capacity.cores / work * simStep.Seconds()
 	owed := 0.0
 	arrive := func() {
 		for owed += perStep; owed >= 1; owed-- {
@@ -92,3 +94,34 @@
 	b.ReportMetric(float64(len(si.waiting)), "left")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkScheduler measures one decision with everything around it: enqueue,
+// placement and end of a task, with 40 teams and 400 tasks in flight.
+func BenchmarkScheduler(b *testing.B) {
+	for _, workers := range []int{50, 560} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			opt := simOptions{entries: 7, workers: workers, racks: workers / 7, zones: 3, capacity: size{64, 128_000, 2}, sharing: defaultSharing}
+			sc := newSim(opt).scheduler(0)
+			var flying []assignment
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; i < b.N; i += 10 {
+				for k := range 10 {
+					sc.enqueue(&Demand{
+						Task: TaskID(fmt.Sprintf("task-%d", i+k)), Job: platform.JobID(fmt.Sprintf("job-%d", i)), Kind: mixedKinds[i%3].kind,
+						Team: platform.TeamID(fmt.Sprintf("team-%d", i/10%40)), Processors: 1, Memory: 100,
+					}, nil)
+				}
+				for _, as := range sc.place(64) {
+					as.tk.state = taskSent
+					flying = append(flying, as)
+				}
+				for len(flying) > 400 {
+					sc.finished(flying[0].tk, Report{State: StateDone, RanMillis: 100})
+					flying = flying[1:]
+				}
+			}
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "decisions/s")
+		})
+	}
+}
--- a/internal/worker/follow.go
+++ b/internal/worker/follow.go
@@ -234,20 +234,27 @@
 	}
 }
 
-// expiring returns the tasks whose leases are due, by the length of the lease.
+// expiring returns the tasks whose leases are to be renewed, by the length of
+// the lease, once half or less of any lease is left. Leases with up to three
+// quarters left come along, so that later batches carry all tasks together.
 func (ma *machine) expiring(now time.Time) map[time.Duration][]*task {
-	var due map[time.Duration][]*task
+	due, byLease := false, map[time.Duration][]*task(nil)
 	for _, tk := range ma.own {
 		fo := &tk.followed
-		if tk.state != taskSent || fo.starting || fo.leaseUntil.Sub(now) > fo.lease/2 {
+		left := fo.leaseUntil.Sub(now)
+		if tk.state != taskSent || fo.starting || left > fo.lease*3/4 {
 			continue
 		}
-		if due == nil {
-			due = map[time.Duration][]*task{}
+		if byLease == nil {
+			byLease = map[time.Duration][]*task{}
 		}
-		due[fo.lease] = append(due[fo.lease], tk)
+		byLease[fo.lease] = append(byLease[fo.lease], tk)
+		due = due || left <= fo.lease/2
 	}
-	return due
+	if !due {
+		return nil
+	}
+	return byLease
 }
 
 func (di *Dispatcher) renew(ctx context.Context, ma *machine, lk *link, lease time.Duration, tks []*task) {
--- a/internal/worker/scheduler_test.go
+++ b/internal/worker/scheduler_test.go
@@ -88,7 +88,7 @@
 		si := newSim(opt)
 		si.workers[0].failAll = true
 		si.advance(10*time.Second, func() {
-			si.submit(0, Demand{Kind: "check", Processors: 2}, truth{size: size{2, 256, 0}, run: 200 * time.Millisecond})
+			si.submit(0, Demand{Kind: "check", Processors: 2}, runs(2, 200*time.Millisecond))
 		})
 		return si, si.startsOn["worker-0"]
 	}
@@ -103,7 +103,7 @@
 	// Once repaired, a probe finds it well again.
 	si.workers[0].failAll = false
 	si.advance(2*firstProbe, func() {
-		si.submit(0, Demand{Kind: "check", Processors: 2}, truth{size: size{2, 256, 0}, run: 200 * time.Millisecond})
+		si.submit(0, Demand{Kind: "check", Processors: 2}, runs(2, 200*time.Millisecond))
 	})
 	gm.Expect(si.scheduler(0).suspendedMachines()).To(BeZero())
 	gm.Expect(si.startsOn["worker-0"]).To(BeNumerically(">", 50))
@@ -116,7 +116,7 @@
 		gm := NewWithT(t)
 		si := newSim(ordinary)
 		good := func() {
-			si.submit(0, Demand{Team: "good", Kind: "check"}, truth{size: size{1, 256, 0}, run: 100 * time.Millisecond})
+			si.submit(0, Demand{Team: "good", Kind: "check"}, runs(1, 100*time.Millisecond))
 		}
 		si.advance(time.Second, good)
 		for i := range 540 {
@@ -142,7 +142,7 @@
 			si := newSim(opt)
 			arrive := func() {
 				for len(si.waiting) < 50 {
-					si.submit(0, Demand{Kind: "match", Processors: tc.declared}, truth{size: size{float64(tc.real), 256, 0}, run: 500 * time.Millisecond})
+					si.submit(0, Demand{Kind: "match", Processors: tc.declared}, runs(float64(tc.real), 500*time.Millisecond))
 				}
 			}
 			si.advance(3*time.Second, arrive)
@@ -175,14 +175,14 @@
 	run := func(opt simOptions) (longest time.Duration, borrowed int) {
 		si := newSim(opt)
 		for range 2000 {
-			si.submit(0, Demand{Team: "burst", Kind: "match", Processors: 2}, truth{size: size{2, 256, 0}, run: length})
+			si.submit(0, Demand{Team: "burst", Kind: "match", Processors: 2}, runs(2, length))
 		}
 		si.advance(5*length/2, nil)
 		for _, wk := range si.workers {
 			borrowed += len(wk.running)
 		}
 		for i := range 39 {
-			si.submit(0, Demand{Team: platform.TeamID(fmt.Sprintf("team-%d", i)), Kind: "check", Processors: 2}, truth{size: size{2, 256, 0}, run: 100 * time.Millisecond})
+			si.submit(0, Demand{Team: platform.TeamID(fmt.Sprintf("team-%d", i)), Kind: "check", Processors: 2}, runs(2, 100*time.Millisecond))
 		}
 		si.advance(30*length, nil)
 		for i := range 39 {
@@ -210,17 +210,17 @@
 	si.advance(5*time.Second, func() {
 		waiting := map[platform.TeamID]int{}
 		for _, st := range si.waiting {
-			waiting[st.team]++
+			waiting[st.dm.Team]++
 		}
 		for _, team := range []platform.TeamID{"small", "large"} {
 			for ; waiting[team] < 200; waiting[team]++ {
-				si.submit(0, Demand{Team: team, Kind: "check"}, truth{size: size{1, 256, 0}, run: 300 * time.Millisecond})
+				si.submit(0, Demand{Team: team, Kind: "check"}, runs(1, 300*time.Millisecond))
 			}
 		}
 	})
 	for _, wk := range si.workers {
 		for _, st := range wk.running {
-			running[st.team]++
+			running[st.dm.Team]++
 		}
 	}
 	gm.Expect(running["large"]).To(BeNumerically("~", 120, 4))
@@ -234,11 +234,11 @@
 	si := newSim(ordinary)
 	flood := func() {
 		for len(si.waiting) < 300 {
-			si.submit(0, Demand{Team: "flood", Kind: "check"}, truth{size: size{1, 256, 0}, run: time.Duration(500+si.rng.IntN(500)) * time.Millisecond})
+			si.submit(0, Demand{Team: "flood", Kind: "check"}, runs(1, time.Duration(500+si.rng.IntN(500))*time.Millisecond))
 		}
 	}
 	si.advance(2*time.Second, flood)
-	si.submit(0, Demand{Team: "large", Kind: "realign", Processors: 16}, truth{size: size{16, 256, 0}, run: time.Second})
+	si.submit(0, Demand{Team: "large", Kind: "realign", Processors: 16}, runs(16, time.Second))
 	si.advance(2*time.Second, flood)
 	gm.Expect(si.waitOf["large"]).To(HaveLen(1))
 	gm.Expect(si.waitOf["large"][0]).To(BeNumerically("<=", time.Second), "the length of the tasks in its way")
@@ -251,14 +251,14 @@
 	si := newSim(ordinary)
 	si.workers[3].slow = 8
 	si.advance(10*time.Second, func() {
-		si.submit(0, Demand{Kind: "check"}, truth{size: size{1, 256, 0}, run: 100 * time.Millisecond})
+		si.submit(0, Demand{Kind: "check"}, runs(1, 100*time.Millisecond))
 	})
 	gm.Expect(si.startsOn["worker-3"]).To(BeNumerically("<", 40), "an even part would be 200")
 
 	racks := map[platform.RackID]int{}
 	si.onStart = func(_ *simTask, wk *simWorker) { racks[wk.vm.Rack]++ }
 	for i := range 10 {
-		si.submit(0, Demand{Task: TaskID(fmt.Sprintf("spread/%d", i)), Job: "spread", Kind: "check"}, truth{size: size{1, 256, 0}, run: time.Second})
+		si.submit(0, Demand{Task: TaskID(fmt.Sprintf("spread/%d", i)), Job: "spread", Kind: "check"}, runs(1, time.Second))
 	}
 	si.advance(10*time.Millisecond, nil)
 	gm.Expect(racks).To(HaveLen(5))
--- a/internal/worker/sim_test.go
+++ b/internal/worker/sim_test.go
@@ -18,7 +18,7 @@
 	tick(elapsed time.Duration)
 }
 
-// realPlacer adapts the scheduler.
+// realPlacer adapts the scheduler. The simulated network takes no time.
 type realPlacer struct{ *scheduler }
 
 func (rp realPlacer) ended(tk *task, rep Report) { rp.finished(tk, rep) }
@@ -27,7 +27,6 @@
 	rp.report(rp.byID[wk], use, at)
 }
 
-// place marks the tasks as sent at once: the simulated network takes no time.
 func (rp realPlacer) place(limit int) []assignment {
 	out := rp.scheduler.place(limit)
 	for _, as := range out {
@@ -43,11 +42,6 @@
 	queue []*task
 	next  int
 	used  map[platform.WorkerID]size
-	tasks map[TaskID]*task
-}
-
-func newNaive(vms []platform.VM) *naivePlacer {
-	return &naivePlacer{vms: vms, used: map[platform.WorkerID]size{}, tasks: map[TaskID]*task{}}
 }
 
 func (np *naivePlacer) enqueue(dm *Demand, _ func(TaskID, Placement)) {
@@ -56,26 +50,17 @@
 
 func (np *naivePlacer) place(int) []assignment {
 	var out []assignment
-	for len(np.queue) > 0 {
-		tk := np.queue[0]
-		placed := false
-		for range np.vms {
-			np.next++
-			vm := np.vms[np.next%len(np.vms)]
-			id := platform.WorkerID(vm.ID)
-			if !np.used[id].plus(tk.size).fits(sizeOf(vm.Processors, vm.Memory, vm.Accelerators)) {
-				continue
-			}
-			np.used[id] = np.used[id].plus(tk.size)
+	for tried := 0; len(np.queue) > 0 && tried < len(np.vms); tried++ {
+		np.next++
+		vm, tk := np.vms[np.next%len(np.vms)], np.queue[0]
+		id := platform.WorkerID(vm.ID)
+		if used := np.used[id].plus(tk.size); used.fits(capacityOf(vm)) {
+			np.used[id] = used
 			tk.ma = &machine{id: id}
 			out = append(out, assignment{tk: tk, pl: Placement{Worker: id}})
-			placed = true
-			break
+			np.queue = np.queue[1:]
+			tried = -1
 		}
-		if !placed {
-			break
-		}
-		np.queue = np.queue[1:]
 	}
 	return out
 }
@@ -87,6 +72,8 @@
 func (np *naivePlacer) usage(platform.WorkerID, Usage, time.Time) {}
 func (np *naivePlacer) tick(time.Duration)                        {}
 
+func capacityOf(vm platform.VM) size { return sizeOf(vm.Processors, vm.Memory, vm.Accelerators) }
+
 // truth is what a task really does.
 type truth struct {
 	size size
@@ -94,6 +81,11 @@
 	fail bool
 }
 
+// runs is a task of so many cores that takes so long.
+func runs(cores float64, run time.Duration) truth {
+	return truth{size: size{cores, 256, 0}, run: run}
+}
+
 type simWorker struct {
 	vm      platform.VM
 	running map[TaskID]*simTask
@@ -103,40 +95,36 @@
 }
 
 type simTask struct {
-	id      TaskID
-	kind    platform.RequestKind
-	truth   truth
-	tk      *task
-	owner   *simEntry
-	worker  *simWorker
-	arrived time.Time
-	started time.Time
-	endsAt  time.Time
-	team    platform.TeamID
+	dm                       Demand
+	truth                    truth
+	tk                       *task
+	owner                    *simEntry
+	arrived, started, endsAt time.Time
 }
 
 type simEntry struct {
-	pl      placer
-	polled  map[platform.WorkerID]time.Time
-	pending []delayedReport
+	pl     placer
+	polled map[platform.WorkerID]time.Time
 }
 
-type delayedReport struct {
-	worker  platform.WorkerID
-	use     Usage
-	sampled time.Time
+type simOptions struct {
+	entries, workers, racks, zones int
+	capacity                       size
+	sharing                        sharing
+	naive                          bool
+	lag                            time.Duration
+	polls                          int // for each entry and second
 }
 
-// sim runs entries against workers on a virtual clock, in steps.
+// sim runs entries against workers on a virtual clock.
 type sim struct {
+	opt     simOptions
 	now     time.Time
-	step    time.Duration
-	lag     time.Duration
-	polls   int // for each entry and second
 	entries []*simEntry
 	workers []*simWorker
 	byID    map[platform.WorkerID]*simWorker
 	waiting map[TaskID]*simTask
+	reports []func() bool // each delivers one report once its lag is over
 	rng     *rand.Rand
 	nextID  int
 
@@ -148,27 +136,13 @@
 	onStart              func(st *simTask, wk *simWorker)
 }
 
-type simOptions struct {
-	entries, workers, racks int
-	capacity                size
-	zones                   int
-	sharing                 sharing
-	naive                   bool
-	lag                     time.Duration
-	polls                   int
-}
+const simStep = 5 * time.Millisecond
 
 func newSim(opt simOptions) *sim {
 	si := &sim{
-		now:      time.Unix(1_000_000, 0),
-		step:     5 * time.Millisecond,
-		lag:      opt.lag,
-		polls:    opt.polls,
-		byID:     map[platform.WorkerID]*simWorker{},
-		waiting:  map[TaskID]*simTask{},
-		rng:      rand.New(rand.NewPCG(1, 2)),
-		waitOf:   map[platform.TeamID][]time.Duration{},
-		startsOn: map[platform.WorkerID]int{},
+		opt: opt, now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(1, 2)),
+		byID: map[platform.WorkerID]*simWorker{}, waiting: map[TaskID]*simTask{},
+		waitOf: map[platform.TeamID][]time.Duration{}, startsOn: map[platform.WorkerID]int{},
 	}
 	zone := func(i int) platform.AvailabilityZone {
 		return platform.AvailabilityZone(fmt.Sprintf("zone-%d", i%max(1, opt.zones)))
@@ -176,8 +150,8 @@
 	var vms []platform.VM
 	for i := range opt.workers {
 		vm := platform.VM{
-			ID: fmt.Sprintf("worker-%d", i), Kind: platform.KindWorker, State: platform.StateLive,
-			AvailabilityZone: zone(i), Rack: platform.RackID(fmt.Sprintf("rack-%d", i%max(1, opt.racks))),
+			ID: fmt.Sprintf("worker-%d", i), State: platform.StateLive, AvailabilityZone: zone(i),
+			Rack:       platform.RackID(fmt.Sprintf("rack-%d", i%max(1, opt.racks))),
 			Processors: platform.Cores(opt.capacity.cores), Memory: platform.Megabytes(opt.capacity.memory),
 			Accelerators: int(opt.capacity.accelerators),
 		}
@@ -190,12 +164,10 @@
 	for i := range opt.entries {
 		infos = append(infos, entryInfo{id: platform.EntryID(fmt.Sprintf("entry-%d", i)), zone: zone(i)})
 	}
-	for i := range opt.entries {
-		en := &simEntry{polled: map[platform.WorkerID]time.Time{}}
-		if opt.naive {
-			en.pl = newNaive(vms)
-		} else {
-			sc := newScheduler(infos[i], nil, func() time.Time { return si.now })
+	for _, info := range infos {
+		en := &simEntry{polled: map[platform.WorkerID]time.Time{}, pl: &naivePlacer{vms: vms, used: map[platform.WorkerID]size{}}}
+		if !opt.naive {
+			sc := newScheduler(info, nil, func() time.Time { return si.now })
 			sc.sharing = opt.sharing
 			sc.setMachines(vms)
 			sc.setEntries(infos)
@@ -208,7 +180,7 @@
 
 func (si *sim) scheduler(i int) *scheduler { return si.entries[i].pl.(realPlacer).scheduler }
 
-// submit queues one task at the entry.
+// submit queues one task at the entry, as a job of its own unless dm names one.
 func (si *sim) submit(entry int, dm Demand, tr truth) {
 	si.nextID++
 	if dm.Task == "" {
@@ -217,14 +189,13 @@
 	if dm.Job == "" {
 		dm.Job = platform.JobID(dm.Task)
 	}
-	st := &simTask{id: dm.Task, kind: dm.Kind, truth: tr, owner: si.entries[entry], arrived: si.now, team: dm.Team}
-	si.waiting[dm.Task] = st
+	si.waiting[dm.Task] = &simTask{dm: dm, truth: tr, owner: si.entries[entry], arrived: si.now}
 	si.entries[entry].pl.enqueue(&dm, nil)
 }
 
 // advance runs the clock for the duration, calling arrive before each step.
 func (si *sim) advance(duration time.Duration, arrive func()) {
-	const tickEvery = 100 // steps
+	const tickEvery = 100
 	for n := 1; duration > 0; n++ {
 		if arrive != nil {
 			arrive()
@@ -234,134 +205,122 @@
 				si.start(as)
 			}
 		}
-		si.measure()
-		si.now = si.now.Add(si.step)
-		duration -= si.step
-		si.endTasks()
-		si.reports()
-		if n%tickEvery == 0 {
-			for _, en := range si.entries {
-				en.pl.tick(tickEvery * si.step)
+		for _, wk := range si.workers {
+			si.measure(wk)
+		}
+		si.now = si.now.Add(simStep)
+		duration -= simStep
+		for _, wk := range si.workers {
+			si.endTasks(wk)
+		}
+		for len(si.reports) > 0 && si.reports[0]() {
+			si.reports = si.reports[1:]
+		}
+		for _, en := range si.entries {
+			si.poll(en)
+			if n%tickEvery == 0 {
+				en.pl.tick(tickEvery * simStep)
 			}
 		}
 	}
 }
 
 func (si *sim) start(as assignment) {
-	st := si.waiting[as.tk.id]
+	st, wk := si.waiting[as.tk.id], si.byID[as.pl.Worker]
 	delete(si.waiting, as.tk.id)
-	wk := si.byID[as.pl.Worker]
 	run := time.Duration(float64(st.truth.run) * wk.slow)
 	if wk.failAll {
 		run = time.Millisecond
 	}
-	st.tk, st.worker, st.started = as.tk, wk, si.now
-	st.endsAt = si.now.Add(run)
-	wk.running[st.id] = st
+	st.tk, st.started, st.endsAt = as.tk, si.now, si.now.Add(run)
+	wk.running[st.dm.Task] = st
 	wk.used = wk.used.plus(st.truth.size)
 	si.startsOn[as.pl.Worker]++
-	wait := si.now.Sub(st.arrived)
-	si.waits = append(si.waits, wait)
-	si.waitOf[st.team] = append(si.waitOf[st.team], wait)
+	si.waits = append(si.waits, si.now.Sub(st.arrived))
+	si.waitOf[st.dm.Team] = append(si.waitOf[st.dm.Team], si.now.Sub(st.arrived))
 	if si.onStart != nil {
 		si.onStart(st, wk)
 	}
 }
 
-func (si *sim) measure() {
-	for _, wk := range si.workers {
-		if len(wk.running) == 0 {
-			continue
-		}
-		si.busySteps++
-		if !wk.used.fits(sizeOf(wk.vm.Processors, wk.vm.Memory, wk.vm.Accelerators)) {
-			si.overSteps++
-			si.excess += max(wk.used.cores/float64(wk.vm.Processors), wk.used.memory/float64(wk.vm.Memory)) - 1
-		}
+func (si *sim) measure(wk *simWorker) {
+	if len(wk.running) == 0 {
+		return
+	}
+	si.busySteps++
+	if capacity := capacityOf(wk.vm); !wk.used.fits(capacity) {
+		si.overSteps++
+		si.excess += max(wk.used.cores/capacity.cores, wk.used.memory/capacity.memory) - 1
 	}
 }
 
-func (si *sim) endTasks() {
-	for _, wk := range si.workers {
-		var ended []*simTask
-		for _, st := range wk.running {
-			if !st.endsAt.After(si.now) {
-				ended = append(ended, st)
-			}
-		}
-		sort.Slice(ended, func(i, j int) bool { return ended[i].id < ended[j].id })
-		for _, st := range ended {
-			delete(wk.running, st.id)
-			wk.used = wk.used.minus(st.truth.size)
-			state := StateDone
-			if wk.failAll || st.truth.fail {
-				state = StateFailed
-			}
-			st.owner.pl.ended(st.tk, Report{ID: st.id, State: state, RanMillis: si.now.Sub(st.started).Milliseconds()})
-		}
+func (wk *simWorker) sorted() []*simTask {
+	var out []*simTask
+	for _, st := range wk.running {
+		out = append(out, st)
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].dm.Task < out[j].dm.Task })
+	return out
 }
 
-// reports lets each entry poll the workers with the oldest reports, and
-// delivers what was sampled a lag ago.
-func (si *sim) reports() {
-	for e, en := range si.entries {
-		for len(en.pending) > 0 && si.now.Sub(en.pending[0].sampled) >= si.lag {
-			dr := en.pending[0]
-			en.pending = en.pending[1:]
-			en.pl.usage(dr.worker, dr.use, dr.sampled)
-		}
-		quota := float64(si.polls) * si.step.Seconds()
-		n := int(quota)
-		if si.rng.Float64() < quota-float64(n) {
-			n++
+func (si *sim) endTasks(wk *simWorker) {
+	for _, st := range wk.sorted() {
+		if st.endsAt.After(si.now) {
+			continue
 		}
-		for range n {
-			wk := si.oldest(e, en)
-			if wk == nil {
-				break
-			}
-			id := platform.WorkerID(wk.vm.ID)
-			en.polled[id] = si.now
-			en.pending = append(en.pending, delayedReport{worker: id, use: wk.usage(), sampled: si.now})
+		delete(wk.running, st.dm.Task)
+		wk.used = wk.used.minus(st.truth.size)
+		rep := Report{ID: st.dm.Task, State: StateDone, RanMillis: si.now.Sub(st.started).Milliseconds()}
+		if wk.failAll || st.truth.fail {
+			rep.State = StateFailed
 		}
+		st.owner.pl.ended(st.tk, rep)
 	}
 }
 
-func (si *sim) oldest(e int, en *simEntry) *simWorker {
+// poll samples the worker with the oldest report; the entry receives the report
+// a lag later.
+func (si *sim) poll(en *simEntry) {
+	if si.rng.Float64() >= float64(si.opt.polls)*simStep.Seconds() {
+		return
+	}
 	rp, isReal := en.pl.(realPlacer)
-	var best *simWorker
+	var id platform.WorkerID
 	for _, wk := range si.workers {
-		id := platform.WorkerID(wk.vm.ID)
-		if isReal && !rp.wantsPoll(rp.byID[id], si.now) {
-			continue
-		}
-		if si.now.Sub(en.polled[id]) < pollEvery {
-			continue
-		}
-		if best == nil || en.polled[id].Before(en.polled[platform.WorkerID(best.vm.ID)]) {
-			best = wk
+		next := platform.WorkerID(wk.vm.ID)
+		wanted := !isReal || rp.wantsPoll(rp.byID[next], si.now)
+		if wanted && si.now.Sub(en.polled[next]) >= pollEvery && (id == "" || en.polled[next].Before(en.polled[id])) {
+			id = next
 		}
 	}
-	_ = e
-	return best
+	if id == "" {
+		return
+	}
+	en.polled[id] = si.now
+	use, sampled := si.byID[id].usage(), si.now
+	si.reports = append(si.reports, func() bool {
+		if si.now.Sub(sampled) < si.opt.lag {
+			return false
+		}
+		en.pl.usage(id, use, sampled)
+		return true
+	})
+}
+
+func usageOf(id TaskID, kind platform.RequestKind, sz size) TaskUsage {
+	return TaskUsage{ID: id, Kind: kind, Processors: platform.Cores(sz.cores), Memory: platform.Megabytes(sz.memory), Accelerators: int(sz.accelerators)}
 }
 
 func (wk *simWorker) usage() Usage {
-	use := Usage{Processors: platform.Cores(wk.used.cores), Memory: platform.Megabytes(wk.used.memory), Accelerators: int(wk.used.accelerators)}
-	for _, st := range wk.running {
-		use.Tasks = append(use.Tasks, TaskUsage{
-			ID: st.id, Kind: st.kind, Processors: platform.Cores(st.truth.size.cores),
-			Memory: platform.Megabytes(st.truth.size.memory), Accelerators: int(st.truth.size.accelerators),
-		})
+	sum := usageOf("", "", wk.used)
+	use := Usage{Processors: sum.Processors, Memory: sum.Memory, Accelerators: sum.Accelerators}
+	for _, st := range wk.sorted() {
+		use.Tasks = append(use.Tasks, usageOf(st.dm.Task, st.dm.Kind, st.truth.size))
 	}
-	sort.Slice(use.Tasks, func(i, j int) bool { return use.Tasks[i].ID < use.Tasks[j].ID })
 	return use
 }
 
-func (si *sim) overShare() float64 {
-	return float64(si.overSteps) / float64(max(1, si.busySteps))
-}
+func (si *sim) overShare() float64 { return float64(si.overSteps) / float64(max(1, si.busySteps)) }
 
 func quantile(vals []time.Duration, q float64) time.Duration {
 	if len(vals) == 0 {
@@ -371,3 +330,25 @@
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i] < sorted[j] })
 	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
 }
+
+// ShortBounds shortens the times after which traffic is given up, so that tests
+// of these times run quickly. The order of the bounds stays.
+func (di *Dispatcher) ShortBounds() {
+	di.bounds = bounds{
+		start: 300 * time.Millisecond, invite: 150 * time.Millisecond, held: 2 * time.Second,
+		silent: 1500 * time.Millisecond, refused: 500 * time.Millisecond,
+		unlisted: 800 * time.Millisecond, unlistedSilence: 300 * time.Millisecond,
+		unknownStart: 500 * time.Millisecond, ping: 400 * time.Millisecond,
+	}
+}
+
+// RoomInUse returns the cores that are reserved on all workers.
+func (di *Dispatcher) RoomInUse() float64 {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	sum := 0.0
+	for _, ma := range di.sched.machines {
+		sum += ma.ownUse.cores
+	}
+	return sum
+}
--- a/internal/worker/traffic_test.go
+++ b/internal/worker/traffic_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,31 +39,26 @@
 	ends     int
 	places   map[worker.TaskID]worker.Placement
 	errs     map[worker.TaskID]error
+	started  chan struct{}
 }
 
-func newRig(tb testing.TB, opt standin.FleetOptions) *rig {
+func newRig(tb testing.TB, workers int) *rig {
 	tb.Helper()
-	opt.Zones = []platform.AvailabilityZone{"zone-0"}
-	opt.WorkersInRack = 8
-	fleet, err := standin.StartFleet(opt)
+	fleet, err := standin.StartFleet(standin.FleetOptions{
+		Workers: workers, WorkerCores: 64, WorkerMemory: 128_000, WorkersInRack: 8, Zones: []platform.AvailabilityZone{"zone-0"},
+	})
 	if err != nil {
 		tb.Fatal(err)
 	}
 	tb.Cleanup(fleet.Close)
 	rg := &rig{tb: tb, board: &blackboard.Board{}, cnt: counter.New(), fleet: fleet}
-	rg.vms = workersOf(fleet)
-	return rg
-}
-
-func workersOf(fleet *standin.Fleet) []platform.VM {
-	var vms []platform.VM
 	for i, srv := range fleet.WorkerServers {
-		vms = append(vms, platform.VM{
+		rg.vms = append(rg.vms, platform.VM{
 			ID: fmt.Sprintf("worker-%d", i), Kind: platform.KindWorker, State: platform.StateLive, Address: srv.Address(),
 			AvailabilityZone: "zone-0", Rack: platform.RackID(fmt.Sprintf("rack-%d", i/8)), Processors: 64, Memory: 128_000,
 		})
 	}
-	return vms
+	return rg
 }
 
 // proxied puts a proxy before each worker.
@@ -86,6 +79,7 @@
 func (rg *rig) run() *rig {
 	rg.finished, rg.lost = map[worker.TaskID]worker.Report{}, map[worker.TaskID]string{}
 	rg.places, rg.errs = map[worker.TaskID]worker.Placement{}, map[worker.TaskID]error{}
+	rg.started = make(chan struct{}, 1)
 	rg.list(rg.vms)
 	rg.di = worker.New(worker.Options{
 		Board: rg.board, Counters: rg.cnt, Incarnation: platform.NewIncarnation("entry-0"), Zone: "zone-0", Log: zerolog.Nop(),
@@ -122,51 +116,53 @@
 	return raw
 }
 
-// submit enqueues n tasks and starts each one once it is assigned.
+// submit enqueues n tasks and starts each one once it is assigned. It returns
+// when all have been started.
 func (rg *rig) submit(prefix string, n int, run, lease time.Duration) {
+	const perJob, teams, starters = 100, 40, 64
+	type place struct {
+		task worker.TaskID
+		pl   worker.Placement
+	}
+	places := make(chan place, n)
+	grp := group.New(context.Background())
+	for range min(n, starters) {
+		grp.Go(func(ctx context.Context) {
+			for pc := range places {
+				err := rg.di.Start(ctx, pc.pl, worker.Task{ID: pc.task, Kind: "check", Payload: payloadOf(run), LeaseMillis: lease.Milliseconds()})
+				rg.mu.Lock()
+				rg.places[pc.task], rg.errs[pc.task] = pc.pl, err
+				rg.mu.Unlock()
+				rg.started <- struct{}{}
+			}
+		})
+	}
 	var dms []worker.Demand
 	for i := range n {
 		dms = append(dms, worker.Demand{
-			Task: worker.TaskID(fmt.Sprintf("%s/%d", prefix, i)), Job: platform.JobID(prefix), Kind: "check",
-			Processors: 1, Memory: 100, RunMillis: run.Milliseconds(),
+			Task: worker.TaskID(fmt.Sprintf("%s/%d", prefix, i)), Job: platform.JobID(fmt.Sprintf("%s-%d", prefix, i/perJob)), Kind: "check",
+			Team: platform.TeamID(fmt.Sprintf("team-%d", i/perJob%teams)), Processors: 1, Memory: 100, RunMillis: run.Milliseconds(),
 		})
 	}
-	starts := make(chan func(), n)
-	rg.di.Enqueue(dms, func(task worker.TaskID, pl worker.Placement) {
-		starts <- func() {
-			rg.mu.Lock()
-			rg.places[task] = pl
-			rg.mu.Unlock()
-			err := rg.di.Start(context.Background(), pl, worker.Task{
-				ID: task, Kind: "check", Processors: 1, Memory: 100, Payload: payloadOf(run), LeaseMillis: lease.Milliseconds(),
-			})
-			rg.mu.Lock()
-			rg.errs[task] = err
-			rg.mu.Unlock()
-		}
-	})
+	rg.di.Enqueue(dms, func(task worker.TaskID, pl worker.Placement) { places <- place{task, pl} })
 	for range n {
 		select {
-		case start := <-starts:
-			start()
+		case <-rg.started:
 		case <-time.After(5 * time.Second):
-			rg.tb.Fatalf("%s: a task was not assigned", prefix)
+			rg.tb.Errorf("%s: a task was not assigned or started", prefix)
 		}
 	}
-}
-
-func (rg *rig) counts() (finished, lost int) {
-	rg.mu.Lock()
-	defer rg.mu.Unlock()
-	return len(rg.finished), len(rg.lost)
+	close(places)
+	grp.Close()
 }
 
 // eventually waits until so many tasks have finished and been lost.
 func (rg *rig) eventually(finished, lost int, within time.Duration) {
 	rg.tb.Helper()
 	NewWithT(rg.tb).Eventually(func() [2]int {
-		fin, lo := rg.counts()
-		return [2]int{fin, lo}
+		rg.mu.Lock()
+		defer rg.mu.Unlock()
+		return [2]int{len(rg.finished), len(rg.lost)}
 	}, within, 10*time.Millisecond).Should(Equal([2]int{finished, lost}))
 }
 
@@ -181,16 +177,12 @@
 	return seen
 }
 
-func fleetOf(n int) standin.FleetOptions {
-	return standin.FleetOptions{Workers: n, WorkerCores: 64, WorkerMemory: 128_000}
-}
-
 // TestTasksFinishOnce guards against results that are lost, doubled or leave
 // their room reserved.
 func TestTasksFinishOnce(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	rg := newRig(t, fleetOf(4)).run()
+	rg := newRig(t, 4).run()
 	rg.submit("job", 100, 30*time.Millisecond, 0)
 	rg.eventually(100, 0, 5*time.Second)
 	gm.Expect(rg.ends).To(Equal(100))
@@ -203,7 +195,7 @@
 func TestLostStartReply(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	rg := newRig(t, fleetOf(1)).run()
+	rg := newRig(t, 1).run()
 	rg.submit("before", 20, 10*time.Millisecond, 0)
 	rg.eventually(20, 0, 5*time.Second)
 	rg.fleet.Workers[0].SetFaults(standin.WorkerFaults{DropStartReplies: true})
@@ -222,7 +214,7 @@
 func TestRefusedStart(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	rg := newRig(t, fleetOf(1)).proxied().run()
+	rg := newRig(t, 1).proxied().run()
 	rg.fleet.Workers[0].SetFaults(standin.WorkerFaults{RefuseAll: true})
 	rg.submit("refused", 1, time.Millisecond, 0)
 	gm.Expect(rg.errs["refused/0"]).To(MatchError(worker.ErrRefused))
@@ -238,7 +230,7 @@
 func TestWithdraw(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	rg := newRig(t, fleetOf(1)).run()
+	rg := newRig(t, 1).run()
 	assigned := make(chan worker.Placement, 1)
 	rg.di.Enqueue([]worker.Demand{{Task: "job/0", Processors: 1}}, func(_ worker.TaskID, pl worker.Placement) { assigned <- pl })
 	pl := <-assigned
@@ -266,7 +258,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			rg := newRig(t, fleetOf(1)).proxied().run()
+			rg := newRig(t, 1).proxied().run()
 			rg.submit("job", 3, time.Minute, 0)
 			time.Sleep(100 * time.Millisecond)
 			fault(rg)
@@ -282,7 +274,7 @@
 func TestSilentHeldRequest(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	rg := newRig(t, fleetOf(1)).proxied().run()
+	rg := newRig(t, 1).proxied().run()
 	rg.submit("job", 3, 300*time.Millisecond, 0)
 	rg.proxies[0].Set(faultproxy.Faults{FreezeExisting: true})
 	// Late after three times the declared 300 ms and 250 ms of slack.
@@ -301,7 +293,7 @@
 func TestLeasesRenewed(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	rg := newRig(t, fleetOf(1)).run()
+	rg := newRig(t, 1).run()
 	rg.submit("job", 20, 1600*time.Millisecond, 600*time.Millisecond)
 	rg.eventually(20, 0, 4*time.Second)
 	for _, rep := range rg.finished {
@@ -315,7 +307,7 @@
 func TestAdoptAndStop(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
-	first := newRig(t, fleetOf(1)).run()
+	first := newRig(t, 1).run()
 	first.submit("job", 2, 900*time.Millisecond, 500*time.Millisecond)
 	first.submit("endless", 1, time.Minute, 500*time.Millisecond)
 	pl := first.places["job/0"]
@@ -330,62 +322,15 @@
 	gm.Expect(second.finished["endless/0"].State).To(Equal(worker.StateStopped))
 }
 
-type endCounter struct {
-	left *atomic.Int64
-	done chan struct{}
-}
-
-func (ec *endCounter) Finished(worker.Report) {
-	if ec.left.Add(-1) == 0 {
-		close(ec.done)
-	}
-}
-
-func (ec *endCounter) Lost(worker.TaskID, string) { ec.Finished(worker.Report{}) }
-
-// BenchmarkStarts measures starts over loopback, from Enqueue to Finished.
+// BenchmarkStarts measures starts over loopback, from Enqueue to Finished, the
+// stand-ins included.
 func BenchmarkStarts(b *testing.B) {
 	for _, workers := range []int{50, 560} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			rg := newRig(b, fleetOf(workers)).run()
-			var left atomic.Int64
-			done := make(chan struct{})
-			ends := &endCounter{left: &left, done: done}
-			rg.di.SetEvents(ends)
-			left.Store(int64(b.N))
-			type place struct {
-				task worker.TaskID
-				pl   worker.Placement
-			}
-			places := make(chan place, 1<<20)
-			starters := group.New(context.Background())
-			for range 64 {
-				starters.Go(func(ctx context.Context) {
-					for pc := range places {
-						task := worker.Task{ID: pc.task, Kind: "check", Payload: payloadOf(100 * time.Millisecond)}
-						if err := rg.di.Start(ctx, pc.pl, task); errors.Is(err, worker.ErrRefused) {
-							b.Error(err)
-							ends.Lost(pc.task, "")
-						}
-					}
-				})
-			}
-			dms := make([]worker.Demand, 0, 100)
+			rg := newRig(b, workers).run()
 			b.ResetTimer()
-			for i := range b.N {
-				dms = append(dms, worker.Demand{
-					Task: worker.TaskID(fmt.Sprintf("job-%d/%d", i/100, i)), Job: platform.JobID(fmt.Sprintf("job-%d", i/100)),
-					Team: platform.TeamID(fmt.Sprintf("team-%d", i/100%40)), Kind: "check", Processors: 1, Memory: 100, RunMillis: 100,
-				})
-				if len(dms) == cap(dms) || i == b.N-1 {
-					rg.di.Enqueue(dms, func(task worker.TaskID, pl worker.Placement) { places <- place{task, pl} })
-					dms = dms[:0]
-				}
-			}
-			<-done
-			b.StopTimer()
-			close(places)
-			starters.Close()
+			rg.submit("job", b.N, 100*time.Millisecond, 0)
+			rg.eventually(b.N, 0, 10*time.Second)
 			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "starts/s")
 		})
 	}
