--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,6 +19,7 @@
 	"io"
 	"net/http"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -46,10 +47,12 @@
 	"check":          {"check a settings file", runCheck},
 	"job submit":     {"submit a job from a YAML or JSON file", runJobSubmit},
 	"job get":        {"show a job", runJobGet},
+	"job cancel":     {"cancel a job", runJobCancel},
 	"request":        {"send one service request", runRequest},
 	"config get":     {"show the configuration in force", runConfigGet},
 	"config patch":   {"submit a patch against a numbered version", runConfigPatch},
 	"config history": {"list the versions of the configuration", runConfigHistory},
+	"config diff":    {"show what differs between two versions", runConfigDiff},
 	"service create": {"create a service", runServiceCreate},
 	"status":         {"show the status of an entry", runStatus},
 	"drain":          {"make an entry leave gracefully", runDrain},
@@ -93,7 +96,7 @@
 			return vb, args[2:], nil
 		}
 	}
-	return verb{}, nil, fmt.Errorf("unknown command %q", args[0])
+	return verb{}, nil, fmt.Errorf("unknown command %q", strings.Join(args[:min(2, len(args))], " "))
 }
 
 func printUsage(out io.Writer) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +22,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/caller"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/home"
 	"github.com/oleanderwall/oleanderwall/internal/job"
 	"github.com/oleanderwall/oleanderwall/internal/operator"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
@@ -32,6 +32,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/target"
 	"github.com/oleanderwall/oleanderwall/internal/vmlist"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
+	"github.com/oleanderwall/oleanderwall/pkg/pausedetect"
 )
 
 // Entry is one running entry process.
@@ -42,77 +43,137 @@
 	board *blackboard.Board
 	cnt   *counter.Set
 	grp   *group.Group
+	// platform counts the bytes to and from the platform.
+	platform peer.Traffic
 
 	callers   *httpServer
 	operators *httpServer
 	peers     *peer.Server
 	pool      *peer.Pool
+	pause     *pausedetect.Detector
+	members   *peer.Membership
+
+	// forwardPool carries forwarded requests.
+	forwardPool *peer.Pool
+	slots       *home.Controller
 
 	vms     *vmlist.Poller
-	watcher *configuration.Watcher
+	config  *configuration.Follower
 	targets *target.Dispatcher
 	jobs    *job.Manager
 
+	placement *job.SimplePlacement
+
+	registration *registration
+
+	requests *inflight
+	steps    []LeaveStep
+	stopOnce sync.Once
+
 	draining  atomic.Bool
+	wasReady  atomic.Bool
+	began     time.Time
 	drainOnce chan struct{}
 }
 
 // New builds an entry and opens its listeners.
 func New(set settings.Settings, log zerolog.Logger) (*Entry, error) {
 	en := &Entry{
-		set:       set,
-		log:       log,
-		inc:       platform.NewIncarnation(set.EntryID),
-		board:     &blackboard.Board{},
-		cnt:       counter.New(),
-		grp:       group.New(context.Background()),
-		pool:      peer.NewPool(),
-		drainOnce: make(chan struct{}, 1),
+		set:         set,
+		log:         log,
+		inc:         platform.NewIncarnation(set.EntryID),
+		board:       &blackboard.Board{},
+		cnt:         counter.New(),
+		grp:         group.New(context.Background()),
+		pool:        peer.NewPool(),
+		forwardPool: peer.NewPool(),
+		requests:    newInflight(),
+		began:       time.Now(),
+		drainOnce:   make(chan struct{}, 1),
 	}
 	if err := en.listen(); err != nil {
 		en.closeListeners()
 		return nil, err
 	}
-	en.build()
+	if err := en.build(); err != nil {
+		en.closeListeners()
+		return nil, err
+	}
 	return en, nil
 }
 
-func (en *Entry) build() {
-	hc := platformClient()
+func (en *Entry) build() error {
+	hc := platformClient(&en.platform)
 	rows := table.New(en.set.Platform.Table, hc)
+	en.registration = &registration{rows: rows, inc: en.inc, log: en.log}
+	en.pause = pausedetect.New(pauseLimit)
+	var err error
+	if en.members, err = peer.NewMembership(en.membershipOptions()); err != nil {
+		en.pause.Close()
+		return err
+	}
+	if err := peer.RegisterConfiguration(en.peers, en.board); err != nil {
+		en.pause.Close()
+		return err
+	}
 	store := configuration.NewStore(rows)
 	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
-	en.watcher = configuration.NewWatcher(store, en, en.set.Timing.ConfigurationPoll.Std(), en.log)
-	en.targets = target.New(en.board, en.cnt)
-	en.jobs = job.New(job.Options{
-		Board:       en.board,
-		Rows:        rows,
-		Client:      hc,
-		Counters:    en.cnt,
-		Incarnation: en.inc,
-		Log:         en.log,
+	en.config = configuration.NewFollower(configuration.FollowerOptions{
+		Store:     store,
+		Peers:     peer.ConfigurationPeers{Pool: en.pool, Members: en.members},
+		Publisher: en,
+		Interval:  en.set.Timing.ConfigurationPoll.Std(),
+		Counters:  en.cnt,
+		Log:       en.log,
 	})
-	en.callers.handle(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router()))
+	if err := en.buildSlots(rows); err != nil {
+		return err
+	}
+	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt, Forwarder: en.slots.Forwarder()})
+	en.slots.Bind(en.targets)
+	if err := en.buildJobs(rows, hc, workerClient()); err != nil {
+		return err
+	}
+	en.callers.handle(en.requests.track(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router())))
 	en.operators.handle(operator.New(operator.Options{
 		Board:       en.board,
-		Store:       store,
+		Store:       acceptor{store, en},
+		Follower:    en.config,
 		Lifecycle:   en,
 		Counters:    en.cnt,
 		EntryID:     en.set.EntryID,
 		Incarnation: en.inc,
 		Zone:        en.set.AvailabilityZone,
 	}).Router())
+	return nil
 }
 
-// platformClient returns the HTTP client for the platform and the workers. Its
-// requests are idempotent or carry ids, so the resends of Go's transport are
-// harmless.
-func platformClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 64,
-		IdleConnTimeout:     time.Minute,
-	}}
+// pauseLimit is the gap after which old state is not acted on. It lies well
+// above the delays of a loaded machine and below the lease of a slot loan.
+const pauseLimit = time.Second
+
+func (en *Entry) membershipOptions() peer.MembershipOptions {
+	return peer.MembershipOptions{
+		Board:  en.board,
+		Server: en.peers,
+		Pool:   en.pool,
+		Self: blackboard.Member{
+			ID:               en.set.EntryID,
+			Incarnation:      en.inc,
+			AvailabilityZone: en.set.AvailabilityZone,
+			Region:           en.set.Region,
+			Size:             en.set.Size,
+			PeerAddress:      en.peers.Address(),
+		},
+		Interval:  en.set.Timing.Heartbeat.Std(),
+		Addresses: en.set.Peers,
+		Pause:     en.pause,
+		Counters:  en.cnt,
+		Log:       en.log,
+		// The follower is built after the membership, which calls this only
+		// once it has started.
+		HigherNumber: func(addr string, number configuration.Number) { en.config.Heard(addr, number) },
+	}
 }
 
 func (en *Entry) listen() error {
@@ -164,9 +225,13 @@
 // Start begins to serve.
 func (en *Entry) Start() {
 	en.vms.Start()
-	en.watcher.Start()
+	en.config.Start()
+	en.slots.Start()
 	en.jobs.Start()
 	en.peers.Start()
+	en.members.Start()
+	en.grp.Go(en.registration.run)
+	en.grp.Every(time.Second, en.reportTraffic)
 	en.callers.start(en.grp)
 	en.operators.start(en.grp)
 	en.log.Info().
@@ -191,10 +256,32 @@
 	})
 }
 
+// InForce returns the version in force, nil before the first one.
+func (en *Entry) InForce() *configuration.Version {
+	return en.board.Configuration.Load()
+}
+
+// acceptor puts an accepted patch in force here and tells the peers at once.
+type acceptor struct {
+	*configuration.Store
+	en *Entry
+}
+
+// Accept applies a patch.
+func (ac acceptor) Accept(ctx context.Context, patch configuration.Patch) (configuration.Version, error) {
+	version, err := ac.Store.Accept(ctx, patch)
+	if err == nil {
+		ac.en.config.Put(version, configuration.FromTable)
+		ac.en.members.Announce()
+	}
+	return version, err
+}
+
 // The reasons why an entry takes no requests.
 var (
 	ErrNoConfiguration = errors.New("the entry holds no configuration yet; check that the table or a peer is reachable")
 	ErrNoVMList        = errors.New("the entry has not yet read the list of VMs; check that the platform is reachable")
+	ErrNoSlots         = errors.New("the entry has not yet any slots of the targets; they come within seconds of its start")
 	ErrDraining        = errors.New("the entry is draining; use another entry")
 )
 
@@ -207,7 +294,10 @@
 		return ErrNoConfiguration
 	case en.board.VMs.Load() == nil:
 		return ErrNoVMList
+	case en.awaitsSlots():
+		return ErrNoSlots
 	}
+	en.wasReady.Store(true)
 	return nil
 }
 
@@ -222,23 +312,26 @@
 // Draining receives one value when an operator asks the entry to drain.
 func (en *Entry) Draining() <-chan struct{} { return en.drainOnce }
 
-// Shutdown drains the entry: readiness fails, requests are still accepted until
-// the balancer has noticed, and requests in flight finish, until ctx ends.
-func (en *Entry) Shutdown(ctx context.Context) error {
-	en.draining.Store(true)
-	sleepContext(ctx, en.set.Timing.BalancerNotice.Std())
-	err := en.callers.shutdown(ctx)
-	en.Close()
-	return err
+// stopComponents ends everything that acts on its own.
+func (en *Entry) stopComponents() {
+	en.stopOnce.Do(func() {
+		en.vms.Close()
+		en.config.Close()
+		en.jobs.Close()
+		en.placement.Close()
+		en.targets.Close()
+	})
 }
 
 // Close ends the entry at once and waits for its goroutines.
 func (en *Entry) Close() {
-	en.vms.Close()
-	en.watcher.Close()
-	en.jobs.Close()
-	en.targets.Close()
+	// No slot may be taken once the others hear that this incarnation has ended.
+	en.slots.Close()
+	en.members.Close()
+	en.pause.Close()
+	en.stopComponents()
 	en.closeListeners()
 	en.pool.Close()
+	en.forwardPool.Close()
 	en.grp.Close()
 }
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +22,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	// The tests build the command as a process; the import makes the cache of
+	// test results depend on its source.
+	_ "github.com/oleanderwall/oleanderwall/internal/command"
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
@@ -56,6 +60,8 @@
 	// proxyTargets and proxyWorkers put a proxy before each target or worker.
 	proxyTargets bool
 	proxyWorkers bool
+	// prepare, when set, runs before the entries start.
+	prepare func(cl *cluster)
 }
 
 // cluster is a platform, with a proxy before its services for each entry, and
@@ -138,6 +144,9 @@
 		}
 		return vms
 	})
+	if opt.prepare != nil {
+		opt.prepare(cl)
+	}
 	for _, en := range cl.entries {
 		en.start()
 	}
@@ -172,12 +181,21 @@
 	return px
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// freeAddress returns a loopback address whose port was free a moment ago. The
+// port lies below the range from which the kernel picks ports of proxies and of
+// outgoing connections: one of those took the port now and then before the
+// entry listened on it.
 func freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer ln.Close()
-	return ln.Addr().String()
+	const first, count = 10000, 20000
+	for range 1000 {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count)))
+		if err == nil {
+			defer ln.Close()
+			return ln.Addr().String()
+		}
+	}
+	Fail("no free port")
+	return ""
 }
 
 func newEntry(cl *cluster, i int, zone platform.AvailabilityZone) *entryProcess {
@@ -212,6 +230,14 @@
 	Expect(os.WriteFile(en.settings, []byte(text), 0o600)).To(Succeed())
 }
 
+// replaceSetting changes a part of the settings file.
+func (en *entryProcess) replaceSetting(old, text string) {
+	raw, err := os.ReadFile(en.settings)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(string(raw)).To(ContainSubstring(old))
+	Expect(os.WriteFile(en.settings, []byte(strings.Replace(string(raw), old, text, 1)), 0o600)).To(Succeed())
+}
+
 func (en *entryProcess) vm() platform.VM {
 	return platform.VM{
 		ID:               en.id,
--- /dev/null
+++ b/internal/target/queue.go
@@ -0,0 +1,172 @@
+package target
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/outcome"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+)
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	req   *Request
+	kt    *kindTimes
+	cost  seconds
+	avoid *targetState
+	since time.Time
+	// granted receives the result once; its buffer of one keeps the sender from
+	// waiting for a caller that has gone.
+	granted chan grant
+	// misses is set when the best free target would probably miss the deadline.
+	misses bool
+	// round is the round of service in which the waiter was passed over.
+	round int
+
+	team *teamQueue
+	elem *list.Element
+}
+
+// grant is a slot, or the refusal of a waiter.
+type grant struct {
+	tk  *ticket
+	err *outcome.Error
+}
+
+// teamQueue holds the waiters of one team in order of arrival.
+type teamQueue struct {
+	waiters list.List
+	weight  float64
+	cost    seconds
+	// pass is the team's place in the order of service: the work done for the
+	// team divided by its weight.
+	pass float64
+}
+
+// fairQueue shares the service among teams by weight, whatever the number of
+// requests of each team (stride scheduling over expected run times).
+type fairQueue struct {
+	teams  map[platform.TeamID]*teamQueue
+	active map[*teamQueue]bool
+	pass   float64
+	count  int
+	round  int
+	bytes  int64
+	// last serves the newest waiter of a team first; only measurements set it.
+	last bool
+}
+
+func newFairQueue() fairQueue {
+	return fairQueue{teams: map[platform.TeamID]*teamQueue{}, active: map[*teamQueue]bool{}}
+}
+
+// team returns the queue of a team. Teams that the configuration does not name
+// share one, so that nobody gains by inventing team names.
+func (fq *fairQueue) team(id platform.TeamID, weights map[platform.TeamID]float64) *teamQueue {
+	weight, ok := weights[id]
+	if !ok {
+		id, weight = "", 1
+	}
+	tq, ok := fq.teams[id]
+	if !ok {
+		tq = &teamQueue{}
+		fq.teams[id] = tq
+	}
+	tq.weight = weight
+	return tq
+}
+
+// push appends a waiter to its team, or puts it first when it has already
+// waited once.
+func (fq *fairQueue) push(wa *waiter, tq *teamQueue, first bool) {
+	if tq.waiters.Len() == 0 {
+		tq.pass = max(tq.pass, fq.pass)
+		fq.active[tq] = true
+	}
+	wa.team = tq
+	if first {
+		wa.elem = tq.waiters.PushFront(wa)
+	} else {
+		wa.elem = tq.waiters.PushBack(wa)
+	}
+	tq.cost += wa.cost
+	fq.count++
+	fq.bytes += int64(len(wa.req.Body))
+}
+
+// kindSet is a set of kinds by index.
+type kindSet uint64
+
+func (ks kindSet) has(kt *kindTimes) bool { return ks&(1<<kt.index) != 0 }
+
+// maxSkipped bounds the search behind waiters that wait for a faster target.
+const maxSkipped = 64
+
+// next returns the waiter to serve next, nil when there is none. It passes
+// over the kinds in skip and the waiters already passed over in this round.
+func (fq *fairQueue) next(skip kindSet) *waiter {
+	var first *waiter
+	for tq := range fq.active {
+		if first != nil && first.team.pass <= tq.pass {
+			continue
+		}
+		if wa := tq.first(skip, fq.round, fq.last); wa != nil {
+			first = wa
+		}
+	}
+	return first
+}
+
+func (tq *teamQueue) first(skip kindSet, round int, last bool) *waiter {
+	elem, step := tq.waiters.Front(), (*list.Element).Next
+	if last {
+		elem, step = tq.waiters.Back(), (*list.Element).Prev
+	}
+	for range maxSkipped {
+		if elem == nil {
+			return nil
+		}
+		if wa := elem.Value.(*waiter); wa.round != round && !skip.has(wa.kt) {
+			return wa
+		}
+		elem = step(elem)
+	}
+	return nil
+}
+
+// serve removes a waiter that has got a slot and charges its team.
+func (fq *fairQueue) serve(wa *waiter) {
+	fq.pass = max(fq.pass, wa.team.pass)
+	wa.team.pass += float64(wa.cost) / wa.team.weight
+	fq.remove(wa)
+}
+
+// remove takes a waiter out. It reports false when it was already out.
+func (fq *fairQueue) remove(wa *waiter) bool {
+	if wa.elem == nil {
+		return false
+	}
+	tq := wa.team
+	tq.waiters.Remove(wa.elem)
+	wa.elem = nil
+	tq.cost -= wa.cost
+	fq.count--
+	fq.bytes -= int64(len(wa.req.Body))
+	if tq.waiters.Len() == 0 {
+		tq.cost = 0
+		delete(fq.active, tq)
+	}
+	return true
+}
+
+// ahead returns the work that is served before a request of the team whose own
+// team has the given work in front of it.
+func (fq *fairQueue) ahead(tq *teamQueue, own seconds) seconds {
+	sum := own
+	for other := range fq.active {
+		if other != tq {
+			sum += min(other.cost, own*seconds(other.weight/tq.weight))
+		}
+	}
+	return sum
+}
