--- a/internal/entry/inforce_test.go
+++ b/internal/entry/inforce_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sort"
+	"syscall"
 	"testing"
 	"time"
 
@@ -148,3 +149,43 @@
 		}
 	}
 }
+
+// BenchmarkIdleEntry measures what a whole idle entry sends and receives, and
+// its processor time. The stand-ins and proxies run in the same process, so the
+// processor time is an upper bound.
+func BenchmarkIdleEntry(b *testing.B) {
+	const span = 8 * time.Second
+	for _, size := range []int{7, 21, 49} {
+		b.Run(fmt.Sprintf("entries=%d", size), func(b *testing.B) {
+			fleet, err := standin.StartFleet(standin.FleetOptions{
+				Table: standin.TableOptions{CommitDelay: 5 * time.Millisecond, WritesPerSecond: 500, ReadsPerSecond: 2000},
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.Cleanup(fleet.Close)
+			entries, _ := startEntries(b, fleet, size, way{})
+			awaitAll(b, entries, 0)
+			time.Sleep(4 * time.Second)
+			bytes := func() (sum int64) {
+				for _, en := range entries {
+					received, sent := en.pool.Traffic().Bytes()
+					served, answered := en.peers.Traffic().Bytes()
+					sum += received + sent + served + answered
+				}
+				return sum
+			}
+			var before, after syscall.Rusage
+			for range b.N {
+				sum := bytes()
+				_ = syscall.Getrusage(syscall.RUSAGE_SELF, &before)
+				time.Sleep(span)
+				_ = syscall.Getrusage(syscall.RUSAGE_SELF, &after)
+				used := time.Duration(after.Utime.Nano() + after.Stime.Nano() - before.Utime.Nano() - before.Stime.Nano())
+				share := span.Seconds() * float64(size)
+				b.ReportMetric(float64(bytes()-sum)/share, "peer-bytes/s/entry")
+				b.ReportMetric(100*used.Seconds()/share, "%core/entry")
+			}
+		})
+	}
+}
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -480,7 +480,8 @@
 	// replaced the others. A heartbeat that a peer sends us proves nothing of
 	// the kind, because it may be a late one of an old incarnation.
 	for inc, st := range me.states {
-		if st.mem.PeerAddress == addr && st.mem.ID == co.id && inc != reply.Incarnation {
+		sameEntry := st.mem.PeerAddress == addr && st.mem.ID == co.id
+		if inc != reply.Incarnation && (sameEntry || me.sameListener(st, reply.Identity)) {
 			me.end(inc, blackboard.GoneReplaced)
 		}
 	}
@@ -495,6 +496,12 @@
 	me.publish()
 }
 
+// sameListener reports whether the process of the identity listens where the
+// incarnation did: the platform gives the address of an old VM to a new one.
+func (me *Membership) sameListener(st *state, id *Identity) bool {
+	return id != nil && id.ListenAddress == st.listen && provable(st.listen, me.opt.Self.PeerAddress)
+}
+
 func (me *Membership) declaredGone(addr string, reason blackboard.GoneReason) {
 	me.opt.Counters.Add(counter.Peer, "declared-gone", 1)
 	me.opt.Log.Error().Str("peer", addr).Str("reason", string(reason)).Msg("declared-gone")
--- a/internal/peer/membership_test.go
+++ b/internal/peer/membership_test.go
@@ -208,6 +208,11 @@
 			b.end()
 			startNode(t, string(b.id), "south", addr, testInterval)
 		}},
+		{blackboard.GoneReplaced, func(_, b *node) {
+			addr := b.srv.Address()
+			b.end()
+			startNode(t, "entry-c", "south", addr, testInterval)
+		}},
 		{blackboard.GoneUnlisted, func(a, b *node) {
 			addr := b.srv.Address()
 			b.end()
