--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/caller"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/home"
 	"github.com/oleanderwall/oleanderwall/internal/job"
 	"github.com/oleanderwall/oleanderwall/internal/operator"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
@@ -52,6 +53,10 @@
 	pause     *pausedetect.Detector
 	members   *peer.Membership
 
+	// forwardPool carries forwarded requests.
+	forwardPool *peer.Pool
+	slots       *home.Controller
+
 	vms     *vmlist.Poller
 	config  *configuration.Follower
 	targets *target.Dispatcher
@@ -66,21 +71,25 @@
 	stopOnce sync.Once
 
 	draining  atomic.Bool
+	wasReady  atomic.Bool
+	began     time.Time
 	drainOnce chan struct{}
 }
 
 // New builds an entry and opens its listeners.
 func New(set settings.Settings, log zerolog.Logger) (*Entry, error) {
 	en := &Entry{
-		set:       set,
-		log:       log,
-		inc:       platform.NewIncarnation(set.EntryID),
-		board:     &blackboard.Board{},
-		cnt:       counter.New(),
-		grp:       group.New(context.Background()),
-		pool:      peer.NewPool(),
-		requests:  newInflight(),
-		drainOnce: make(chan struct{}, 1),
+		set:         set,
+		log:         log,
+		inc:         platform.NewIncarnation(set.EntryID),
+		board:       &blackboard.Board{},
+		cnt:         counter.New(),
+		grp:         group.New(context.Background()),
+		pool:        peer.NewPool(),
+		forwardPool: peer.NewPool(),
+		requests:    newInflight(),
+		began:       time.Now(),
+		drainOnce:   make(chan struct{}, 1),
 	}
 	if err := en.listen(); err != nil {
 		en.closeListeners()
@@ -117,7 +126,11 @@
 		Counters:  en.cnt,
 		Log:       en.log,
 	})
-	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt})
+	if err := en.buildSlots(rows); err != nil {
+		return err
+	}
+	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt, Forwarder: en.slots.Forwarder()})
+	en.slots.Bind(en.targets)
 	if err := en.buildJobs(rows, hc, workerClient()); err != nil {
 		return err
 	}
@@ -213,6 +226,7 @@
 func (en *Entry) Start() {
 	en.vms.Start()
 	en.config.Start()
+	en.slots.Start()
 	en.jobs.Start()
 	en.peers.Start()
 	en.members.Start()
@@ -267,6 +281,7 @@
 var (
 	ErrNoConfiguration = errors.New("the entry holds no configuration yet; check that the table or a peer is reachable")
 	ErrNoVMList        = errors.New("the entry has not yet read the list of VMs; check that the platform is reachable")
+	ErrNoSlots         = errors.New("the entry has not yet any slots of the targets; they come within seconds of its start")
 	ErrDraining        = errors.New("the entry is draining; use another entry")
 )
 
@@ -279,7 +294,10 @@
 		return ErrNoConfiguration
 	case en.board.VMs.Load() == nil:
 		return ErrNoVMList
+	case en.awaitsSlots():
+		return ErrNoSlots
 	}
+	en.wasReady.Store(true)
 	return nil
 }
 
@@ -307,10 +325,13 @@
 
 // Close ends the entry at once and waits for its goroutines.
 func (en *Entry) Close() {
+	// No slot may be taken once the others hear that this incarnation has ended.
+	en.slots.Close()
 	en.members.Close()
 	en.pause.Close()
 	en.stopComponents()
 	en.closeListeners()
 	en.pool.Close()
+	en.forwardPool.Close()
 	en.grp.Close()
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -44,7 +45,7 @@
 func (en *Entry) onlyReady(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
 		err := en.Ready()
-		if err != nil && err != ErrDraining { //nolint:errorlint // Ready returns the sentinel itself
+		if errors.Is(err, ErrNoConfiguration) || errors.Is(err, ErrNoVMList) {
 			jsonhttp.WriteError(wr, outcome.Refuse(http.StatusServiceUnavailable, "not-ready", err.Error(), "use another entry or try again", time.Second))
 			return
 		}
