entry: give up slots before peers hear that the entry has left

Cause: the slots controller went on until Close, after the leave message, when the step that hands over the homes had failed or run out of time. Peers take the message as proof that the incarnation has ended.

Change: stop-components closes the controller first; it comes before tell-peers.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -315,6 +315,9 @@
 // stopComponents ends everything that acts on its own.
 func (en *Entry) stopComponents() {
 	en.stopOnce.Do(func() {
+		// Slots may have to be given up here, because the step that hands over
+		// the homes may have failed.
+		en.slots.Close()
 		en.vms.Close()
 		en.config.Close()
 		en.jobs.Close()
@@ -326,10 +329,9 @@
 // Close ends the entry at once and waits for its goroutines.
 func (en *Entry) Close() {
 	// No slot may be taken once the others hear that this incarnation has ended.
-	en.slots.Close()
+	en.stopComponents()
 	en.members.Close()
 	en.pause.Close()
-	en.stopComponents()
 	en.closeListeners()
 	en.pool.Close()
 	en.forwardPool.Close()
