integration: start service specs with homes and proxies in place

Cause: with slot sharing an entry serves only the targets of its own zone at first, and the lagging list named the proxies after connections to the targets stood; one of six specs timed out in its set-up. Change: all targets lie in the zone of the entry, the first list names the proxies, and the specs begin when the entry is the home of every target. Conclusion: the checks of the specs are unchanged.

--- a/internal/integration/service_test.go
+++ b/internal/integration/service_test.go
@@ -69,20 +69,16 @@
 
 var _ = Describe("service requests", func() {
 	start := func() (*cluster, *entryProcess) {
-		cl := startCluster(clusterOptions{fleet: defaultFleet(), entries: threeEntries()[:1], proxyTargets: true})
-		// The lagging list names the proxies only after a while.
-		Eventually(func() bool {
-			reps := sendRequests(cl.entries[0], fmt.Sprintf("warm-%d", time.Now().UnixNano()), 24, 20*time.Millisecond)
-			for _, rep := range reps {
-				Expect(rep.outcome).To(Equal("answered"))
-			}
-			opened := int64(0)
-			for _, px := range cl.targetProxies {
-				opened += px.Opened()
-			}
-			return opened > 0
-		}, "5s").Should(BeTrue())
-		return cl, cl.entries[0]
+		opt := clusterOptions{fleet: defaultFleet(), entries: threeEntries()[:1], proxyTargets: true}
+		opt.fleet.VMLag = 0 // the first list names the proxies
+		opt.fleet.Zones = opt.entries
+		cl := startCluster(opt)
+		en := cl.entries[0]
+		Eventually(func() int64 { return en.counter("slots_homes") }, "5s").Should(Equal(int64(opt.fleet.Targets)))
+		for _, rep := range sendRequests(en, "warm", 24, 20*time.Millisecond) {
+			Expect(rep.outcome).To(Equal("answered"))
+		}
+		return cl, en
 	}
 
 	// Guards against requests that hang on connections that have gone silent.
