job: place tasks with package worker

A task whose place was given up under it fails its job, because no report of it will come. A late assignment to a dropped session does not withdraw the task that the next session has queued under the same id.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,6 +31,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/target"
 	"github.com/oleanderwall/oleanderwall/internal/vmlist"
+	"github.com/oleanderwall/oleanderwall/internal/worker"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 	"github.com/oleanderwall/oleanderwall/pkg/pausedetect"
 )
@@ -62,7 +63,7 @@
 	targets *target.Dispatcher
 	jobs    *job.Manager
 
-	placement *job.SimplePlacement
+	placement *worker.Dispatcher
 
 	registration *registration
 
@@ -131,7 +132,7 @@
 	}
 	en.targets = target.New(target.Options{Board: en.board, Counters: en.cnt, Forwarder: en.slots.Forwarder()})
 	en.slots.Bind(en.targets)
-	if err := en.buildJobs(rows, hc, workerClient()); err != nil {
+	if err := en.buildJobs(rows, hc); err != nil {
 		return err
 	}
 	en.callers.handle(en.requests.track(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router())))
@@ -227,6 +228,7 @@
 	en.vms.Start()
 	en.config.Start()
 	en.slots.Start()
+	en.placement.Run()
 	en.jobs.Start()
 	en.peers.Start()
 	en.members.Start()
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -6,11 +6,18 @@
 	"github.com/oleanderwall/oleanderwall/internal/job"
 	"github.com/oleanderwall/oleanderwall/internal/objects"
 	"github.com/oleanderwall/oleanderwall/internal/table"
+	"github.com/oleanderwall/oleanderwall/internal/worker"
 )
 
 // buildJobs builds the job manager and registers it for other entries.
-func (en *Entry) buildJobs(rows *table.Client, platform, workers *http.Client) error {
-	en.placement = job.NewSimplePlacement(en.board, workers)
+func (en *Entry) buildJobs(rows *table.Client, platform *http.Client) error {
+	en.placement = worker.New(worker.Options{
+		Board:       en.board,
+		Counters:    en.cnt,
+		Incarnation: en.inc,
+		Zone:        en.set.AvailabilityZone,
+		Log:         en.log,
+	})
 	en.jobs = job.New(job.Options{
 		Board:       en.board,
 		Rows:        rows,
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -30,16 +30,6 @@
 	}}
 }
 
-// workerClient returns the HTTP client for workers.
-func workerClient() *http.Client {
-	const idleConnections = 64
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout}).DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     time.Minute,
-	}}
-}
-
 // reportTraffic exports the bytes to and from the platform.
 func (en *Entry) reportTraffic(context.Context) {
 	received, sent := en.platform.Bytes()
--- a/internal/job/session.go
+++ b/internal/job/session.go
@@ -486,7 +486,10 @@
 	oj, index := se.locate(id)
 	if oj == nil || oj.tasks[index].phase != taskWaiting {
 		se.mu.Unlock()
-		se.mg.opt.Scheduler.Withdraw([]worker.TaskID{id})
+		// The next session may have queued the task again under the same id.
+		if job, _, _ := splitTask(id); se.mg.session() == se || se.mg.session().lookUp(job) == nil {
+			se.mg.opt.Scheduler.Withdraw([]worker.TaskID{id})
+		}
 		return
 	}
 	oj.tasks[index].phase = taskIntending
@@ -574,6 +577,11 @@
 		se.refused(oj, index, pl)
 		return
 	}
+	if errors.Is(err, worker.ErrNotAssigned) {
+		// The place was given up under the task, and no report of it will come.
+		se.lost(taskID(oj.sub.ID, index), err.Error())
+		return
+	}
 	// After any other error the task may run; the traffic follows it and reports
 	// its end.
 	se.mu.Lock()
