--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -238,10 +238,13 @@
 		wk.counts.Lapsed++
 		return 0
 	}
-	use := wk.use()
+	var used platform.Cores
+	for _, other := range wk.running {
+		used += orDeclared(other.payload.Processors, other.task.Processors)
+	}
 	share := rt.share
-	if wk.opt.Processors > 0 && use.Processors > wk.opt.Processors {
-		share *= float64(wk.opt.Processors / use.Processors)
+	if wk.opt.Processors > 0 && used > wk.opt.Processors {
+		share *= float64(wk.opt.Processors / used)
 	}
 	return max(share, 0.01)
 }
