worker: keep tasks away from a worker that takes no starts

Cause: a start to a frozen or unreachable worker was refused after the bound of 500 ms, but the worker stayed eligible until three refusals, so each of the next tasks could lose that time again.

Change: a start without an invitation counts as unanswered. After two, the worker gets no tasks until it answers a poll.

Seen to fail first: TestRefusedStart, with 0 workers marked where 1 is expected; now passes, 3 runs of the package, and 60 of this test under the race detector.

Conclusion: at most two tasks in a row lose time at a dead worker.

--- a/internal/worker/traffic.go
+++ b/internal/worker/traffic.go
@@ -59,6 +59,8 @@
 	return err
 }
 
+var errNotInvited = errors.New("the worker did not ask for the body of the start")
+
 // send sends the start. An error wraps ErrRefused when the worker has refused
 // the task, or has not asked for the body within the bound: the body then never
 // left, because the transport closes the connection before it returns.
@@ -81,7 +83,7 @@
 	if err != nil && !invited.Load() && jsonhttp.StatusOf(err) == 0 {
 		di.count("start-not-invited", 1)
 		lk.starts.CloseIdleConnections()
-		return fmt.Errorf("%w (%w)", ErrRefused, err)
+		return fmt.Errorf("%w (%w: %w)", ErrRefused, errNotInvited, err)
 	}
 	return err
 }
@@ -105,6 +107,10 @@
 		di.heard(tk.ma, lk)
 		return
 	case errors.Is(err, ErrRefused):
+		if errors.Is(err, errNotInvited) {
+			// A frozen worker would cost every task the bound of an invitation.
+			di.unheard(tk.ma, lk, err)
+		}
 		if tk.state == taskSent {
 			di.sched.refused(tk)
 			di.wakeUp()
--- a/internal/worker/traffic_test.go
+++ b/internal/worker/traffic_test.go
@@ -209,8 +209,9 @@
 	}
 }
 
-// TestRefusedStart guards against room that stays reserved after a refusal, and
-// against a refusal that is reported as unknown although nothing was sent.
+// TestRefusedStart guards against room that stays reserved after a refusal,
+// against a refusal that is reported as unknown although nothing was sent, and
+// against an unreachable worker that goes on being chosen.
 func TestRefusedStart(t *testing.T) {
 	t.Parallel()
 	gm := NewWithT(t)
@@ -219,10 +220,11 @@
 	rg.submit("refused", 1, time.Millisecond, 0)
 	gm.Expect(rg.errs["refused/0"]).To(MatchError(worker.ErrRefused))
 	rg.proxies[0].Close()
-	rg.submit("unreachable", 1, time.Millisecond, 0)
-	gm.Expect(rg.errs["unreachable/0"]).To(MatchError(worker.ErrRefused))
+	rg.submit("unreachable", 2, time.Millisecond, 0)
+	gm.Expect(rg.errs["unreachable/1"]).To(MatchError(worker.ErrRefused))
+	gm.Expect(rg.cnt.Value("worker", "silent-worker")).To(Equal(int64(1)), "further tasks keep away from the worker")
 	gm.Expect(rg.di.RoomInUse()).To(BeZero())
-	gm.Expect(rg.cnt.Value("worker", "start-refused")).To(Equal(int64(2)))
+	gm.Expect(rg.cnt.Value("worker", "start-refused")).To(Equal(int64(3)))
 	gm.Expect(rg.startsSeen()).To(BeEmpty())
 }
 
