target: drop connections to the old address of a target

Cause: when the list gave a target a new address, connections that were busy at that moment went back to the pool and stayed in use for good. Change: a connection is kept only while its address is that of the target. Conclusion: a target that moves is followed at once.

--- a/internal/target/connection.go
+++ b/internal/target/connection.go
@@ -57,6 +57,7 @@
 type connection struct {
 	net.Conn
 	owner   *connections
+	address string
 	br      *bufio.Reader
 	rd      *answerReader
 	since   time.Time // of the end of the last answer
@@ -190,7 +191,7 @@
 		cs.closed()
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
-	co := &connection{Conn: nc, owner: cs, fresh: true}
+	co := &connection{Conn: nc, owner: cs, address: addr, fresh: true}
 	co.rd = &answerReader{conn: nc}
 	co.br = bufio.NewReader(co.rd)
 	return co, nil
@@ -202,12 +203,13 @@
 	cs.mu.Unlock()
 }
 
-// put keeps the connection for the next request.
+// put keeps the connection for the next request, unless the target has moved
+// to another address or the limit has fallen.
 func (cs *connections) put(co *connection) {
 	co.since = time.Now()
 	co.fresh = false
 	cs.mu.Lock()
-	keep := !cs.retired && cs.open <= cs.limit()
+	keep := !cs.retired && co.address == cs.address && cs.open <= cs.limit()
 	if keep {
 		cs.idle = append(cs.idle, co)
 	}
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -508,3 +508,24 @@
 	})
 	be.Expect(be.targets[0].Counts().Requests-before).To(BeNumerically("<=", 16), "of 160 requests to the slow target")
 }
+
+// TestMovedTarget guards against connections to the old address of a target
+// that stay in use because they were busy while the list changed.
+func TestMovedTarget(t *testing.T) {
+	t.Parallel()
+	be := newBench(t, benchOptions{targets: 1, slots: 4})
+	px, err := faultproxy.New(be.proxies[0].Address())
+	be.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(px.Close)
+	parallel(5, func(i int) {
+		if i < 4 {
+			be.Expect(be.send(be.request(100 * time.Millisecond))).To(BeNil())
+			return
+		}
+		be.Eventually(func() int64 { return be.targets[0].Counts().MaxBusy }, "2s", "1ms").Should(Equal(int64(4)))
+		be.vms[0].Address = px.Address()
+		be.publish()
+	})
+	be.Expect(be.send(be.request(time.Millisecond))).To(BeNil())
+	be.Expect(px.Opened()).To(Equal(int64(1)))
+}
