--- a/internal/integration/jobs_test.go
+++ b/internal/integration/jobs_test.go
@@ -165,7 +165,13 @@
 			px.Set(faultproxy.Faults{})
 		}
 		got := make([][]string, len(jobs))
-		together(len(jobs), func(i int) { got[i] = answersOf(rest, jobs[i], 15*time.Second) })
+		took := make([]string, len(jobs))
+		killed := time.Now()
+		together(len(jobs), func(i int) {
+			got[i] = answersOf(rest, jobs[i], 15*time.Second)
+			took[i] = fmt.Sprintf("%s %s", jobs[i]["id"], time.Since(killed).Round(time.Millisecond))
+		})
+		AddReportEntry("from kill -9 to the answer", strings.Join(took, ", "))
 		for i, sub := range jobs {
 			want := `"state":"complete"`
 			if sub["id"] == "before-send" {
