local: start entries over a fleet in one place

Cause: the demo and the load tool each built settings and VM rows for entries in the same process; the load tool counted no messages between entries. Change: internal/local starts entries for both; loan messages and forwarded requests are counted. Conclusion: one place knows how to start entries over a fleet.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -111,7 +111,8 @@
 	// TargetMessages are the requests that the targets have received.
 	TargetMessages int64
 	Refusals       int64
-	// PeerMessages are the messages between entries.
+	// PeerMessages are the loan messages and the forwarded requests between
+	// entries.
 	PeerMessages int64
 	Ratio        *hdrhistogram.Histogram
 }
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -206,6 +206,6 @@
 		}
 	}
 	for _, en := range ld.sy.entries {
-		ld.rep.PeerMessages += en.Counters().Family("peer")
+		ld.rep.PeerMessages += en.Counters().Value("slots", "loan-message") + en.Counters().Value("forward", "sent")
 	}
 }
--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,11 +12,10 @@
 	"github.com/oleanderwall/oleanderwall/internal/caller"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
-	"github.com/oleanderwall/oleanderwall/internal/entry"
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
+	"github.com/oleanderwall/oleanderwall/internal/local"
 	"github.com/oleanderwall/oleanderwall/internal/logline"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
-	"github.com/oleanderwall/oleanderwall/internal/settings"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/target"
@@ -31,7 +29,7 @@
 	fleet   *standin.Fleet
 	proxies []*faultproxy.Proxy
 	urls    []string
-	entries []*entry.Entry
+	entries local.Entries
 	closers []func()
 }
 
@@ -129,8 +127,8 @@
 		}
 		sy.closers = append(sy.closers, srv.Close)
 		sy.urls = append(sy.urls, srv.URL())
-		if err := waitFor(func() bool { return board.VMs.Load() != nil }); err != nil {
-			return err
+		if !local.WaitFor(func() bool { return board.VMs.Load() != nil }) {
+			return errors.New("a naive entry has not read the list of VMs")
 		}
 	}
 	return nil
@@ -138,64 +136,26 @@
 
 // startPresent starts entries as the daemon does, in this process.
 func (sy *system) startPresent() error {
-	log := logline.New(sy.opt.Log, zerolog.WarnLevel)
-	var vms []platform.VM
+	opt := local.Options{
+		Fleet: sy.fleet,
+		Lag:   sy.opt.VMLag + 100*time.Millisecond,
+		Log:   logline.New(sy.opt.Log, zerolog.WarnLevel),
+	}
 	for i := range sy.opt.Entries {
-		set := settings.Default()
-		set.EntryID = platform.EntryID(fmt.Sprintf("entry-%d", i+1))
-		set.AvailabilityZone = sy.usr.zones[i%len(sy.usr.zones)]
-		set.Region = "region-1"
-		set.Size = 2 + i%3 // the entry VMs are not all one size
-		set.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
-		set.Platform = settings.Platform{
-			Table:   sy.fleet.TableServer.URL(),
-			Objects: sy.fleet.ObjectsServer.URL(),
-			VMList:  sy.fleet.VMServer.URL(),
-		}
-		set.Timing.BalancerNotice = settings.NewDuration(0)
-		en, err := entry.New(set, log)
-		if err != nil {
-			return err
-		}
-		sy.closers = append(sy.closers, en.Close)
-		sy.entries = append(sy.entries, en)
-		sy.urls = append(sy.urls, "http://"+en.CallerAddress())
-		vms = append(vms, platform.VM{
-			ID:               string(set.EntryID),
-			Kind:             platform.KindEntry,
-			State:            platform.StateLive,
-			Address:          en.CallerAddress(),
-			PeerAddress:      en.PeerAddress(),
-			Region:           set.Region,
-			AvailabilityZone: set.AvailabilityZone,
-			Size:             set.Size,
-		})
+		opt.Zones = append(opt.Zones, sy.usr.zones[i%len(sy.usr.zones)])
+		opt.Sizes = append(opt.Sizes, 2+i%3) // the entry VMs are not all one size
 	}
-	sy.fleet.VMs.Change(func(list []platform.VM) []platform.VM { return append(list, vms...) })
-	time.Sleep(sy.opt.VMLag + 100*time.Millisecond)
-	for _, en := range sy.entries {
-		en.Start()
+	entries, err := local.Start(opt)
+	if err != nil {
+		return err
 	}
-	err := waitFor(func() bool {
-		for _, en := range sy.entries {
-			if en.Ready() != nil {
-				return false
-			}
-		}
-		return true
-	})
-	time.Sleep(sy.opt.Settle)
-	return err
-}
-
-func waitFor(done func() bool) error {
-	const limit = 10 * time.Second
-	for began := time.Now(); time.Since(began) < limit; time.Sleep(10 * time.Millisecond) {
-		if done() {
-			return nil
-		}
+	sy.entries = entries
+	sy.closers = append(sy.closers, entries.Close)
+	for _, en := range entries {
+		sy.urls = append(sy.urls, "http://"+en.CallerAddress())
 	}
-	return errors.New("the entries did not become ready")
+	time.Sleep(sy.opt.Settle)
+	return nil
 }
 
 func (sy *system) close() {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -20,17 +20,13 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oleanderwall/oleanderwall/internal/command"
-	"github.com/oleanderwall/oleanderwall/internal/entry"
+	"github.com/oleanderwall/oleanderwall/internal/local"
 	"github.com/oleanderwall/oleanderwall/internal/logline"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
-	"github.com/oleanderwall/oleanderwall/internal/settings"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 )
 
-const (
-	readyTimeout = 10 * time.Second
-	service      = "fitdesk"
-)
+const service = "fitdesk"
 
 var zones = []platform.AvailabilityZone{"austin-north", "waco-east", "temple-south"}
 
@@ -43,8 +39,7 @@
 
 type demo struct {
 	out, errs io.Writer
-	fleet     *standin.Fleet
-	entries   []*entry.Entry
+	entries   local.Entries
 }
 
 // Run runs the demo with the files of the examples directory.
@@ -67,85 +62,26 @@
 		return err
 	}
 	defer fleet.Close()
-	de := &demo{out: out, errs: errs, fleet: fleet}
-	defer de.close()
-	if err := de.startEntries(); err != nil {
+	entries, err := local.Start(local.Options{Fleet: fleet, Zones: zones, Log: logline.New(errs, zerolog.WarnLevel)})
+	if err != nil {
 		return err
 	}
+	defer entries.Close()
+	de := &demo{out: out, errs: errs, entries: entries}
 	if err := de.runExamples(examples); err != nil {
 		return err
 	}
 	return de.printCounters()
 }
 
-func (de *demo) startEntries() error {
-	log := logline.New(de.errs, zerolog.WarnLevel)
-	var vms []platform.VM
-	for i, zone := range zones {
-		set := settings.Default()
-		set.EntryID = platform.EntryID(fmt.Sprintf("entry-%d", i+1))
-		set.AvailabilityZone = zone
-		set.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
-		set.Platform = settings.Platform{
-			Table:   de.fleet.TableServer.URL(),
-			Objects: de.fleet.ObjectsServer.URL(),
-			VMList:  de.fleet.VMServer.URL(),
-		}
-		set.Timing.BalancerNotice = settings.NewDuration(0)
-		en, err := entry.New(set, log)
-		if err != nil {
-			return err
-		}
-		de.entries = append(de.entries, en)
-		vms = append(vms, platform.VM{
-			ID:               string(set.EntryID),
-			Kind:             platform.KindEntry,
-			State:            platform.StateLive,
-			Address:          en.CallerAddress(),
-			PeerAddress:      en.PeerAddress(),
-			AvailabilityZone: zone,
-			Size:             set.Size,
-		})
-	}
-	de.fleet.VMs.Change(func(list []platform.VM) []platform.VM { return append(list, vms...) })
-	for _, en := range de.entries {
-		en.Start()
-	}
-	return de.waitFor("every entry to be ready", func() bool {
-		for _, en := range de.entries {
-			if en.Ready() != nil {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-func (de *demo) waitFor(what string, done func() bool) error {
-	for began := time.Now(); time.Since(began) < readyTimeout; time.Sleep(20 * time.Millisecond) {
-		if done() {
-			return nil
-		}
-	}
-	return fmt.Errorf("waited %s for %s", readyTimeout, what)
-}
-
 func (de *demo) runExamples(dir string) error {
 	callers := "http://" + de.entries[0].CallerAddress()
 	operators := "http://" + de.entries[0].OperatorAddress()
 	if err := de.command("service", "create", "-entry", operators, "-name", service); err != nil {
 		return err
 	}
-	err := de.waitFor("the service to be in force", func() bool {
-		for _, en := range de.entries {
-			if _, ok := en.Configuration().Document.Services[service]; !ok {
-				return false
-			}
-		}
-		return true
-	})
-	if err != nil {
-		return err
+	if !local.WaitFor(de.serviceInForce) {
+		return fmt.Errorf("service %s is not in force at every entry", service)
 	}
 	if err := de.command("job", "submit", "-entry", callers, "-file", filepath.Join(dir, "job.yaml")); err != nil {
 		return err
@@ -188,8 +124,11 @@
 	return nil
 }
 
-func (de *demo) close() {
+func (de *demo) serviceInForce() bool {
 	for _, en := range de.entries {
-		en.Close()
+		if _, ok := en.Configuration().Document.Services[service]; !ok {
+			return false
+		}
 	}
+	return true
 }
--- /dev/null
+++ b/internal/local/local.go
@@ -0,0 +1,124 @@
+// Package local runs entries in this process, on free loopback ports, over the
+// stand-ins of a fleet. The demo and the load tool use it.
+//
+// # Usage
+//
+//	ens, err := local.Start(local.Options{Fleet: fleet, Zones: zones, Log: log})
+//	defer ens.Close()
+//	url := "http://" + ens[0].CallerAddress()
+package local
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/oleanderwall/oleanderwall/internal/entry"
+	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/settings"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
+)
+
+// Options describe the entries to start.
+type Options struct {
+	Fleet *standin.Fleet
+	// Zones lists the availability zone of each entry.
+	Zones []platform.AvailabilityZone
+	// Sizes lists the relative size of each entry; 1 for those left out.
+	Sizes []int
+	// Lag is how long the list of VMs takes to show the entries.
+	Lag time.Duration
+	Log zerolog.Logger
+}
+
+// Entries are running entries.
+type Entries []*entry.Entry
+
+// Start starts the entries, lists their VMs, and waits until all are ready.
+func Start(opt Options) (Entries, error) {
+	var ens Entries
+	var vms []platform.VM
+	for i := range opt.Zones {
+		en, vm, err := build(opt, i)
+		if err != nil {
+			ens.Close()
+			return nil, err
+		}
+		ens = append(ens, en)
+		vms = append(vms, vm)
+	}
+	opt.Fleet.VMs.Change(func(list []platform.VM) []platform.VM { return append(list, vms...) })
+	time.Sleep(opt.Lag)
+	for _, en := range ens {
+		en.Start()
+	}
+	if !WaitFor(ens.ready) {
+		ens.Close()
+		return nil, errors.New("the entries did not become ready; run with warnings shown to see why")
+	}
+	return ens, nil
+}
+
+func build(opt Options, i int) (*entry.Entry, platform.VM, error) {
+	const freePort = "127.0.0.1:0"
+	set := settings.Default()
+	set.EntryID = platform.EntryID(fmt.Sprintf("entry-%d", i+1))
+	set.AvailabilityZone = opt.Zones[i]
+	set.Region = "region-1"
+	if i < len(opt.Sizes) {
+		set.Size = opt.Sizes[i]
+	}
+	set.Listen = settings.Listen{Callers: freePort, Operators: freePort, Peers: freePort}
+	set.Platform = settings.Platform{
+		Table:   opt.Fleet.TableServer.URL(),
+		Objects: opt.Fleet.ObjectsServer.URL(),
+		VMList:  opt.Fleet.VMServer.URL(),
+	}
+	set.Timing.BalancerNotice = settings.NewDuration(0)
+	en, err := entry.New(set, opt.Log)
+	if err != nil {
+		return nil, platform.VM{}, err
+	}
+	return en, platform.VM{
+		ID:               string(set.EntryID),
+		Kind:             platform.KindEntry,
+		State:            platform.StateLive,
+		Address:          en.CallerAddress(),
+		PeerAddress:      en.PeerAddress(),
+		Region:           set.Region,
+		AvailabilityZone: set.AvailabilityZone,
+		Size:             set.Size,
+	}, nil
+}
+
+func (ens Entries) ready() bool {
+	for _, en := range ens {
+		if en.Ready() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Close ends every entry at once.
+func (ens Entries) Close() {
+	for _, en := range ens {
+		en.Close()
+	}
+}
+
+// WaitFor polls done and reports whether it became true within ten seconds.
+func WaitFor(done func() bool) bool {
+	const (
+		limit    = 10 * time.Second
+		interval = 10 * time.Millisecond
+	)
+	for began := time.Now(); time.Since(began) < limit; time.Sleep(interval) {
+		if done() {
+			return true
+		}
+	}
+	return false
+}
--- a/style_test.go
+++ b/style_test.go
@@ -28,7 +28,7 @@
 
 // TestProductDoesNotImportStandins guards against stand-ins in the product.
 func TestProductDoesNotImportStandins(t *testing.T) {
-	allowed := []string{"internal/standin", "internal/faultproxy", "internal/demo", "internal/bench", "cmd/oleanderwall-standin"}
+	allowed := []string{"internal/standin", "internal/faultproxy", "internal/demo", "internal/bench", "internal/local", "cmd/oleanderwall-standin"}
 	forEachFile(t, func(path string, fset *token.FileSet, file *ast.File) {
 		slashed := filepath.ToSlash(path)
 		for _, dir := range allowed {
@@ -40,8 +40,10 @@
 			return
 		}
 		for _, im := range file.Imports {
-			if strings.Contains(im.Path.Value, "internal/standin") || strings.Contains(im.Path.Value, "internal/faultproxy") {
-				t.Errorf("%s: the product imports %s", fset.Position(im.Pos()), im.Path.Value)
+			for _, name := range []string{"internal/standin", "internal/faultproxy", "internal/local"} {
+				if strings.Contains(im.Path.Value, name) {
+					t.Errorf("%s: the product imports %s", fset.Position(im.Pos()), im.Path.Value)
+				}
 			}
 		}
 	})
