vmlist: take the list of a peer when an entry starts without the platform

A spec restarts an entry while the table and the list are down and sends a request that is answered through its peers. Conclusion: an outage of the whole platform no longer keeps entries from restarting.

--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -116,7 +116,7 @@
 			return err
 		}
 		board.Configuration.Publish(&version)
-		poller := vmlist.NewPoller(vmlist.New(sy.fleet.VMServer.URL(), hc), board, time.Second, zerolog.Nop())
+		poller := vmlist.NewPoller(vmlist.New(sy.fleet.VMServer.URL(), hc), nil, board, time.Second, zerolog.Nop())
 		poller.Start()
 		sy.closers = append(sy.closers, poller.Close)
 		nv := target.NewNaive(board)
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -1,6 +1,7 @@
 package blackboard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
@@ -34,6 +35,15 @@
 	Workers []platform.VM
 }
 
+// All returns the whole list.
+func (vm *VMs) All() []platform.VM {
+	all := slices.Concat(vm.Entries, vm.Workers)
+	for _, targets := range vm.Targets {
+		all = append(all, targets...)
+	}
+	return all
+}
+
 // Members are the other entries, as this entry sees them.
 type Members struct {
 	// Alive are the entries that answer heartbeats.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,12 +113,12 @@
 		en.pause.Close()
 		return err
 	}
-	if err := peer.RegisterConfiguration(en.peers, en.board); err != nil {
+	if err := errors.Join(peer.RegisterConfiguration(en.peers, en.board), peer.RegisterVMs(en.peers, en.board)); err != nil {
 		en.pause.Close()
 		return err
 	}
 	store := configuration.NewStore(rows)
-	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), en.board, en.set.Timing.VMListPoll.Std(), en.log)
+	en.vms = vmlist.NewPoller(vmlist.New(en.set.Platform.VMList, hc), peer.VMPeers{Pool: en.pool, Members: en.members}, en.board, en.set.Timing.VMListPoll.Std(), en.log)
 	en.config = configuration.NewFollower(configuration.FollowerOptions{
 		Store:     store,
 		Peers:     peer.ConfigurationPeers{Pool: en.pool, Members: en.members},
--- a/internal/integration/path_test.go
+++ b/internal/integration/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -52,4 +53,21 @@
 		rep := cl.entries[0].call(http.MethodPost, "/v1/services/fitdesk/requests", body, nil)
 		Expect(rep.outcome).To(Equal("answered"), rep.body)
 	})
+
+	// Guards against an entry that cannot start while the whole platform is down,
+	// although its peers know the configuration and the VMs.
+	It("restarts during an outage of the whole platform and serves through its peers", func() {
+		cl := startCluster(clusterOptions{fleet: defaultFleet(), entries: threeEntries()})
+		restarted := cl.entries[1]
+		Eventually(func() int64 { return restarted.counter("slots_homes") }, "5s").Should(BeNumerically(">", 0))
+		cl.fleet.Table.SetFaults(standin.TableFaults{Outage: true})
+		cl.fleet.VMs.SetFaults(standin.VMListFaults{Outage: true})
+		restarted.kill()
+		restarted.writeSettings(fmt.Sprintf("peers: [%q, %q]\n", cl.entries[0].peer.Address(), cl.entries[2].peer.Address()))
+		restarted.start()
+		restarted.awaitReady()
+		body := standin.TargetRequest{RunMillis: 20, Question: "tilt"}
+		rep := restarted.call(http.MethodPost, "/v1/services/fitdesk/requests", body, nil)
+		Expect(rep.outcome).To(Equal("answered"), rep.body)
+	})
 })
--- a/internal/vmlist/poller.go
+++ b/internal/vmlist/poller.go
@@ -16,10 +16,17 @@
 	Fetch(ctx context.Context) ([]platform.VM, bool, error)
 }
 
+// Peers reads the list that another entry has read last.
+type Peers interface {
+	Fetch(ctx context.Context) ([]platform.VM, error)
+}
+
 // Poller publishes the list of VMs on the blackboard. While the service is
-// unreachable the last list stays.
+// unreachable the last list stays; an entry that starts then takes the list of
+// a peer.
 type Poller struct {
 	fe       Fetcher
+	peers    Peers
 	board    *blackboard.Board
 	interval time.Duration
 	log      zerolog.Logger
@@ -27,10 +34,12 @@
 	leaving  map[string]bool
 }
 
-// NewPoller returns a poller; Start begins to poll.
-func NewPoller(fe Fetcher, board *blackboard.Board, interval time.Duration, log zerolog.Logger) *Poller {
+// NewPoller returns a poller; Start begins to poll. Without peers, nil, the
+// platform is the only source.
+func NewPoller(fe Fetcher, peers Peers, board *blackboard.Board, interval time.Duration, log zerolog.Logger) *Poller {
 	return &Poller{
 		fe:       fe,
+		peers:    peers,
 		board:    board,
 		interval: interval,
 		log:      log,
@@ -58,6 +67,7 @@
 	vms, changed, err := po.fe.Fetch(ctx)
 	if err != nil {
 		po.log.Warn().Err(err).Msg("vm-list-unreachable")
+		po.askPeers(ctx)
 		return
 	}
 	if !changed {
@@ -67,6 +77,20 @@
 	po.board.VMs.Publish(po.split(vms))
 }
 
+// askPeers takes the list of a peer while this entry has none.
+func (po *Poller) askPeers(ctx context.Context) {
+	if po.peers == nil || po.board.VMs.Load() != nil {
+		return
+	}
+	vms, err := po.peers.Fetch(ctx)
+	if err != nil {
+		po.log.Warn().Err(err).Msg("vm-list-of-peers-unreachable")
+		return
+	}
+	po.log.Info().Int("vms", len(vms)).Msg("vm-list-from-peer")
+	po.board.VMs.Publish(po.split(vms))
+}
+
 // confirm renews the time of the published list: the proof that a VM is gone
 // needs a list that was read after the VM had vanished from it.
 func (po *Poller) confirm() {
--- a/internal/vmlist/vmlist_test.go
+++ b/internal/vmlist/vmlist_test.go
@@ -29,7 +29,7 @@
 	}
 	t.Cleanup(srv.Close)
 	board := &blackboard.Board{}
-	po := vmlist.NewPoller(vmlist.New(srv.URL(), &http.Client{}), board, 10*time.Millisecond, zerolog.Nop())
+	po := vmlist.NewPoller(vmlist.New(srv.URL(), &http.Client{}), nil, board, 10*time.Millisecond, zerolog.Nop())
 	po.Start()
 	t.Cleanup(po.Close)
 	return vl, board
