home: test claims against the table stand-in through its client

Cause: the tests had a table of their own beside the stand-in of the platform. Change: they use the stand-in, with its lost replies and outage, over HTTP.

--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -8,7 +8,7 @@
 	"errors"
 	"fmt"
 	"maps"
-	"slices"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -20,6 +20,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/counter"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/target"
 )
@@ -33,13 +34,10 @@
 	vms     blackboard.VMs
 	entries []*testEntry
 
+	table *standin.Table
+	rows  *table.Client
+
 	mu          sync.Mutex
-	rows        map[string]table.Row
-	done        map[string]table.Version
-	version     table.Version
-	loseReplies bool
-	outage      bool
-	commits     int
 	messages    int
 	bytes       int
 	cut         map[string]bool // addresses that nobody reaches and that reach nobody
@@ -59,7 +57,13 @@
 }
 
 func newWorld(tb testing.TB, targets int, zones ...platform.AvailabilityZone) *world {
-	wo := &world{tb: tb, rows: map[string]table.Row{}, done: map[string]table.Version{}, cut: map[string]bool{}}
+	wo := &world{tb: tb, table: standin.NewTable(standin.TableOptions{}), cut: map[string]bool{}}
+	srv, err := standin.Serve("127.0.0.1:0", wo.table)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(srv.Close)
+	wo.rows = table.New(srv.URL(), http.DefaultClient)
 	wo.vms.Targets = map[platform.ServiceName][]platform.VM{}
 	for i := range targets {
 		vm := platform.VM{ID: fmt.Sprint("target-", i), State: platform.StateLive, Service: "fitdesk", AvailabilityZone: zones[i%len(zones)]}
@@ -74,7 +78,7 @@
 		Self: Self{
 			ID: platform.EntryID(en.id), Incarnation: platform.NewIncarnation(platform.EntryID(en.id)), Zone: zone, Size: 4,
 		},
-		Board: en.board, Rows: wo, Peers: en, ForwardPeers: en, Counters: counter.New(), Log: zerolog.Nop(),
+		Board: en.board, Rows: wo.rows, Peers: en, ForwardPeers: en, Counters: counter.New(), Log: zerolog.Nop(),
 		Clock: func() time.Duration { return wo.now },
 	})
 	en.co.Bind(en)
@@ -259,53 +263,9 @@
 	return buf.Len() - first
 }
 
-// Commit commits as the table does, and may lose the reply.
-func (wo *world) Commit(_ context.Context, tx table.Transaction) (table.Version, error) {
-	wo.mu.Lock()
-	defer wo.mu.Unlock()
-	if wo.outage {
-		return 0, errBroken
-	}
-	if version, ok := wo.done[tx.ID]; ok {
-		return version, nil
-	}
-	var conflicts []table.Row
-	for _, ck := range tx.Checks {
-		if row := wo.rows[ck.Key]; row.Version != ck.Version {
-			conflicts = append(conflicts, table.Row{Key: ck.Key, Version: row.Version, Value: row.Value})
-		}
-	}
-	if conflicts != nil {
-		return 0, &table.ConflictError{Rows: conflicts}
-	}
-	wo.version++
-	wo.commits++
-	for _, wt := range tx.Writes {
-		wo.rows[wt.Key] = table.Row{Key: wt.Key, Version: wo.version, Value: wt.Value}
-		if wt.Delete {
-			delete(wo.rows, wt.Key)
-		}
-	}
-	wo.done[tx.ID] = wo.version
-	if wo.loseReplies {
-		return 0, errBroken
-	}
-	return wo.version, nil
-}
-
-// List lists the rows in one page.
-func (wo *world) List(context.Context, string, string, int) ([]table.Row, error) {
-	wo.mu.Lock()
-	defer wo.mu.Unlock()
-	if wo.outage {
-		return nil, errBroken
-	}
-	return slices.Collect(maps.Values(wo.rows)), nil
-}
-
 func (wo *world) homes() map[platform.EntryID]int {
 	out := map[platform.EntryID]int{}
-	for _, row := range wo.rows {
+	for _, row := range wo.table.Rows(rowPrefix) {
 		var val rowValue
 		_ = json.Unmarshal(row.Value, &val)
 		out[val.Incarnation.Entry()]++
--- a/internal/home/sharing_test.go
+++ b/internal/home/sharing_test.go
@@ -10,6 +10,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/target"
 )
 
@@ -121,13 +122,13 @@
 	gm := NewWithT(t)
 	wo := newWorld(t, 6, zone)
 	one, two := wo.add(zone), wo.add(zone)
-	wo.loseReplies = true
+	wo.table.SetFaults(standin.TableFaults{DropReplies: 1})
 	wo.run(2 * time.Second)
 	gm.Expect(one.total() + two.total()).To(Equal(48))
-	wo.outage = true
+	wo.table.SetFaults(standin.TableFaults{Outage: true})
 	wo.run(20 * time.Second)
 	gm.Expect(one.total()+two.total()).To(Equal(48), "an outage changes nothing")
-	wo.outage, wo.loseReplies = false, false
+	wo.table.SetFaults(standin.TableFaults{})
 	wo.run(2 * time.Second)
 	gm.Expect(one.total() + two.total()).To(Equal(48))
 }
