worker: start the clocks of all workers anew after a pause

Cause: an entry that was paused for more than 10 s, with one request in flight that timed out meanwhile, gave up every task of that worker at once: it had heard nothing, because it had not listened.

Change: a gap of more than a second between two ticks of 100 ms restarts the times after which a worker's tasks are given up.

Seen to fail first: TestPauseLosesNoTasks with the check taken out (a trial); passes with it, also under the race detector.

Conclusion: tasks are lost only after a bound of listening.

--- a/internal/worker/dispatcher.go
+++ b/internal/worker/dispatcher.go
@@ -81,6 +81,7 @@
 	members *blackboard.Members
 	version *configuration.Version
 	ticks   int
+	tickAt  time.Time
 	closed  atomic.Bool
 }
 
@@ -228,6 +229,7 @@
 func (di *Dispatcher) tick(ctx context.Context) {
 	const slowEvery = 5
 	di.takeOver()
+	di.noticePause(time.Now())
 	di.ticks++
 	if di.ticks%slowEvery == 0 {
 		di.mu.Lock()
@@ -241,6 +243,28 @@
 	di.wakeUp()
 }
 
+// pauseGap is the time between two ticks that shows that this process was
+// paused.
+const pauseGap = 10 * tickInterval
+
+// noticePause restarts the clocks of all workers after a pause of this process:
+// that nothing was heard meanwhile says nothing about them.
+func (di *Dispatcher) noticePause(now time.Time) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	paused := !di.tickAt.IsZero() && now.Sub(di.tickAt) > pauseGap
+	di.tickAt = now
+	if !paused {
+		return
+	}
+	di.count("paused", 1)
+	for _, ma := range di.sched.machines {
+		if ma.link != nil {
+			ma.link.heardAt, ma.link.failures, ma.link.refusedSince = now, 0, time.Time{}
+		}
+	}
+}
+
 func (di *Dispatcher) publishGauges() {
 	if di.opt.Counters == nil {
 		return
--- a/internal/worker/scheduler_test.go
+++ b/internal/worker/scheduler_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
@@ -282,3 +283,22 @@
 		gm.Expect(n).To(BeNumerically("<=", 3), string(rack))
 	}
 }
+
+// TestPauseLosesNoTasks guards against an entry that was paused and then gives
+// up the tasks of all workers, because it has heard from none.
+func TestPauseLosesNoTasks(t *testing.T) {
+	gm := NewWithT(t)
+	di := New(Options{Board: &blackboard.Board{}})
+	now := time.Now()
+	for _, paused := range []bool{false, true} {
+		ma := di.sched.addUnlisted(Placement{Worker: "worker-0"})
+		ma.listed = true
+		ma.link = &link{heardAt: now.Add(-30 * time.Second), failures: 1}
+		di.tickAt = now.Add(-tickInterval)
+		if paused {
+			di.tickAt = now.Add(-30 * time.Second)
+		}
+		di.noticePause(now)
+		gm.Expect(di.goneReason(ma, ma.link, now) == "").To(Equal(paused))
+	}
+}
