--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -128,8 +128,8 @@
 }
 
 // provable tells whether a refusal at addr proves anything to a process that
-// listens on own. A loopback address means another machine's process only
-// when both run on the same machine.
+// listens on own. A loopback address names another process
+// only when both run on the same VM.
 func provable(addr, own string) bool {
 	ip, ownIP := ipOf(addr), ipOf(own)
 	if ip == nil || ip.IsUnspecified() {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -37,7 +37,7 @@
 // TargetID names a target, the back end of a service.
 type TargetID string
 
-// WorkerID names a worker, a machine that runs the tasks of jobs.
+// WorkerID names a worker, a VM that runs the tasks of jobs.
 type WorkerID string
 
 // JobID names a submission. Resubmissions carry the same id.
--- a/internal/worker/dispatcher.go
+++ b/internal/worker/dispatcher.go
@@ -123,9 +123,9 @@
 	di.grp.Close()
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	for _, ma := range di.sched.machines {
-		if ma.link != nil {
-			ma.link.close()
+	for _, ws := range di.sched.workers {
+		if ws.link != nil {
+			ws.link.close()
 		}
 	}
 }
@@ -204,7 +204,7 @@
 	defer di.mu.Unlock()
 	if vms := board.VMs.Load(); vms != nil && vms != di.vms {
 		di.vms = vms
-		di.sched.setMachines(vms.Workers)
+		di.sched.setWorkers(vms.Workers)
 	}
 	if members := board.Members.Load(); members != nil && members != di.members {
 		di.members = members
@@ -258,9 +258,9 @@
 		return
 	}
 	di.count("paused", 1)
-	for _, ma := range di.sched.machines {
-		if ma.link != nil {
-			ma.link.heardAt, ma.link.failures, ma.link.refusedSince = now, 0, time.Time{}
+	for _, ws := range di.sched.workers {
+		if ws.link != nil {
+			ws.link.heardAt, ws.link.failures, ws.link.refusedSince = now, 0, time.Time{}
 		}
 	}
 }
@@ -271,7 +271,7 @@
 	}
 	di.opt.Counters.Gauge(counterFamily+".queued", int64(di.sched.queued))
 	di.opt.Counters.Gauge(counterFamily+".in-flight", int64(len(di.sched.tasks)-di.sched.queued))
-	di.opt.Counters.Gauge(counterFamily+".suspended-now", int64(di.sched.suspendedMachines()))
+	di.opt.Counters.Gauge(counterFamily+".suspended-now", int64(di.sched.suspendedWorkers()))
 	di.opt.Counters.Gauge(counterFamily+".control-bytes", di.fresh.bytes.Load())
 }
 
--- a/internal/worker/follow.go
+++ b/internal/worker/follow.go
@@ -72,16 +72,16 @@
 	now := time.Now()
 	var losses []lossOf
 	di.mu.Lock()
-	for _, ma := range di.sched.machines {
-		if len(ma.own) == 0 || !ma.anySent() {
+	for _, ws := range di.sched.workers {
+		if len(ws.own) == 0 || !ws.anySent() {
 			continue
 		}
-		lk := di.linkOf(ma)
-		if reason := di.goneReason(ma, lk, now); reason != "" {
-			losses = append(losses, lossOf{tks: ma.sent(), reason: reason})
+		lk := di.linkOf(ws)
+		if reason := di.goneReason(ws, lk, now); reason != "" {
+			losses = append(losses, lossOf{tks: ws.sent(), reason: reason})
 			continue
 		}
-		di.queryLate(ma, lk, now)
+		di.queryLate(ws, lk, now)
 	}
 	di.mu.Unlock()
 	for _, ls := range losses {
@@ -90,22 +90,22 @@
 }
 
 // goneReason tells why the tasks of the worker are to be given up, "" if not.
-func (di *Dispatcher) goneReason(ma *machine, lk *link, now time.Time) string {
+func (di *Dispatcher) goneReason(ws *workerState, lk *link, now time.Time) string {
 	quiet := now.Sub(lk.heardAt)
 	switch {
-	case !ma.listed && now.Sub(ma.unlistedSince) > di.bounds.unlisted && quiet > di.bounds.unlistedSilence:
-		return unlisted(ma)
+	case !ws.listed && now.Sub(ws.unlistedSince) > di.bounds.unlisted && quiet > di.bounds.unlistedSilence:
+		return unlisted(ws)
 	case !lk.refusedSince.IsZero() && now.Sub(lk.refusedSince) > di.bounds.refused:
-		return fmt.Sprintf("worker %s refuses connections", ma.id)
+		return fmt.Sprintf("worker %s refuses connections", ws.id)
 	case lk.failures > 0 && quiet > di.bounds.silent:
-		return fmt.Sprintf("worker %s does not answer", ma.id)
+		return fmt.Sprintf("worker %s does not answer", ws.id)
 	}
 	return ""
 }
 
-func (ma *machine) sent() []*task {
+func (ws *workerState) sent() []*task {
 	var out []*task
-	for _, tk := range ma.own {
+	for _, tk := range ws.own {
 		if tk.state == taskSent && !tk.followed.starting {
 			out = append(out, tk)
 		}
@@ -115,16 +115,16 @@
 
 // queryLate queries tasks that should have ended, at most maxQueries at a time
 // for each worker, and one task when the worker has been quiet.
-func (di *Dispatcher) queryLate(ma *machine, lk *link, now time.Time) {
+func (di *Dispatcher) queryLate(ws *workerState, lk *link, now time.Time) {
 	const maxQueries = 4
 	querying := 0
-	for _, tk := range ma.own {
+	for _, tk := range ws.own {
 		if tk.followed.querying {
 			querying++
 		}
 	}
 	ping := now.Sub(lk.heardAt) > di.bounds.ping
-	for _, tk := range ma.own {
+	for _, tk := range ws.own {
 		if querying >= maxQueries {
 			return
 		}
@@ -153,13 +153,13 @@
 // lateAfter returns the run time after which the task counts as late.
 func (di *Dispatcher) lateAfter(tk *task) time.Duration {
 	_, late := di.sched.learner.runTime(&tk.demand)
-	return time.Duration(float64(late)*max(1, math.Exp(tk.ma.health.slowness))) + lateSlack
+	return time.Duration(float64(late)*max(1, math.Exp(tk.ws.health.slowness))) + lateSlack
 }
 
 // compare queries a task over a new connection. When the worker reports an end
 // that the held request has not delivered, its connection has gone silent.
 func (di *Dispatcher) compare(ctx context.Context, tk *task, lk *link) {
-	rep, found, err := di.Query(ctx, tk.ma.id, tk.id)
+	rep, found, err := di.Query(ctx, tk.ws.id, tk.id)
 	di.mu.Lock()
 	fo := &tk.followed
 	fo.querying = false
@@ -179,9 +179,9 @@
 	switch {
 	case err != nil || !ongoing:
 	case found:
-		di.finish(tk.ma, []Report{rep})
+		di.finish(tk.ws, []Report{rep})
 	case forgotten:
-		di.lose([]*task{tk}, fmt.Sprintf("worker %s does not know the task", tk.ma.id))
+		di.lose([]*task{tk}, fmt.Sprintf("worker %s does not know the task", tk.ws.id))
 	}
 }
 
@@ -221,14 +221,14 @@
 	now := time.Now()
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	for _, ma := range di.sched.machines {
-		if ma.link == nil || ma.link.renewing {
+	for _, ws := range di.sched.workers {
+		if ws.link == nil || ws.link.renewing {
 			continue
 		}
-		for lease, tks := range ma.expiring(now) {
-			ma.link.renewing = true
-			lk := ma.link
-			di.grp.Go(func(ctx context.Context) { di.renew(ctx, ma, lk, lease, tks) })
+		for lease, tks := range ws.expiring(now) {
+			ws.link.renewing = true
+			lk := ws.link
+			di.grp.Go(func(ctx context.Context) { di.renew(ctx, ws, lk, lease, tks) })
 			break // another lease length follows with the next tick
 		}
 	}
@@ -237,9 +237,9 @@
 // expiring returns the tasks whose leases are to be renewed, by the length of
 // the lease, once half or less of any lease is left. Leases with up to three
 // quarters left come along, so that later batches carry all tasks together.
-func (ma *machine) expiring(now time.Time) map[time.Duration][]*task {
+func (ws *workerState) expiring(now time.Time) map[time.Duration][]*task {
 	due, byLease := false, map[time.Duration][]*task(nil)
-	for _, tk := range ma.own {
+	for _, tk := range ws.own {
 		fo := &tk.followed
 		left := fo.leaseUntil.Sub(now)
 		if tk.state != taskSent || fo.starting || left > fo.lease*3/4 {
@@ -257,7 +257,7 @@
 	return byLease
 }
 
-func (di *Dispatcher) renew(ctx context.Context, ma *machine, lk *link, lease time.Duration, tks []*task) {
+func (di *Dispatcher) renew(ctx context.Context, ws *workerState, lk *link, lease time.Duration, tks []*task) {
 	ids := make([]TaskID, len(tks))
 	for i, tk := range tks {
 		ids[i] = tk.id
@@ -273,10 +273,10 @@
 	defer di.mu.Unlock()
 	lk.renewing = false
 	if err != nil {
-		di.unheard(ma, lk, err)
+		di.unheard(ws, lk, err)
 		return
 	}
-	di.heard(ma, lk)
+	di.heard(ws, lk)
 	di.count("lease-batches", 1)
 	for _, tk := range tks {
 		tk.followed.leaseUntil = sentAt.Add(lease)
--- a/internal/worker/health.go
+++ b/internal/worker/health.go
@@ -59,23 +59,23 @@
 	racks map[int]int
 	// doneOn and failedOn are the workers on which tasks of the job succeeded
 	// and failed. They stay short: a job has up to 540 tasks.
-	doneOn, failedOn []*machine
+	doneOn, failedOn []*workerState
 	idleSince        time.Time
 }
 
-func addMachine(list []*machine, ma *machine) []*machine {
+func addWorker(list []*workerState, ws *workerState) []*workerState {
 	for _, known := range list {
-		if known == ma {
+		if known == ws {
 			return list
 		}
 	}
-	return append(list, ma)
+	return append(list, ws)
 }
 
-func countOthers(list []*machine, ma *machine) int {
+func countOthers(list []*workerState, ws *workerState) int {
 	n := 0
 	for _, other := range list {
-		if other != ma {
+		if other != ws {
 			n++
 		}
 	}
@@ -85,15 +85,15 @@
 // suspicion adds up the failures on the worker since its last success, each
 // weighed by how well the same job and kind fare on other workers. Failures of
 // a job that has succeeded nowhere else count once.
-func (sc *scheduler) suspicion(ma *machine) float64 {
+func (sc *scheduler) suspicion(ws *workerState) float64 {
 	sum := 0.0
-	for i, ev := range ma.health.evidence {
+	for i, ev := range ws.health.evidence {
 		if ev.refusal {
 			sum++
 			continue
 		}
-		done, failed := countOthers(ev.job.doneOn, ma), countOthers(ev.job.failedOn, ma)
-		if done == 0 && countedBefore(ma.health.evidence[:i], ev.job) {
+		done, failed := countOthers(ev.job.doneOn, ws), countOthers(ev.job.failedOn, ws)
+		if done == 0 && countedBefore(ws.health.evidence[:i], ev.job) {
 			continue
 		}
 		blame := 1.0
@@ -119,40 +119,40 @@
 	return false
 }
 
-func (sc *scheduler) noteSuccess(ma *machine, tk *task) {
-	tk.job.doneOn = addMachine(tk.job.doneOn, ma)
+func (sc *scheduler) noteSuccess(ws *workerState, tk *task) {
+	tk.job.doneOn = addWorker(tk.job.doneOn, ws)
 	sc.learner.kind(tk.demand.Kind, sc.now()).failures.add(0)
-	he := &ma.health
+	he := &ws.health
 	changed := len(he.evidence) > 0 || !he.proven
 	he.evidence = he.evidence[:0]
 	he.proven, he.suspended, he.probeWait = true, false, 0
 	if changed {
-		sc.refreshMachine(ma)
+		sc.refreshWorker(ws)
 	}
 }
 
-func (sc *scheduler) noteFailure(ma *machine, tk *task) {
-	tk.job.failedOn = addMachine(tk.job.failedOn, ma)
-	if len(ma.health.evidence) == 0 {
+func (sc *scheduler) noteFailure(ws *workerState, tk *task) {
+	tk.job.failedOn = addWorker(tk.job.failedOn, ws)
+	if len(ws.health.evidence) == 0 {
 		sc.learner.kind(tk.demand.Kind, sc.now()).failures.add(1)
 	}
-	sc.addEvidence(ma, evidence{job: tk.job, kind: tk.demand.Kind})
+	sc.addEvidence(ws, evidence{job: tk.job, kind: tk.demand.Kind})
 }
 
-func (sc *scheduler) noteRefusal(ma *machine) {
-	sc.addEvidence(ma, evidence{refusal: true})
+func (sc *scheduler) noteRefusal(ws *workerState) {
+	sc.addEvidence(ws, evidence{refusal: true})
 }
 
-func (sc *scheduler) addEvidence(ma *machine, ev evidence) {
-	he := &ma.health
+func (sc *scheduler) addEvidence(ws *workerState, ev evidence) {
+	he := &ws.health
 	if len(he.evidence) >= maxEvidence {
 		he.evidence = append(he.evidence[:0], he.evidence[1:]...)
 	}
 	he.evidence = append(he.evidence, ev)
-	if sc.suspicion(ma) >= suspendAt {
-		sc.suspend(ma)
+	if sc.suspicion(ws) >= suspendAt {
+		sc.suspend(ws)
 	}
-	sc.refreshMachine(ma)
+	sc.refreshWorker(ws)
 	if !ev.refusal {
 		sc.reconsider()
 	}
@@ -161,20 +161,20 @@
 // reconsider lifts suspensions that later failures of the same jobs and kinds
 // on other workers have explained.
 func (sc *scheduler) reconsider() {
-	for _, ma := range sc.machines {
-		if ma.health.suspended && sc.suspicion(ma) < suspendAt {
-			ma.health.suspended = false
-			sc.refreshMachine(ma)
+	for _, ws := range sc.workers {
+		if ws.health.suspended && sc.suspicion(ws) < suspendAt {
+			ws.health.suspended = false
+			sc.refreshWorker(ws)
 		}
 	}
 }
 
 // suspend stops new work for the worker, unless half of the workers are
 // suspended already: then the cause lies elsewhere.
-func (sc *scheduler) suspend(ma *machine) {
-	he := &ma.health
+func (sc *scheduler) suspend(ws *workerState) {
+	he := &ws.health
 	if !he.suspended {
-		if 2*(sc.suspendedMachines()+1) > len(sc.machines) {
+		if 2*(sc.suspendedWorkers()+1) > len(sc.workers) {
 			return
 		}
 		sc.count("suspended")
@@ -184,10 +184,10 @@
 	he.nextProbe = sc.now().Add(he.probeWait)
 }
 
-func (sc *scheduler) suspendedMachines() int {
+func (sc *scheduler) suspendedWorkers() int {
 	n := 0
-	for _, ma := range sc.machines {
-		if ma.health.suspended {
+	for _, ws := range sc.workers {
+		if ws.health.suspended {
 			n++
 		}
 	}
@@ -195,10 +195,10 @@
 }
 
 // slotsOpen returns how many tasks the worker may have in flight.
-func (sc *scheduler) slotsOpen(ma *machine) int {
-	he := &ma.health
+func (sc *scheduler) slotsOpen(ws *workerState) int {
+	he := &ws.health
 	switch {
-	case !ma.listed || ma.leaving || ma.silent:
+	case !ws.listed || ws.leaving || ws.silent:
 		return 0
 	case he.suspended:
 		if sc.now().Before(he.nextProbe) {
@@ -207,18 +207,18 @@
 		return 1
 	case he.slowness > math.Log(slowLimit) && !sc.mostAreSlow:
 		return 0
-	case sc.suspicion(ma) >= 0.5:
+	case sc.suspicion(ws) >= 0.5:
 		return unprovenTasks
 	case !he.proven:
-		return unprovenTasks * (1 + sc.survivors(ma))
+		return unprovenTasks * (1 + sc.survivors(ws))
 	}
 	return math.MaxInt
 }
 
 // survivors counts the own tasks that have run for the survival time.
-func (sc *scheduler) survivors(ma *machine) int {
+func (sc *scheduler) survivors(ws *workerState) int {
 	n := 0
-	for _, tk := range ma.own {
+	for _, tk := range ws.own {
 		if sc.now().Sub(tk.reservedAt) >= survivalTime {
 			n++
 		}
@@ -227,7 +227,7 @@
 }
 
 // noteSpeed learns from a task that took ratio times as long as its kind.
-func (sc *scheduler) noteSpeed(ma *machine, ratio float64) {
+func (sc *scheduler) noteSpeed(ws *workerState, ratio float64) {
 	const (
 		weight   = 1.0 / 8
 		maxRatio = 64
@@ -236,17 +236,17 @@
 		return
 	}
 	val := math.Log(min(max(ratio, 1.0/maxRatio), maxRatio))
-	ma.health.slowness += weight * (val - ma.health.slowness)
+	ws.health.slowness += weight * (val - ws.health.slowness)
 }
 
 func (sc *scheduler) decaySlowness(elapsed time.Duration) {
 	factor := math.Exp2(-float64(elapsed) / float64(slownessHalfLife))
 	slow := 0
-	for _, ma := range sc.machines {
-		ma.health.slowness *= factor
-		if ma.health.slowness > math.Log(slowLimit) {
+	for _, ws := range sc.workers {
+		ws.health.slowness *= factor
+		if ws.health.slowness > math.Log(slowLimit) {
 			slow++
 		}
 	}
-	sc.mostAreSlow = 2*slow > len(sc.machines)
+	sc.mostAreSlow = 2*slow > len(sc.workers)
 }
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -164,30 +164,30 @@
 
 // linkOf returns the traffic with a worker. A worker that comes back under
 // another address gets a new link. Dispatcher.mu is held.
-func (di *Dispatcher) linkOf(ma *machine) *link {
-	if ma.link == nil || ma.link.address != ma.address {
-		if ma.link != nil {
-			ma.link.close()
+func (di *Dispatcher) linkOf(ws *workerState) *link {
+	if ws.link == nil || ws.link.address != ws.address {
+		if ws.link != nil {
+			ws.link.close()
 		}
-		ma.link = newLink(ma.address)
+		ws.link = newLink(ws.address)
 	}
-	return ma.link
+	return ws.link
 }
 
 // heard records that the worker has answered.
-func (di *Dispatcher) heard(ma *machine, lk *link) {
+func (di *Dispatcher) heard(ws *workerState, lk *link) {
 	lk.heardAt = time.Now()
 	lk.failures = 0
 	lk.refusedSince = time.Time{}
-	if ma.silent {
-		ma.silent = false
-		di.sched.refreshMachine(ma)
+	if ws.silent {
+		ws.silent = false
+		di.sched.refreshWorker(ws)
 	}
 }
 
 // unheard records a failed request. After two in a row without an answer the
 // worker gets no new tasks.
-func (di *Dispatcher) unheard(ma *machine, lk *link, err error) {
+func (di *Dispatcher) unheard(ws *workerState, lk *link, err error) {
 	const enough = 2
 	lk.failures++
 	switch {
@@ -196,14 +196,14 @@
 	case lk.refusedSince.IsZero():
 		lk.refusedSince = time.Now()
 	}
-	if lk.failures >= enough && !ma.silent {
-		ma.silent = true
+	if lk.failures >= enough && !ws.silent {
+		ws.silent = true
 		di.count("silent-worker", 1)
-		di.opt.Log.Warn().Str("worker", string(ma.id)).Err(err).Msg("worker-does-not-answer")
-		di.sched.refreshMachine(ma)
+		di.opt.Log.Warn().Str("worker", string(ws.id)).Err(err).Msg("worker-does-not-answer")
+		di.sched.refreshWorker(ws)
 	}
 }
 
-func unlisted(ma *machine) string {
-	return fmt.Sprintf("worker %s is no longer listed and does not answer", ma.id)
+func unlisted(ws *workerState) string {
+	return fmt.Sprintf("worker %s is no longer listed and does not answer", ws.id)
 }
--- a/internal/worker/scheduler.go
+++ b/internal/worker/scheduler.go
@@ -33,7 +33,7 @@
 	assigned func(task TaskID, pl Placement)
 
 	// The rest is set once the task has a worker.
-	ma   *machine
+	ws   *workerState
 	size size
 	// reserved is the room reserved at first; size follows the reports.
 	reserved size
@@ -59,12 +59,12 @@
 	entries  []entryInfo
 	counters *counter.Set
 
-	learner  *learner
-	machines []*machine
-	byID     map[platform.WorkerID]*machine
-	racks    map[platform.RackID]int
-	largest  size
-	total    size
+	learner *learner
+	workers []*workerState
+	byID    map[platform.WorkerID]*workerState
+	racks   map[platform.RackID]int
+	largest size
+	total   size
 
 	teams    map[platform.TeamID]*team
 	quotas   map[platform.TeamID]configuration.Team
@@ -77,7 +77,7 @@
 	pressed      bool
 	pressedUntil time.Time
 	mostAreSlow  bool
-	grown        []*machine
+	grown        []*workerState
 
 	tasks    map[TaskID]*task
 	jobs     map[platform.JobID]*jobState
@@ -93,7 +93,7 @@
 		entries:  []entryInfo{self},
 		counters: counters,
 		learner:  newLearner(),
-		byID:     map[platform.WorkerID]*machine{},
+		byID:     map[platform.WorkerID]*workerState{},
 		racks:    map[platform.RackID]int{},
 		teams:    map[platform.TeamID]*team{},
 		weights:  1,
@@ -111,7 +111,7 @@
 // admissible refuses a demand that is larger than every listed worker. A demand
 // whose dimensions fit only different workers is refused as a combination.
 func (sc *scheduler) admissible(dm *Demand) error {
-	if len(sc.machines) == 0 {
+	if len(sc.workers) == 0 {
 		return nil
 	}
 	need := sc.learner.need(dm, sc.largest)
@@ -127,8 +127,8 @@
 	case need.accelerators > sc.largest.accelerators:
 		dimension, most = "accelerators", sc.largest.accelerators
 	default:
-		for _, ma := range sc.machines {
-			if ma.listed && need.fits(ma.capacity) {
+		for _, ws := range sc.workers {
+			if ws.listed && need.fits(ws.capacity) {
 				return nil
 			}
 		}
@@ -220,21 +220,21 @@
 		}
 		tk := ln.head()
 		need := sc.learner.need(&tk.demand, sc.largest)
-		ma := sc.find(tk, need)
-		if ma == nil && sc.press(sc.now().Sub(tk.queuedAt)) {
+		ws := sc.find(tk, need)
+		if ws == nil && sc.press(sc.now().Sub(tk.queuedAt)) {
 			continue
 		}
-		if ma == nil {
+		if ws == nil {
 			ln.blocked = true
 			ln.need = need
-			sc.reserveMachine(ln)
+			sc.reserveWorker(ln)
 			continue
 		}
 		ln.pop()
 		sc.queued--
 		ln.unreserve(sc)
-		sc.assign(tk, ma, need)
-		out = append(out, assignment{tk: tk, pl: Placement{Worker: ma.id, Address: ma.address}})
+		sc.assign(tk, ws, need)
+		out = append(out, assignment{tk: tk, pl: Placement{Worker: ws.id, Address: ws.address}})
 	}
 	return out
 }
@@ -250,16 +250,16 @@
 			ln.blocked = false
 			continue
 		}
-		for _, ma := range sc.grown {
-			if ma.open(ln.need, ln) {
+		for _, ws := range sc.grown {
+			if ws.open(ln.need, ln) {
 				ln.blocked = false
 				break
 			}
 		}
 	}
 	sc.rescan = false
-	for _, ma := range sc.grown {
-		ma.grown = false
+	for _, ws := range sc.grown {
+		ws.grown = false
 	}
 	sc.grown = sc.grown[:0]
 }
@@ -276,20 +276,20 @@
 	maxRackCount  = 10
 )
 
-func (sc *scheduler) find(tk *task, need size) *machine {
-	var best *machine
+func (sc *scheduler) find(tk *task, need size) *workerState {
+	var best *workerState
 	bestCost := math.Inf(1)
 	ln := tk.team.lanes[tk.demand.Kind]
-	for _, ma := range sc.machines {
-		if ma.baseCost >= bestCost || !ma.open(need, ln) {
+	for _, ws := range sc.workers {
+		if ws.baseCost >= bestCost || !ws.open(need, ln) {
 			continue
 		}
-		cost := ma.baseCost + costLoad*ma.load()
+		cost := ws.baseCost + costLoad*ws.load()
 		if tk.job.racks != nil {
-			cost += costRack * float64(min(tk.job.racks[ma.rack], maxRackCount))
+			cost += costRack * float64(min(tk.job.racks[ws.rack], maxRackCount))
 		}
 		if cost < bestCost {
-			best, bestCost = ma, cost
+			best, bestCost = ws, cost
 		}
 	}
 	if best != nil && best.rank > 0 {
@@ -298,28 +298,28 @@
 	return best
 }
 
-func (sc *scheduler) assign(tk *task, ma *machine, need size) {
+func (sc *scheduler) assign(tk *task, ws *workerState, need size) {
 	tk.state = taskAssigned
-	tk.ma = ma
+	tk.ws = ws
 	tk.size, tk.reserved = need, need
 	tk.reservedAt = sc.now()
-	ma.own[tk.id] = tk
-	ma.change(need)
+	ws.own[tk.id] = tk
+	ws.change(need)
 	tk.team.change(sc, need)
 	if tk.job.tasks > 1 {
 		if tk.job.racks == nil {
 			tk.job.racks = map[int]int{}
 		}
-		tk.job.racks[ma.rack]++
+		tk.job.racks[ws.rack]++
 	}
 }
 
 // adopt accounts for a task that an earlier owner may have started. Its size is
 // unknown; it counts as use of others until a usage report names it.
-func (sc *scheduler) adopt(id TaskID, ma *machine) *task {
-	tk := &task{id: id, team: sc.team(""), job: sc.job(""), state: taskSent, ma: ma, reservedAt: sc.now(), adopted: true}
+func (sc *scheduler) adopt(id TaskID, ws *workerState) *task {
+	tk := &task{id: id, team: sc.team(""), job: sc.job(""), state: taskSent, ws: ws, reservedAt: sc.now(), adopted: true}
 	sc.tasks[id] = tk
-	ma.own[id] = tk
+	ws.own[id] = tk
 	return tk
 }
 
@@ -328,40 +328,40 @@
 	if tk.state != taskAssigned && tk.state != taskSent {
 		return
 	}
-	ma := tk.ma
+	ws := tk.ws
 	if tk.state == taskSent {
-		ma.ended[tk.id] = sc.now()
+		ws.ended[tk.id] = sc.now()
 	}
 	tk.state = taskEnded
 	delete(sc.tasks, tk.id)
-	delete(ma.own, tk.id)
-	ma.change(size{}.minus(tk.size))
+	delete(ws.own, tk.id)
+	ws.change(size{}.minus(tk.size))
 	tk.team.change(sc, size{}.minus(tk.size))
 	if tk.job.racks != nil {
-		tk.job.racks[ma.rack]--
+		tk.job.racks[ws.rack]--
 	}
 	sc.releaseJob(tk.job)
-	sc.noteGrown(ma)
+	sc.noteGrown(ws)
 }
 
-func (sc *scheduler) noteGrown(ma *machine) {
-	if !ma.grown {
-		ma.grown = true
-		sc.grown = append(sc.grown, ma)
+func (sc *scheduler) noteGrown(ws *workerState) {
+	if !ws.grown {
+		ws.grown = true
+		sc.grown = append(sc.grown, ws)
 	}
 }
 
 // finished accounts for the end of a task as its worker reports it.
 func (sc *scheduler) finished(tk *task, rep Report) {
-	ma := tk.ma
+	ws := tk.ws
 	switch {
 	case tk.adopted:
 	case rep.State == StateDone:
-		sc.noteSuccess(ma, tk)
-		slowness := math.Exp(ma.health.slowness)
-		sc.noteSpeed(ma, sc.learner.finished(tk.demand.Kind, float64(rep.RanMillis), slowness, sc.now()))
+		sc.noteSuccess(ws, tk)
+		slowness := math.Exp(ws.health.slowness)
+		sc.noteSpeed(ws, sc.learner.finished(tk.demand.Kind, float64(rep.RanMillis), slowness, sc.now()))
 	case rep.State == StateFailed:
-		sc.noteFailure(ma, tk)
+		sc.noteFailure(ws, tk)
 	}
 	sc.release(tk)
 }
@@ -374,10 +374,10 @@
 // refused accounts for a start that provably did not happen.
 func (sc *scheduler) refused(tk *task) {
 	sc.count("start-refused")
-	ma := tk.ma
+	ws := tk.ws
 	sc.release(tk)
-	delete(ma.ended, tk.id)
-	sc.noteRefusal(ma)
+	delete(ws.ended, tk.id)
+	sc.noteRefusal(ws)
 }
 
 // tick updates what depends on time alone.
@@ -388,9 +388,9 @@
 	sc.unpress()
 	sc.pressWaiting()
 	sc.noteLateTasks()
-	for _, ma := range sc.machines {
-		ma.forgetEnded(sc.now())
-		sc.refreshMachine(ma)
+	for _, ws := range sc.workers {
+		ws.forgetEnded(sc.now())
+		sc.refreshWorker(ws)
 	}
 	sc.moveReservations()
 }
@@ -403,9 +403,9 @@
 		least  = 100 * time.Millisecond
 	)
 	now := sc.now()
-	for _, ma := range sc.machines {
+	for _, ws := range sc.workers {
 		late, sum := 0, 0.0
-		for _, tk := range ma.own {
+		for _, tk := range ws.own {
 			age := now.Sub(tk.reservedAt)
 			expected, bound := sc.learner.runTime(&tk.demand)
 			if tk.state == taskSent && age > least && age > 2*bound && expected > 0 {
@@ -415,7 +415,7 @@
 		}
 		if late >= enough {
 			estimate := math.Log(sum / float64(late))
-			ma.health.slowness = max(ma.health.slowness, (ma.health.slowness+estimate)/2)
+			ws.health.slowness = max(ws.health.slowness, (ws.health.slowness+estimate)/2)
 		}
 	}
 }
--- a/internal/worker/scheduler_test.go
+++ b/internal/worker/scheduler_test.go
@@ -34,7 +34,7 @@
 		opt.entries, opt.zones = 3, 2
 		si := newSim(opt)
 		si.onStart = func(st *simTask, _ *simWorker) {
-			if ma := st.tk.ma; !opt.naive && !ma.others.plus(ma.ownUse).fits(ma.capacity) {
+			if ws := st.tk.ws; !opt.naive && !ws.others.plus(ws.ownUse).fits(ws.capacity) {
 				beyond++
 			}
 		}
@@ -114,7 +114,7 @@
 	t.Logf("starts on the bad worker: %d, naive %d", bad, naive)
 	gm.Expect(naive).To(BeNumerically(">=", 200))
 	gm.Expect(bad).To(BeNumerically("<=", 2*unprovenTasks))
-	gm.Expect(si.scheduler(0).suspendedMachines()).To(Equal(1))
+	gm.Expect(si.scheduler(0).suspendedWorkers()).To(Equal(1))
 	gm.Expect(si.startsOn["worker-1"]).To(BeNumerically(">", 100))
 
 	// Once repaired, a probe finds it well again.
@@ -122,7 +122,7 @@
 	si.advance(2*firstProbe, func() {
 		si.submit(0, Demand{Kind: "check", Processors: 2}, runs(2, 200*time.Millisecond))
 	})
-	gm.Expect(si.scheduler(0).suspendedMachines()).To(BeZero())
+	gm.Expect(si.scheduler(0).suspendedWorkers()).To(BeZero())
 	gm.Expect(si.startsOn["worker-0"]).To(BeNumerically(">", 50))
 }
 
@@ -142,7 +142,7 @@
 		}
 		si.waitOf["good"] = nil
 		si.advance(5*time.Second, good)
-		gm.Expect(si.scheduler(0).suspendedMachines()).To(BeZero(), name)
+		gm.Expect(si.scheduler(0).suspendedWorkers()).To(BeZero(), name)
 		gm.Expect(quantile(si.waitOf["good"], 0.99)).To(BeNumerically("<=", 20*time.Millisecond), name)
 		gm.Expect(si.waiting).To(BeEmpty(), name)
 	}
@@ -291,14 +291,14 @@
 	di := New(Options{Board: &blackboard.Board{}})
 	now := time.Now()
 	for _, paused := range []bool{false, true} {
-		ma := di.sched.addUnlisted(Placement{Worker: "worker-0"})
-		ma.listed = true
-		ma.link = &link{heardAt: now.Add(-30 * time.Second), failures: 1}
+		ws := di.sched.addUnlisted(Placement{Worker: "worker-0"})
+		ws.listed = true
+		ws.link = &link{heardAt: now.Add(-30 * time.Second), failures: 1}
 		di.tickAt = now.Add(-tickInterval)
 		if paused {
 			di.tickAt = now.Add(-30 * time.Second)
 		}
 		di.noticePause(now)
-		gm.Expect(di.goneReason(ma, ma.link, now) == "").To(Equal(paused))
+		gm.Expect(di.goneReason(ws, ws.link, now) == "").To(Equal(paused))
 	}
 }
--- a/internal/worker/share.go
+++ b/internal/worker/share.go
@@ -69,13 +69,13 @@
 
 // guestRoom returns the part of the free room that an entry may use on a worker
 // of which it is not the home.
-func (sc *scheduler) guestRoom(ma *machine, free size) size {
+func (sc *scheduler) guestRoom(ws *workerState, free size) size {
 	part := 1 / float64(max(1, len(sc.entries)))
 	if sc.pressed {
 		part = max(part, pressedPart)
-		free = free.minus(ma.capacity.times(pressedMargin))
+		free = free.minus(ws.capacity.times(pressedMargin))
 	}
-	return free.minus(ma.ownUse).atLeast(size{}).times(part)
+	return free.minus(ws.ownUse).atLeast(size{}).times(part)
 }
 
 // press takes more of other entries' workers while tasks wait too long. It
@@ -102,8 +102,8 @@
 }
 
 func (sc *scheduler) setCeilings() {
-	for _, ma := range sc.machines {
-		sc.setCeiling(ma)
+	for _, ws := range sc.workers {
+		sc.setCeiling(ws)
 	}
 }
 
--- a/internal/worker/sim_test.go
+++ b/internal/worker/sim_test.go
@@ -56,7 +56,7 @@
 		id := platform.WorkerID(vm.ID)
 		if used := np.used[id].plus(tk.size); used.fits(capacityOf(vm)) {
 			np.used[id] = used
-			tk.ma = &machine{id: id}
+			tk.ws = &workerState{id: id}
 			out = append(out, assignment{tk: tk, pl: Placement{Worker: id}})
 			np.queue = np.queue[1:]
 			tried = -1
@@ -66,7 +66,7 @@
 }
 
 func (np *naivePlacer) ended(tk *task, _ Report) {
-	np.used[tk.ma.id] = np.used[tk.ma.id].minus(tk.size)
+	np.used[tk.ws.id] = np.used[tk.ws.id].minus(tk.size)
 }
 
 func (np *naivePlacer) usage(platform.WorkerID, Usage, time.Time) {}
@@ -169,7 +169,7 @@
 		if !opt.naive {
 			sc := newScheduler(info, nil, func() time.Time { return si.now })
 			sc.sharing = opt.sharing
-			sc.setMachines(vms)
+			sc.setWorkers(vms)
 			sc.setEntries(infos)
 			en.pl = realPlacer{sc}
 		}
@@ -347,8 +347,8 @@
 	di.mu.Lock()
 	defer di.mu.Unlock()
 	sum := 0.0
-	for _, ma := range di.sched.machines {
-		sum += ma.ownUse.cores
+	for _, ws := range di.sched.workers {
+		sum += ws.ownUse.cores
 	}
 	return sum
 }
--- a/internal/worker/machine.go
+++ b/internal/worker/state.go
@@ -6,8 +6,8 @@
 	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
-// machine is one worker as the scheduler sees it.
-type machine struct {
+// workerState is one worker as the scheduler sees it.
+type workerState struct {
 	id       platform.WorkerID
 	address  string
 	zone     platform.AvailabilityZone
@@ -47,71 +47,71 @@
 }
 
 // open tells whether a task of the lane may go to the worker.
-func (ma *machine) open(need size, ln *lane) bool {
-	return need.fits(ma.room) && len(ma.own) < ma.slots && (ma.reservedBy == nil || ma.reservedBy == ln)
+func (ws *workerState) open(need size, ln *lane) bool {
+	return need.fits(ws.room) && len(ws.own) < ws.slots && (ws.reservedBy == nil || ws.reservedBy == ln)
 }
 
-func (ma *machine) load() float64 {
-	return part(ma.ownUse.cores+ma.others.cores, ma.capacity.cores)
+func (ws *workerState) load() float64 {
+	return part(ws.ownUse.cores+ws.others.cores, ws.capacity.cores)
 }
 
-func (ma *machine) change(by size) {
-	ma.ownUse = ma.ownUse.plus(by)
-	if len(ma.own) == 0 {
-		ma.ownUse = size{} // drops rounding errors
+func (ws *workerState) change(by size) {
+	ws.ownUse = ws.ownUse.plus(by)
+	if len(ws.own) == 0 {
+		ws.ownUse = size{} // drops rounding errors
 	}
-	ma.room = ma.ceiling.minus(ma.ownUse)
+	ws.room = ws.ceiling.minus(ws.ownUse)
 }
 
-// setMachines takes over the platform's list of workers. A worker that is no
+// setWorkers takes over the platform's list of workers. A worker that is no
 // longer listed keeps its tasks until the traffic gives them up.
-func (sc *scheduler) setMachines(vms []platform.VM) {
+func (sc *scheduler) setWorkers(vms []platform.VM) {
 	seen := map[platform.WorkerID]bool{}
 	for _, vm := range vms {
 		id := platform.WorkerID(vm.ID)
 		seen[id] = true
-		ma := sc.byID[id]
-		if ma == nil {
-			ma = &machine{id: id, own: map[TaskID]*task{}, ended: map[TaskID]time.Time{}}
-			sc.byID[id] = ma
-			sc.machines = append(sc.machines, ma)
+		ws := sc.byID[id]
+		if ws == nil {
+			ws = &workerState{id: id, own: map[TaskID]*task{}, ended: map[TaskID]time.Time{}}
+			sc.byID[id] = ws
+			sc.workers = append(sc.workers, ws)
 		}
-		ma.listed = true
-		ma.leaving = vm.State == platform.StateLeaving
-		ma.address = vm.Address
-		ma.zone = vm.AvailabilityZone
-		ma.rack = sc.rackNumber(vm.Rack)
-		ma.capacity = sizeOf(vm.Processors, vm.Memory, vm.Accelerators)
-	}
-	kept := sc.machines[:0]
-	for _, ma := range sc.machines {
-		if !seen[ma.id] && ma.listed {
-			ma.listed = false
-			ma.unlistedSince = sc.now()
+		ws.listed = true
+		ws.leaving = vm.State == platform.StateLeaving
+		ws.address = vm.Address
+		ws.zone = vm.AvailabilityZone
+		ws.rack = sc.rackNumber(vm.Rack)
+		ws.capacity = sizeOf(vm.Processors, vm.Memory, vm.Accelerators)
+	}
+	kept := sc.workers[:0]
+	for _, ws := range sc.workers {
+		if !seen[ws.id] && ws.listed {
+			ws.listed = false
+			ws.unlistedSince = sc.now()
 		}
-		if !ma.listed && len(ma.own) == 0 {
-			delete(sc.byID, ma.id)
+		if !ws.listed && len(ws.own) == 0 {
+			delete(sc.byID, ws.id)
 			continue
 		}
-		kept = append(kept, ma)
+		kept = append(kept, ws)
 	}
-	clear(sc.machines[len(kept):])
-	sc.machines = kept
+	clear(sc.workers[len(kept):])
+	sc.workers = kept
 	sc.refresh()
 }
 
 // addUnlisted adds a worker that only a placement of an earlier owner names.
-func (sc *scheduler) addUnlisted(pl Placement) *machine {
-	ma := &machine{
+func (sc *scheduler) addUnlisted(pl Placement) *workerState {
+	ws := &workerState{
 		id:            pl.Worker,
 		address:       pl.Address,
 		own:           map[TaskID]*task{},
 		ended:         map[TaskID]time.Time{},
 		unlistedSince: sc.now(),
 	}
-	sc.byID[ma.id] = ma
-	sc.machines = append(sc.machines, ma)
-	return ma
+	sc.byID[ws.id] = ws
+	sc.workers = append(sc.workers, ws)
+	return ws
 }
 
 func (sc *scheduler) rackNumber(id platform.RackID) int {
@@ -133,17 +133,17 @@
 // entries.
 func (sc *scheduler) refresh() {
 	sc.largest, sc.total = size{}, size{}
-	for _, ma := range sc.machines {
-		if ma.listed && !ma.leaving {
-			sc.largest = sc.largest.atLeast(ma.capacity)
-			sc.total = sc.total.plus(ma.capacity)
+	for _, ws := range sc.workers {
+		if ws.listed && !ws.leaving {
+			sc.largest = sc.largest.atLeast(ws.capacity)
+			sc.total = sc.total.plus(ws.capacity)
 		}
-		ma.rank = 0
+		ws.rank = 0
 		if sc.sharing.homes {
-			ma.rank = rankOf(sc.self, sc.entries, ma.id, ma.zone)
+			ws.rank = rankOf(sc.self, sc.entries, ws.id, ws.zone)
 		}
-		sc.setCeiling(ma)
-		sc.refreshMachine(ma)
+		sc.setCeiling(ws)
+		sc.refreshWorker(ws)
 	}
 	for _, tm := range sc.teams {
 		sc.entitle(tm)
@@ -151,67 +151,67 @@
 	sc.rescan = true
 }
 
-// refreshMachine recomputes what the choice of a worker reads.
-func (sc *scheduler) refreshMachine(ma *machine) {
-	before := ma.slots
-	ma.slots = sc.slotsOpen(ma)
-	if ma.slots > before {
-		sc.noteGrown(ma)
+// refreshWorker recomputes what the choice of a worker reads.
+func (sc *scheduler) refreshWorker(ws *workerState) {
+	before := ws.slots
+	ws.slots = sc.slotsOpen(ws)
+	if ws.slots > before {
+		sc.noteGrown(ws)
 	}
-	cost := costRank*float64(ma.rank) + costSlowness*ma.health.slowness
-	if ma.zone != sc.self.zone {
+	cost := costRank*float64(ws.rank) + costSlowness*ws.health.slowness
+	if ws.zone != sc.self.zone {
 		cost += costOtherZone
 	}
-	ma.baseCost = cost
+	ws.baseCost = cost
 }
 
 // setCeiling divides the room that the last report leaves. The home of a worker
 // may use all of it, another entry its own use and a part of the rest.
-func (sc *scheduler) setCeiling(ma *machine) {
-	free := ma.capacity.minus(ma.others)
-	home := ma.rank == 0 && sc.sharing.homes
+func (sc *scheduler) setCeiling(ws *workerState) {
+	free := ws.capacity.minus(ws.others)
+	home := ws.rank == 0 && sc.sharing.homes
 	if !home && sc.sharing.divide {
-		free = free.atMost(ma.ownUse.plus(sc.guestRoom(ma, free)))
+		free = free.atMost(ws.ownUse.plus(sc.guestRoom(ws, free)))
 	}
-	ma.ceiling = free
-	ma.room = free.minus(ma.ownUse)
-	sc.noteGrown(ma)
+	ws.ceiling = free
+	ws.room = free.minus(ws.ownUse)
+	sc.noteGrown(ws)
 }
 
 // report takes over a usage report that was sampled at the given time.
-func (sc *scheduler) report(ma *machine, use Usage, sampledAt time.Time) {
-	if ma.reported && sampledAt.Before(ma.sampledAt) {
+func (sc *scheduler) report(ws *workerState, use Usage, sampledAt time.Time) {
+	if ws.reported && sampledAt.Before(ws.sampledAt) {
 		return
 	}
 	others := sizeOf(use.Processors, use.Memory, use.Accelerators)
 	if len(use.Tasks) == 0 {
-		others = others.minus(ma.sentBefore(sampledAt))
+		others = others.minus(ws.sentBefore(sampledAt))
 	}
 	for _, tu := range use.Tasks {
 		sz := sizeOf(tu.Processors, tu.Memory, tu.Accelerators)
 		sc.learner.observe(tu.Kind, sz, sc.now())
-		if tk := ma.own[tu.ID]; tk != nil {
+		if tk := ws.own[tu.ID]; tk != nil {
 			others = others.minus(sz)
 			sc.resize(tk, sz)
-		} else if _, own := ma.ended[tu.ID]; own {
+		} else if _, own := ws.ended[tu.ID]; own {
 			others = others.minus(sz)
 		}
 	}
-	for id, at := range ma.ended {
+	for id, at := range ws.ended {
 		if at.Before(sampledAt) {
-			delete(ma.ended, id)
+			delete(ws.ended, id)
 		}
 	}
-	ma.others = others.atLeast(size{})
-	ma.reported, ma.sampledAt = true, sampledAt
-	sc.setCeiling(ma)
+	ws.others = others.atLeast(size{})
+	ws.reported, ws.sampledAt = true, sampledAt
+	sc.setCeiling(ws)
 }
 
 // sentBefore returns the reserved size of the own tasks that a report sampled at
 // the given time can contain.
-func (ma *machine) sentBefore(at time.Time) size {
+func (ws *workerState) sentBefore(at time.Time) size {
 	var sum size
-	for _, tk := range ma.own {
+	for _, tk := range ws.own {
 		if tk.state == taskSent && tk.reservedAt.Before(at) {
 			sum = sum.plus(tk.size)
 		}
@@ -222,11 +222,11 @@
 // forgetEnded bounds the memory for ended tasks of a worker that is seldom
 // polled. A report older than this counts some of them as use of others, which
 // errs towards too little work.
-func (ma *machine) forgetEnded(now time.Time) {
+func (ws *workerState) forgetEnded(now time.Time) {
 	const keep = 10 * time.Second
-	for id, at := range ma.ended {
+	for id, at := range ws.ended {
 		if now.Sub(at) > keep {
-			delete(ma.ended, id)
+			delete(ws.ended, id)
 		}
 	}
 }
@@ -235,6 +235,6 @@
 func (sc *scheduler) resize(tk *task, sz size) {
 	by := sz.minus(tk.size)
 	tk.size = sz
-	tk.ma.change(by)
+	tk.ws.change(by)
 	tk.team.change(sc, by)
 }
--- a/internal/worker/teams.go
+++ b/internal/worker/teams.go
@@ -31,7 +31,7 @@
 	blocked bool
 	// need is the room that the first task lacked when the lane was blocked.
 	need     size
-	reserves *machine
+	reserves *workerState
 	since    time.Time
 }
 
@@ -187,26 +187,26 @@
 	reservedPart = 8
 )
 
-// reserveMachine holds a worker for a task that fits nowhere at present, so
+// reserveWorker holds a worker for a task that fits nowhere at present, so
 // that smaller tasks do not take every piece of room that comes free. The task
 // then waits at most until the tasks that run there have ended.
-func (sc *scheduler) reserveMachine(ln *lane) {
+func (sc *scheduler) reserveWorker(ln *lane) {
 	if ln.reserves != nil {
 		return
 	}
-	if sc.reserved >= max(1, len(sc.machines)/reservedPart) && !sc.takeReservation(ln) {
+	if sc.reserved >= max(1, len(sc.workers)/reservedPart) && !sc.takeReservation(ln) {
 		return
 	}
-	var best *machine
+	var best *workerState
 	bestFree := -1.0
-	for _, ma := range sc.machines {
-		if ma.slots == 0 || ma.reservedBy != nil || !ln.need.fits(ma.ceiling) {
+	for _, ws := range sc.workers {
+		if ws.slots == 0 || ws.reservedBy != nil || !ln.need.fits(ws.ceiling) {
 			continue
 		}
-		free := min(part(ma.room.cores, ln.need.cores), part(ma.room.memory, ln.need.memory))
-		free -= ma.baseCost / costOtherZone
+		free := min(part(ws.room.cores, ln.need.cores), part(ws.room.memory, ln.need.memory))
+		free -= ws.baseCost / costOtherZone
 		if best == nil || free > bestFree {
-			best, bestFree = ma, free
+			best, bestFree = ws, free
 		}
 	}
 	if best == nil {
--- a/internal/worker/traffic.go
+++ b/internal/worker/traffic.go
@@ -47,7 +47,7 @@
 	task.Owner = di.opt.Incarnation
 	di.mu.Lock()
 	tk := di.sched.tasks[task.ID]
-	if tk == nil || tk.state != taskAssigned || tk.ma.id != pl.Worker || di.closed.Load() {
+	if tk == nil || tk.state != taskAssigned || tk.ws.id != pl.Worker || di.closed.Load() {
 		di.mu.Unlock()
 		return fmt.Errorf("start task %s on worker %s: %w", task.ID, pl.Worker, ErrNotAssigned)
 	}
@@ -90,10 +90,10 @@
 
 func (di *Dispatcher) beginSending(tk *task, lease time.Duration) *link {
 	now := time.Now()
-	lk := di.linkOf(tk.ma)
+	lk := di.linkOf(tk.ws)
 	tk.state = taskSent
 	tk.followed = following{sentAt: now, starting: true, lease: lease, leaseUntil: now.Add(lease)}
-	di.follow(tk.ma, lk)
+	di.follow(tk.ws, lk)
 	return lk
 }
 
@@ -104,12 +104,12 @@
 	fo.starting = false
 	switch {
 	case err == nil:
-		di.heard(tk.ma, lk)
+		di.heard(tk.ws, lk)
 		return
 	case errors.Is(err, ErrRefused):
 		if errors.Is(err, errNotInvited) {
 			// A frozen worker would cost every task the bound of an invitation.
-			di.unheard(tk.ma, lk, err)
+			di.unheard(tk.ws, lk, err)
 		}
 		if tk.state == taskSent {
 			di.sched.refused(tk)
@@ -118,7 +118,7 @@
 		return
 	}
 	di.count("start-unknown", 1)
-	di.opt.Log.Warn().Str("task", string(tk.id)).Str("worker", string(tk.ma.id)).Err(err).Msg("start-reply-lost")
+	di.opt.Log.Warn().Str("task", string(tk.id)).Str("worker", string(tk.ws.id)).Err(err).Msg("start-reply-lost")
 	// Other idle connections to the worker may have gone silent as well.
 	lk.starts.CloseIdleConnections()
 	fo.unknownSince = time.Now()
@@ -129,13 +129,13 @@
 // reports false when the worker does not know the task.
 func (di *Dispatcher) Query(ctx context.Context, wk platform.WorkerID, task TaskID) (Report, bool, error) {
 	di.mu.Lock()
-	ma := di.sched.byID[wk]
+	ws := di.sched.byID[wk]
 	var address string
-	if ma != nil {
-		address = ma.address
+	if ws != nil {
+		address = ws.address
 	}
 	di.mu.Unlock()
-	if ma == nil {
+	if ws == nil {
 		return Report{}, false, fmt.Errorf("query task %s: worker %q is not listed; treat the task as lost", task, wk)
 	}
 	ctx, cancel := context.WithTimeout(ctx, freshTimeout)
@@ -143,11 +143,11 @@
 	rep, found, err := di.fresh.to(address).Get(ctx, task)
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	lk := di.linkOf(ma)
+	lk := di.linkOf(ws)
 	if err != nil && jsonhttp.StatusOf(err) == 0 {
-		di.unheard(ma, lk, err)
+		di.unheard(ws, lk, err)
 	} else {
-		di.heard(ma, lk)
+		di.heard(ws, lk)
 	}
 	return rep, found, err
 }
@@ -158,20 +158,20 @@
 func (di *Dispatcher) Adopt(pl Placement, tasks []TaskID) {
 	di.mu.Lock()
 	defer di.mu.Unlock()
-	ma := di.sched.byID[pl.Worker]
-	if ma == nil {
-		ma = di.sched.addUnlisted(pl)
+	ws := di.sched.byID[pl.Worker]
+	if ws == nil {
+		ws = di.sched.addUnlisted(pl)
 	}
 	now := time.Now()
-	lk := di.linkOf(ma)
+	lk := di.linkOf(ws)
 	for _, id := range tasks {
 		if di.sched.tasks[id] != nil {
 			continue
 		}
-		tk := di.sched.adopt(id, ma)
+		tk := di.sched.adopt(id, ws)
 		// The lease may be about to lapse: renew it with the next tick.
 		tk.followed = following{sentAt: now, lease: defaultLease, leaseUntil: now, nextQuery: now}
-		di.follow(ma, lk)
+		di.follow(ws, lk)
 	}
 	di.count("adopted", len(tasks))
 }
@@ -184,7 +184,7 @@
 	byLink := map[*link][]TaskID{}
 	for _, id := range tasks {
 		if tk := di.sched.tasks[id]; tk != nil && tk.state == taskSent {
-			lk := di.linkOf(tk.ma)
+			lk := di.linkOf(tk.ws)
 			byLink[lk] = append(byLink[lk], id)
 		}
 	}
@@ -208,25 +208,25 @@
 }
 
 // follow makes sure that a request for finished tasks is held at the worker.
-func (di *Dispatcher) follow(ma *machine, lk *link) {
+func (di *Dispatcher) follow(ws *workerState, lk *link) {
 	if lk.holding {
 		return
 	}
 	lk.holding = true
 	lk.heardAt = time.Now()
 	lk.failures = 0
-	if !di.grp.Go(func(ctx context.Context) { di.hold(ctx, ma, lk) }) {
+	if !di.grp.Go(func(ctx context.Context) { di.hold(ctx, ws, lk) }) {
 		lk.holding = false
 	}
 }
 
 // hold collects finished tasks while the worker has any of this entry.
-func (di *Dispatcher) hold(ctx context.Context, ma *machine, lk *link) {
+func (di *Dispatcher) hold(ctx context.Context, ws *workerState, lk *link) {
 	const firstPause, lastPause = 50 * time.Millisecond, time.Second
 	pause := firstPause
 	for {
 		di.mu.Lock()
-		if ctx.Err() != nil || !ma.anySent() || ma.link != lk {
+		if ctx.Err() != nil || !ws.anySent() || ws.link != lk {
 			lk.holding = false
 			di.mu.Unlock()
 			return
@@ -242,12 +242,12 @@
 		switch {
 		case err == nil:
 			pause = firstPause
-			di.takePage(ma, lk, after, page)
+			di.takePage(ws, lk, after, page)
 		case condemned:
 			// Replaced by a new connection at once.
 		default:
 			di.mu.Lock()
-			di.unheard(ma, lk, err)
+			di.unheard(ws, lk, err)
 			di.mu.Unlock()
 			wait(ctx, pause)
 			pause = min(2*pause, lastPause)
@@ -255,8 +255,8 @@
 	}
 }
 
-func (ma *machine) anySent() bool {
-	for _, tk := range ma.own {
+func (ws *workerState) anySent() bool {
+	for _, tk := range ws.own {
 		if tk.state == taskSent {
 			return true
 		}
@@ -267,23 +267,23 @@
 // takePage takes over a page of finished tasks. A cursor that goes back shows
 // that the worker has restarted and counts anew; its list is then read from the
 // start, and every task is queried, because the old ones are gone.
-func (di *Dispatcher) takePage(ma *machine, lk *link, after Cursor, page FinishedPage) {
+func (di *Dispatcher) takePage(ws *workerState, lk *link, after Cursor, page FinishedPage) {
 	di.mu.Lock()
-	di.heard(ma, lk)
+	di.heard(ws, lk)
 	lk.cursor = page.Next
 	if page.Next < after {
 		lk.cursor = 0
 		di.count("worker-restarted", 1)
-		for _, tk := range ma.own {
+		for _, tk := range ws.own {
 			tk.followed.nextQuery = time.Now()
 		}
 	}
 	di.mu.Unlock()
-	di.finish(ma, page.Tasks)
+	di.finish(ws, page.Tasks)
 }
 
 // finish ends tasks that their worker has reported.
-func (di *Dispatcher) finish(ma *machine, reps []Report) {
+func (di *Dispatcher) finish(ws *workerState, reps []Report) {
 	if len(reps) == 0 {
 		return
 	}
@@ -291,7 +291,7 @@
 	di.mu.Lock()
 	for _, rep := range reps {
 		tk := di.sched.tasks[rep.ID]
-		if tk != nil && tk.ma == ma && tk.state == taskSent && rep.State != StateRunning {
+		if tk != nil && tk.ws == ws && tk.state == taskSent && rep.State != StateRunning {
 			di.sched.finished(tk, rep)
 			ended = append(ended, rep)
 		}
@@ -317,7 +317,7 @@
 	di.wakeUp()
 	di.count("lost", len(lost))
 	for _, tk := range lost {
-		di.opt.Log.Warn().Str("task", string(tk.id)).Str("worker", string(tk.ma.id)).Str("reason", reason).Msg("task-lost")
+		di.opt.Log.Warn().Str("task", string(tk.id)).Str("worker", string(tk.ws.id)).Str("reason", reason).Msg("task-lost")
 		di.events.Lost(tk.id, reason)
 	}
 }
--- a/internal/worker/usage.go
+++ b/internal/worker/usage.go
@@ -54,46 +54,46 @@
 	if di.polls.balance <= 0 || di.polls.polling >= maxPolls {
 		return
 	}
-	due := make([]*machine, 0, len(di.sched.machines))
-	for _, ma := range di.sched.machines {
-		if di.sched.wantsPoll(ma, now) {
-			due = append(due, ma)
+	due := make([]*workerState, 0, len(di.sched.workers))
+	for _, ws := range di.sched.workers {
+		if di.sched.wantsPoll(ws, now) {
+			due = append(due, ws)
 		}
 	}
 	sort.Slice(due, func(i, j int) bool { return due[i].polledAt().Before(due[j].polledAt()) })
 	// A poll under way has not been charged yet; assume what a small one costs.
 	const leastCost = 1 << 10
 	room := min(maxPolls-di.polls.polling, int(di.polls.balance/leastCost)+1)
-	for _, ma := range due[:min(len(due), room)] {
-		lk := di.linkOf(ma)
+	for _, ws := range due[:min(len(due), room)] {
+		lk := di.linkOf(ws)
 		lk.polling = true
 		lk.polledAt = now
 		di.polls.polling++
-		di.grp.Go(func(ctx context.Context) { di.poll(ctx, ma, lk) })
+		di.grp.Go(func(ctx context.Context) { di.poll(ctx, ws, lk) })
 	}
 }
 
-func (ma *machine) polledAt() time.Time {
-	if ma.link == nil {
+func (ws *workerState) polledAt() time.Time {
+	if ws.link == nil {
 		return time.Time{}
 	}
-	return ma.link.polledAt
+	return ws.link.polledAt
 }
 
 // wantsPoll tells whether a report of the worker would be of use: it runs own
 // tasks, received one a short while ago, or is the home of the next ones.
-func (sc *scheduler) wantsPoll(ma *machine, now time.Time) bool {
-	if ma.link != nil && (ma.link.polling || now.Sub(ma.link.polledAt) < pollEvery) {
+func (sc *scheduler) wantsPoll(ws *workerState, now time.Time) bool {
+	if ws.link != nil && (ws.link.polling || now.Sub(ws.link.polledAt) < pollEvery) {
 		return false
 	}
-	if !ma.listed {
+	if !ws.listed {
 		return false
 	}
-	next := ma.rank == 0 && (!ma.reported || sc.queued > 0)
-	return len(ma.own) > 0 || now.Sub(ma.wantedAt) < wantedFor || ma.silent || next
+	next := ws.rank == 0 && (!ws.reported || sc.queued > 0)
+	return len(ws.own) > 0 || now.Sub(ws.wantedAt) < wantedFor || ws.silent || next
 }
 
-func (di *Dispatcher) poll(ctx context.Context, ma *machine, lk *link) {
+func (di *Dispatcher) poll(ctx context.Context, ws *workerState, lk *link) {
 	callCtx, cancel := context.WithTimeout(ctx, freshTimeout)
 	use, err := di.fresh.to(lk.address).Usage(callCtx)
 	cancel()
@@ -103,32 +103,32 @@
 	di.polls.polling--
 	lk.polling = false
 	if err != nil {
-		di.unheard(ma, lk, err)
+		di.unheard(ws, lk, err)
 		return
 	}
-	di.heard(ma, lk)
+	di.heard(ws, lk)
 	di.count("usage-polls", 1)
-	di.sched.report(ma, use, at)
-	di.throttleHogs(ma, lk, use)
+	di.sched.report(ws, use, at)
+	di.throttleHogs(ws, lk, use)
 	di.wakeUp()
 }
 
 // throttleHogs slows the own tasks down that use far more processors than was
 // reserved for them while their worker has too few, so that its other tasks are
 // not slowed with them. It gives them their speed back once the report fits.
-func (di *Dispatcher) throttleHogs(ma *machine, lk *link, use Usage) {
+func (di *Dispatcher) throttleHogs(ws *workerState, lk *link, use Usage) {
 	const farMore = 1.5
-	over := float64(use.Processors) > ma.capacity.cores && ma.capacity.cores > 0
+	over := float64(use.Processors) > ws.capacity.cores && ws.capacity.cores > 0
 	if over == lk.throttled {
 		return
 	}
 	share := 1.0
 	if over {
-		share = ma.capacity.cores / float64(use.Processors)
+		share = ws.capacity.cores / float64(use.Processors)
 	}
 	var hogs []TaskID
 	for _, tu := range use.Tasks {
-		tk := ma.own[tu.ID]
+		tk := ws.own[tu.ID]
 		if tk != nil && float64(tu.Processors) > farMore*tk.reserved.cores {
 			hogs = append(hogs, tu.ID)
 		}
