target: give up a silent connection that blocks a large body

Cause: the check for overdue requests began after the body was written; a body larger than the socket's buffer blocks on a silent connection until the deadline. Change: writing watches for the same time as reading; a connection found silent takes the idle ones of the target with it. Conclusion: silent connections show in both directions.

--- a/internal/target/attempt.go
+++ b/internal/target/attempt.go
@@ -96,6 +96,7 @@
 	case err == nil && ex.reusable && stopped:
 		tk.ts.conns.put(co)
 	case errors.Is(err, errSilent):
+		tk.ts.conns.dropIdle()
 		tk.ts.conns.linger(co, req.Deadline, func() { se.observeLate(tk) })
 	default:
 		co.close()
@@ -155,7 +156,7 @@
 	}
 	ex.body = true
 	watch()
-	if _, err := ex.co.Write(raw); err != nil {
+	if err := ex.write(ctx, raw); err != nil {
 		return Answer{}, fmt.Errorf("write the request: %w", err)
 	}
 	hrep, err := ex.readHead(0)
@@ -166,6 +167,38 @@
 	return ex.readAnswer(hrep)
 }
 
+// write sends raw. When nothing of it can be written until the request is
+// overdue, the connection is given up if the target answers elsewhere: a body
+// larger than the socket's buffer would block on a silent connection until the
+// deadline.
+func (ex *exchange) write(ctx context.Context, raw []byte) error {
+	rd := ex.co.rd
+	for {
+		if err := ex.co.SetWriteDeadline(rd.nextLimit()); err != nil {
+			return err
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		n, err := ex.co.Write(raw)
+		raw = raw[n:]
+		stuck := isTimeout(err) && ctx.Err() == nil && time.Now().Before(rd.deadline) && rd.elsewhere != nil
+		if err != nil && !stuck {
+			return err
+		}
+		if err != nil && n == 0 {
+			if rd.elsewhere() {
+				return errSilent
+			}
+			rd.pause *= 2
+		}
+		rd.overdue = time.Now().Add(rd.pause)
+		if err == nil {
+			return nil
+		}
+	}
+}
+
 // expects reports whether the connection must prove itself before the body is
 // sent.
 func (ex *exchange) expects() bool {
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -529,3 +530,23 @@
 	be.Expect(be.send(be.request(time.Millisecond))).To(BeNil())
 	be.Expect(px.Opened()).To(Equal(int64(1)))
 }
+
+// TestSilentUpload guards against a large body that blocks on a silent
+// connection until the deadline. Nothing reads the other end of the pipe.
+func TestSilentUpload(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	co := &connection{Conn: near, rd: &answerReader{conn: near}}
+	asked := 0
+	co.rd.begin(context.Background(), time.Now().Add(10*time.Second))
+	co.rd.watch(20*time.Millisecond, func() bool {
+		asked++
+		return asked == 2
+	})
+	ex := &exchange{co: co}
+	gm.Expect(ex.write(context.Background(), []byte("body"))).To(MatchError(errSilent))
+	gm.Expect(asked).To(Equal(2))
+}
