job: test the retention of answers and log rows

Cause: no test deleted a row.

Change: a test ages the log rows of 20 decided jobs and of a running one. It guards against rows that stay for good, answers that go before their time, and log rows that an undecided job still needs.

--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -462,3 +462,44 @@
 	}
 	gm.Expect(wo.overstarted()).To(Succeed())
 }
+
+// TestRetention guards against rows that are never deleted, against answers
+// that are deleted before their time, and against rows that other jobs need.
+func TestRetention(t *testing.T) {
+	t.Parallel()
+	gm := NewWithT(t)
+	wo := newWorld(t, 1, standin.TableOptions{})
+	no, ctx := wo.nodes[0], context.Background()
+	for i := range 20 { // a sweep waits for 16 log rows
+		_, err := no.mg.Submit(ctx, submission(fmt.Sprintf("old-%d", i), 1))
+		gm.Expect(err).NotTo(HaveOccurred())
+		_, err = no.mg.Wait(ctx, platform.JobID(fmt.Sprintf("old-%d", i)), 5*time.Second)
+		gm.Expect(err).NotTo(HaveOccurred())
+	}
+	wo.fl.hold = true
+	_, err := no.mg.Submit(ctx, submission("running", 1))
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Eventually(func() int { return wo.startsOf("running/0") }, "5s", "1ms").Should(Equal(1))
+	se := no.mg.session()
+	age := func(by time.Duration) {
+		se.mu.Lock()
+		for _, info := range se.logs {
+			info.at = info.at.Add(-by)
+		}
+		se.mu.Unlock()
+		se.sweep(ctx)
+	}
+	age(retention / 2)
+	time.Sleep(20 * time.Millisecond)
+	gm.Expect(wo.tb.Rows("job/")).To(HaveLen(21), "answers within the retention time")
+	age(retention)
+	gm.Eventually(func() int { return len(wo.tb.Rows("job/")) }, "5s", "5ms").Should(Equal(1))
+	gm.Eventually(func() int { return len(wo.tb.Rows("log/")) }, "5s", "5ms").Should(BeNumerically("<", 16))
+	found, err := no.mg.logRows(ctx, se.inc)
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(orphans(found)).To(HaveKey(platform.JobID("running")), "the log of a job that is not decided")
+	wo.fl.finishAll()
+	status, err := no.mg.Wait(ctx, "running", 5*time.Second)
+	gm.Expect(err).NotTo(HaveOccurred())
+	gm.Expect(status.State).To(Equal(StateComplete))
+}
