bench: count further runs over all targets, apart for repeatable requests

Cause: a request that ran on two targets was not counted as a double start, and retries of repeatable requests on one target were. Change: runs are added up over all targets; repeated-runs counts those of repeatable requests.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -107,7 +107,10 @@
 	Unknown  int64
 	Errors   int64
 	Wrong    int64
+	// Double counts further runs of requests that are not repeatable, Repeated
+	// those of repeatable ones.
 	Double   int64
+	Repeated int64
 	// TargetMessages are the requests that the targets have received.
 	TargetMessages int64
 	Refusals       int64
@@ -133,10 +136,10 @@
 func (rp *Report) Write(out io.Writer) error {
 	_, err := fmt.Fprintf(out, "policy=%s user=%s scenario=%s load=%.2f seed=%d seconds=%.0f entries=%d targets=%d requests=%d answered=%d "+
 		"response-over-ideal-p50=%.3f response-over-ideal-p95=%.3f response-over-ideal-p99=%.3f response-over-ideal-max=%.2f "+
-		"wasted-messages-per-request=%.4f refused-did-not-run=%d outcome-unknown=%d client-errors=%d wrong-answers=%d double-starts=%d peer-messages-per-request=%.3f\n",
+		"wasted-messages-per-request=%.4f refused-did-not-run=%d outcome-unknown=%d client-errors=%d wrong-answers=%d double-starts=%d repeated-runs=%d peer-messages-per-request=%.3f\n",
 		rp.Policy, rp.Options.User, rp.Options.Scenario, rp.Options.Load, rp.Options.Seed, rp.Options.Duration.Seconds(), rp.Options.Entries, rp.Options.Targets,
 		rp.Requests, rp.Answered, rp.quantile(50), rp.quantile(95), rp.quantile(99), float64(rp.Ratio.Max())/ratioScale,
-		rp.Wasted(), rp.Refused, rp.Unknown, rp.Errors, rp.Wrong, rp.Double, float64(rp.PeerMessages)/float64(max(1, rp.Requests)))
+		rp.Wasted(), rp.Refused, rp.Unknown, rp.Errors, rp.Wrong, rp.Double, rp.Repeated, float64(rp.PeerMessages)/float64(max(1, rp.Requests)))
 	return err
 }
 
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -46,8 +46,9 @@
 			Ratio:   hdrhistogram.New(1, 1000*ratioScale, 3),
 		},
 	}
-	ld.run(ctx, schedule(opt, sc), sc)
-	ld.count()
+	arrivals := schedule(opt, sc)
+	ld.run(ctx, arrivals, sc)
+	ld.count(arrivals)
 	return ld.rep, nil
 }
 
@@ -82,7 +83,7 @@
 // request sends one request. A client that is told to come back does so, up to
 // three times; its response time counts from the first attempt.
 func (ld *load) request(ctx context.Context, i int, ar arrival) {
-	id := fmt.Sprintf("request-%d", i)
+	id := requestID(i)
 	began := time.Now()
 	var last attempt
 	refusals := int64(0)
@@ -194,15 +195,29 @@
 	}
 }
 
+func requestID(i int) string {
+	return fmt.Sprintf("request-%d", i)
+}
+
 // count adds up what the targets have seen.
-func (ld *load) count() {
+func (ld *load) count(arrivals []arrival) {
+	mayRepeat := make(map[string]bool, len(arrivals))
+	for i, ar := range arrivals {
+		mayRepeat[requestID(i)] = ar.repeatable
+	}
+	runs := make(map[string]int, len(arrivals))
 	for _, ta := range ld.sy.fleet.Targets {
 		counts := ta.Counts()
 		ld.rep.TargetMessages += counts.Requests
-		for _, n := range counts.Executions {
-			if n > 1 {
-				ld.rep.Double += int64(n - 1)
-			}
+		for id, n := range counts.Executions {
+			runs[id] += n
+		}
+	}
+	for id, n := range runs {
+		if mayRepeat[id] {
+			ld.rep.Repeated += int64(n - 1)
+		} else {
+			ld.rep.Double += int64(n - 1)
 		}
 	}
 	for _, en := range ld.sy.entries {
