--- /dev/null
+++ b/pkg/retrybudget/example_test.go
@@ -0,0 +1,18 @@
+package retrybudget_test
+
+import (
+	"fmt"
+
+	"github.com/oleanderwall/oleanderwall/pkg/retrybudget"
+)
+
+func ExampleBudget() {
+	bu := retrybudget.New(0.5, 1) // one retry for two requests, one saved up at most
+	fmt.Println(bu.Withdraw(), bu.Withdraw())
+	bu.Deposit()
+	bu.Deposit()
+	fmt.Println(bu.Withdraw())
+	// Output:
+	// true false
+	// true
+}
