job: finish and hand over jobs in a graceful shutdown

Cause: a drained owner fenced its session while intents were committed and their tasks not yet sent; the next owner found them unknown at the workers and failed the jobs. Change: a leave step waits up to 5 s for the jobs to end, then sends only tasks with an earlier intent, and waits for the tasks that are on their way.

--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -31,5 +31,6 @@
 		Log:         en.log,
 	})
 	en.placement.SetEvents(en.jobs)
+	en.AddLeaveStep("finish-jobs", en.jobs.Leave)
 	return en.peers.Register(job.PeerName, en.jobs.PeerService())
 }
--- a/internal/integration/jobs_test.go
+++ b/internal/integration/jobs_test.go
@@ -296,4 +296,35 @@
 		_, err := command("job", "cancel", "-entry", "http://"+cl.entries[1].callers, "-id", "done")
 		Expect(err).To(MatchError(ContainSubstring("decided as complete")))
 	})
+
+	// Guards against a graceful shutdown that fails jobs: with tasks that run,
+	// that are about to be sent, and that run longer than the shutdown waits.
+	It("complete when their owner is drained in the middle of a burst", func() {
+		cl := startJobs(3, false)
+		owner, rest := cl.entries[0], cl.entries[1:]
+		const jobs = 60
+		ids := func(i int) string { return fmt.Sprintf("drained-%d", i) }
+		background := group.New(context.Background())
+		background.Go(func(context.Context) {
+			for i := range jobs {
+				millis := 20
+				if i%10 == 0 {
+					millis = 8000
+				}
+				owner.call(http.MethodPost, "/v1/jobs", jobOf(ids(i), 3, millis), nil)
+			}
+		})
+		Eventually(func() int { return cl.starts(ids(jobs / 2)) }, "10s", "5ms").Should(BeNumerically(">", 0))
+		owner.signal(syscall.SIGTERM)
+		Eventually(owner.done, "20s").Should(BeClosed())
+		background.Close()
+		for i := range jobs {
+			rep := rest[i%2].call(http.MethodGet, jobPath(ids(i), "10s"), nil, nil)
+			if rep.status == http.StatusNotFound {
+				continue // not submitted before the owner left
+			}
+			Expect(rep.body).To(ContainSubstring(`"state":"complete"`), "%s", ids(i))
+		}
+		cl.expectNoSecondStart()
+	})
 })
--- a/internal/job/session.go
+++ b/internal/job/session.go
@@ -34,6 +34,10 @@
 	bytes   int // bodies and results of the jobs
 	logs    map[string]*logInfo
 	recent  recentRows
+	// leaving keeps tasks without an intent from being sent; sending counts the
+	// tasks that are being sent.
+	leaving bool
+	sending int
 	// outage is closed while the table is down.
 	outage chan struct{}
 }
@@ -484,7 +488,7 @@
 func (se *session) assigned(id worker.TaskID, pl worker.Placement) {
 	se.mu.Lock()
 	oj, index := se.locate(id)
-	if oj == nil || oj.tasks[index].phase != taskWaiting {
+	if oj == nil || oj.tasks[index].phase != taskWaiting || !se.mustSend(oj, index) {
 		se.mu.Unlock()
 		// The next session may have queued the task again under the same id.
 		if job, _, _ := splitTask(id); se.mg.session() == se || se.mg.session().lookUp(job) == nil {
@@ -547,10 +551,16 @@
 		return
 	}
 	oj.tasks[index].phase = taskSent
+	se.sending++
 	pl := oj.tasks[index].place
 	ts := oj.sub.Tasks[index]
 	se.mu.Unlock()
-	se.grp.Go(func(ctx context.Context) { se.send(ctx, oj, index, pl, ts) })
+	se.grp.Go(func(ctx context.Context) {
+		se.send(ctx, oj, index, pl, ts)
+		se.mu.Lock()
+		se.sending--
+		se.mu.Unlock()
+	})
 }
 
 const (
