home: run lending rounds less often while nothing runs

Cause: an idle entry with 560 targets took 2.2% of a core, of a budget of 2.3% for control; 60% of it were the rounds of the slots controller every 50 ms. Change: while no request runs or waits, a round runs every 200 ms.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -95,6 +95,9 @@
 
 const (
 	lendingTick  = 50 * time.Millisecond
+	// quietTick is the interval of rounds while no request runs or waits. At 560
+	// targets, rounds every 50 ms took 1.5% of a core of an idle entry.
+	quietTick    = 200 * time.Millisecond
 	claimTick    = 200 * time.Millisecond
 	familySlots  = "slots"
 	rowPrefix    = "home/"
@@ -145,6 +148,7 @@
 	strangers map[platform.Incarnation]*stranger
 	leaving   bool
 	listed    bool
+	roundAt   time.Duration
 
 	// The sources of the targets as last read.
 	vms  *blackboard.VMs
@@ -230,6 +234,11 @@
 func (co *Controller) lendingRound(context.Context) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
+	now := co.opt.Clock()
+	if now-co.roundAt < quietTick && co.quiet() {
+		return
+	}
+	co.roundAt = now
 	co.readTargets()
 	co.judgeStrangers()
 	co.settle()
@@ -239,6 +248,16 @@
 	co.report()
 }
 
+// quiet tells whether no request runs or waits in this entry.
+func (co *Controller) quiet() bool {
+	for _, load := range co.load.Load() {
+		if load.Waiting+load.InFlight > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // settle gives own gates what has come back.
 func (co *Controller) settle() {
 	gone := co.gone()
