--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -94,7 +94,7 @@
 var DefaultTerms = slotshare.Terms{Use: 2 * time.Second, Margin: time.Second}
 
 const (
-	lendingTick  = 50 * time.Millisecond
+	lendingTick = 50 * time.Millisecond
 	// quietTick is the interval of rounds while no request runs or waits. At 560
 	// targets, rounds every 50 ms took 1.5% of a core of an idle entry.
 	quietTick    = 200 * time.Millisecond
