--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -96,7 +96,7 @@
 		if last.retryAfter == 0 || time.Since(began)+last.retryAfter > deadline {
 			break
 		}
-		pause(ctx, last.retryAfter)
+		group.Sleep(ctx, last.retryAfter)
 	}
 	ld.record(ar, last, refusals, time.Since(began))
 }
@@ -130,8 +130,8 @@
 }
 
 func (ld *load) attempt(ctx context.Context, id string, ar arrival, entry int) attempt {
-	pause(ctx, ld.sy.usr.clientDelay)
-	defer pause(ctx, ld.sy.usr.clientDelay)
+	group.Sleep(ctx, ld.sy.usr.clientDelay)
+	defer group.Sleep(ctx, ld.sy.usr.clientDelay)
 	raw, err := json.Marshal(standin.TargetRequest{RunMillis: ar.run.Milliseconds(), Question: id})
 	if err != nil {
 		return attempt{}
@@ -186,15 +186,6 @@
 	return at
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func requestID(i int) string {
 	return fmt.Sprintf("request-%d", i)
 }
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -7,6 +7,8 @@
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
 	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
+
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // The scenarios.
@@ -62,11 +64,7 @@
 	if sc.begin == nil {
 		return
 	}
-	timer := time.NewTimer(after)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	if group.Sleep(ctx, after) {
 		sc.begin(sy)
 	}
 }
--- a/internal/configuration/follower.go
+++ b/internal/configuration/follower.go
@@ -153,10 +153,10 @@
 // start repeats until a version is in force.
 func (fo *Follower) start(ctx context.Context) {
 	for began := time.Now(); ctx.Err() == nil && !fo.opt.Peers.Known() && time.Since(began) < startWait; {
-		sleep(ctx, startWait/100)
+		group.Sleep(ctx, startWait/100)
 	}
 	for ctx.Err() == nil && !fo.attemptStart(ctx) {
-		sleep(ctx, jitter(startRetry))
+		group.Sleep(ctx, jitter(startRetry))
 	}
 }
 
@@ -256,7 +256,7 @@
 // tenth, so that entries that started together do not poll together.
 func (fo *Follower) pollTable(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, jitter(fo.opt.Interval))
+		group.Sleep(ctx, jitter(fo.opt.Interval))
 		fo.poll(ctx)
 	}
 }
@@ -296,7 +296,7 @@
 			continue
 		}
 		spread := fetchSpreadPerPeer * time.Duration(len(fo.opt.Peers.Addresses()))
-		sleep(ctx, time.Duration(rand.Int64N(int64(spread)+1)))
+		group.Sleep(ctx, time.Duration(rand.Int64N(int64(spread)+1)))
 		fo.fetch(ctx, addr, number)
 	}
 }
@@ -325,12 +325,3 @@
 func jitter(wait time.Duration) time.Duration {
 	return wait*9/10 + time.Duration(rand.Int64N(int64(wait/5)+1))
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/leave.go
+++ b/internal/entry/leave.go
@@ -41,7 +41,7 @@
 }
 
 func (en *Entry) awaitBalancer(ctx context.Context) error {
-	sleepContext(ctx, en.set.Timing.BalancerNotice.Std())
+	group.Sleep(ctx, en.set.Timing.BalancerNotice.Std())
 	return ctx.Err()
 }
 
--- a/internal/entry/registration.go
+++ b/internal/entry/registration.go
@@ -12,6 +12,8 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/table"
+
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 const (
@@ -57,7 +59,7 @@
 			rg.log.Warn().Err(err).Msg("incarnation-not-registered")
 		}
 		first = false
-		sleepContext(ctx, registrationRetry/2+time.Duration(rand.Int64N(int64(registrationRetry))))
+		group.Sleep(ctx, registrationRetry/2+time.Duration(rand.Int64N(int64(registrationRetry))))
 	}
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -52,12 +52,3 @@
 		next.ServeHTTP(wr, req)
 	})
 }
-
-func sleepContext(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -7,6 +7,8 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/home"
 	"github.com/oleanderwall/oleanderwall/internal/table"
+
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // handOverBound bounds how long a leaving entry waits for loans to come back.
@@ -76,7 +78,7 @@
 		if busy == 0 {
 			return nil
 		}
-		sleepContext(ctx, interval)
+		group.Sleep(ctx, interval)
 		if ctx.Err() != nil {
 			return fmt.Errorf("%d forwarded requests were in flight: %w", busy, ctx.Err())
 		}
--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -168,10 +168,10 @@
 func (px *Proxy) forward(ctx context.Context, li *link, dst net.Conn, chunk []byte, replies bool) bool {
 	faults := px.faults.Load()
 	if faults.Delay > 0 {
-		pause(ctx, faults.Delay)
+		group.Sleep(ctx, faults.Delay)
 	}
 	for px.faults.Load().Freeze || li.frozen.Load() {
-		if !pause(ctx, time.Millisecond) {
+		if !group.Sleep(ctx, time.Millisecond) {
 			return false
 		}
 	}
@@ -191,15 +191,3 @@
 	_, err := dst.Write(chunk)
 	return err == nil
 }
-
-// pause waits and reports false when ctx has ended.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -12,6 +12,8 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
+
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // ObjectsFaults are the faults of the object store stand-in.
@@ -49,7 +51,7 @@
 func (ob *Objects) ServeHTTP(wr http.ResponseWriter, req *http.Request) {
 	faults := ob.faults.Load()
 	if req.Method != http.MethodPut || req.URL.Path != "/control/faults" {
-		sleep(req.Context(), time.Duration(faults.DelayMillis)*time.Millisecond)
+		group.Sleep(req.Context(), time.Duration(faults.DelayMillis)*time.Millisecond)
 		if faults.Outage {
 			wr.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -16,6 +16,8 @@
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/internal/table"
+
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // TableOptions are the settings of the table stand-in.
@@ -137,7 +139,7 @@
 func (tb *Table) admit(wr http.ResponseWriter, req *http.Request, lim *rate.Limiter) bool {
 	faults := tb.faults.Load()
 	if faults.DelayMillis > 0 {
-		sleep(req.Context(), time.Duration(faults.DelayMillis)*time.Millisecond)
+		group.Sleep(req.Context(), time.Duration(faults.DelayMillis)*time.Millisecond)
 	}
 	if faults.Outage || !lim.Allow() {
 		tb.mu.Lock()
@@ -164,7 +166,7 @@
 			"the transaction has too many rows or bytes", "split it", 0))
 		return
 	}
-	sleep(context.WithoutCancel(req.Context()), tb.opt.CommitDelay)
+	group.Sleep(context.WithoutCancel(req.Context()), tb.opt.CommitDelay)
 	version, conflicts, drop := tb.apply(tx, req.ContentLength)
 	switch {
 	case drop:
@@ -276,15 +278,3 @@
 	}
 	return found
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -16,6 +16,8 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
+
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // TargetOptions are the settings of a target stand-in.
@@ -170,7 +172,7 @@
 	if faults.SlowFactor > 0 {
 		run *= faults.SlowFactor
 	}
-	sleep(ctx, time.Duration(run))
+	group.Sleep(ctx, time.Duration(run))
 	if ctx.Err() != nil {
 		ta.mu.Lock()
 		ta.counts.Abandoned++
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -216,7 +216,7 @@
 		}
 		step := min(maxStep, time.Duration(float64(left)/speed))
 		began := time.Now()
-		sleep(ctx, step)
+		group.Sleep(ctx, step)
 		left -= time.Duration(float64(time.Since(began)) * speed)
 	}
 	switch {
--- a/pkg/groupcommit/commit.go
+++ b/pkg/groupcommit/commit.go
@@ -5,6 +5,8 @@
 	"errors"
 	"slices"
 	"time"
+
+	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // maxBackoff bounds the time between two sends of one transaction.
@@ -136,7 +138,7 @@
 		}
 		wait := max(sl.backoff, co.opt.Interval())
 		sl.backoff = min(2*sl.backoff, maxBackoff)
-		if !sleep(ctx, wait) {
+		if !group.Sleep(ctx, wait) {
 			return 0, ctx.Err()
 		}
 		if provable {
--- a/pkg/groupcommit/groupcommit.go
+++ b/pkg/groupcommit/groupcommit.go
@@ -346,7 +346,7 @@
 			return
 		case <-co.wake:
 		}
-		for co.waiting() && sleep(ctx, time.Until(last.Add(co.opt.Interval()))) {
+		for co.waiting() && group.Sleep(ctx, time.Until(last.Add(co.opt.Interval()))) {
 			seq, items, ok := co.take()
 			if !ok {
 				break // a transaction that ends signals again
@@ -408,18 +408,3 @@
 	}
 	return false
 }
-
-// sleep reports false when ctx has ended.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/groupcommit/merge.go
+++ b/pkg/groupcommit/merge.go
@@ -101,7 +101,7 @@
 			return
 		case <-me.wake:
 		}
-		for me.waiting() && sleep(ctx, time.Until(last.Add(me.opt.Interval()))) {
+		for me.waiting() && group.Sleep(ctx, time.Until(last.Add(me.opt.Interval()))) {
 			parts := me.take()
 			if len(parts) == 0 {
 				break // a transaction that ends signals again
