--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -10,6 +10,7 @@
 //	grp := group.New(ctx)
 //	grp.Go(func(ctx context.Context) { poll(ctx) })
 //	grp.Every(time.Second, func(ctx context.Context) { report(ctx) })
+//	group.Sleep(ctx, time.Second) // ends early with ctx
 //	...
 //	grp.Close() // cancels the context and waits for every goroutine
 //
