target: name the header of the request id once

Cause: the callers' side and the targets' side each spelled the header. Change: the caller package takes the constant of package target. Conclusion: one name for one header. Read as well and left: counter.Family is used by a test alone; the commands for jobs share their first lines.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -39,7 +39,7 @@
 	HeaderKind       = "Oleanderwall-Kind"
 	HeaderDeadline   = "Oleanderwall-Deadline-Millis"
 	HeaderRepeatable = "Oleanderwall-Repeatable"
-	HeaderRequestID  = "Oleanderwall-Request-Id"
+	HeaderRequestID  = target.HeaderRequestID
 )
 
 // maxWait bounds how long a caller may wait for a job in one request.
--- a/internal/target/attempt.go
+++ b/internal/target/attempt.go
@@ -277,7 +277,7 @@
 }
 
 func (ex *exchange) readAnswer(hrep *http.Response) (Answer, error) {
-	if id := hrep.Header.Get(headerRequestID); id != "" && id != ex.req.ID {
+	if id := hrep.Header.Get(HeaderRequestID); id != "" && id != ex.req.ID {
 		return Answer{}, errCrossed
 	}
 	if hrep.ContentLength > ex.limit {
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -244,7 +244,8 @@
 	di.each(func(se *service) { se.tick(now, false) })
 }
 
-const headerRequestID = "Oleanderwall-Request-Id"
+// HeaderRequestID carries the id of a request, from the caller and to the target.
+const HeaderRequestID = "Oleanderwall-Request-Id"
 
 // targetHeader returns the header of the request to a target.
 func targetHeader(req Request) http.Header {
@@ -252,6 +253,6 @@
 	if hdr == nil {
 		hdr = http.Header{}
 	}
-	hdr.Set(headerRequestID, req.ID)
+	hdr.Set(HeaderRequestID, req.ID)
 	return hdr
 }
