--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -26,7 +26,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // Options describe one run.
@@ -78,8 +78,8 @@
 
 // user holds what differs between the two users.
 type user struct {
-	service platform.ServiceName
-	zones   []platform.AvailabilityZone
+	service ids.ServiceName
+	zones   []ids.AvailabilityZone
 	// clientDelay is the one-way time between a client and an entry.
 	clientDelay time.Duration
 }
@@ -87,12 +87,12 @@
 var users = map[string]user{
 	"authority": {
 		service:     "fitdesk",
-		zones:       []platform.AvailabilityZone{"austin-north", "waco-east", "temple-south"},
+		zones:       []ids.AvailabilityZone{"austin-north", "waco-east", "temple-south"},
 		clientDelay: 3 * time.Millisecond,
 	},
 	"fundacion": {
 		service:     "surco-finder",
-		zones:       []platform.AvailabilityZone{"nalon", "cimadevilla", "sabugo", "caudal"},
+		zones:       []ids.AvailabilityZone{"nalon", "cimadevilla", "sabugo", "caudal"},
 		clientDelay: time.Millisecond,
 	},
 }
--- a/internal/bench/jobs.go
+++ b/internal/bench/jobs.go
@@ -11,9 +11,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/job"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
@@ -181,8 +181,8 @@
 		return
 	}
 	sub := job.Submission{
-		ID:    platform.JobID(fmt.Sprintf("bench-%d", i)),
-		Team:  platform.TeamID(fmt.Sprintf("team-%d", i%jl.opt.Teams)),
+		ID:    ids.JobID(fmt.Sprintf("bench-%d", i)),
+		Team:  ids.TeamID(fmt.Sprintf("team-%d", i%jl.opt.Teams)),
 		Tasks: make([]job.TaskSpec, jl.opt.TasksPerJob),
 	}
 	for k := range sub.Tasks {
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 
 	"github.com/oleanderwall/oleanderwall/pkg/group"
@@ -48,10 +48,10 @@
 		}
 	}},
 	ScenarioLeaving: {begin: func(sy *system) {
-		sy.fleet.VMs.Change(func(vms []platform.VM) []platform.VM {
+		sy.fleet.VMs.Change(func(vms []ids.VM) []ids.VM {
 			for i := range vms {
 				if vms[i].ID == "target-0" {
-					vms[i].State = platform.StateLeaving
+					vms[i].State = ids.StateLeaving
 				}
 			}
 			return vms
--- a/internal/bench/system.go
+++ b/internal/bench/system.go
@@ -13,9 +13,9 @@
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/local"
 	"github.com/oleanderwall/oleanderwall/internal/logline"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/target"
@@ -78,7 +78,7 @@
 
 func (sy *system) startProxies() error {
 	var fault error
-	sy.fleet.VMs.Change(func(vms []platform.VM) []platform.VM {
+	sy.fleet.VMs.Change(func(vms []ids.VM) []ids.VM {
 		for i := range vms {
 			px, err := faultproxy.New(vms[i].Address)
 			if err != nil {
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
 )
 
@@ -24,19 +24,19 @@
 // Gates holds one gate for each target that this entry may use. A gate stays
 // the same object while its target is known.
 type Gates struct {
-	ByTarget map[platform.TargetID]*slotshare.Gate
+	ByTarget map[ids.TargetID]*slotshare.Gate
 }
 
 // VMs is the platform's list of VMs, split by use.
 type VMs struct {
 	Fetched time.Time
-	Entries []platform.VM
-	Targets map[platform.ServiceName][]platform.VM
-	Workers []platform.VM
+	Entries []ids.VM
+	Targets map[ids.ServiceName][]ids.VM
+	Workers []ids.VM
 }
 
 // All returns the whole list.
-func (vm *VMs) All() []platform.VM {
+func (vm *VMs) All() []ids.VM {
 	all := slices.Concat(vm.Entries, vm.Workers)
 	for _, targets := range vm.Targets {
 		all = append(all, targets...)
@@ -47,12 +47,12 @@
 // Members are the other entries, as this entry sees them.
 type Members struct {
 	// Alive are the entries that answer heartbeats.
-	Alive map[platform.EntryID]Member
+	Alive map[ids.EntryID]Member
 	// Suspect are the entries that have stopped answering. A suspicion may be
 	// false: the entry may be paused or behind a network partition.
-	Suspect map[platform.EntryID]Member
+	Suspect map[ids.EntryID]Member
 	// Gone are incarnations that are proved to have ended.
-	Gone map[platform.Incarnation]GoneReason
+	Gone map[ids.Incarnation]GoneReason
 }
 
 // GoneReason is the proof that an incarnation has ended.
@@ -68,10 +68,10 @@
 
 // Member is one other entry.
 type Member struct {
-	ID               platform.EntryID
-	Incarnation      platform.Incarnation
-	AvailabilityZone platform.AvailabilityZone
-	Region           platform.RegionName
+	ID               ids.EntryID
+	Incarnation      ids.Incarnation
+	AvailabilityZone ids.AvailabilityZone
+	Region           ids.RegionName
 	Size             int
 	PeerAddress      string
 	Configuration    configuration.Number
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -26,10 +26,10 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/job"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/target"
 )
 
@@ -53,10 +53,10 @@
 // Jobs admits and reads jobs.
 type Jobs interface {
 	Submit(ctx context.Context, sub job.Submission) (job.Status, error)
-	Get(ctx context.Context, id platform.JobID) (job.Status, error)
-	Wait(ctx context.Context, id platform.JobID, wait time.Duration) (job.Status, error)
-	Cancel(ctx context.Context, id platform.JobID) (job.Status, error)
-	IssueID() platform.JobID
+	Get(ctx context.Context, id ids.JobID) (job.Status, error)
+	Wait(ctx context.Context, id ids.JobID, wait time.Duration) (job.Status, error)
+	Cancel(ctx context.Context, id ids.JobID) (job.Status, error)
+	IssueID() ids.JobID
 }
 
 // Handler serves callers.
@@ -115,7 +115,7 @@
 
 func (ha *Handler) parse(wr http.ResponseWriter, hreq *http.Request) (target.Request, error) {
 	doc := ha.board.Configuration.Load().Document
-	name := platform.ServiceName(chi.URLParam(hreq, "service"))
+	name := ids.ServiceName(chi.URLParam(hreq, "service"))
 	limit := doc.Limits.MaxRequestBytes
 	body, err := io.ReadAll(http.MaxBytesReader(wr, hreq.Body, limit))
 	if err != nil {
@@ -133,8 +133,8 @@
 	req := target.Request{
 		ID:         hreq.Header.Get(HeaderRequestID),
 		Service:    name,
-		Team:       platform.TeamID(hreq.Header.Get(HeaderTeam)),
-		Kind:       platform.RequestKind(hreq.Header.Get(HeaderKind)),
+		Team:       ids.TeamID(hreq.Header.Get(HeaderTeam)),
+		Kind:       ids.RequestKind(hreq.Header.Get(HeaderKind)),
 		Repeatable: repeatable,
 		Deadline:   time.Now().Add(deadline),
 		Header:     http.Header{"Content-Type": hreq.Header.Values("Content-Type")},
@@ -200,12 +200,12 @@
 }
 
 // jobID returns the id in the path without its percent encoding.
-func jobID(hreq *http.Request) platform.JobID {
+func jobID(hreq *http.Request) ids.JobID {
 	raw := chi.URLParam(hreq, "id")
 	if id, err := url.PathUnescape(raw); err == nil {
-		return platform.JobID(id)
+		return ids.JobID(id)
 	}
-	return platform.JobID(raw)
+	return ids.JobID(raw)
 }
 
 // cancel fails a job that has not been decided. The answer is the final state,
@@ -217,7 +217,7 @@
 
 // IssuedID is the answer to POST /v1/job-ids.
 type IssuedID struct {
-	ID platform.JobID `json:"id"`
+	ID ids.JobID `json:"id"`
 }
 
 // issueID issues an id under which this entry admits a job even while the table
--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -10,9 +10,9 @@
 	"github.com/google/uuid"
 
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
 	"github.com/oleanderwall/oleanderwall/internal/operator"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
 const defaultOperators = "http://127.0.0.1:8081"
@@ -189,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	if _, ok := present.Document.Services[platform.ServiceName(*name)]; ok {
+	if _, ok := present.Document.Services[ids.ServiceName(*name)]; ok {
 		return fmt.Errorf("service %q exists already; change it with config patch", *name)
 	}
 	raw, err := json.Marshal(map[string]any{
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -8,7 +8,7 @@
 	"strings"
 	"testing"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 func keysOf(err error) string {
@@ -84,7 +84,7 @@
 	}
 	f.Fuzz(func(t *testing.T, patch string) {
 		before := Default()
-		before.Teams = map[platform.TeamID]Team{"opticians": {Weight: 2}}
+		before.Teams = map[ids.TeamID]Team{"opticians": {Weight: 2}}
 		after, err := Apply(before, json.RawMessage(patch))
 		if err != nil {
 			return
@@ -124,7 +124,7 @@
 // TestDiff guards against differences that an operator does not see.
 func TestDiff(t *testing.T) {
 	before, after := Default(), Default()
-	after.Services = map[platform.ServiceName]Service{"fitdesk": {Slots: 8, Connections: 64}}
+	after.Services = map[ids.ServiceName]Service{"fitdesk": {Slots: 8, Connections: 64}}
 	after.Limits.MaxQueuedJobs = 7
 	var got []string
 	for _, ch := range Diff(before, after) {
--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -21,14 +21,14 @@
 	"strings"
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // Document is the configuration that all entries share.
 type Document struct {
-	Services map[platform.ServiceName]Service `json:"services,omitempty"`
-	Teams    map[platform.TeamID]Team         `json:"teams,omitempty"`
-	Limits   Limits                           `json:"limits"`
+	Services map[ids.ServiceName]Service `json:"services,omitempty"`
+	Teams    map[ids.TeamID]Team         `json:"teams,omitempty"`
+	Limits   Limits                      `json:"limits"`
 }
 
 // Service is a pool of rented targets with its capacity.
@@ -43,10 +43,10 @@
 // Team is a customer with its share of the capacity. Unused shares may be
 // borrowed by other teams.
 type Team struct {
-	Weight       int                `json:"weight,omitempty"`
-	Processors   platform.Cores     `json:"processors,omitempty"`
-	Memory       platform.Megabytes `json:"memory-mb,omitempty"`
-	Accelerators int                `json:"accelerators,omitempty"`
+	Weight       int           `json:"weight,omitempty"`
+	Processors   ids.Cores     `json:"processors,omitempty"`
+	Memory       ids.Megabytes `json:"memory-mb,omitempty"`
+	Accelerators int           `json:"accelerators,omitempty"`
 }
 
 // Limits bound single submissions.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -20,15 +20,15 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oleanderwall/oleanderwall/internal/command"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/local"
 	"github.com/oleanderwall/oleanderwall/internal/logline"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 )
 
 const service = "fitdesk"
 
-var zones = []platform.AvailabilityZone{"austin-north", "waco-east", "temple-south"}
+var zones = []ids.AvailabilityZone{"austin-north", "waco-east", "temple-south"}
 
 type exampleRequest struct {
 	Team       string `yaml:"team"`
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,10 +23,10 @@
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
 	"github.com/oleanderwall/oleanderwall/internal/home"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/job"
 	"github.com/oleanderwall/oleanderwall/internal/operator"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/settings"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/target"
@@ -40,7 +40,7 @@
 type Entry struct {
 	set   settings.Settings
 	log   zerolog.Logger
-	inc   platform.Incarnation
+	inc   ids.Incarnation
 	board *blackboard.Board
 	cnt   *counter.Set
 	grp   *group.Group
@@ -82,7 +82,7 @@
 	en := &Entry{
 		set:         set,
 		log:         log,
-		inc:         platform.NewIncarnation(set.EntryID),
+		inc:         ids.NewIncarnation(set.EntryID),
 		board:       &blackboard.Board{},
 		cnt:         counter.New(),
 		grp:         group.New(context.Background()),
--- a/internal/entry/inforce_test.go
+++ b/internal/entry/inforce_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/settings"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/table"
@@ -97,7 +97,7 @@
 	b.Helper()
 	var entries []*Entry
 	var proxies []*faultproxy.Proxy
-	var vms []platform.VM
+	var vms []ids.VM
 	for i := range size {
 		px, err := faultproxy.New(fleet.TableServer.Address())
 		if err != nil {
@@ -105,8 +105,8 @@
 		}
 		b.Cleanup(px.Close)
 		set := settings.Default()
-		set.EntryID = platform.EntryID(fmt.Sprintf("entry-%02d", i))
-		set.AvailabilityZone = platform.AvailabilityZone(fmt.Sprintf("zone-%d", i%7))
+		set.EntryID = ids.EntryID(fmt.Sprintf("entry-%02d", i))
+		set.AvailabilityZone = ids.AvailabilityZone(fmt.Sprintf("zone-%d", i%7))
 		set.Listen = settings.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
 		set.Platform = settings.Platform{
 			Table:   "http://" + px.Address(),
@@ -119,10 +119,10 @@
 		}
 		entries = append(entries, en)
 		proxies = append(proxies, px)
-		vms = append(vms, platform.VM{
+		vms = append(vms, ids.VM{
 			ID:               string(set.EntryID),
-			Kind:             platform.KindEntry,
-			State:            platform.StateLive,
+			Kind:             ids.KindEntry,
+			State:            ids.StateLive,
 			PeerAddress:      en.PeerAddress(),
 			AvailabilityZone: set.AvailabilityZone,
 		})
--- a/internal/entry/registration.go
+++ b/internal/entry/registration.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 
 	"github.com/oleanderwall/oleanderwall/pkg/group"
@@ -26,15 +26,15 @@
 // hold up the start: the row is written once the table can be reached.
 type registration struct {
 	rows *table.Client
-	inc  platform.Incarnation
+	inc  ids.Incarnation
 	log  zerolog.Logger
 	seen *registered // the row before the first attempt, nil when not yet read
 }
 
 // registered is the row of an entry.
 type registered struct {
-	Incarnation platform.Incarnation `json:"incarnation"`
-	Started     time.Time            `json:"started"`
+	Incarnation ids.Incarnation `json:"incarnation"`
+	Started     time.Time       `json:"started"`
 
 	version table.Version
 }
--- a/internal/home/benchmark_test.go
+++ b/internal/home/benchmark_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/target"
 )
 
@@ -37,9 +37,9 @@
 	} {
 		b.Run(fmt.Sprintf("entries=%d/zones=%d/targets=%d", row.entries, row.zones, row.targets), func(b *testing.B) {
 			rnd := rand.New(rand.NewPCG(1, 2))
-			var zones []platform.AvailabilityZone
+			var zones []ids.AvailabilityZone
 			for i := range row.zones {
-				zones = append(zones, platform.AvailabilityZone(fmt.Sprint("zone-", i)))
+				zones = append(zones, ids.AvailabilityZone(fmt.Sprint("zone-", i)))
 			}
 			wo := newWorld(b, row.targets, zones...)
 			wo.unchecked = true
--- a/internal/home/borrow.go
+++ b/internal/home/borrow.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
 )
 
@@ -44,7 +44,7 @@
 	waiting int
 }
 
-func (co *Controller) needOf(service platform.ServiceName) int {
+func (co *Controller) needOf(service ids.ServiceName) int {
 	ne := co.needs[service]
 	if ne == nil || co.leaving {
 		return 0
@@ -55,14 +55,14 @@
 
 // measureNeeds updates the need of every service from its gates and queue.
 func (co *Controller) measureNeeds() {
-	used := map[platform.ServiceName]int{}
+	used := map[ids.ServiceName]int{}
 	for _, st := range co.targets {
 		if st.slots > 0 {
 			_, n := st.gate.Allowance()
 			used[st.vm.Service] += n
 		}
 	}
-	waiting := map[platform.ServiceName]int{}
+	waiting := map[ids.ServiceName]int{}
 	for _, sl := range co.load.Load() {
 		waiting[sl.Service] = sl.Waiting
 	}
@@ -77,7 +77,7 @@
 	}
 }
 
-func (co *Controller) stream(inc platform.Incarnation) *stream {
+func (co *Controller) stream(inc ids.Incarnation) *stream {
 	str := co.streams[inc]
 	if str == nil {
 		now := co.opt.Clock()
@@ -89,8 +89,8 @@
 
 // order is what one message to a home asks for.
 type order struct {
-	keep map[platform.TargetID]int
-	more map[platform.ServiceName]int
+	keep map[ids.TargetID]int
+	more map[ids.ServiceName]int
 	give bool
 }
 
@@ -98,10 +98,10 @@
 // are due.
 func (co *Controller) borrow() {
 	others := co.others()
-	orders := map[platform.Incarnation]*order{}
-	at := func(inc platform.Incarnation) *order {
+	orders := map[ids.Incarnation]*order{}
+	at := func(inc ids.Incarnation) *order {
 		if orders[inc] == nil {
-			orders[inc] = &order{keep: map[platform.TargetID]int{}, more: map[platform.ServiceName]int{}}
+			orders[inc] = &order{keep: map[ids.TargetID]int{}, more: map[ids.ServiceName]int{}}
 		}
 		return orders[inc]
 	}
@@ -127,8 +127,8 @@
 
 // keepLoans divides the need that own slots do not cover over the loans, and
 // returns what is still missing, by service.
-func (co *Controller) keepLoans(at func(platform.Incarnation) *order) map[platform.ServiceName]int {
-	missing := map[platform.ServiceName]int{}
+func (co *Controller) keepLoans(at func(ids.Incarnation) *order) map[ids.ServiceName]int {
+	missing := map[ids.ServiceName]int{}
 	for service := range co.needs {
 		missing[service] = co.needOf(service)
 	}
@@ -156,15 +156,15 @@
 
 // askForMore adds requests for missing slots to the orders for the homes of the
 // zone; a zone without homes for a service borrows from all of them.
-func (co *Controller) askForMore(missing map[platform.ServiceName]int, others []entryView, at func(platform.Incarnation) *order) {
+func (co *Controller) askForMore(missing map[ids.ServiceName]int, others []entryView, at func(ids.Incarnation) *order) {
 	now := co.opt.Clock()
 	for service, n := range missing {
 		if n <= 0 {
 			continue
 		}
-		near, far := map[platform.Incarnation]bool{}, map[platform.Incarnation]bool{}
+		near, far := map[ids.Incarnation]bool{}, map[ids.Incarnation]bool{}
 		for _, st := range co.targets {
-			if st.vm.Service != service || st.vm.State != platform.StateLive || st.slots == 0 {
+			if st.vm.Service != service || st.vm.State != ids.StateLive || st.slots == 0 {
 				continue
 			}
 			if st.vm.AvailabilityZone == co.opt.Self.Zone {
@@ -184,8 +184,8 @@
 }
 
 // askable returns the homes to ask, those first that were asked longest ago.
-func (co *Controller) askable(homes map[platform.Incarnation]bool, others []entryView, now time.Duration) []platform.Incarnation {
-	var out []platform.Incarnation
+func (co *Controller) askable(homes map[ids.Incarnation]bool, others []entryView, now time.Duration) []ids.Incarnation {
+	var out []ids.Incarnation
 	for inc := range homes {
 		if inc == "" || inc == co.opt.Self.Incarnation || co.addressOf(others, inc) == "" {
 			continue
@@ -205,7 +205,7 @@
 
 // send starts one message. The gates are lowered before the message states
 // what is kept, and after the time has been noted.
-func (co *Controller) send(inc platform.Incarnation, str *stream, or *order, addr string) {
+func (co *Controller) send(inc ids.Incarnation, str *stream, or *order, addr string) {
 	args := &ExchangeArgs{From: co.opt.Self.Incarnation, To: inc, Size: co.opt.Self.Size, Number: str.borrower.Begin()}
 	for id, want := range or.keep {
 		if kept := slotshare.Keep(co.targets[id].gate, want); kept > 0 {
@@ -237,14 +237,14 @@
 }
 
 // accept applies the reply of a home to the gates.
-func (co *Controller) accept(inc platform.Incarnation, str *stream, args *ExchangeArgs, rep *ExchangeReply) {
+func (co *Controller) accept(inc ids.Incarnation, str *stream, args *ExchangeArgs, rep *ExchangeReply) {
 	deadline, ok := str.borrower.Accept(args.Number)
 	if !ok || !rep.Known {
 		str.askAfter = co.opt.Clock() + deniedPause
 		co.wakeClaims()
 		return
 	}
-	granted := map[platform.TargetID]int{}
+	granted := map[ids.TargetID]int{}
 	for _, ts := range rep.Loans {
 		granted[ts.Target] = ts.Slots
 	}
@@ -286,7 +286,7 @@
 
 // dropLoans forgets loans of a home that can no longer be reached, once they
 // have ended and no request uses them.
-func (co *Controller) dropLoans(inc platform.Incarnation) {
+func (co *Controller) dropLoans(inc ids.Incarnation) {
 	for _, st := range co.targets {
 		if slots, used := st.gate.Allowance(); st.home == nil && st.lender == inc && slots == 0 && used == 0 {
 			st.lender = ""
--- a/internal/home/claim.go
+++ b/internal/home/claim.go
@@ -8,14 +8,14 @@
 
 	"github.com/google/uuid"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
 )
 
 // rowValue is the value of a row home/<target-id>.
 type rowValue struct {
-	Incarnation platform.Incarnation `json:"incarnation"`
+	Incarnation ids.Incarnation `json:"incarnation"`
 }
 
 const (
@@ -37,8 +37,8 @@
 // under the same id until the table answers.
 type claimBatch struct {
 	tx       table.Transaction
-	claims   map[platform.TargetID]time.Duration // how long each new home waits
-	releases []platform.TargetID
+	claims   map[ids.TargetID]time.Duration // how long each new home waits
+	releases []ids.TargetID
 }
 
 // read takes over a row. A row read is never newer than the table.
@@ -116,7 +116,7 @@
 
 // checkHome gives up a home whose row names another owner. A list may be stale,
 // so only a newer version counts.
-func (co *Controller) checkHome(id platform.TargetID, st *state, row table.Row) {
+func (co *Controller) checkHome(id ids.TargetID, st *state, row table.Row) {
 	if row.Version <= st.version {
 		return
 	}
@@ -143,7 +143,7 @@
 	others := co.others()
 	candidates := co.candidates(others)
 	co.planMoves(candidates)
-	batch := &claimBatch{claims: map[platform.TargetID]time.Duration{}}
+	batch := &claimBatch{claims: map[ids.TargetID]time.Duration{}}
 	gone := co.gone()
 	for id, st := range co.targets {
 		if len(batch.tx.Writes) >= maxBatch {
@@ -154,7 +154,7 @@
 			if st.home.Idle() {
 				batch.release(id, st)
 			}
-		case st.vm.State == platform.StateLive && st.slots > 0:
+		case st.vm.State == ids.StateLive && st.slots > 0:
 			if wait, ok := co.mayClaim(id, st, gone, candidates); ok {
 				batch.claim(id, st, co.opt.Self.Incarnation, wait)
 			}
@@ -169,7 +169,7 @@
 
 // mayClaim tells whether this entry should claim the target now, and how long
 // it then has to wait for loans of the previous home to end.
-func (co *Controller) mayClaim(id platform.TargetID, st *state, gone func(platform.Incarnation) bool, candidates func(platform.VM) []entryView) (time.Duration, bool) {
+func (co *Controller) mayClaim(id ids.TargetID, st *state, gone func(ids.Incarnation) bool, candidates func(ids.VM) []entryView) (time.Duration, bool) {
 	now := co.opt.Clock()
 	wait := co.opt.Terms.Outstanding()
 	switch {
@@ -198,7 +198,7 @@
 	return 0, false
 }
 
-func (cb *claimBatch) claim(id platform.TargetID, st *state, inc platform.Incarnation, wait time.Duration) {
+func (cb *claimBatch) claim(id ids.TargetID, st *state, inc ids.Incarnation, wait time.Duration) {
 	raw, _ := json.Marshal(rowValue{Incarnation: inc}) // a struct of strings always encodes
 	key := rowPrefix + string(id)
 	cb.claims[id] = wait
@@ -206,7 +206,7 @@
 	cb.tx.Writes = append(cb.tx.Writes, table.Write{Key: key, Value: raw})
 }
 
-func (cb *claimBatch) release(id platform.TargetID, st *state) {
+func (cb *claimBatch) release(id ids.TargetID, st *state) {
 	key := rowPrefix + string(id)
 	cb.releases = append(cb.releases, id)
 	cb.tx.Checks = append(cb.tx.Checks, table.Check{Key: key, Version: st.version})
@@ -246,12 +246,12 @@
 		st := co.targets[id]
 		if st == nil {
 			// The target left the list meanwhile; its row is deleted when idle.
-			st = &state{gate: slotshare.NewGateWithClock(0, co.opt.Clock), vm: platform.VM{ID: string(id), State: platform.StateLeaving}}
+			st = &state{gate: slotshare.NewGateWithClock(0, co.opt.Clock), vm: ids.VM{ID: string(id), State: ids.StateLeaving}}
 			co.targets[id] = st
 		}
 		st.owner, st.version = co.opt.Self.Incarnation, version
-		st.home = slotshare.NewHome[platform.Incarnation](st.gate, st.slots, co.opt.Terms, co.opt.Clock, now+wait)
-		if co.leaving || st.vm.State == platform.StateLeaving {
+		st.home = slotshare.NewHome[ids.Incarnation](st.gate, st.slots, co.opt.Terms, co.opt.Clock, now+wait)
+		if co.leaving || st.vm.State == ids.StateLeaving {
 			st.home.CloseWhenIdle()
 		}
 		reason := "home-claimed"
@@ -276,7 +276,7 @@
 // commit itself, so they are not stale.
 func (co *Controller) conflicting(rows []table.Row) {
 	for _, row := range rows {
-		st := co.targets[platform.TargetID(row.Key[len(rowPrefix):])]
+		st := co.targets[ids.TargetID(row.Key[len(rowPrefix):])]
 		if st == nil {
 			continue
 		}
@@ -301,7 +301,7 @@
 
 // planMoves closes some homes that belong to another entry by rank, such as one
 // that has just started. The others follow once these have moved.
-func (co *Controller) planMoves(candidates func(platform.VM) []entryView) {
+func (co *Controller) planMoves(candidates func(ids.VM) []entryView) {
 	now := co.opt.Clock()
 	homes, closing := 0, 0
 	for _, st := range co.targets {
@@ -313,7 +313,7 @@
 			continue
 		}
 		closing++
-		if st.vm.State == platform.StateLive && now-st.closing > closeTimeout {
+		if st.vm.State == ids.StateLive && now-st.closing > closeTimeout {
 			st.home.Reopen()
 			co.opt.Counters.Add(familySlots, "home-move-abandoned", 1)
 		}
@@ -322,7 +322,7 @@
 		if st.home == nil || st.home.Closing() {
 			continue
 		}
-		unlisted := st.vm.State == platform.StateLeaving && !co.isListed(id)
+		unlisted := st.vm.State == ids.StateLeaving && !co.isListed(id)
 		if !unlisted && (closing >= max(1, homes/moveShare) || st.closing != 0 && now-st.closing < moveRetry || !co.betterHome(id, st, candidates)) {
 			continue
 		}
@@ -334,7 +334,7 @@
 
 // betterHome tells whether another entry that has been alive for a while ranks
 // first for the target.
-func (co *Controller) betterHome(id platform.TargetID, st *state, candidates func(platform.VM) []entryView) bool {
+func (co *Controller) betterHome(id ids.TargetID, st *state, candidates func(ids.VM) []entryView) bool {
 	ranked := rank(id, candidates(st.vm))
 	if len(ranked) == 0 || ranked[0].id == co.opt.Self.ID || ranked[0].incarnation == "" {
 		return false
@@ -343,12 +343,12 @@
 	return co.opt.Clock()-str.born > moveAfter
 }
 
-func (co *Controller) isListed(id platform.TargetID) bool {
+func (co *Controller) isListed(id ids.TargetID) bool {
 	if co.vms == nil {
 		return false
 	}
 	for _, vm := range co.vms.Targets[co.targets[id].vm.Service] {
-		if platform.TargetID(vm.ID) == id {
+		if ids.TargetID(vm.ID) == id {
 			return true
 		}
 	}
--- a/internal/home/forward.go
+++ b/internal/home/forward.go
@@ -11,9 +11,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/target"
 )
 
@@ -46,7 +46,7 @@
 
 // OfferArgs asks for the free slots of a service.
 type OfferArgs struct {
-	Service platform.ServiceName
+	Service ids.ServiceName
 }
 
 // OfferReply tells the free slots of the service.
@@ -58,9 +58,9 @@
 // relative: the clocks of entries need not agree.
 type ForwardArgs struct {
 	ID         string
-	Service    platform.ServiceName
-	Team       platform.TeamID
-	Kind       platform.RequestKind
+	Service    ids.ServiceName
+	Team       ids.TeamID
+	Kind       ids.RequestKind
 	Repeatable bool
 	Remaining  time.Duration
 	Header     http.Header
@@ -78,8 +78,8 @@
 }
 
 type peerKey struct {
-	entry   platform.EntryID
-	service platform.ServiceName
+	entry   ids.EntryID
+	service ids.ServiceName
 }
 
 // peerLoad is what is known of the free slots of a peer in one service.
@@ -128,7 +128,7 @@
 
 // choose returns the peers to try: those of the own zone first, then those with
 // more free slots. A trip must cost less than the wait that it saves.
-func (fw *Forwarder) choose(peers []entryView, service platform.ServiceName, wait time.Duration) []entryView {
+func (fw *Forwarder) choose(peers []entryView, service ids.ServiceName, wait time.Duration) []entryView {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	now := fw.co.opt.Clock()
@@ -159,7 +159,7 @@
 	return out
 }
 
-func (fw *Forwarder) load(en entryView, service platform.ServiceName, far bool) *peerLoad {
+func (fw *Forwarder) load(en entryView, service ids.ServiceName, far bool) *peerLoad {
 	key := peerKey{en.id, service}
 	pl := fw.loads[key]
 	if pl == nil {
@@ -175,7 +175,7 @@
 // hasFree reports whether the peer has a free slot. It asks unless a recent
 // answer says so, because a request that is not repeatable must not be written
 // to a connection that has gone silent.
-func (fw *Forwarder) hasFree(ctx context.Context, en entryView, service platform.ServiceName) bool {
+func (fw *Forwarder) hasFree(ctx context.Context, en entryView, service ids.ServiceName) bool {
 	far := en.zone != fw.co.opt.Self.Zone
 	fw.mu.Lock()
 	pl := fw.load(en, service, far)
@@ -260,7 +260,7 @@
 	}
 }
 
-func (fw *Forwarder) result(en entryView, service platform.ServiceName, res forwardResult) (target.Answer, bool, error) {
+func (fw *Forwarder) result(en entryView, service ids.ServiceName, res forwardResult) (target.Answer, bool, error) {
 	cnt := fw.co.opt.Counters
 	fw.mu.Lock()
 	pl := fw.load(en, service, en.zone != fw.co.opt.Self.Zone)
@@ -327,7 +327,7 @@
 
 // free returns the slots that other entries' requests may take now: not the
 // last one, and none while requests wait here.
-func (co *Controller) free(service platform.ServiceName) int {
+func (co *Controller) free(service ids.ServiceName) int {
 	vms, gates := co.opt.Board.VMs.Load(), co.opt.Board.Gates.Load()
 	if vms == nil || gates == nil {
 		return 0
@@ -345,7 +345,7 @@
 	}
 	sum := 0
 	for _, vm := range vms.Targets[service] {
-		if gate := gates.ByTarget[platform.TargetID(vm.ID)]; gate != nil && vm.State == platform.StateLive {
+		if gate := gates.ByTarget[ids.TargetID(vm.ID)]; gate != nil && vm.State == ids.StateLive {
 			slots, used := gate.Allowance()
 			sum += max(0, slots-used)
 		}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -30,7 +30,7 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/target"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
@@ -39,10 +39,10 @@
 
 // Self describes the entry that a controller belongs to.
 type Self struct {
-	ID          platform.EntryID
-	Incarnation platform.Incarnation
-	Zone        platform.AvailabilityZone
-	Region      platform.RegionName
+	ID          ids.EntryID
+	Incarnation ids.Incarnation
+	Zone        ids.AvailabilityZone
+	Region      ids.RegionName
 	Size        int
 }
 
@@ -106,16 +106,16 @@
 
 // state is what the controller knows about one target.
 type state struct {
-	vm    platform.VM
+	vm    ids.VM
 	slots int
 	gate  *slotshare.Gate
 	// home is set while this incarnation is the home.
-	home *slotshare.Home[platform.Incarnation]
+	home *slotshare.Home[ids.Incarnation]
 	// owner and version are the row as last read; version Absent means no row.
-	owner   platform.Incarnation
+	owner   ids.Incarnation
 	version table.Version
 	// lender is the home that has granted the present loan.
-	lender platform.Incarnation
+	lender ids.Incarnation
 	// vacant is when the target was first seen without a home.
 	vacant time.Duration
 	// closing is when this home began to close in order to hand the target over.
@@ -126,7 +126,7 @@
 type borrower struct {
 	number uint64
 	size   int
-	demand map[platform.ServiceName]int
+	demand map[ids.ServiceName]int
 	heard  time.Duration
 }
 
@@ -138,14 +138,14 @@
 	grp  *group.Group
 
 	mu        sync.Mutex
-	targets   map[platform.TargetID]*state
-	ids       []platform.TargetID // of the targets, sorted
-	borrowers map[platform.Incarnation]*borrower
-	streams   map[platform.Incarnation]*stream
-	needs     map[platform.ServiceName]*need
-	left      map[platform.EntryID]platform.Incarnation
+	targets   map[ids.TargetID]*state
+	ids       []ids.TargetID // of the targets, sorted
+	borrowers map[ids.Incarnation]*borrower
+	streams   map[ids.Incarnation]*stream
+	needs     map[ids.ServiceName]*need
+	left      map[ids.EntryID]ids.Incarnation
 	orphans   map[string]table.Row
-	strangers map[platform.Incarnation]*stranger
+	strangers map[ids.Incarnation]*stranger
 	leaving   bool
 	listed    bool
 	roundAt   time.Duration
@@ -177,11 +177,11 @@
 	co := &Controller{
 		opt:       opt,
 		grp:       group.New(context.Background()),
-		targets:   map[platform.TargetID]*state{},
-		borrowers: map[platform.Incarnation]*borrower{},
-		streams:   map[platform.Incarnation]*stream{},
-		needs:     map[platform.ServiceName]*need{},
-		left:      map[platform.EntryID]platform.Incarnation{},
+		targets:   map[ids.TargetID]*state{},
+		borrowers: map[ids.Incarnation]*borrower{},
+		streams:   map[ids.Incarnation]*stream{},
+		needs:     map[ids.ServiceName]*need{},
+		left:      map[ids.EntryID]ids.Incarnation{},
 		orphans:   map[string]table.Row{},
 		conf:      -1,
 		wake:      make(chan struct{}, 1),
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -18,8 +18,8 @@
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/target"
@@ -50,13 +50,13 @@
 	id      string
 	co      *Controller
 	board   *blackboard.Board
-	used    []platform.TargetID
+	used    []ids.TargetID
 	stopped bool
 	waiting int
 	runs    int
 }
 
-func newWorld(tb testing.TB, targets int, zones ...platform.AvailabilityZone) *world {
+func newWorld(tb testing.TB, targets int, zones ...ids.AvailabilityZone) *world {
 	wo := &world{tb: tb, table: standin.NewTable(standin.TableOptions{}), cut: map[string]bool{}}
 	srv, err := standin.Serve("127.0.0.1:0", wo.table)
 	if err != nil {
@@ -64,25 +64,25 @@
 	}
 	tb.Cleanup(srv.Close)
 	wo.rows = table.New(srv.URL(), http.DefaultClient)
-	wo.vms.Targets = map[platform.ServiceName][]platform.VM{}
+	wo.vms.Targets = map[ids.ServiceName][]ids.VM{}
 	for i := range targets {
-		vm := platform.VM{ID: fmt.Sprint("target-", i), State: platform.StateLive, Service: "fitdesk", AvailabilityZone: zones[i%len(zones)]}
+		vm := ids.VM{ID: fmt.Sprint("target-", i), State: ids.StateLive, Service: "fitdesk", AvailabilityZone: zones[i%len(zones)]}
 		wo.vms.Targets["fitdesk"] = append(wo.vms.Targets["fitdesk"], vm)
 	}
 	return wo
 }
 
-func (wo *world) add(zone platform.AvailabilityZone) *testEntry {
+func (wo *world) add(zone ids.AvailabilityZone) *testEntry {
 	en := &testEntry{wo: wo, id: fmt.Sprint("entry-", len(wo.entries)), board: &blackboard.Board{}}
 	en.co = New(Options{
 		Self: Self{
-			ID: platform.EntryID(en.id), Incarnation: platform.NewIncarnation(platform.EntryID(en.id)), Zone: zone, Size: 4,
+			ID: ids.EntryID(en.id), Incarnation: ids.NewIncarnation(ids.EntryID(en.id)), Zone: zone, Size: 4,
 		},
 		Board: en.board, Rows: wo.rows, Peers: en, ForwardPeers: en, Counters: counter.New(), Log: zerolog.Nop(),
 		Clock: func() time.Duration { return wo.now },
 	})
 	en.co.Bind(en)
-	doc := configuration.Document{Services: map[platform.ServiceName]configuration.Service{"fitdesk": {Slots: 8, Connections: 64}}}
+	doc := configuration.Document{Services: map[ids.ServiceName]configuration.Service{"fitdesk": {Slots: 8, Connections: 64}}}
 	en.board.Configuration.Publish(&configuration.Version{Number: 1, Document: doc})
 	en.board.VMs.Publish(&wo.vms)
 	wo.entries = append(wo.entries, en)
@@ -95,7 +95,7 @@
 
 // sees publishes that the entry takes exactly these for alive.
 func (en *testEntry) sees(alive ...*testEntry) {
-	mem := &blackboard.Members{Alive: map[platform.EntryID]blackboard.Member{}, Gone: map[platform.Incarnation]blackboard.GoneReason{}}
+	mem := &blackboard.Members{Alive: map[ids.EntryID]blackboard.Member{}, Gone: map[ids.Incarnation]blackboard.GoneReason{}}
 	for _, other := range alive {
 		self := other.co.opt.Self
 		mem.Alive[self.ID] = blackboard.Member{ID: self.ID, Incarnation: self.Incarnation, AvailabilityZone: self.Zone, Size: self.Size, PeerAddress: other.id}
@@ -117,7 +117,7 @@
 		mem := *other.board.Members.Load()
 		mem.Alive = maps.Clone(mem.Alive)
 		delete(mem.Alive, en.co.opt.Self.ID)
-		mem.Gone = map[platform.Incarnation]blackboard.GoneReason{en.co.opt.Self.Incarnation: blackboard.GoneRefused}
+		mem.Gone = map[ids.Incarnation]blackboard.GoneReason{en.co.opt.Self.Incarnation: blackboard.GoneRefused}
 		other.board.Members.Publish(&mem)
 	}
 }
@@ -155,7 +155,7 @@
 }
 
 // usable returns the slots of the target that the entry may take or uses.
-func (en *testEntry) usable(id platform.TargetID) int {
+func (en *testEntry) usable(id ids.TargetID) int {
 	if gate := en.board.Gates.Load().ByTarget[id]; gate != nil {
 		slots, used := gate.Allowance()
 		return max(slots, used)
@@ -166,7 +166,7 @@
 func (en *testEntry) total() int {
 	sum := 0
 	for _, vm := range en.wo.vms.Targets["fitdesk"] {
-		sum += en.usable(platform.TargetID(vm.ID))
+		sum += en.usable(ids.TargetID(vm.ID))
 	}
 	return sum
 }
@@ -175,13 +175,13 @@
 	for _, vm := range wo.vms.Targets["fitdesk"] {
 		sum := 0
 		for _, en := range wo.entries {
-			sum += en.usable(platform.TargetID(vm.ID))
+			sum += en.usable(ids.TargetID(vm.ID))
 		}
 		if sum <= 8 {
 			continue
 		}
 		for _, en := range wo.entries {
-			wo.tb.Log(en.id, "may use or uses", en.usable(platform.TargetID(vm.ID)))
+			wo.tb.Log(en.id, "may use or uses", en.usable(ids.TargetID(vm.ID)))
 		}
 		wo.tb.Fatalf("at %s %d slots of %s are usable", wo.now, sum, vm.ID)
 	}
@@ -263,8 +263,8 @@
 	return buf.Len() - first
 }
 
-func (wo *world) homes() map[platform.EntryID]int {
-	out := map[platform.EntryID]int{}
+func (wo *world) homes() map[ids.EntryID]int {
+	out := map[ids.EntryID]int{}
 	for _, row := range wo.table.Rows(rowPrefix) {
 		var val rowValue
 		_ = json.Unmarshal(row.Value, &val)
--- a/internal/home/lending.go
+++ b/internal/home/lending.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
 )
 
@@ -18,13 +18,13 @@
 
 // TargetSlots are slots of one target.
 type TargetSlots struct {
-	Target platform.TargetID
+	Target ids.TargetID
 	Slots  int
 }
 
 // ServiceSlots are slots of any targets of one service.
 type ServiceSlots struct {
-	Service platform.ServiceName
+	Service ids.ServiceName
 	Slots   int
 }
 
@@ -32,7 +32,7 @@
 // loans, and how many more slots it could use. A loan that is not listed has
 // been returned.
 type ExchangeArgs struct {
-	From, To platform.Incarnation
+	From, To ids.Incarnation
 	Number   uint64
 	Size     int
 	Keep     []TargetSlots
@@ -49,7 +49,7 @@
 
 // HintArgs tells that rows of homes have changed.
 type HintArgs struct {
-	From platform.Incarnation
+	From ids.Incarnation
 	// Leaving says that the sender will claim no home any more.
 	Leaving bool
 }
@@ -95,15 +95,15 @@
 	}
 	bo.number, bo.size, bo.heard = args.Number, args.Size, co.opt.Clock()
 	rep.Known = true
-	keep := map[platform.TargetID]int{}
+	keep := map[ids.TargetID]int{}
 	for _, ts := range args.Keep {
 		keep[ts.Target] = ts.Slots
 	}
-	more := map[platform.ServiceName]int{}
+	more := map[ids.ServiceName]int{}
 	for _, ss := range args.More {
 		more[ss.Service] = ss.Slots
 	}
-	bo.demand = map[platform.ServiceName]int{}
+	bo.demand = map[ids.ServiceName]int{}
 	for service, pool := range co.pools() {
 		pool.lend(co, args, bo, keep, more[service], rep)
 	}
@@ -112,12 +112,12 @@
 
 // pool is the targets of one service that this entry is the home of.
 type pool struct {
-	service platform.ServiceName
-	ids     []platform.TargetID
+	service ids.ServiceName
+	ids     []ids.TargetID
 }
 
-func (co *Controller) pools() map[platform.ServiceName]*pool {
-	out := map[platform.ServiceName]*pool{}
+func (co *Controller) pools() map[ids.ServiceName]*pool {
+	out := map[ids.ServiceName]*pool{}
 	for id, st := range co.targets {
 		if st.home == nil {
 			continue
@@ -137,14 +137,14 @@
 
 // lend settles the loans of one borrower in one service: its part of the pool
 // by size and demand, taken from or given back to single targets.
-func (po *pool) lend(co *Controller, args ExchangeArgs, bo *borrower, keep map[platform.TargetID]int, more int, rep *ExchangeReply) {
+func (po *pool) lend(co *Controller, args ExchangeArgs, bo *borrower, keep map[ids.TargetID]int, more int, rep *ExchangeReply) {
 	held := 0
 	for _, id := range po.ids {
 		held += min(keep[id], co.targets[id].home.LentTo(args.From))
 	}
 	bo.demand[po.service] = held + more
 	part, spare := po.part(co, args.From)
-	want := make(map[platform.TargetID]int, len(po.ids))
+	want := make(map[ids.TargetID]int, len(po.ids))
 	for _, id := range po.ids {
 		want[id] = min(keep[id], co.targets[id].home.LentTo(args.From))
 	}
@@ -167,7 +167,7 @@
 
 // part returns the borrower's part of the pool, and how many more slots can be
 // lent without taking from this entry's own part.
-func (po *pool) part(co *Controller, from platform.Incarnation) (part, spare int) {
+func (po *pool) part(co *Controller, from ids.Incarnation) (part, spare int) {
 	total, lent := 0, 0
 	for _, id := range po.ids {
 		ho := co.targets[id].home
@@ -179,7 +179,7 @@
 	claims := []slotshare.Claim{{Size: co.opt.Self.Size, Demand: co.needOf(po.service)}}
 	at := 0
 	now := co.opt.Clock()
-	incs := make([]platform.Incarnation, 0, len(co.borrowers))
+	incs := make([]ids.Incarnation, 0, len(co.borrowers))
 	for inc := range co.borrowers {
 		incs = append(incs, inc)
 	}
@@ -203,7 +203,7 @@
 const demandMemory = 1500 * time.Millisecond
 
 // recall lowers the wanted loans by n, the largest first.
-func (po *pool) recall(want map[platform.TargetID]int, n int) {
+func (po *pool) recall(want map[ids.TargetID]int, n int) {
 	for ; n > 0; n-- {
 		best := po.ids[0]
 		for _, id := range po.ids {
@@ -217,9 +217,9 @@
 
 // spread raises the wanted loans by n, on targets with free slots first, and
 // evenly, so that the borrower has a choice of targets.
-func (po *pool) spread(co *Controller, want map[platform.TargetID]int, n int) {
-	free := make(map[platform.TargetID]int, len(po.ids))
-	unlent := make(map[platform.TargetID]int, len(po.ids))
+func (po *pool) spread(co *Controller, want map[ids.TargetID]int, n int) {
+	free := make(map[ids.TargetID]int, len(po.ids))
+	unlent := make(map[ids.TargetID]int, len(po.ids))
 	for _, id := range po.ids {
 		ho := co.targets[id].home
 		if ho.Closing() {
@@ -230,7 +230,7 @@
 		free[id] = max(0, unlent[id]-used)
 	}
 	for ; n > 0; n-- {
-		best := platform.TargetID("")
+		best := ids.TargetID("")
 		for _, id := range po.ids {
 			if unlent[id] > 0 && (best == "" || free[id] > free[best]) {
 				best = id
--- a/internal/home/proof.go
+++ b/internal/home/proof.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // Membership proves the end of incarnations that it has heard of. The owner of
@@ -33,11 +33,11 @@
 	if mem == nil || vms == nil {
 		return
 	}
-	listed := make(map[platform.EntryID]bool, len(vms.Entries))
+	listed := make(map[ids.EntryID]bool, len(vms.Entries))
 	for _, vm := range vms.Entries {
-		listed[platform.EntryID(vm.ID)] = true
+		listed[ids.EntryID(vm.ID)] = true
 	}
-	owners := map[platform.Incarnation]*stranger{}
+	owners := map[ids.Incarnation]*stranger{}
 	for _, st := range co.targets {
 		if st.home != nil || st.owner == "" || owners[st.owner] != nil || isKnown(mem, st.owner) {
 			continue
@@ -52,7 +52,7 @@
 	co.strangers = owners
 }
 
-func (sr *stranger) judge(mem *blackboard.Members, vms *blackboard.VMs, id platform.EntryID, listed bool) {
+func (sr *stranger) judge(mem *blackboard.Members, vms *blackboard.VMs, id ids.EntryID, listed bool) {
 	switch {
 	case listed:
 		sr.unlisted = time.Time{}
@@ -65,7 +65,7 @@
 	sr.gone = sr.gone || replaced || unlisted
 }
 
-func isKnown(mem *blackboard.Members, inc platform.Incarnation) bool {
+func isKnown(mem *blackboard.Members, inc ids.Incarnation) bool {
 	_, gone := mem.Gone[inc]
 	return gone || mem.Alive[inc.Entry()].Incarnation == inc || mem.Suspect[inc.Entry()].Incarnation == inc
 }
--- a/internal/home/rendezvous.go
+++ b/internal/home/rendezvous.go
@@ -6,15 +6,15 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // rank returns the candidates for the home of a target, the best first.
 // Rendezvous hashing weighted by size: when an entry comes or goes, only the
 // targets that it wins or loses change their order.
-func rank(id platform.TargetID, candidates []entryView) []entryView {
+func rank(id ids.TargetID, candidates []entryView) []entryView {
 	out := append([]entryView(nil), candidates...)
-	scores := make(map[platform.EntryID]float64, len(out))
+	scores := make(map[ids.EntryID]float64, len(out))
 	for _, en := range out {
 		scores[en.id] = score(id, en)
 	}
@@ -27,7 +27,7 @@
 	return out
 }
 
-func score(id platform.TargetID, en entryView) float64 {
+func score(id ids.TargetID, en entryView) float64 {
 	const mantissaBits = 53
 	sum := xxhash.Sum64String(string(id) + "\x00" + string(en.id))
 	uniform := (float64(sum>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
@@ -37,24 +37,24 @@
 // candidates returns the entries that may be the home of a target in the zone:
 // those of the zone, or, when the zone has no entry at all, those of its region
 // or of everywhere.
-func (co *Controller) candidates(others []entryView) func(vm platform.VM) []entryView {
+func (co *Controller) candidates(others []entryView) func(vm ids.VM) []entryView {
 	self := co.opt.Self
 	all := append([]entryView{{id: self.ID, zone: self.Zone, region: self.Region, size: self.Size, incarnation: self.Incarnation}}, others...)
-	byZone := map[platform.AvailabilityZone][]entryView{}
-	byRegion := map[platform.RegionName][]entryView{}
+	byZone := map[ids.AvailabilityZone][]entryView{}
+	byRegion := map[ids.RegionName][]entryView{}
 	for _, en := range all {
 		byZone[en.zone] = append(byZone[en.zone], en)
 		byRegion[en.region] = append(byRegion[en.region], en)
 	}
 	// An entry that is listed but not alive may be behind a network partition
 	// and serve its zone.
-	listed := map[platform.AvailabilityZone]bool{}
+	listed := map[ids.AvailabilityZone]bool{}
 	if co.vms != nil {
 		for _, vm := range co.vms.Entries {
 			listed[vm.AvailabilityZone] = true
 		}
 	}
-	return func(vm platform.VM) []entryView {
+	return func(vm ids.VM) []entryView {
 		if found := byZone[vm.AvailabilityZone]; len(found) > 0 || listed[vm.AvailabilityZone] {
 			return found
 		}
--- a/internal/home/sharing_test.go
+++ b/internal/home/sharing_test.go
@@ -8,13 +8,13 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/target"
 )
 
-const zone = platform.AvailabilityZone("nalon")
+const zone = ids.AvailabilityZone("nalon")
 
 // pair returns a home of one target with 8 slots and an entry that borrows.
 func pair(t *testing.T) (*world, *testEntry, *testEntry) {
@@ -225,7 +225,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			sr := &stranger{seen: start}
-			mem := &blackboard.Members{Alive: map[platform.EntryID]blackboard.Member{}}
+			mem := &blackboard.Members{Alive: map[ids.EntryID]blackboard.Member{}}
 			if row.heard > 0 {
 				mem.Alive["entry-9"] = blackboard.Member{Incarnation: "entry-9/2", LastHeard: start.Add(row.heard)}
 			}
--- a/internal/home/view.go
+++ b/internal/home/view.go
@@ -4,26 +4,26 @@
 	"slices"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
 )
 
 // entryView is another entry, as far as sharing slots needs it.
 type entryView struct {
-	id      platform.EntryID
-	zone    platform.AvailabilityZone
-	region  platform.RegionName
+	id      ids.EntryID
+	zone    ids.AvailabilityZone
+	region  ids.RegionName
 	size    int
 	address string
 	// incarnation is empty until the entry has been heard of.
-	incarnation platform.Incarnation
+	incarnation ids.Incarnation
 }
 
 // others returns the other entries that seem alive, and the listed ones that
 // have not been heard of yet: just after a start these are all of them.
 func (co *Controller) others() []entryView {
 	var out []entryView
-	known := map[platform.EntryID]bool{co.opt.Self.ID: true}
+	known := map[ids.EntryID]bool{co.opt.Self.ID: true}
 	if mem := co.opt.Members.Load(); mem != nil {
 		for id, me := range mem.Alive {
 			known[id] = true
@@ -43,7 +43,7 @@
 	}
 	if vms := co.opt.Board.VMs.Load(); vms != nil {
 		for _, vm := range vms.Entries {
-			if id := platform.EntryID(vm.ID); vm.State == platform.StateLive && !known[id] {
+			if id := ids.EntryID(vm.ID); vm.State == ids.StateLive && !known[id] {
 				out = append(out, entryView{id, vm.AvailabilityZone, vm.Region, vm.Size, vm.PeerAddress, ""})
 			}
 		}
@@ -52,7 +52,7 @@
 }
 
 // addressOf returns the address of the entry that runs the incarnation.
-func (co *Controller) addressOf(others []entryView, inc platform.Incarnation) string {
+func (co *Controller) addressOf(others []entryView, inc ids.Incarnation) string {
 	for _, en := range others {
 		if en.id == inc.Entry() && (en.incarnation == "" || en.incarnation == inc) {
 			return en.address
@@ -64,7 +64,7 @@
 // concerned returns the addresses of the other entries of this zone and of the
 // zones whose targets the batch changes.
 func (co *Controller) concerned(batch *claimBatch) []string {
-	zones := map[platform.AvailabilityZone]bool{co.opt.Self.Zone: true}
+	zones := map[ids.AvailabilityZone]bool{co.opt.Self.Zone: true}
 	for id := range batch.claims {
 		zones[co.targets[id].vm.AvailabilityZone] = true
 	}
@@ -82,10 +82,10 @@
 
 // gone returns a function that tells whether an incarnation is proved to have
 // ended. An earlier incarnation of this entry has ended: its address is ours.
-func (co *Controller) gone() func(platform.Incarnation) bool {
+func (co *Controller) gone() func(ids.Incarnation) bool {
 	mem := co.opt.Members.Load()
 	self := co.opt.Self
-	return func(inc platform.Incarnation) bool {
+	return func(inc ids.Incarnation) bool {
 		if inc.Entry() == self.ID {
 			return inc != self.Incarnation
 		}
@@ -109,11 +109,11 @@
 		return
 	}
 	co.vms, co.conf = vms, int64(conf.Number)
-	listed := map[platform.TargetID]bool{}
+	listed := map[ids.TargetID]bool{}
 	changed := false
 	for service, list := range vms.Targets {
 		for _, vm := range list {
-			id := platform.TargetID(vm.ID)
+			id := ids.TargetID(vm.ID)
 			listed[id] = true
 			st := co.targets[id]
 			if st == nil {
@@ -135,7 +135,7 @@
 			delete(co.targets, id)
 			changed = true
 		} else if !listed[id] {
-			st.vm.State = platform.StateLeaving
+			st.vm.State = ids.StateLeaving
 		}
 	}
 	if changed {
@@ -143,7 +143,7 @@
 	}
 }
 
-func (co *Controller) adoptOrphan(id platform.TargetID, st *state) {
+func (co *Controller) adoptOrphan(id ids.TargetID, st *state) {
 	key := rowPrefix + string(id)
 	if row, ok := co.orphans[key]; ok {
 		st.read(row)
@@ -152,8 +152,8 @@
 }
 
 func (co *Controller) publish() {
-	gates := make(map[platform.TargetID]*slotshare.Gate, len(co.targets))
-	co.ids = make([]platform.TargetID, 0, len(co.targets))
+	gates := make(map[ids.TargetID]*slotshare.Gate, len(co.targets))
+	co.ids = make([]ids.TargetID, 0, len(co.targets))
 	for id, st := range co.targets {
 		gates[id] = st.gate
 		co.ids = append(co.ids, id)
--- a/internal/platform/platform.go
+++ b/internal/ids/ids.go
@@ -1,4 +1,4 @@
-// Package platform holds the named types that the clients of the platform and
+// Package ids holds the named types that the clients of the platform and
 // the controllers share: identifiers, units, and the rows of the platform's
 // list of VMs.
 //
@@ -6,9 +6,9 @@
 //
 //	vms, err := list.Fetch(ctx)
 //	for _, vm := range vms {
-//		if vm.Kind == platform.KindTarget && vm.State == platform.StateLive { ... }
+//		if vm.Kind == ids.KindTarget && vm.State == ids.StateLive { ... }
 //	}
-package platform
+package ids
 
 import (
 	"strings"
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -26,7 +26,7 @@
 	// test results depend on its source.
 	_ "github.com/oleanderwall/oleanderwall/internal/command"
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 )
 
@@ -56,7 +56,7 @@
 type clusterOptions struct {
 	fleet standin.FleetOptions
 	// entries lists the availability zone of each entry.
-	entries []platform.AvailabilityZone
+	entries []ids.AvailabilityZone
 	// proxyTargets and proxyWorkers put a proxy before each target or worker.
 	proxyTargets bool
 	proxyWorkers bool
@@ -76,7 +76,7 @@
 // entryProcess is one entry as a process.
 type entryProcess struct {
 	id        string
-	zone      platform.AvailabilityZone
+	zone      ids.AvailabilityZone
 	callers   string
 	operators string
 	peers     string
@@ -111,7 +111,7 @@
 		Table:         standin.TableOptions{CommitDelay: 5 * time.Millisecond, WritesPerSecond: 500, ReadsPerSecond: 2000},
 		VMLag:         500 * time.Millisecond,
 		Service:       "fitdesk",
-		Zones:         []platform.AvailabilityZone{"austin-north", "waco-east", "temple-south"},
+		Zones:         []ids.AvailabilityZone{"austin-north", "waco-east", "temple-south"},
 		Targets:       6,
 		Slots:         8,
 		Connections:   64,
@@ -123,8 +123,8 @@
 	}
 }
 
-func threeEntries() []platform.AvailabilityZone {
-	return []platform.AvailabilityZone{"austin-north", "waco-east", "temple-south"}
+func threeEntries() []ids.AvailabilityZone {
+	return []ids.AvailabilityZone{"austin-north", "waco-east", "temple-south"}
 }
 
 // startCluster starts the platform and the entries, and creates the service.
@@ -134,11 +134,11 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(fleet.Close)
 	cl := &cluster{fleet: fleet}
-	fleet.VMs.Change(func(vms []platform.VM) []platform.VM { return cl.proxyBackends(vms, opt) })
+	fleet.VMs.Change(func(vms []ids.VM) []ids.VM { return cl.proxyBackends(vms, opt) })
 	for i, zone := range opt.entries {
 		cl.entries = append(cl.entries, newEntry(cl, i, zone))
 	}
-	fleet.VMs.Change(func(vms []platform.VM) []platform.VM {
+	fleet.VMs.Change(func(vms []ids.VM) []ids.VM {
 		for _, en := range cl.entries {
 			vms = append(vms, en.vm())
 		}
@@ -157,9 +157,9 @@
 	return cl
 }
 
-func (cl *cluster) proxyBackends(vms []platform.VM, opt clusterOptions) []platform.VM {
+func (cl *cluster) proxyBackends(vms []ids.VM, opt clusterOptions) []ids.VM {
 	for i := range vms {
-		isTarget := vms[i].Kind == platform.KindTarget
+		isTarget := vms[i].Kind == ids.KindTarget
 		if isTarget && !opt.proxyTargets || !isTarget && !opt.proxyWorkers {
 			continue
 		}
@@ -198,7 +198,7 @@
 	return ""
 }
 
-func newEntry(cl *cluster, i int, zone platform.AvailabilityZone) *entryProcess {
+func newEntry(cl *cluster, i int, zone ids.AvailabilityZone) *entryProcess {
 	en := &entryProcess{
 		id:        fmt.Sprintf("entry-%d", i+1),
 		zone:      zone,
@@ -238,11 +238,11 @@
 	Expect(os.WriteFile(en.settings, []byte(strings.Replace(string(raw), old, text, 1)), 0o600)).To(Succeed())
 }
 
-func (en *entryProcess) vm() platform.VM {
-	return platform.VM{
+func (en *entryProcess) vm() ids.VM {
+	return ids.VM{
 		ID:               en.id,
-		Kind:             platform.KindEntry,
-		State:            platform.StateLive,
+		Kind:             ids.KindEntry,
+		State:            ids.StateLive,
 		Address:          en.callers,
 		PeerAddress:      en.peer.Address(),
 		Region:           "central-texas",
@@ -332,7 +332,7 @@
 	return out.String(), err
 }
 
-func (cl *cluster) createService(name platform.ServiceName) {
+func (cl *cluster) createService(name ids.ServiceName) {
 	if name == "" || len(cl.entries) == 0 {
 		return
 	}
--- a/internal/integration/jobs_test.go
+++ b/internal/integration/jobs_test.go
@@ -15,7 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
@@ -110,7 +110,7 @@
 	}
 }
 
-func entriesIn(n int) []platform.AvailabilityZone {
+func entriesIn(n int) []ids.AvailabilityZone {
 	zones := threeEntries()
 	for len(zones) < n {
 		zones = append(zones, zones...)
--- a/internal/integration/service_test.go
+++ b/internal/integration/service_test.go
@@ -12,7 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
@@ -110,10 +110,10 @@
 	// Guards against new work for a target that the list shows as leaving.
 	It("sends nothing new to a leaving target", func() {
 		cl, en := start()
-		cl.fleet.VMs.Change(func(vms []platform.VM) []platform.VM {
+		cl.fleet.VMs.Change(func(vms []ids.VM) []ids.VM {
 			for i := range vms {
 				if vms[i].ID == "target-0" {
-					vms[i].State = platform.StateLeaving
+					vms[i].State = ids.StateLeaving
 				}
 			}
 			return vms
--- a/internal/integration/slots_test.go
+++ b/internal/integration/slots_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
@@ -25,11 +25,11 @@
 	// 64 requests at once, so that requests above the 8 slots show.
 	sharing := func(targets int) *cluster {
 		fleet := defaultFleet()
-		fleet.Zones = []platform.AvailabilityZone{"nalon"}
+		fleet.Zones = []ids.AvailabilityZone{"nalon"}
 		fleet.Targets, fleet.Workers = targets, 0
 		fleet.Slots, fleet.Connections = 64, 1000
 		fleet.VMLag = 100 * time.Millisecond
-		cl := startCluster(clusterOptions{fleet: fleet, entries: []platform.AvailabilityZone{"nalon", "nalon"}})
+		cl := startCluster(clusterOptions{fleet: fleet, entries: []ids.AvailabilityZone{"nalon", "nalon"}})
 		Eventually(func() int64 {
 			return cl.entries[0].counter("slots_homes") + cl.entries[1].counter("slots_homes")
 		}, "5s", "20ms").Should(Equal(int64(targets)))
--- a/internal/job/bench_test.go
+++ b/internal/job/bench_test.go
@@ -12,16 +12,16 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // live shows the entry as one of several, which divides the write budget.
 func (no *node) live(entries int) {
-	alive := map[platform.EntryID]blackboard.Member{}
+	alive := map[ids.EntryID]blackboard.Member{}
 	for i := range entries - 1 {
-		alive[platform.EntryID(fmt.Sprintf("peer-%d", i))] = blackboard.Member{}
+		alive[ids.EntryID(fmt.Sprintf("peer-%d", i))] = blackboard.Member{}
 	}
 	no.members.Publish(&blackboard.Members{Alive: alive})
 }
@@ -90,7 +90,7 @@
 							began := time.Now()
 							_, err := no.mg.Submit(ctx, benchJob(id, tasks))
 							delays[i] = time.Since(began)
-							status, waitErr := no.mg.Wait(ctx, platform.JobID(id), time.Minute)
+							status, waitErr := no.mg.Wait(ctx, ids.JobID(id), time.Minute)
 							if err != nil || waitErr != nil || status.State != StateComplete {
 								failed.Add(1)
 								lastErr.Store(fmt.Sprint(status.State, err, waitErr))
--- a/internal/job/contract.go
+++ b/internal/job/contract.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
 )
@@ -51,7 +51,7 @@
 type Traffic interface {
 	// Start sends a task. worker.ErrRefused means that it provably did not start.
 	Start(ctx context.Context, pl worker.Placement, task worker.Task) error
-	Query(ctx context.Context, wk platform.WorkerID, task worker.TaskID) (worker.Report, bool, error)
+	Query(ctx context.Context, wk ids.WorkerID, task worker.TaskID) (worker.Report, bool, error)
 	// Adopt follows tasks that an earlier owner started.
 	Adopt(pl worker.Placement, tasks []worker.TaskID)
 	Stop(tasks []worker.TaskID)
--- a/internal/job/decide.go
+++ b/internal/job/decide.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/counter"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
 	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
 )
@@ -277,8 +277,8 @@
 // would otherwise cost a read of the table for each job that ends between its
 // admission and the wait; the table serves about 2,000 reads a second.
 type recentRows struct {
-	rows map[platform.JobID]*jobRow
-	ring [maxRecent]platform.JobID
+	rows map[ids.JobID]*jobRow
+	ring [maxRecent]ids.JobID
 	next int
 }
 
@@ -287,7 +287,7 @@
 	maxRecentBytes = 8 << 10 // of results in one answer
 )
 
-func (rr *recentRows) add(id platform.JobID, row *jobRow) {
+func (rr *recentRows) add(id ids.JobID, row *jobRow) {
 	size := 0
 	for _, raw := range row.Results {
 		size += len(raw)
@@ -296,7 +296,7 @@
 		return
 	}
 	if rr.rows == nil {
-		rr.rows = map[platform.JobID]*jobRow{}
+		rr.rows = map[ids.JobID]*jobRow{}
 	}
 	delete(rr.rows, rr.ring[rr.next])
 	rr.ring[rr.next] = id
@@ -304,7 +304,7 @@
 	rr.next = (rr.next + 1) % maxRecent
 }
 
-func (se *session) recentRow(id platform.JobID) *jobRow {
+func (se *session) recentRow(id ids.JobID) *jobRow {
 	se.mu.Lock()
 	defer se.mu.Unlock()
 	return se.recent.rows[id]
@@ -320,7 +320,7 @@
 
 // change sets a job row that has the given version, and returns the row that
 // is then in force: the given one, or the one in conflict.
-func (se *session) change(ctx context.Context, id platform.JobID, version int64, jr jobRow) ([]byte, error) {
+func (se *session) change(ctx context.Context, id ids.JobID, version int64, jr jobRow) ([]byte, error) {
 	raw, err := json.Marshal(jr)
 	if err != nil {
 		return nil, err
--- a/internal/job/ids.go
+++ b/internal/job/ids.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // An issued id is issued.<incarnation>.<age>.<random>: the incarnation in
@@ -23,16 +23,16 @@
 const issuedLife = retention / 2
 
 type issuedID struct {
-	owner platform.Incarnation
+	owner ids.Incarnation
 	at    time.Duration
 }
 
-func newIssuedID(owner platform.Incarnation, at time.Duration) platform.JobID {
+func newIssuedID(owner ids.Incarnation, at time.Duration) ids.JobID {
 	name := base64.RawURLEncoding.EncodeToString([]byte(owner))
-	return platform.JobID(fmt.Sprintf("%s%s.%d.%s", issuedPrefix, name, at.Milliseconds(), uuid.NewString()[:13]))
+	return ids.JobID(fmt.Sprintf("%s%s.%d.%s", issuedPrefix, name, at.Milliseconds(), uuid.NewString()[:13]))
 }
 
-func parseIssuedID(id platform.JobID) (issuedID, bool) {
+func parseIssuedID(id ids.JobID) (issuedID, bool) {
 	rest, ok := strings.CutPrefix(string(id), issuedPrefix)
 	parts := strings.Split(rest, ".")
 	if !ok || len(parts) != 3 {
@@ -46,17 +46,17 @@
 	if err != nil {
 		return issuedID{}, false
 	}
-	return issuedID{owner: platform.Incarnation(owner), at: time.Duration(millis) * time.Millisecond}, true
+	return issuedID{owner: ids.Incarnation(owner), at: time.Duration(millis) * time.Millisecond}, true
 }
 
 // A process commits under a session of its incarnation, which is the
 // incarnation, a tilde and a number. A process that meets its own fence goes on
 // with the next session; proof that the process has ended covers all of them.
-func sessionName(base platform.Incarnation, num int) platform.Incarnation {
-	return platform.Incarnation(fmt.Sprintf("%s~%d", base, num))
+func sessionName(base ids.Incarnation, num int) ids.Incarnation {
+	return ids.Incarnation(fmt.Sprintf("%s~%d", base, num))
 }
 
-func processOf(session platform.Incarnation) platform.Incarnation {
+func processOf(session ids.Incarnation) ids.Incarnation {
 	base, _, _ := strings.Cut(string(session), "~")
-	return platform.Incarnation(base)
+	return ids.Incarnation(base)
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -29,26 +29,26 @@
 	"fmt"
 	"net/http"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 )
 
 // Submission is a job as a caller submits it.
 type Submission struct {
-	ID    platform.JobID  `json:"id,omitempty"`
-	Team  platform.TeamID `json:"team,omitempty"`
-	Tasks []TaskSpec      `json:"tasks"`
+	ID    ids.JobID  `json:"id,omitempty"`
+	Team  ids.TeamID `json:"team,omitempty"`
+	Tasks []TaskSpec `json:"tasks"`
 }
 
 // TaskSpec is one task with its declared sizes.
 type TaskSpec struct {
-	Kind         platform.RequestKind `json:"kind,omitempty"`
-	Payload      json.RawMessage      `json:"payload,omitempty"`
-	Processors   platform.Cores       `json:"processors,omitempty"`
-	Memory       platform.Megabytes   `json:"memory-mb,omitempty"`
-	Accelerators int                  `json:"accelerators,omitempty"`
-	RunMillis    int64                `json:"run-millis,omitempty"`
+	Kind         ids.RequestKind `json:"kind,omitempty"`
+	Payload      json.RawMessage `json:"payload,omitempty"`
+	Processors   ids.Cores       `json:"processors,omitempty"`
+	Memory       ids.Megabytes   `json:"memory-mb,omitempty"`
+	Accelerators int             `json:"accelerators,omitempty"`
+	RunMillis    int64           `json:"run-millis,omitempty"`
 }
 
 // State is the state of a job.
@@ -69,7 +69,7 @@
 
 // Status is the state of a job with its answer once it is final.
 type Status struct {
-	ID       platform.JobID    `json:"id"`
+	ID       ids.JobID         `json:"id"`
 	State    State             `json:"state"`
 	Reason   string            `json:"reason,omitempty"`
 	Results  []json.RawMessage `json:"results,omitempty"`
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -14,8 +14,8 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
@@ -145,7 +145,7 @@
 	gm.Expect(err).NotTo(HaveOccurred())
 	gm.Expect(owner.mg.session().inc).NotTo(Equal(first))
 	wo.fl.finishAll()
-	for _, id := range []platform.JobID{"job", "next"} {
+	for _, id := range []ids.JobID{"job", "next"} {
 		status, err := owner.mg.Wait(context.Background(), id, 5*time.Second)
 		gm.Expect(err).NotTo(HaveOccurred())
 		gm.Expect(status.State).To(Equal(StateComplete), "job %s", id)
@@ -258,7 +258,7 @@
 	var mu sync.Mutex
 	got := map[string]Status{}
 	each(func(ctx context.Context, id string) {
-		status, err := no.mg.Cancel(ctx, platform.JobID(id))
+		status, err := no.mg.Cancel(ctx, ids.JobID(id))
 		mu.Lock()
 		defer mu.Unlock()
 		got[id] = status
@@ -269,7 +269,7 @@
 	gm.Expect(got["job-0"].State).To(Equal(StateComplete), "completion came first")
 	gm.Expect(wo.tb.Counts().Commits - before).To(BeNumerically("<", jobs/4))
 	each(func(ctx context.Context, id string) {
-		status, err := no.mg.Get(ctx, platform.JobID(id))
+		status, err := no.mg.Get(ctx, ids.JobID(id))
 		if err != nil || status.State != got[id].State || status.Reason != got[id].Reason {
 			t.Errorf("%s: the cancellation heard %v, a reader %v (%v)", id, got[id], status, err)
 		}
@@ -319,9 +319,9 @@
 		})
 	}
 	var mu sync.Mutex
-	heard := map[platform.JobID]Status{}
+	heard := map[ids.JobID]Status{}
 	var broken error
-	hear := func(id platform.JobID, status Status, err error) {
+	hear := func(id ids.JobID, status Status, err error) {
 		mu.Lock()
 		defer mu.Unlock()
 		if err != nil || !status.Final() {
@@ -335,7 +335,7 @@
 	for _, no := range wo.nodes {
 		no.table.ignoreFence = seedFault
 	}
-	jobs := []platform.JobID{"a", "b"}
+	jobs := []ids.JobID{"a", "b"}
 	for range rapid.IntRange(2, 14).Draw(rt, "steps") {
 		no := wo.nodes[rapid.IntRange(0, 2).Draw(rt, "entry")]
 		id := jobs[rapid.IntRange(0, 1).Draw(rt, "job")]
@@ -400,7 +400,7 @@
 
 // rescue lets one entry take over every session that has ended.
 func (wo *world) rescue(ctx context.Context) {
-	live := map[platform.Incarnation]bool{}
+	live := map[ids.Incarnation]bool{}
 	for _, no := range wo.nodes {
 		live[no.mg.session().inc] = true
 	}
@@ -453,7 +453,7 @@
 		if addr, _ := no.mg.store.combiner(); addr == "" {
 			continue
 		}
-		id := platform.JobID(fmt.Sprintf("job-%d", i))
+		id := ids.JobID(fmt.Sprintf("job-%d", i))
 		_, err := no.mg.Submit(context.Background(), submission(string(id), 2))
 		gm.Expect(err).NotTo(HaveOccurred())
 		status, err := no.mg.Wait(context.Background(), id, 5*time.Second)
@@ -473,7 +473,7 @@
 	for i := range 20 { // a sweep waits for 16 log rows
 		_, err := no.mg.Submit(ctx, submission(fmt.Sprintf("old-%d", i), 1))
 		gm.Expect(err).NotTo(HaveOccurred())
-		_, err = no.mg.Wait(ctx, platform.JobID(fmt.Sprintf("old-%d", i)), 5*time.Second)
+		_, err = no.mg.Wait(ctx, ids.JobID(fmt.Sprintf("old-%d", i)), 5*time.Second)
 		gm.Expect(err).NotTo(HaveOccurred())
 	}
 	wo.fl.hold = true
@@ -497,7 +497,7 @@
 	gm.Eventually(func() int { return len(wo.tb.Rows("log/")) }, "5s", "5ms").Should(BeNumerically("<", 16))
 	found, err := no.mg.logRows(ctx, se.inc)
 	gm.Expect(err).NotTo(HaveOccurred())
-	gm.Expect(orphans(found)).To(HaveKey(platform.JobID("running")), "the log of a job that is not decided")
+	gm.Expect(orphans(found)).To(HaveKey(ids.JobID("running")), "the log of a job that is not decided")
 	wo.fl.finishAll()
 	status, err := no.mg.Wait(ctx, "running", 5*time.Second)
 	gm.Expect(err).NotTo(HaveOccurred())
--- a/internal/job/manager.go
+++ b/internal/job/manager.go
@@ -15,8 +15,8 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
@@ -32,7 +32,7 @@
 	Scheduler   Scheduler
 	Traffic     Traffic
 	Counters    *counter.Set
-	Incarnation platform.Incarnation
+	Incarnation ids.Incarnation
 	Log         zerolog.Logger
 	// WriteBudget is the bound on table writes a second of all entries
 	// together; 0 means DefaultWriteBudget.
@@ -170,7 +170,7 @@
 
 // IssueID returns an id under which this entry admits a job even while the
 // table is down.
-func (mg *Manager) IssueID() platform.JobID {
+func (mg *Manager) IssueID() ids.JobID {
 	se := mg.session()
 	return newIssuedID(se.inc, time.Since(se.began))
 }
@@ -182,7 +182,7 @@
 		return Status{}, err
 	}
 	if sub.ID == "" {
-		sub.ID = platform.JobID(uuid.NewString())
+		sub.ID = ids.JobID(uuid.NewString())
 	}
 	iss, issued := parseIssuedID(sub.ID)
 	if issued && iss.owner != mg.session().inc {
@@ -224,20 +224,20 @@
 
 // unknownJob makes no statement about a submission: another entry may be about
 // to commit it.
-func unknownJob(id platform.JobID) error {
+func unknownJob(id ids.JobID) error {
 	err := outcome.MayHaveRun("unknown-job", fmt.Sprintf("job %q has no record", id), "check the id; submit again with the same id to be sure")
 	err.Status = http.StatusNotFound
 	return err
 }
 
 // Get returns the state of a job.
-func (mg *Manager) Get(ctx context.Context, id platform.JobID) (Status, error) {
+func (mg *Manager) Get(ctx context.Context, id ids.JobID) (Status, error) {
 	status, _, err := mg.get(ctx, id)
 	return status, err
 }
 
 // get returns the state of a job, and its owner when that is another one.
-func (mg *Manager) get(ctx context.Context, id platform.JobID) (Status, platform.Incarnation, error) {
+func (mg *Manager) get(ctx context.Context, id ids.JobID) (Status, ids.Incarnation, error) {
 	se := mg.session()
 	if oj := se.find(id); oj != nil {
 		status, err := se.statusOf(ctx, oj)
@@ -269,7 +269,7 @@
 }
 
 // getIssued answers for an issued id that has no row.
-func (mg *Manager) getIssued(ctx context.Context, iss issuedID, id platform.JobID) (Status, platform.Incarnation, error) {
+func (mg *Manager) getIssued(ctx context.Context, iss issuedID, id ids.JobID) (Status, ids.Incarnation, error) {
 	if iss.owner == mg.session().inc {
 		return Status{}, "", unknownJob(id)
 	}
@@ -293,7 +293,7 @@
 
 // ended tells whether the process of an incarnation is proved to have ended,
 // and with it what it knew without the table.
-func (mg *Manager) ended(inc platform.Incarnation) bool {
+func (mg *Manager) ended(inc ids.Incarnation) bool {
 	snap := mg.opt.Members.Load()
 	if snap == nil {
 		return false
@@ -304,7 +304,7 @@
 
 // failIssued records that a job failed because the only entry that could have
 // started it is gone.
-func (mg *Manager) failIssued(ctx context.Context, iss issuedID, id platform.JobID) (Status, platform.Incarnation, error) {
+func (mg *Manager) failIssued(ctx context.Context, iss issuedID, id ids.JobID) (Status, ids.Incarnation, error) {
 	se := mg.session()
 	if _, err := mg.fence(ctx, iss.owner, se.inc); err != nil {
 		return Status{}, "", unknownOutcome("table-unavailable", err.Error())
@@ -321,7 +321,7 @@
 const reasonIssuerGone = "the entry that issued the id is gone"
 
 // readRow turns a job row into a status, with results from the object store.
-func (mg *Manager) readRow(ctx context.Context, id platform.JobID, raw []byte) (Status, jobRow, error) {
+func (mg *Manager) readRow(ctx context.Context, id ids.JobID, raw []byte) (Status, jobRow, error) {
 	var jr jobRow
 	if err := json.Unmarshal(raw, &jr); err != nil {
 		return Status{}, jr, fmt.Errorf("decode the row of job %s: %w", id, err)
@@ -330,7 +330,7 @@
 	return status, jr, err
 }
 
-func (mg *Manager) statusOfRow(ctx context.Context, id platform.JobID, jr *jobRow) (Status, error) {
+func (mg *Manager) statusOfRow(ctx context.Context, id ids.JobID, jr *jobRow) (Status, error) {
 	status := Status{ID: id, State: jr.State, Reason: jr.Reason, Results: slices.Clone(jr.Results), Failures: jr.Failures}
 	for _, task := range jr.Objects {
 		raw, err := mg.opt.Objects.Get(ctx, resultKey(id, task))
@@ -344,7 +344,7 @@
 
 // Wait returns the state of a job, after up to wait when it is not final. The
 // request is held at the owner of the job.
-func (mg *Manager) Wait(ctx context.Context, id platform.JobID, wait time.Duration) (Status, error) {
+func (mg *Manager) Wait(ctx context.Context, id ids.JobID, wait time.Duration) (Status, error) {
 	// A job between two owners is looked up again after this time.
 	const recheck = 100 * time.Millisecond
 	deadline := time.Now().Add(wait)
@@ -385,7 +385,7 @@
 
 // Cancel fails a job unless it has been decided. It returns the final state:
 // the cancellation has lost when that is complete.
-func (mg *Manager) Cancel(ctx context.Context, id platform.JobID) (Status, error) {
+func (mg *Manager) Cancel(ctx context.Context, id ids.JobID) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for began := time.Now(); ctx.Err() == nil; {
@@ -412,7 +412,7 @@
 }
 
 // silent tells whether an incarnation has ended or does not answer.
-func (mg *Manager) silent(inc platform.Incarnation) bool {
+func (mg *Manager) silent(inc ids.Incarnation) bool {
 	snap := mg.opt.Members.Load()
 	if snap == nil {
 		return false
@@ -421,7 +421,7 @@
 	return suspect || mg.ended(inc)
 }
 
-func (mg *Manager) cancelAtOwner(ctx context.Context, owner platform.Incarnation, id platform.JobID) (Status, bool) {
+func (mg *Manager) cancelAtOwner(ctx context.Context, owner ids.Incarnation, id ids.JobID) (Status, bool) {
 	addr, ok := mg.addressOf(owner)
 	if !ok {
 		return Status{}, false
@@ -436,7 +436,7 @@
 
 // cancelRow changes the row of a job whose owner does not answer. When the
 // owner lives, its own decision meets a conflict, and its tasks go on until then.
-func (mg *Manager) cancelRow(ctx context.Context, id platform.JobID) (Status, bool) {
+func (mg *Manager) cancelRow(ctx context.Context, id ids.JobID) (Status, bool) {
 	row, err := mg.opt.Rows.Get(ctx, jobKey(id))
 	var jr jobRow
 	if err != nil || json.Unmarshal(row.Value, &jr) != nil || jr.State != StateRunning {
--- a/internal/job/peers.go
+++ b/internal/job/peers.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
 // PeerName is the name that the methods of a PeerService are registered under.
@@ -14,7 +14,7 @@
 
 // PeerArgs are the arguments of the methods of a PeerService.
 type PeerArgs struct {
-	ID platform.JobID
+	ID ids.JobID
 	// Body is the submission as JSON.
 	Body []byte
 	Wait time.Duration
@@ -25,7 +25,7 @@
 	// Found tells whether the called entry owns the job.
 	Found bool
 	// Session is the present session of the called entry.
-	Session platform.Incarnation
+	Session ids.Incarnation
 	// Status is the state of the job as JSON.
 	Status []byte
 	Err    *outcome.Error
@@ -123,7 +123,7 @@
 }
 
 // addressOf returns the address of a live entry by one of its sessions.
-func (mg *Manager) addressOf(inc platform.Incarnation) (string, bool) {
+func (mg *Manager) addressOf(inc ids.Incarnation) (string, bool) {
 	snap := mg.opt.Members.Load()
 	if snap == nil || inc == "" || mg.opt.Peers == nil {
 		return "", false
@@ -135,7 +135,7 @@
 
 // holdAtOwner waits for a job at its owner and returns its state there. It
 // reports false when the owner does not hold the job.
-func (mg *Manager) holdAtOwner(ctx context.Context, owner platform.Incarnation, id platform.JobID, left time.Duration) (Status, bool, error) {
+func (mg *Manager) holdAtOwner(ctx context.Context, owner ids.Incarnation, id ids.JobID, left time.Duration) (Status, bool, error) {
 	addr, ok := mg.addressOf(owner)
 	if !ok {
 		return Status{}, false, nil
@@ -149,7 +149,7 @@
 }
 
 // askPeers looks a job up at the live entries, for use without the table.
-func (mg *Manager) askPeers(ctx context.Context, id platform.JobID) (Status, bool) {
+func (mg *Manager) askPeers(ctx context.Context, id ids.JobID) (Status, bool) {
 	snap := mg.opt.Members.Load()
 	if snap == nil || mg.opt.Peers == nil {
 		return Status{}, false
--- a/internal/job/route.go
+++ b/internal/job/route.go
@@ -10,9 +10,9 @@
 	"github.com/google/uuid"
 
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
 )
 
@@ -97,7 +97,7 @@
 const combinerSeed = "combine table writes"
 
 // score ranks entries for a task that one of them does (rendezvous hashing).
-func score(task string, id platform.EntryID) uint64 {
+func score(task string, id ids.EntryID) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(task + " " + string(id)))
 	return hash.Sum64()
--- a/internal/job/rows.go
+++ b/internal/job/rows.go
@@ -8,8 +8,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
 	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
@@ -17,23 +17,23 @@
 
 // jobRow is the value of job/<job-id>.
 type jobRow struct {
-	Owner    platform.Incarnation `json:"owner"`
-	Token    string               `json:"token,omitempty"`
-	State    State                `json:"state"`
-	Reason   string               `json:"reason,omitempty"`
-	Results  []json.RawMessage    `json:"results,omitempty"`
-	Objects  []int                `json:"objects,omitempty"` // tasks whose results are in the object store
-	Failures []TaskFailure        `json:"failures,omitempty"`
+	Owner    ids.Incarnation   `json:"owner"`
+	Token    string            `json:"token,omitempty"`
+	State    State             `json:"state"`
+	Reason   string            `json:"reason,omitempty"`
+	Results  []json.RawMessage `json:"results,omitempty"`
+	Objects  []int             `json:"objects,omitempty"` // tasks whose results are in the object store
+	Failures []TaskFailure     `json:"failures,omitempty"`
 }
 
 // logRow is the value of log/<incarnation>/<seq>: what one group commit adds
 // beside the job rows.
 type logRow struct {
-	Token    string                       `json:"token"`
-	Admitted []admission                  `json:"admitted,omitempty"`
-	Workers  map[platform.WorkerID]string `json:"workers,omitempty"` // addresses
-	Intents  []intent                     `json:"intents,omitempty"`
-	Decided  []decision                   `json:"decided,omitempty"`
+	Token    string                  `json:"token"`
+	Admitted []admission             `json:"admitted,omitempty"`
+	Workers  map[ids.WorkerID]string `json:"workers,omitempty"` // addresses
+	Intents  []intent                `json:"intents,omitempty"`
+	Decided  []decision              `json:"decided,omitempty"`
 }
 
 // admission is the body of a job, with the intents of earlier owners.
@@ -44,8 +44,8 @@
 
 // intent says that tasks of a job may be sent to a worker.
 type intent struct {
-	Job    platform.JobID    `json:"job,omitempty"`
-	Worker platform.WorkerID `json:"worker"`
+	Job    ids.JobID    `json:"job,omitempty"`
+	Worker ids.WorkerID `json:"worker"`
 	// Address is set in admissions; other intents find it in logRow.Workers.
 	Address string `json:"address,omitempty"`
 	Tasks   []int  `json:"tasks"`
@@ -53,13 +53,13 @@
 
 // decision names a job that was decided, and its objects.
 type decision struct {
-	Job     platform.JobID `json:"job"`
-	Objects []int          `json:"objects,omitempty"`
+	Job     ids.JobID `json:"job"`
+	Objects []int     `json:"objects,omitempty"`
 }
 
 // fenceRow is the value of fence/<incarnation>.
 type fenceRow struct {
-	By platform.Incarnation `json:"by"`
+	By ids.Incarnation `json:"by"`
 }
 
 const (
@@ -68,28 +68,28 @@
 	afterSeqs = ":"
 )
 
-func jobKey(id platform.JobID) string          { return "job/" + string(id) }
-func fenceKey(inc platform.Incarnation) string { return "fence/" + string(inc) }
+func jobKey(id ids.JobID) string          { return "job/" + string(id) }
+func fenceKey(inc ids.Incarnation) string { return "fence/" + string(inc) }
 
-func logKey(inc platform.Incarnation, seq int64) string {
+func logKey(inc ids.Incarnation, seq int64) string {
 	return fmt.Sprintf("%s%s/%012d", logPrefix, inc, seq)
 }
 
 // logOwner returns the incarnation in the key of a log row.
-func logOwner(key string) platform.Incarnation {
+func logOwner(key string) ids.Incarnation {
 	key = strings.TrimPrefix(key, logPrefix)
-	return platform.Incarnation(key[:max(0, strings.LastIndexByte(key, '/'))])
+	return ids.Incarnation(key[:max(0, strings.LastIndexByte(key, '/'))])
 }
 
-func resultKey(id platform.JobID, task int) string {
+func resultKey(id ids.JobID, task int) string {
 	return fmt.Sprintf("result/%s/%d", id, task)
 }
 
-func taskID(id platform.JobID, index int) worker.TaskID {
+func taskID(id ids.JobID, index int) worker.TaskID {
 	return worker.TaskID(fmt.Sprintf("%s/%d", id, index))
 }
 
-func splitTask(task worker.TaskID) (platform.JobID, int, bool) {
+func splitTask(task worker.TaskID) (ids.JobID, int, bool) {
 	var index int
 	cut := strings.LastIndexByte(string(task), '/')
 	if cut < 0 {
@@ -98,7 +98,7 @@
 	if _, err := fmt.Sscanf(string(task[cut+1:]), "%d", &index); err != nil {
 		return "", 0, false
 	}
-	return platform.JobID(task[:cut]), index, true
+	return ids.JobID(task[:cut]), index, true
 }
 
 // record is what one step of a job adds to a group commit.
@@ -142,8 +142,8 @@
 func encodeLog(token string, recs []*record) ([]byte, error) {
 	row := logRow{Token: token}
 	type pair struct {
-		job platform.JobID
-		wk  platform.WorkerID
+		job ids.JobID
+		wk  ids.WorkerID
 	}
 	index := map[pair]int{}
 	for _, rec := range recs {
@@ -155,7 +155,7 @@
 		}
 		if rec.place.Worker != "" {
 			if row.Workers == nil {
-				row.Workers = map[platform.WorkerID]string{}
+				row.Workers = map[ids.WorkerID]string{}
 			}
 			row.Workers[rec.place.Worker] = rec.place.Address
 		}
--- a/internal/job/session.go
+++ b/internal/job/session.go
@@ -12,8 +12,8 @@
 	"github.com/google/uuid"
 
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
@@ -23,14 +23,14 @@
 // meets its fence.
 type session struct {
 	mg    *Manager
-	inc   platform.Incarnation
+	inc   ids.Incarnation
 	began time.Time
 	com   *groupcommit.Committer[*record]
 	grp   *group.Group
 
 	mu      sync.Mutex
 	dropped bool
-	jobs    map[platform.JobID]*ownedJob
+	jobs    map[ids.JobID]*ownedJob
 	bytes   int // bodies and results of the jobs
 	logs    map[string]*logInfo
 	recent  recentRows
@@ -95,7 +95,7 @@
 		inc:   sessionName(mg.opt.Incarnation, num),
 		began: time.Now(),
 		grp:   group.New(context.Background()),
-		jobs:  map[platform.JobID]*ownedJob{},
+		jobs:  map[ids.JobID]*ownedJob{},
 		logs:  map[string]*logInfo{},
 
 		outage: make(chan struct{}),
@@ -133,7 +133,7 @@
 	se.mu.Lock()
 	se.dropped = true
 	jobs := se.jobs
-	se.jobs = map[platform.JobID]*ownedJob{}
+	se.jobs = map[ids.JobID]*ownedJob{}
 	var waiting []worker.TaskID
 	for _, oj := range jobs {
 		waiting = append(waiting, oj.unsent()...)
@@ -185,7 +185,7 @@
 }
 
 // find returns a job that was admitted.
-func (se *session) find(id platform.JobID) *ownedJob {
+func (se *session) find(id ids.JobID) *ownedJob {
 	se.mu.Lock()
 	defer se.mu.Unlock()
 	if oj := se.jobs[id]; oj != nil && oj.isAdmitted() {
@@ -287,7 +287,7 @@
 	return oj, &ticket, nil
 }
 
-func (se *session) lookUp(id platform.JobID) *ownedJob {
+func (se *session) lookUp(id ids.JobID) *ownedJob {
 	se.mu.Lock()
 	defer se.mu.Unlock()
 	return se.jobs[id]
--- a/internal/job/takeover.go
+++ b/internal/job/takeover.go
@@ -13,8 +13,8 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
 	"github.com/oleanderwall/oleanderwall/pkg/groupcommit"
@@ -45,13 +45,13 @@
 	seen memberCount
 	next time.Time
 	// since is when an incarnation was first seen to be due.
-	since map[platform.Incarnation]time.Time
+	since map[ids.Incarnation]time.Time
 	// done holds the incarnations that a session of this manager has taken over.
-	done map[platform.Incarnation]*session
+	done map[ids.Incarnation]*session
 }
 
 func newScanState() scanState {
-	return scanState{since: map[platform.Incarnation]time.Time{}, done: map[platform.Incarnation]*session{}}
+	return scanState{since: map[ids.Incarnation]time.Time{}, done: map[ids.Incarnation]*session{}}
 }
 
 // memberCount changes when an entry becomes alive, suspect or gone, and not with
@@ -106,8 +106,8 @@
 
 // logOwners returns every incarnation that has log rows. It reads one row for
 // each.
-func (mg *Manager) logOwners(ctx context.Context) (map[platform.Incarnation]bool, error) {
-	out := map[platform.Incarnation]bool{}
+func (mg *Manager) logOwners(ctx context.Context) (map[ids.Incarnation]bool, error) {
+	out := map[ids.Incarnation]bool{}
 	after := ""
 	for {
 		rows, err := mg.opt.Rows.List(ctx, logPrefix, after, 1)
@@ -121,7 +121,7 @@
 }
 
 // due tells whether it is the turn of this entry to take over an incarnation.
-func (mg *Manager) due(inc platform.Incarnation, snap *blackboard.Members) bool {
+func (mg *Manager) due(inc ids.Incarnation, snap *blackboard.Members) bool {
 	sc := &mg.scan
 	wait, ok := mg.waitFor(inc, snap)
 	if !ok {
@@ -145,7 +145,7 @@
 
 // waitFor returns how long to wait before taking over an incarnation, or false
 // when its process lives.
-func (mg *Manager) waitFor(inc platform.Incarnation, snap *blackboard.Members) (time.Duration, bool) {
+func (mg *Manager) waitFor(inc ids.Incarnation, snap *blackboard.Members) (time.Duration, bool) {
 	base := processOf(inc)
 	if base.Entry() == mg.opt.Incarnation.Entry() {
 		// An earlier session of this process, or an earlier process under the
@@ -168,7 +168,7 @@
 }
 
 // rank orders the live entries for a takeover.
-func (mg *Manager) rank(inc platform.Incarnation, snap *blackboard.Members) int {
+func (mg *Manager) rank(inc ids.Incarnation, snap *blackboard.Members) int {
 	own := score(string(inc), mg.opt.Incarnation.Entry())
 	rank := 0
 	if snap != nil {
@@ -183,7 +183,7 @@
 
 // fence forbids every further commit of an incarnation. It returns the entry
 // that wrote the fence, which may be another one.
-func (mg *Manager) fence(ctx context.Context, inc, by platform.Incarnation) (platform.Incarnation, error) {
+func (mg *Manager) fence(ctx context.Context, inc, by ids.Incarnation) (ids.Incarnation, error) {
 	// Most fences are met again at every scan; a read costs less than a write.
 	row, err := mg.opt.Rows.Get(ctx, fenceKey(inc))
 	if err == nil && row.Version != table.Absent {
@@ -212,7 +212,7 @@
 // takeOver fences an incarnation and adopts its jobs. It reports false when
 // another live entry does that, or when it has to be tried again. Two entries
 // may do it at once: each job is adopted by a conditional change of its row.
-func (mg *Manager) takeOver(ctx context.Context, se *session, inc platform.Incarnation) bool {
+func (mg *Manager) takeOver(ctx context.Context, se *session, inc ids.Incarnation) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Minute)
 	defer cancel()
 	by, err := mg.fence(ctx, inc, se.inc)
@@ -243,7 +243,7 @@
 }
 
 // logRows reads the log of an incarnation in the order of its commits.
-func (mg *Manager) logRows(ctx context.Context, inc platform.Incarnation) ([]logEntry, error) {
+func (mg *Manager) logRows(ctx context.Context, inc ids.Incarnation) ([]logEntry, error) {
 	var out []logEntry
 	prefix := logPrefix + string(inc) + "/"
 	after := ""
@@ -280,12 +280,12 @@
 }
 
 // orphans collects the jobs that the log does not show as decided.
-func orphans(rows []logEntry) map[platform.JobID]*orphan {
-	out := map[platform.JobID]*orphan{}
+func orphans(rows []logEntry) map[ids.JobID]*orphan {
+	out := map[ids.JobID]*orphan{}
 	for _, le := range rows {
 		for _, ad := range le.row.Admitted {
 			var head struct {
-				ID platform.JobID `json:"id"`
+				ID ids.JobID `json:"id"`
 			}
 			if json.Unmarshal(ad.Job, &head) != nil {
 				continue
--- a/internal/job/world_test.go
+++ b/internal/job/world_test.go
@@ -17,8 +17,8 @@
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/objects"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/table"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
@@ -207,7 +207,7 @@
 	return nil
 }
 
-func (no *node) Query(_ context.Context, _ platform.WorkerID, id worker.TaskID) (worker.Report, bool, error) {
+func (no *node) Query(_ context.Context, _ ids.WorkerID, id worker.TaskID) (worker.Report, bool, error) {
 	no.fl.mu.Lock()
 	defer no.fl.mu.Unlock()
 	return no.fl.report(id), no.fl.starts[id] > 0, nil
@@ -265,7 +265,7 @@
 // connect makes the entries know and reach each other.
 func (wo *world) connect() {
 	for i, no := range wo.nodes {
-		alive := map[platform.EntryID]blackboard.Member{}
+		alive := map[ids.EntryID]blackboard.Member{}
 		for k, other := range wo.nodes {
 			if k != i {
 				inc := other.mg.opt.Incarnation
@@ -316,7 +316,7 @@
 			Scheduler:   no,
 			Traffic:     no,
 			Counters:    counter.New(),
-			Incarnation: platform.NewIncarnation(platform.EntryID(fmt.Sprintf("entry-%d", i))),
+			Incarnation: ids.NewIncarnation(ids.EntryID(fmt.Sprintf("entry-%d", i))),
 			Log:         zerolog.Nop(),
 		})
 		wo.nodes = append(wo.nodes, no)
@@ -342,13 +342,13 @@
 
 // gone tells the entry that another one has ended.
 func (no *node) gone(other *node) {
-	no.members.Publish(&blackboard.Members{Gone: map[platform.Incarnation]blackboard.GoneReason{
+	no.members.Publish(&blackboard.Members{Gone: map[ids.Incarnation]blackboard.GoneReason{
 		other.mg.opt.Incarnation: blackboard.GoneUnlisted,
 	}})
 }
 
 func submission(id string, tasks int) Submission {
-	return Submission{ID: platform.JobID(id), Tasks: make([]TaskSpec, tasks)}
+	return Submission{ID: ids.JobID(id), Tasks: make([]TaskSpec, tasks)}
 }
 
 // overstarted names a task that was started more than once.
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -16,7 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oleanderwall/oleanderwall/internal/entry"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/settings"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 )
@@ -25,7 +25,7 @@
 type Options struct {
 	Fleet *standin.Fleet
 	// Zones lists the availability zone of each entry.
-	Zones []platform.AvailabilityZone
+	Zones []ids.AvailabilityZone
 	// Sizes lists the relative size of each entry; 1 for those left out.
 	Sizes []int
 	// Lag is how long the list of VMs takes to show the entries.
@@ -39,7 +39,7 @@
 // Start starts the entries, lists their VMs, and waits until all are ready.
 func Start(opt Options) (Entries, error) {
 	var ens Entries
-	var vms []platform.VM
+	var vms []ids.VM
 	for i := range opt.Zones {
 		en, vm, err := build(opt, i)
 		if err != nil {
@@ -49,7 +49,7 @@
 		ens = append(ens, en)
 		vms = append(vms, vm)
 	}
-	opt.Fleet.VMs.Change(func(list []platform.VM) []platform.VM { return append(list, vms...) })
+	opt.Fleet.VMs.Change(func(list []ids.VM) []ids.VM { return append(list, vms...) })
 	time.Sleep(opt.Lag)
 	for _, en := range ens {
 		en.Start()
@@ -61,10 +61,10 @@
 	return ens, nil
 }
 
-func build(opt Options, i int) (*entry.Entry, platform.VM, error) {
+func build(opt Options, i int) (*entry.Entry, ids.VM, error) {
 	const freePort = "127.0.0.1:0"
 	set := settings.Default()
-	set.EntryID = platform.EntryID(fmt.Sprintf("entry-%d", i+1))
+	set.EntryID = ids.EntryID(fmt.Sprintf("entry-%d", i+1))
 	set.AvailabilityZone = opt.Zones[i]
 	set.Region = "region-1"
 	if i < len(opt.Sizes) {
@@ -79,12 +79,12 @@
 	set.Timing.BalancerNotice = settings.NewDuration(0)
 	en, err := entry.New(set, opt.Log)
 	if err != nil {
-		return nil, platform.VM{}, err
+		return nil, ids.VM{}, err
 	}
-	return en, platform.VM{
+	return en, ids.VM{
 		ID:               string(set.EntryID),
-		Kind:             platform.KindEntry,
-		State:            platform.StateLive,
+		Kind:             ids.KindEntry,
+		State:            ids.StateLive,
 		Address:          en.CallerAddress(),
 		PeerAddress:      en.PeerAddress(),
 		Region:           set.Region,
--- a/internal/operator/members.go
+++ b/internal/operator/members.go
@@ -6,7 +6,7 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // MemberState tells what this entry knows about another one.
@@ -21,13 +21,13 @@
 
 // Member is another entry as this entry sees it.
 type Member struct {
-	EntryID          platform.EntryID          `json:"entry-id"`
-	Incarnation      platform.Incarnation      `json:"incarnation"`
-	AvailabilityZone platform.AvailabilityZone `json:"availability-zone,omitempty"`
-	State            MemberState               `json:"state"`
-	GoneReason       blackboard.GoneReason     `json:"gone-reason,omitempty"`
-	Configuration    configuration.Number      `json:"configuration-number"`
-	LastHeardMillis  int64                     `json:"last-heard-millis"`
+	EntryID          ids.EntryID           `json:"entry-id"`
+	Incarnation      ids.Incarnation       `json:"incarnation"`
+	AvailabilityZone ids.AvailabilityZone  `json:"availability-zone,omitempty"`
+	State            MemberState           `json:"state"`
+	GoneReason       blackboard.GoneReason `json:"gone-reason,omitempty"`
+	Configuration    configuration.Number  `json:"configuration-number"`
+	LastHeardMillis  int64                 `json:"last-heard-millis"`
 }
 
 // maxGoneShown bounds the status: an incarnation stays gone for weeks.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,9 +24,9 @@
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/pkg/versioned"
 )
 
@@ -55,9 +55,9 @@
 	Follower    Follower
 	Lifecycle   Lifecycle
 	Counters    *counter.Set
-	EntryID     platform.EntryID
-	Incarnation platform.Incarnation
-	Zone        platform.AvailabilityZone
+	EntryID     ids.EntryID
+	Incarnation ids.Incarnation
+	Zone        ids.AvailabilityZone
 }
 
 // Handler serves operators.
@@ -72,17 +72,17 @@
 
 // Status is what an entry tells about itself.
 type Status struct {
-	EntryID          platform.EntryID          `json:"entry-id"`
-	Incarnation      platform.Incarnation      `json:"incarnation"`
-	AvailabilityZone platform.AvailabilityZone `json:"availability-zone"`
-	Ready            bool                      `json:"ready"`
-	NotReadyReason   string                    `json:"not-ready-reason,omitempty"`
-	Configuration    configuration.Number      `json:"configuration-number"`
-	Source           configuration.Source      `json:"configuration-source,omitempty"`
-	TableReachable   bool                      `json:"table-reachable"`
-	Targets          int                       `json:"targets"`
-	Workers          int                       `json:"workers"`
-	Members          []Member                  `json:"members"`
+	EntryID          ids.EntryID          `json:"entry-id"`
+	Incarnation      ids.Incarnation      `json:"incarnation"`
+	AvailabilityZone ids.AvailabilityZone `json:"availability-zone"`
+	Ready            bool                 `json:"ready"`
+	NotReadyReason   string               `json:"not-ready-reason,omitempty"`
+	Configuration    configuration.Number `json:"configuration-number"`
+	Source           configuration.Source `json:"configuration-source,omitempty"`
+	TableReachable   bool                 `json:"table-reachable"`
+	Targets          int                  `json:"targets"`
+	Workers          int                  `json:"workers"`
+	Members          []Member             `json:"members"`
 }
 
 // Accepted is the answer to an accepted patch.
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -10,7 +10,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // MembershipName is the name that the receiver of heartbeats is registered
@@ -20,8 +20,8 @@
 // Identity is what stays the same during an incarnation. It travels only until
 // the receiver knows it.
 type Identity struct {
-	AvailabilityZone platform.AvailabilityZone
-	Region           platform.RegionName
+	AvailabilityZone ids.AvailabilityZone
+	Region           ids.RegionName
 	Size             int
 	// ListenAddress is the address that the process itself listens on. Only a
 	// refusal at this address proves that the process has ended: the address
@@ -32,7 +32,7 @@
 // Beat is a heartbeat and the answer to one. The answer tells the caller as
 // much as the call tells the receiver, so one call serves both directions.
 type Beat struct {
-	Incarnation   platform.Incarnation
+	Incarnation   ids.Incarnation
 	Configuration configuration.Number
 	// Identity is nil once the other side knows it.
 	Identity *Identity
@@ -45,7 +45,7 @@
 
 // Leave tells that an incarnation has left gracefully.
 type Leave struct {
-	Incarnation platform.Incarnation
+	Incarnation ids.Incarnation
 }
 
 // Nothing is an empty answer.
@@ -113,7 +113,7 @@
 // probe opens a connection to the address that the incarnation itself listens
 // on. The kernel accepts for a process that is paused, and drops when its
 // backlog is full, so a refusal shows that no process listens there.
-func (me *Membership) probe(ctx context.Context, inc platform.Incarnation) {
+func (me *Membership) probe(ctx context.Context, inc ids.Incarnation) {
 	addr := me.probeAddress(inc)
 	if addr == "" {
 		return
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -12,7 +12,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 	"github.com/oleanderwall/oleanderwall/pkg/pausedetect"
 )
@@ -47,11 +47,11 @@
 
 	mu       sync.Mutex
 	contacts map[string]*contact
-	states   map[platform.Incarnation]*state
-	newest   map[platform.EntryID]*state // the incarnation last heard
-	stretch  time.Duration               // factor of the period between zones
-	gone     map[platform.Incarnation]blackboard.GoneReason
-	goneList []platform.Incarnation
+	states   map[ids.Incarnation]*state
+	newest   map[ids.EntryID]*state // the incarnation last heard
+	stretch  time.Duration          // factor of the period between zones
+	gone     map[ids.Incarnation]blackboard.GoneReason
+	goneList []ids.Incarnation
 	listed   map[listing]bool
 	fetched  time.Time
 	epoch    uint64
@@ -62,17 +62,17 @@
 
 // contact is an address at which a peer is called.
 type contact struct {
-	id       platform.EntryID // "" until known
+	id       ids.EntryID // "" until known
 	next     time.Time
 	busy     bool
-	known    platform.Incarnation // knows our identity
-	announce bool                 // call now, whichever side is to call
+	known    ids.Incarnation // knows our identity
+	announce bool            // call now, whichever side is to call
 	failures int
 }
 
 // listing is a VM at an address, as the VM list has shown it.
 type listing struct {
-	id   platform.EntryID
+	id   ids.EntryID
 	addr string
 }
 
@@ -122,10 +122,10 @@
 		opt:      opt,
 		grp:      group.New(context.Background()),
 		contacts: map[string]*contact{},
-		states:   map[platform.Incarnation]*state{},
-		newest:   map[platform.EntryID]*state{},
+		states:   map[ids.Incarnation]*state{},
+		newest:   map[ids.EntryID]*state{},
 		stretch:  1,
-		gone:     map[platform.Incarnation]blackboard.GoneReason{},
+		gone:     map[ids.Incarnation]blackboard.GoneReason{},
 		listed:   map[listing]bool{},
 		epoch:    opt.Pause.Epoch(),
 	}
@@ -249,7 +249,7 @@
 	me.fetched = vms.Fetched
 	shown := map[listing]bool{}
 	for _, vm := range vms.Entries {
-		id := platform.EntryID(vm.ID)
+		id := ids.EntryID(vm.ID)
 		if id == me.opt.Self.ID || vm.PeerAddress == "" {
 			continue
 		}
@@ -269,7 +269,7 @@
 	me.dropContacts(shown)
 }
 
-func (me *Membership) addContact(addr string, id platform.EntryID) {
+func (me *Membership) addContact(addr string, id ids.EntryID) {
 	if addr == me.opt.Self.PeerAddress {
 		return
 	}
@@ -290,7 +290,7 @@
 // incarnation is left, and addresses of the settings that name an entry which
 // the list shows under another address.
 func (me *Membership) dropContacts(shown map[listing]bool) {
-	ids := map[platform.EntryID]bool{}
+	ids := map[ids.EntryID]bool{}
 	addrs := map[string]bool{}
 	for row := range shown {
 		ids[row.id] = true
@@ -325,7 +325,7 @@
 }
 
 // period returns the time between heartbeats with the entry.
-func (me *Membership) period(id platform.EntryID) time.Duration {
+func (me *Membership) period(id ids.EntryID) time.Duration {
 	st := me.newest[id]
 	if st == nil || st.mem.AvailabilityZone == me.opt.Self.AvailabilityZone {
 		return me.opt.Interval
@@ -508,7 +508,7 @@
 }
 
 // failed notes a failed call and returns the incarnations to probe.
-func (me *Membership) failed(addr string) []platform.Incarnation {
+func (me *Membership) failed(addr string) []ids.Incarnation {
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	co := me.contacts[addr]
@@ -517,7 +517,7 @@
 	}
 	co.known = ""
 	co.failures++
-	var out []platform.Incarnation
+	var out []ids.Incarnation
 	for inc, st := range me.states {
 		if st.mem.PeerAddress == addr {
 			out = append(out, inc)
@@ -526,7 +526,7 @@
 	return out
 }
 
-func (me *Membership) probeAddress(inc platform.Incarnation) string {
+func (me *Membership) probeAddress(inc ids.Incarnation) string {
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	st := me.states[inc]
@@ -538,7 +538,7 @@
 
 // probed notes the result of a probe that began at a time. Two refusals in a
 // row, with no sign of life since before the first, are a proof.
-func (me *Membership) probed(inc platform.Incarnation, began time.Time, refused bool) {
+func (me *Membership) probed(inc ids.Incarnation, began time.Time, refused bool) {
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	st := me.states[inc]
@@ -555,7 +555,7 @@
 	}
 }
 
-func (me *Membership) left(inc platform.Incarnation) {
+func (me *Membership) left(inc ids.Incarnation) {
 	me.mu.Lock()
 	defer me.mu.Unlock()
 	me.end(inc, blackboard.GoneLeft)
@@ -581,7 +581,7 @@
 
 // end records the proof that an incarnation has ended. The caller holds the
 // lock.
-func (me *Membership) end(inc platform.Incarnation, reason blackboard.GoneReason) {
+func (me *Membership) end(inc ids.Incarnation, reason blackboard.GoneReason) {
 	if _, ok := me.gone[inc]; ok {
 		return
 	}
@@ -615,8 +615,8 @@
 
 func (me *Membership) snapshot() *blackboard.Members {
 	out := &blackboard.Members{
-		Alive:   map[platform.EntryID]blackboard.Member{},
-		Suspect: map[platform.EntryID]blackboard.Member{},
+		Alive:   map[ids.EntryID]blackboard.Member{},
+		Suspect: map[ids.EntryID]blackboard.Member{},
 		Gone:    me.gone,
 	}
 	for _, st := range me.states {
--- a/internal/peer/membership_test.go
+++ b/internal/peer/membership_test.go
@@ -12,7 +12,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/pausedetect"
 )
 
@@ -20,13 +20,13 @@
 
 // node is the membership part of one entry.
 type node struct {
-	id    platform.EntryID
+	id    ids.EntryID
 	board *blackboard.Board
 	srv   *Server
 	pool  *Pool
 	me    *Membership
 	cnt   *counter.Set
-	inc   platform.Incarnation
+	inc   ids.Incarnation
 	ended bool
 }
 
@@ -37,12 +37,12 @@
 		tb.Fatal(err)
 	}
 	nd := &node{
-		id:    platform.EntryID(id),
+		id:    ids.EntryID(id),
 		board: &blackboard.Board{},
 		srv:   srv,
 		pool:  NewPool(),
 		cnt:   counter.New(),
-		inc:   platform.NewIncarnation(platform.EntryID(id)),
+		inc:   ids.NewIncarnation(ids.EntryID(id)),
 	}
 	det := pausedetect.New(10 * time.Second)
 	nd.me, err = NewMembership(MembershipOptions{
@@ -52,7 +52,7 @@
 		Self: blackboard.Member{
 			ID:               nd.id,
 			Incarnation:      nd.inc,
-			AvailabilityZone: platform.AvailabilityZone(zone),
+			AvailabilityZone: ids.AvailabilityZone(zone),
 			PeerAddress:      srv.Address(),
 			Size:             1,
 		},
@@ -83,12 +83,12 @@
 	}
 }
 
-func (nd *node) list(vms ...platform.VM) {
+func (nd *node) list(vms ...ids.VM) {
 	nd.board.VMs.Publish(&blackboard.VMs{Fetched: time.Now(), Entries: vms})
 }
 
-func listed(id platform.EntryID, addr string) platform.VM {
-	return platform.VM{ID: string(id), Kind: platform.KindEntry, PeerAddress: addr}
+func listed(id ids.EntryID, addr string) ids.VM {
+	return ids.VM{ID: string(id), Kind: ids.KindEntry, PeerAddress: addr}
 }
 
 func eventually(tb testing.TB, bound time.Duration, what string, done func() bool) {
@@ -101,17 +101,17 @@
 	tb.Fatalf("waited %s for: %s", bound, what)
 }
 
-func (nd *node) alive(id platform.EntryID) bool {
+func (nd *node) alive(id ids.EntryID) bool {
 	_, ok := nd.board.Members.Load().Alive[id]
 	return ok
 }
 
-func (nd *node) suspect(id platform.EntryID) bool {
+func (nd *node) suspect(id ids.EntryID) bool {
 	_, ok := nd.board.Members.Load().Suspect[id]
 	return ok
 }
 
-func (nd *node) gone(inc platform.Incarnation) blackboard.GoneReason {
+func (nd *node) gone(inc ids.Incarnation) blackboard.GoneReason {
 	return nd.board.Members.Load().Gone[inc]
 }
 
@@ -131,7 +131,7 @@
 	a = startNode(t, "entry-a", "north", "127.0.0.1:0", testInterval)
 	b = startNode(t, "entry-b", "south", "127.0.0.1:0", testInterval)
 	toA, toB = newTestProxy(t, a.srv.Address()), newTestProxy(t, b.srv.Address())
-	vms := []platform.VM{listed(a.id, toA.Address()), listed(b.id, toB.Address())}
+	vms := []ids.VM{listed(a.id, toA.Address()), listed(b.id, toB.Address())}
 	a.list(vms...)
 	b.list(vms...)
 	eventually(t, 5*time.Second, "both see each other", func() bool { return a.alive(b.id) && b.alive(a.id) })
@@ -273,7 +273,7 @@
 func TestLateHeartbeatReplacesNobody(t *testing.T) {
 	t.Parallel()
 	a, b, _, _ := pair(t)
-	late := Beat{Incarnation: platform.NewIncarnation(b.id), Identity: &Identity{AvailabilityZone: "south", Size: 1}}
+	late := Beat{Incarnation: ids.NewIncarnation(b.id), Identity: &Identity{AvailabilityZone: "south", Size: 1}}
 	a.me.received(&late)
 	time.Sleep(5 * testInterval)
 	if a.gone(b.inc) != "" {
@@ -291,7 +291,7 @@
 	for _, size := range []int{7, 21, 49} {
 		b.Run(fmt.Sprintf("entries=%d", size), func(b *testing.B) {
 			var nodes []*node
-			var vms []platform.VM
+			var vms []ids.VM
 			for i := range size {
 				nd := startNode(b, fmt.Sprintf("entry-%02d", i), fmt.Sprintf("zone-%d", i%zones), "127.0.0.1:0", 500*time.Millisecond)
 				nodes = append(nodes, nd)
--- a/internal/peer/vms.go
+++ b/internal/peer/vms.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // VMsName is the name that the receiver of fetches of the list of VMs is
@@ -52,7 +52,7 @@
 var ErrNoPeerList = errors.New("no reachable peer holds a list of VMs; check the platform's list and the peers in the settings")
 
 // Fetch returns the list of the first peer that has one.
-func (vp VMPeers) Fetch(ctx context.Context) ([]platform.VM, error) {
+func (vp VMPeers) Fetch(ctx context.Context) ([]ids.VM, error) {
 	const timeout = 500 * time.Millisecond
 	for _, addr := range vp.Members.Addresses() {
 		vms, err := vp.fetchFrom(ctx, addr, timeout)
@@ -66,14 +66,14 @@
 	return nil, ErrNoPeerList
 }
 
-func (vp VMPeers) fetchFrom(ctx context.Context, addr string, timeout time.Duration) ([]platform.VM, error) {
+func (vp VMPeers) fetchFrom(ctx context.Context, addr string, timeout time.Duration) ([]ids.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply VMsReply
 	if err := vp.Pool.Call(ctx, addr, VMsName+".Fetch", &Nothing{}, &reply); err != nil || len(reply.List) == 0 {
 		return nil, err
 	}
-	var vms []platform.VM
+	var vms []ids.VM
 	if err := json.Unmarshal(reply.List, &vms); err != nil {
 		return nil, fmt.Errorf("decode the list of VMs from %s: %w", addr, err)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,20 +28,20 @@
 	"github.com/goccy/go-yaml/parser"
 	"github.com/rs/zerolog"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // Settings are the settings of one entry process.
 type Settings struct {
-	EntryID          platform.EntryID          `yaml:"entry-id"`
-	Region           platform.RegionName       `yaml:"region"`
-	AvailabilityZone platform.AvailabilityZone `yaml:"availability-zone"`
-	Size             int                       `yaml:"size"`
-	Listen           Listen                    `yaml:"listen"`
-	Platform         Platform                  `yaml:"platform"`
-	Peers            []string                  `yaml:"peers"`
-	LogLevel         string                    `yaml:"log-level"`
-	Timing           Timing                    `yaml:"timing"`
+	EntryID          ids.EntryID          `yaml:"entry-id"`
+	Region           ids.RegionName       `yaml:"region"`
+	AvailabilityZone ids.AvailabilityZone `yaml:"availability-zone"`
+	Size             int                  `yaml:"size"`
+	Listen           Listen               `yaml:"listen"`
+	Platform         Platform             `yaml:"platform"`
+	Peers            []string             `yaml:"peers"`
+	LogLevel         string               `yaml:"log-level"`
+	Timing           Timing               `yaml:"timing"`
 }
 
 // Listen holds the addresses that the process listens on.
--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/vmlist"
 )
 
@@ -107,8 +107,8 @@
 	return func() (http.Handler, error) {
 		return NewWorker(WorkerOptions{
 			ID:           *id,
-			Processors:   platform.Cores(*processors),
-			Memory:       platform.Megabytes(*memory),
+			Processors:   ids.Cores(*processors),
+			Memory:       ids.Megabytes(*memory),
 			Accelerators: *accelerators,
 			UsageLag:     *lag,
 		}), nil
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -4,23 +4,23 @@
 	"fmt"
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // FleetOptions describe a whole platform in one process.
 type FleetOptions struct {
 	Table   TableOptions
 	VMLag   time.Duration
-	Service platform.ServiceName
-	Zones   []platform.AvailabilityZone
+	Service ids.ServiceName
+	Zones   []ids.AvailabilityZone
 	// Targets and Workers are spread over the zones in turn.
 	Targets       int
 	Slots         int
 	Connections   int
 	TargetSpeed   func(i int) float64
 	Workers       int
-	WorkerCores   platform.Cores
-	WorkerMemory  platform.Megabytes
+	WorkerCores   ids.Cores
+	WorkerMemory  ids.Megabytes
 	Accelerators  int
 	WorkersInRack int
 	UsageLag      time.Duration
@@ -71,7 +71,7 @@
 	if fl.VMServer, err = fl.keep(Serve(loopback, fl.VMs)); err != nil {
 		return err
 	}
-	var vms []platform.VM
+	var vms []ids.VM
 	for i := range opt.Targets {
 		vm, err := fl.startTarget(opt, i)
 		if err != nil {
@@ -97,7 +97,7 @@
 	return srv, err
 }
 
-func (fl *Fleet) startTarget(opt FleetOptions, i int) (platform.VM, error) {
+func (fl *Fleet) startTarget(opt FleetOptions, i int) (ids.VM, error) {
 	speed := 1.0
 	if opt.TargetSpeed != nil {
 		speed = opt.TargetSpeed(i)
@@ -106,21 +106,21 @@
 	ta := NewTarget(TargetOptions{ID: id, Slots: opt.Slots, Connections: opt.Connections, Speed: speed})
 	srv, err := fl.keep(ServeTarget(loopback, ta))
 	if err != nil {
-		return platform.VM{}, err
+		return ids.VM{}, err
 	}
 	fl.Targets = append(fl.Targets, ta)
 	fl.TargetServers = append(fl.TargetServers, srv)
-	return platform.VM{
+	return ids.VM{
 		ID:               id,
-		Kind:             platform.KindTarget,
-		State:            platform.StateLive,
+		Kind:             ids.KindTarget,
+		State:            ids.StateLive,
 		Address:          srv.Address(),
 		AvailabilityZone: opt.Zones[i%len(opt.Zones)],
 		Service:          opt.Service,
 	}, nil
 }
 
-func (fl *Fleet) startWorker(opt FleetOptions, i int) (platform.VM, error) {
+func (fl *Fleet) startWorker(opt FleetOptions, i int) (ids.VM, error) {
 	id := fmt.Sprintf("worker-%d", i)
 	wk := NewWorker(WorkerOptions{
 		ID:           id,
@@ -131,17 +131,17 @@
 	})
 	srv, err := fl.keep(Serve(loopback, wk))
 	if err != nil {
-		return platform.VM{}, err
+		return ids.VM{}, err
 	}
 	fl.Workers = append(fl.Workers, wk)
 	fl.WorkerServers = append(fl.WorkerServers, srv)
-	return platform.VM{
+	return ids.VM{
 		ID:               id,
-		Kind:             platform.KindWorker,
-		State:            platform.StateLive,
+		Kind:             ids.KindWorker,
+		State:            ids.StateLive,
 		Address:          srv.Address(),
 		AvailabilityZone: opt.Zones[i%len(opt.Zones)],
-		Rack:             platform.RackID(fmt.Sprintf("rack-%d", i/max(1, opt.WorkersInRack))),
+		Rack:             ids.RackID(fmt.Sprintf("rack-%d", i/max(1, opt.WorkersInRack))),
 		Processors:       opt.WorkerCores,
 		Memory:           opt.WorkerMemory,
 		Accelerators:     opt.Accelerators,
--- a/internal/standin/vmlist.go
+++ b/internal/standin/vmlist.go
@@ -10,9 +10,9 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/vmlist"
 )
 
@@ -23,7 +23,7 @@
 
 type listing struct {
 	since time.Time
-	vms   []platform.VM
+	vms   []ids.VM
 }
 
 // VMList is the lagging list of VMs.
@@ -67,20 +67,20 @@
 
 // Set replaces the VMs; readers see the change after the lag. The first list
 // shows at once.
-func (vl *VMList) Set(vms []platform.VM) {
+func (vl *VMList) Set(vms []ids.VM) {
 	vl.mu.Lock()
 	defer vl.mu.Unlock()
 	since := time.Now().Add(vl.lag)
 	if len(vl.listings) == 1 && vl.listings[0].vms == nil {
 		since = time.Time{}
 	}
-	vl.listings = append(vl.listings, listing{since: since, vms: append([]platform.VM(nil), vms...)})
+	vl.listings = append(vl.listings, listing{since: since, vms: append([]ids.VM(nil), vms...)})
 }
 
 // Change replaces the VMs by fn of the newest list, lag or not.
-func (vl *VMList) Change(fn func(vms []platform.VM) []platform.VM) {
+func (vl *VMList) Change(fn func(vms []ids.VM) []ids.VM) {
 	vl.mu.Lock()
-	newest := append([]platform.VM(nil), vl.listings[len(vl.listings)-1].vms...)
+	newest := append([]ids.VM(nil), vl.listings[len(vl.listings)-1].vms...)
 	vl.mu.Unlock()
 	vl.Set(fn(newest))
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -11,9 +11,9 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
@@ -21,8 +21,8 @@
 // WorkerOptions are the settings of a worker stand-in.
 type WorkerOptions struct {
 	ID           string
-	Processors   platform.Cores
-	Memory       platform.Megabytes
+	Processors   ids.Cores
+	Memory       ids.Megabytes
 	Accelerators int
 	UsageLag     time.Duration
 }
@@ -42,12 +42,12 @@
 // TaskPayload is the payload that a worker stand-in understands: what the task
 // really does, whatever its declared sizes say.
 type TaskPayload struct {
-	RunMillis    int64              `json:"run-millis"`
-	Answer       string             `json:"answer"`
-	Fail         bool               `json:"fail,omitempty"`
-	Processors   platform.Cores     `json:"processors,omitempty"`
-	Memory       platform.Megabytes `json:"memory-mb,omitempty"`
-	Accelerators int                `json:"accelerators,omitempty"`
+	RunMillis    int64         `json:"run-millis"`
+	Answer       string        `json:"answer"`
+	Fail         bool          `json:"fail,omitempty"`
+	Processors   ids.Cores     `json:"processors,omitempty"`
+	Memory       ids.Megabytes `json:"memory-mb,omitempty"`
+	Accelerators int           `json:"accelerators,omitempty"`
 }
 
 // WorkerCounts are the observations of a worker stand-in.
@@ -82,7 +82,7 @@
 	running map[worker.TaskID]*runningTask
 	// finished holds the reports of each owner in the order of finishing; the
 	// empty owner holds the reports of all.
-	finished map[platform.Incarnation][]worker.Report
+	finished map[ids.Incarnation][]worker.Report
 	wake     chan struct{}
 	counts   WorkerCounts
 	usage    []worker.Usage
@@ -97,7 +97,7 @@
 		grp:      group.New(context.Background()),
 		tasks:    map[worker.TaskID]*runningTask{},
 		running:  map[worker.TaskID]*runningTask{},
-		finished: map[platform.Incarnation][]worker.Report{},
+		finished: map[ids.Incarnation][]worker.Report{},
 		wake:     make(chan struct{}),
 		counts:   WorkerCounts{Starts: map[worker.TaskID]int{}},
 	}
@@ -121,7 +121,7 @@
 const (
 	usageInterval = 100 * time.Millisecond
 	// everyOwner is the owner parameter of a request that leaves it out.
-	everyOwner platform.Incarnation = ""
+	everyOwner ids.Incarnation = ""
 )
 
 // Close stops every task.
@@ -238,7 +238,7 @@
 		wk.counts.Lapsed++
 		return 0
 	}
-	var used platform.Cores
+	var used ids.Cores
 	for _, other := range wk.running {
 		used += orDeclared(other.payload.Processors, other.task.Processors)
 	}
@@ -267,7 +267,7 @@
 	return use
 }
 
-func orDeclared[T platform.Cores | platform.Megabytes | int](actual, declared T) T {
+func orDeclared[T ids.Cores | ids.Megabytes | int](actual, declared T) T {
 	if actual != 0 {
 		return actual
 	}
@@ -355,7 +355,7 @@
 
 func (wk *Worker) listFinished(wr http.ResponseWriter, req *http.Request) {
 	query := req.URL.Query()
-	owner := platform.Incarnation(query.Get("owner"))
+	owner := ids.Incarnation(query.Get("owner"))
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	waitMillis, _ := strconv.ParseInt(query.Get("wait-millis"), 10, 64)
 	ctx, cancel := context.WithTimeout(req.Context(), time.Duration(waitMillis)*time.Millisecond)
--- a/internal/target/naive.go
+++ b/internal/target/naive.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
 // Naive is the policy that Dispatcher is measured against: round robin over
@@ -65,19 +65,19 @@
 	return Answer{}, outcome.MayHaveRun("target-failed", "no target gave a whole answer: "+err.Error(), remedyUnknown)
 }
 
-func (na *Naive) pick(name platform.ServiceName) (platform.VM, bool) {
+func (na *Naive) pick(name ids.ServiceName) (ids.VM, bool) {
 	vms := na.board.VMs.Load()
 	if vms == nil {
-		return platform.VM{}, false
+		return ids.VM{}, false
 	}
-	live := make([]platform.VM, 0, len(vms.Targets[name]))
+	live := make([]ids.VM, 0, len(vms.Targets[name]))
 	for _, vm := range vms.Targets[name] {
-		if vm.State == platform.StateLive {
+		if vm.State == ids.StateLive {
 			live = append(live, vm)
 		}
 	}
 	if len(live) == 0 {
-		return platform.VM{}, false
+		return ids.VM{}, false
 	}
 	return live[na.next.Add(1)%uint64(len(live))], true
 }
--- a/internal/target/policy_test.go
+++ b/internal/target/policy_test.go
@@ -13,8 +13,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
@@ -152,8 +152,8 @@
 		bm.Run(fmt.Sprintf("targets=%d", targets), func(bm *testing.B) {
 			be := newBench(bm, benchOptions{targets: 1, slots: 80, direct: true})
 			for i := 1; i < targets; i++ {
-				be.vms = append(be.vms, platform.VM{
-					ID: fmt.Sprintf("target-%d", i), Kind: platform.KindTarget, State: platform.StateLive, Address: be.vms[0].Address, Service: "fitdesk",
+				be.vms = append(be.vms, ids.VM{
+					ID: fmt.Sprintf("target-%d", i), Kind: ids.KindTarget, State: ids.StateLive, Address: be.vms[0].Address, Service: "fitdesk",
 				})
 			}
 			be.publish()
--- a/internal/target/queue.go
+++ b/internal/target/queue.go
@@ -4,8 +4,8 @@
 	"container/list"
 	"time"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
 // waiter is a request that waits for a slot.
@@ -46,7 +46,7 @@
 // fairQueue shares the service among teams by weight, whatever the number of
 // requests of each team (stride scheduling over expected run times).
 type fairQueue struct {
-	teams  map[platform.TeamID]*teamQueue
+	teams  map[ids.TeamID]*teamQueue
 	active map[*teamQueue]bool
 	pass   float64
 	count  int
@@ -57,12 +57,12 @@
 }
 
 func newFairQueue() fairQueue {
-	return fairQueue{teams: map[platform.TeamID]*teamQueue{}, active: map[*teamQueue]bool{}}
+	return fairQueue{teams: map[ids.TeamID]*teamQueue{}, active: map[*teamQueue]bool{}}
 }
 
 // team returns the queue of a team. Teams that the configuration does not name
 // share one, so that nobody gains by inventing team names.
-func (fq *fairQueue) team(id platform.TeamID, weights map[platform.TeamID]float64) *teamQueue {
+func (fq *fairQueue) team(id ids.TeamID, weights map[ids.TeamID]float64) *teamQueue {
 	weight, ok := weights[id]
 	if !ok {
 		id, weight = "", 1
--- a/internal/target/refusal.go
+++ b/internal/target/refusal.go
@@ -5,8 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
 const (
@@ -14,24 +14,24 @@
 	remedyUnknown = "check whether the request took effect before sending it again"
 )
 
-func unknownService(name platform.ServiceName) *outcome.Error {
+func unknownService(name ids.ServiceName) *outcome.Error {
 	return outcome.Refuse(http.StatusNotFound, "unknown-service",
 		fmt.Sprintf("service %q does not exist", name), "create the service or correct the name", 0)
 }
 
-func noTarget(name platform.ServiceName, retryAfter time.Duration) *outcome.Error {
+func noTarget(name ids.ServiceName, retryAfter time.Duration) *outcome.Error {
 	return outcome.Refuse(http.StatusServiceUnavailable, "no-target",
 		fmt.Sprintf("service %q has no live target", name), remedyRetry, retryAfter)
 }
 
-func noSlots(name platform.ServiceName, retryAfter time.Duration) *outcome.Error {
+func noSlots(name ids.ServiceName, retryAfter time.Duration) *outcome.Error {
 	return outcome.Refuse(http.StatusServiceUnavailable, "no-slots",
 		fmt.Sprintf("this entry has no slots on the targets of service %q", name), remedyRetry, retryAfter)
 }
 
 // noFreeSlot refuses a request of another entry, which waits in the queue of
 // that entry and not behind the requests of this one.
-func noFreeSlot(name platform.ServiceName) *outcome.Error {
+func noFreeSlot(name ids.ServiceName) *outcome.Error {
 	return outcome.Refuse(http.StatusServiceUnavailable, "no-free-slot",
 		fmt.Sprintf("this entry has no free slot on the targets of service %q", name), remedyRetry, minReturn)
 }
--- a/internal/target/runtime.go
+++ b/internal/target/runtime.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // seconds is a learned duration.
@@ -73,7 +73,7 @@
 
 // runTimes learns the run times of one service by kind and target.
 type runTimes struct {
-	kinds map[platform.RequestKind]*kindTimes
+	kinds map[ids.RequestKind]*kindTimes
 	// hold is the mean time that a slot is held, over all kinds and targets.
 	hold seconds
 	// best and mean are the lowest and the mean factor of the targets.
@@ -81,11 +81,11 @@
 }
 
 func newRunTimes() runTimes {
-	return runTimes{kinds: map[platform.RequestKind]*kindTimes{}, best: 1, mean: 1}
+	return runTimes{kinds: map[ids.RequestKind]*kindTimes{}, best: 1, mean: 1}
 }
 
 // kind returns the entry of the kind. Kinds above maxKinds share one entry.
-func (rt *runTimes) kind(name platform.RequestKind) *kindTimes {
+func (rt *runTimes) kind(name ids.RequestKind) *kindTimes {
 	if kt, ok := rt.kinds[name]; ok {
 		return kt
 	}
--- a/internal/target/service.go
+++ b/internal/target/service.go
@@ -8,7 +8,7 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/retrybudget"
 	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
 )
@@ -19,15 +19,15 @@
 // service is the state of one service in this entry. One mutex guards it; it
 // is held for the microseconds of one choice and never during I/O.
 type service struct {
-	name   platform.ServiceName
+	name   ids.ServiceName
 	di     *Dispatcher
 	budget *retrybudget.Budget
 
 	mu       sync.Mutex
 	conf     configuration.Service
-	weights  map[platform.TeamID]float64
+	weights  map[ids.TeamID]float64
 	seen     boardView
-	targets  map[platform.TargetID]*targetState
+	targets  map[ids.TargetID]*targetState
 	live     int            // targets that the list of VMs shows as live
 	listed   []*targetState // listed as live, with a gate
 	usable   []*targetState // listed without suspects, or all when all are suspect
@@ -60,12 +60,12 @@
 	trial bool
 }
 
-func newService(name platform.ServiceName, di *Dispatcher) *service {
+func newService(name ids.ServiceName, di *Dispatcher) *service {
 	se := &service{
 		name:      name,
 		di:        di,
 		budget:    retrybudget.New(configuration.DefaultRetryBudget, retryBurst),
-		targets:   map[platform.TargetID]*targetState{},
+		targets:   map[ids.TargetID]*targetState{},
 		times:     newRunTimes(),
 		queue:     newFairQueue(),
 		slotsSeen: time.Now(),
@@ -95,22 +95,22 @@
 		ratio = configuration.DefaultRetryBudget
 	}
 	se.budget.SetRatio(ratio)
-	se.weights = make(map[platform.TeamID]float64, len(doc.Teams))
+	se.weights = make(map[ids.TeamID]float64, len(doc.Teams))
 	for id, team := range doc.Teams {
 		se.weights[id] = float64(max(1, team.Weight))
 	}
 }
 
 func (se *service) listTargets(view boardView) {
-	var vms []platform.VM
+	var vms []ids.VM
 	if view.vms != nil {
 		vms = view.vms.Targets[se.name]
 	}
-	listed := make(map[platform.TargetID]bool, len(vms))
+	listed := make(map[ids.TargetID]bool, len(vms))
 	se.listed = se.listed[:0]
 	se.live = 0
 	for _, vm := range vms {
-		id := platform.TargetID(vm.ID)
+		id := ids.TargetID(vm.ID)
 		listed[id] = true
 		ts, ok := se.targets[id]
 		if !ok {
--- a/internal/target/state.go
+++ b/internal/target/state.go
@@ -5,7 +5,7 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/slotshare"
 )
 
@@ -20,7 +20,7 @@
 // targetState is what this entry knows about one target. The mutex of its
 // service guards it, but for conns.
 type targetState struct {
-	id      platform.TargetID
+	id      ids.TargetID
 	address string
 	leaving bool
 	gate    *slotshare.Gate
@@ -37,19 +37,19 @@
 	trialPause time.Duration
 }
 
-func newTargetState(id platform.TargetID, di *Dispatcher) *targetState {
+func newTargetState(id ids.TargetID, di *Dispatcher) *targetState {
 	return &targetState{id: id, conns: newConnections(di.grp), times: targetTimes{factor: 1}}
 }
 
 // update takes over the row of the VM list, the gate and the capacity.
-func (ts *targetState) update(vm platform.VM, gates *blackboard.Gates, conf configuration.Service) {
+func (ts *targetState) update(vm ids.VM, gates *blackboard.Gates, conf configuration.Service) {
 	if vm.Address != ts.address {
 		ts.address = vm.Address
 		ts.conns.setAddress(vm.Address)
 	}
 	ts.gate = ts.chooseGate(gates, conf)
 	ts.conns.setLimit(ts.gate, conf)
-	if vm.State != platform.StateLive {
+	if vm.State != ids.StateLive {
 		ts.leave()
 	}
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -21,16 +21,16 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // Request is a service request of a caller.
 type Request struct {
 	ID         string
-	Service    platform.ServiceName
-	Team       platform.TeamID
-	Kind       platform.RequestKind
+	Service    ids.ServiceName
+	Team       ids.TeamID
+	Kind       ids.RequestKind
 	Repeatable bool
 	// Forwarded marks a request that another entry has passed on. It is never
 	// forwarded again.
@@ -68,7 +68,7 @@
 
 // ServiceLoad is the present load of one service in this entry.
 type ServiceLoad struct {
-	Service  platform.ServiceName
+	Service  ids.ServiceName
 	Waiting  int
 	InFlight int
 	// ExpectedWait is the wait for a slot that a request arriving now would
@@ -81,7 +81,7 @@
 	opt      Options
 	policy   policy
 	grp      *group.Group
-	services sync.Map // platform.ServiceName to *service
+	services sync.Map // ids.ServiceName to *service
 }
 
 const (
@@ -137,7 +137,7 @@
 	})
 }
 
-func (di *Dispatcher) service(name platform.ServiceName) *service {
+func (di *Dispatcher) service(name ids.ServiceName) *service {
 	if val, ok := di.services.Load(name); ok {
 		return val.(*service)
 	}
--- a/internal/target/target_test.go
+++ b/internal/target/target_test.go
@@ -19,8 +19,8 @@
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
@@ -45,7 +45,7 @@
 	cnt     *counter.Set
 	targets []*standin.Target
 	proxies []*faultproxy.Proxy
-	vms     []platform.VM
+	vms     []ids.VM
 	do      doer
 	mu      sync.Mutex
 	count   int
@@ -67,8 +67,8 @@
 		opt.change(&svc)
 	}
 	doc := configuration.Default()
-	doc.Services = map[platform.ServiceName]configuration.Service{"fitdesk": svc}
-	doc.Teams = map[platform.TeamID]configuration.Team{"opticians": {Weight: 1}, "archive": {Weight: 1}}
+	doc.Services = map[ids.ServiceName]configuration.Service{"fitdesk": svc}
+	doc.Teams = map[ids.TeamID]configuration.Team{"opticians": {Weight: 1}, "archive": {Weight: 1}}
 	be.board.Configuration.Publish(&configuration.Version{Number: 1, Document: doc})
 	for i := range opt.targets {
 		be.addTarget(i, opt)
@@ -105,12 +105,12 @@
 		addr = px.Address()
 	}
 	be.targets = append(be.targets, ta)
-	be.vms = append(be.vms, platform.VM{ID: id, Kind: platform.KindTarget, State: platform.StateLive, Address: addr, Service: "fitdesk"})
+	be.vms = append(be.vms, ids.VM{ID: id, Kind: ids.KindTarget, State: ids.StateLive, Address: addr, Service: "fitdesk"})
 }
 
 func (be *bench) publish() {
-	vms := append([]platform.VM(nil), be.vms...)
-	be.board.VMs.Publish(&blackboard.VMs{Fetched: time.Now(), Targets: map[platform.ServiceName][]platform.VM{"fitdesk": vms}})
+	vms := append([]ids.VM(nil), be.vms...)
+	be.board.VMs.Publish(&blackboard.VMs{Fetched: time.Now(), Targets: map[ids.ServiceName][]ids.VM{"fitdesk": vms}})
 }
 
 // request returns a request that runs for the time on a target of speed 1.
@@ -338,7 +338,7 @@
 	var mu sync.Mutex
 	var lateRefusals, missed, otherTeam, otherAnswered int
 	slowest := time.Duration(0)
-	send := func(team platform.TeamID) *outcome.Error {
+	send := func(team ids.TeamID) *outcome.Error {
 		req := be.request(run)
 		req.Team, req.Deadline = team, time.Now().Add(deadline)
 		began := time.Now()
@@ -397,7 +397,7 @@
 			return
 		}
 		be.Eventually(func() int64 { return be.targets[0].Counts().Requests - before }, "2s", "1ms").Should(Equal(int64(4)))
-		be.vms[0].State = platform.StateLeaving
+		be.vms[0].State = ids.StateLeaving
 		be.publish()
 		for range 8 {
 			be.Expect(be.send(be.request(5 * time.Millisecond))).To(BeNil())
--- a/internal/vmlist/poller.go
+++ b/internal/vmlist/poller.go
@@ -7,18 +7,18 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // Fetcher reads the list of VMs; false means that it has not changed.
 type Fetcher interface {
-	Fetch(ctx context.Context) ([]platform.VM, bool, error)
+	Fetch(ctx context.Context) ([]ids.VM, bool, error)
 }
 
 // Peers reads the list that another entry has read last.
 type Peers interface {
-	Fetch(ctx context.Context) ([]platform.VM, error)
+	Fetch(ctx context.Context) ([]ids.VM, error)
 }
 
 // Poller publishes the list of VMs on the blackboard. While the service is
@@ -106,21 +106,21 @@
 
 // split sorts the VMs by use. A VM once seen leaving stays leaving: the list
 // lags and may show an older state again.
-func (po *Poller) split(vms []platform.VM) *blackboard.VMs {
-	out := &blackboard.VMs{Fetched: time.Now(), Targets: map[platform.ServiceName][]platform.VM{}}
+func (po *Poller) split(vms []ids.VM) *blackboard.VMs {
+	out := &blackboard.VMs{Fetched: time.Now(), Targets: map[ids.ServiceName][]ids.VM{}}
 	for _, vm := range vms {
-		if vm.State == platform.StateLeaving {
+		if vm.State == ids.StateLeaving {
 			po.leaving[vm.ID] = true
 		}
 		if po.leaving[vm.ID] {
-			vm.State = platform.StateLeaving
+			vm.State = ids.StateLeaving
 		}
 		switch vm.Kind {
-		case platform.KindEntry:
+		case ids.KindEntry:
 			out.Entries = append(out.Entries, vm)
-		case platform.KindTarget:
+		case ids.KindTarget:
 			out.Targets[vm.Service] = append(out.Targets[vm.Service], vm)
-		case platform.KindWorker:
+		case ids.KindWorker:
 			out.Workers = append(out.Workers, vm)
 		}
 	}
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -14,13 +14,13 @@
 	"io"
 	"net/http"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
 // List is the answer of the service.
 type List struct {
-	VMs []platform.VM `json:"vms"`
+	VMs []ids.VM `json:"vms"`
 }
 
 // Client speaks to the service. It is not safe for use by several goroutines.
@@ -40,7 +40,7 @@
 
 // Fetch returns the present list, or false when it is the one that the last
 // Fetch returned.
-func (cl *Client) Fetch(ctx context.Context) ([]platform.VM, bool, error) {
+func (cl *Client) Fetch(ctx context.Context) ([]ids.VM, bool, error) {
 	vms, changed, err := cl.fetch(ctx)
 	if err != nil {
 		return nil, false, fmt.Errorf("fetch the list of VMs: %w", err)
@@ -48,7 +48,7 @@
 	return vms, changed, nil
 }
 
-func (cl *Client) fetch(ctx context.Context) ([]platform.VM, bool, error) {
+func (cl *Client) fetch(ctx context.Context) ([]ids.VM, bool, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, cl.base+"/vms", http.NoBody)
 	if err != nil {
 		return nil, false, err
--- a/internal/vmlist/vmlist_test.go
+++ b/internal/vmlist/vmlist_test.go
@@ -10,19 +10,19 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/vmlist"
 )
 
-func oneTarget(state platform.VMState) []platform.VM {
-	return []platform.VM{{ID: "target-1", Kind: platform.KindTarget, State: state, Service: "fitdesk"}}
+func oneTarget(state ids.VMState) []ids.VM {
+	return []ids.VM{{ID: "target-1", Kind: ids.KindTarget, State: state, Service: "fitdesk"}}
 }
 
 func start(t *testing.T) (*standin.VMList, *blackboard.Board) {
 	t.Helper()
 	vl := standin.NewVMList(0)
-	vl.Set(oneTarget(platform.StateLive))
+	vl.Set(oneTarget(ids.StateLive))
 	srv, err := standin.Serve("127.0.0.1:0", vl)
 	if err != nil {
 		t.Fatal(err)
@@ -35,8 +35,8 @@
 	return vl, board
 }
 
-func state(board *blackboard.Board) func() platform.VMState {
-	return func() platform.VMState {
+func state(board *blackboard.Board) func() ids.VMState {
+	return func() ids.VMState {
 		vms := board.VMs.Load()
 		if vms == nil || len(vms.Targets["fitdesk"]) == 0 {
 			return ""
@@ -50,20 +50,20 @@
 func TestLeavingStays(t *testing.T) {
 	gm := NewWithT(t)
 	vl, board := start(t)
-	gm.Eventually(state(board)).Should(Equal(platform.StateLive))
-	vl.Set(oneTarget(platform.StateLeaving))
-	gm.Eventually(state(board)).Should(Equal(platform.StateLeaving))
-	vl.Set(oneTarget(platform.StateLive))
-	gm.Consistently(state(board), "100ms").Should(Equal(platform.StateLeaving))
+	gm.Eventually(state(board)).Should(Equal(ids.StateLive))
+	vl.Set(oneTarget(ids.StateLeaving))
+	gm.Eventually(state(board)).Should(Equal(ids.StateLeaving))
+	vl.Set(oneTarget(ids.StateLive))
+	gm.Consistently(state(board), "100ms").Should(Equal(ids.StateLeaving))
 }
 
 // TestOutageKeepsList guards against an outage of the list that empties it.
 func TestOutageKeepsList(t *testing.T) {
 	gm := NewWithT(t)
 	vl, board := start(t)
-	gm.Eventually(state(board)).Should(Equal(platform.StateLive))
+	gm.Eventually(state(board)).Should(Equal(ids.StateLive))
 	vl.SetFaults(standin.VMListFaults{Outage: true})
-	gm.Consistently(state(board), "100ms").Should(Equal(platform.StateLive))
+	gm.Consistently(state(board), "100ms").Should(Equal(ids.StateLive))
 }
 
 // TestUnchangedListIsConfirmed guards against a list whose time stands still
@@ -71,7 +71,7 @@
 func TestUnchangedListIsConfirmed(t *testing.T) {
 	gm := NewWithT(t)
 	_, board := start(t)
-	gm.Eventually(state(board)).Should(Equal(platform.StateLive))
+	gm.Eventually(state(board)).Should(Equal(ids.StateLive))
 	first := board.VMs.Load().Fetched
 	gm.Eventually(func() bool { return board.VMs.Load().Fetched.After(first) }).Should(BeTrue())
 }
@@ -81,7 +81,7 @@
 func TestUnchangedListIsNotSent(t *testing.T) {
 	gm := NewWithT(t)
 	vl := standin.NewVMList(0)
-	vl.Set(oneTarget(platform.StateLive))
+	vl.Set(oneTarget(ids.StateLive))
 	srv, err := standin.Serve("127.0.0.1:0", vl)
 	gm.Expect(err).NotTo(HaveOccurred())
 	defer srv.Close()
@@ -92,9 +92,9 @@
 	_, changed, err = cl.Fetch(context.Background())
 	gm.Expect(err).NotTo(HaveOccurred())
 	gm.Expect(changed).To(BeFalse())
-	vl.Set(oneTarget(platform.StateLeaving))
+	vl.Set(oneTarget(ids.StateLeaving))
 	vms, changed, err := cl.Fetch(context.Background())
 	gm.Expect(err).NotTo(HaveOccurred())
 	gm.Expect(changed).To(BeTrue())
-	gm.Expect(vms[0].State).To(Equal(platform.StateLeaving))
+	gm.Expect(vms[0].State).To(Equal(ids.StateLeaving))
 }
--- a/internal/worker/bench_test.go
+++ b/internal/worker/bench_test.go
@@ -5,13 +5,13 @@
 	"testing"
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // mixedKinds are kinds of 50 ms to 4 s whose declared sizes are wrong by
 // factors of 0.5 to 2.
 var mixedKinds = []struct {
-	kind     platform.RequestKind
+	kind     ids.RequestKind
 	declared size
 	truth    truth
 	part     float64
@@ -75,7 +75,7 @@
 			pick := si.rng.Float64()
 			for _, mk := range mixedKinds {
 				if pick -= mk.part; pick < 0 {
-					dm := Demand{Kind: mk.kind, Processors: platform.Cores(mk.declared.cores), Memory: platform.Megabytes(mk.declared.memory)}
+					dm := Demand{Kind: mk.kind, Processors: ids.Cores(mk.declared.cores), Memory: ids.Megabytes(mk.declared.memory)}
 					tr := mk.truth
 					tr.run = time.Duration(float64(tr.run) * (0.5 + si.rng.Float64()))
 					si.submit(entry, dm, tr)
@@ -108,8 +108,8 @@
 			for i := 0; i < b.N; i += 10 {
 				for k := range 10 {
 					sc.enqueue(&Demand{
-						Task: TaskID(fmt.Sprintf("task-%d", i+k)), Job: platform.JobID(fmt.Sprintf("job-%d", i)), Kind: mixedKinds[i%3].kind,
-						Team: platform.TeamID(fmt.Sprintf("team-%d", i/10%40)), Processors: 1, Memory: 100,
+						Task: TaskID(fmt.Sprintf("task-%d", i+k)), Job: ids.JobID(fmt.Sprintf("job-%d", i)), Kind: mixedKinds[i%3].kind,
+						Team: ids.TeamID(fmt.Sprintf("team-%d", i/10%40)), Processors: 1, Memory: 100,
 					}, nil)
 				}
 				for _, as := range sc.place(64) {
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -23,8 +23,8 @@
 	"strconv"
 	"time"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
 // ErrRefused says that a worker did not start a task.
@@ -46,16 +46,16 @@
 
 // Task is a task to start, with its declared sizes.
 type Task struct {
-	ID           TaskID               `json:"task-id"`
-	Kind         platform.RequestKind `json:"kind,omitempty"`
-	Payload      json.RawMessage      `json:"payload,omitempty"`
-	Processors   platform.Cores       `json:"processors,omitempty"`
-	Memory       platform.Megabytes   `json:"memory-mb,omitempty"`
-	Accelerators int                  `json:"accelerators,omitempty"`
-	RunMillis    int64                `json:"run-millis,omitempty"`
-	LeaseMillis  int64                `json:"lease-millis"`
+	ID           TaskID          `json:"task-id"`
+	Kind         ids.RequestKind `json:"kind,omitempty"`
+	Payload      json.RawMessage `json:"payload,omitempty"`
+	Processors   ids.Cores       `json:"processors,omitempty"`
+	Memory       ids.Megabytes   `json:"memory-mb,omitempty"`
+	Accelerators int             `json:"accelerators,omitempty"`
+	RunMillis    int64           `json:"run-millis,omitempty"`
+	LeaseMillis  int64           `json:"lease-millis"`
 	// Owner is the incarnation that the worker reports the end of the task to.
-	Owner platform.Incarnation `json:"owner,omitempty"`
+	Owner ids.Incarnation `json:"owner,omitempty"`
 }
 
 // Report is the state of a task as its worker reports it.
@@ -84,20 +84,20 @@
 
 // Usage is a usage report. It lags behind the worker.
 type Usage struct {
-	AgeMillis    int64              `json:"age-millis"`
-	Processors   platform.Cores     `json:"processors"`
-	Memory       platform.Megabytes `json:"memory-mb"`
-	Accelerators int                `json:"accelerators"`
-	Tasks        []TaskUsage        `json:"tasks,omitempty"`
+	AgeMillis    int64         `json:"age-millis"`
+	Processors   ids.Cores     `json:"processors"`
+	Memory       ids.Megabytes `json:"memory-mb"`
+	Accelerators int           `json:"accelerators"`
+	Tasks        []TaskUsage   `json:"tasks,omitempty"`
 }
 
 // TaskUsage is what one running task really uses.
 type TaskUsage struct {
-	ID           TaskID               `json:"task-id"`
-	Kind         platform.RequestKind `json:"kind,omitempty"`
-	Processors   platform.Cores       `json:"processors"`
-	Memory       platform.Megabytes   `json:"memory-mb"`
-	Accelerators int                  `json:"accelerators"`
+	ID           TaskID          `json:"task-id"`
+	Kind         ids.RequestKind `json:"kind,omitempty"`
+	Processors   ids.Cores       `json:"processors"`
+	Memory       ids.Megabytes   `json:"memory-mb"`
+	Accelerators int             `json:"accelerators"`
 }
 
 // Client speaks to one worker.
@@ -135,7 +135,7 @@
 
 // Finished returns the tasks of the owner that have finished after the cursor,
 // which counts in that owner's list. It waits up to wait for the first one.
-func (cl *Client) Finished(ctx context.Context, owner platform.Incarnation, after Cursor, wait time.Duration) (FinishedPage, error) {
+func (cl *Client) Finished(ctx context.Context, owner ids.Incarnation, after Cursor, wait time.Duration) (FinishedPage, error) {
 	query := url.Values{
 		"owner":       {string(owner)},
 		"after":       {strconv.FormatInt(int64(after), 10)},
--- a/internal/worker/dispatcher.go
+++ b/internal/worker/dispatcher.go
@@ -12,25 +12,25 @@
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
 // Demand is one task that waits for a worker, with its declared sizes.
 type Demand struct {
 	Task         TaskID
-	Team         platform.TeamID
-	Job          platform.JobID
-	Kind         platform.RequestKind
-	Processors   platform.Cores
-	Memory       platform.Megabytes
+	Team         ids.TeamID
+	Job          ids.JobID
+	Kind         ids.RequestKind
+	Processors   ids.Cores
+	Memory       ids.Megabytes
 	Accelerators int
 	RunMillis    int64
 }
 
 // Placement names the worker that a task is to start on.
 type Placement struct {
-	Worker platform.WorkerID
+	Worker ids.WorkerID
 	// Address is the worker's address as IP:PORT.
 	Address string
 }
@@ -51,8 +51,8 @@
 type Options struct {
 	Board       *blackboard.Board
 	Counters    *counter.Set
-	Incarnation platform.Incarnation
-	Zone        platform.AvailabilityZone
+	Incarnation ids.Incarnation
+	Zone        ids.AvailabilityZone
 	Log         zerolog.Logger
 }
 
--- a/internal/worker/health.go
+++ b/internal/worker/health.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 const (
@@ -36,7 +36,7 @@
 // evidence is one failure on a worker since its last success.
 type evidence struct {
 	job     *jobState
-	kind    platform.RequestKind
+	kind    ids.RequestKind
 	refusal bool
 }
 
@@ -54,7 +54,7 @@
 
 // jobState is what the scheduler knows about one job with tasks here.
 type jobState struct {
-	id    platform.JobID
+	id    ids.JobID
 	tasks int
 	racks map[int]int
 	// doneOn and failedOn are the workers on which tasks of the job succeeded
--- a/internal/worker/learning.go
+++ b/internal/worker/learning.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // size is an amount of each dimension: cores, megabytes and accelerators.
@@ -12,7 +12,7 @@
 	cores, memory, accelerators float64
 }
 
-func sizeOf(cores platform.Cores, memory platform.Megabytes, accelerators int) size {
+func sizeOf(cores ids.Cores, memory ids.Megabytes, accelerators int) size {
 	return size{float64(cores), float64(memory), float64(accelerators)}
 }
 
@@ -93,14 +93,14 @@
 
 // learner holds the statistics of all kinds.
 type learner struct {
-	kinds map[platform.RequestKind]*kindStats
+	kinds map[ids.RequestKind]*kindStats
 }
 
 func newLearner() *learner {
-	return &learner{kinds: map[platform.RequestKind]*kindStats{}}
+	return &learner{kinds: map[ids.RequestKind]*kindStats{}}
 }
 
-func (le *learner) kind(name platform.RequestKind, now time.Time) *kindStats {
+func (le *learner) kind(name ids.RequestKind, now time.Time) *kindStats {
 	ks := le.kinds[name]
 	if ks == nil {
 		if len(le.kinds) >= maxKinds {
@@ -114,7 +114,7 @@
 }
 
 func (le *learner) dropOldest() {
-	var oldest platform.RequestKind
+	var oldest ids.RequestKind
 	var at time.Time
 	for name, ks := range le.kinds {
 		if at.IsZero() || ks.seen.Before(at) {
@@ -125,7 +125,7 @@
 }
 
 // observe learns the size of one running task.
-func (le *learner) observe(name platform.RequestKind, sz size, now time.Time) {
+func (le *learner) observe(name ids.RequestKind, sz size, now time.Time) {
 	ks := le.kind(name, now)
 	ks.cores.add(sz.cores)
 	ks.memory.add(sz.memory)
@@ -181,7 +181,7 @@
 
 // finished learns from the run time of a finished task and returns by how much
 // the task was slower than its kind, 0 when that is not known yet.
-func (le *learner) finished(name platform.RequestKind, ranMillis, slowness float64, now time.Time) float64 {
+func (le *learner) finished(name ids.RequestKind, ranMillis, slowness float64, now time.Time) float64 {
 	ks := le.kind(name, now)
 	ratio := 0.0
 	if ks.run.samples >= enoughSamples && ks.run.mean > 0 {
--- a/internal/worker/scheduler.go
+++ b/internal/worker/scheduler.go
@@ -8,8 +8,8 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
 // taskState is where a task is on its way.
@@ -61,13 +61,13 @@
 
 	learner *learner
 	workers []*workerState
-	byID    map[platform.WorkerID]*workerState
-	racks   map[platform.RackID]int
+	byID    map[ids.WorkerID]*workerState
+	racks   map[ids.RackID]int
 	largest size
 	total   size
 
-	teams    map[platform.TeamID]*team
-	quotas   map[platform.TeamID]configuration.Team
+	teams    map[ids.TeamID]*team
+	quotas   map[ids.TeamID]configuration.Team
 	weights  float64
 	lanes    []*lane
 	turn     int64
@@ -80,7 +80,7 @@
 	grown        []*workerState
 
 	tasks    map[TaskID]*task
-	jobs     map[platform.JobID]*jobState
+	jobs     map[ids.JobID]*jobState
 	idleJobs []*jobState
 	queued   int
 }
@@ -93,12 +93,12 @@
 		entries:  []entryInfo{self},
 		counters: counters,
 		learner:  newLearner(),
-		byID:     map[platform.WorkerID]*workerState{},
-		racks:    map[platform.RackID]int{},
-		teams:    map[platform.TeamID]*team{},
+		byID:     map[ids.WorkerID]*workerState{},
+		racks:    map[ids.RackID]int{},
+		teams:    map[ids.TeamID]*team{},
 		weights:  1,
 		tasks:    map[TaskID]*task{},
-		jobs:     map[platform.JobID]*jobState{},
+		jobs:     map[ids.JobID]*jobState{},
 	}
 }
 
@@ -150,7 +150,7 @@
 	sc.queued++
 }
 
-func (sc *scheduler) job(id platform.JobID) *jobState {
+func (sc *scheduler) job(id ids.JobID) *jobState {
 	job := sc.jobs[id]
 	if job == nil {
 		job = &jobState{id: id}
--- a/internal/worker/scheduler_test.go
+++ b/internal/worker/scheduler_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
 var ordinary = simOptions{
@@ -40,7 +40,7 @@
 		}
 		si.advance(8*time.Second, func() {
 			mk := mixedKinds[si.rng.IntN(3)]
-			dm := Demand{Kind: mk.kind, Processors: platform.Cores(mk.declared.cores), Memory: platform.Megabytes(mk.declared.memory)}
+			dm := Demand{Kind: mk.kind, Processors: ids.Cores(mk.declared.cores), Memory: ids.Megabytes(mk.declared.memory)}
 			si.submit(si.rng.IntN(3), dm, mk.truth)
 		})
 		return beyond, si.overShare()
@@ -129,7 +129,7 @@
 // TestFailingWorkSparesWorkers guards against good workers that lose their work
 // because a job, or a kind of single-task jobs, fails wherever it runs.
 func TestFailingWorkSparesWorkers(t *testing.T) {
-	for name, job := range map[string]platform.JobID{"one job": "job-1", "one kind": ""} {
+	for name, job := range map[string]ids.JobID{"one job": "job-1", "one kind": ""} {
 		gm := NewWithT(t)
 		si := newSim(ordinary)
 		good := func() {
@@ -153,7 +153,7 @@
 func TestWrongSizesAreLearned(t *testing.T) {
 	for _, tc := range []struct {
 		name           string
-		declared, real platform.Cores
+		declared, real ids.Cores
 	}{{"too small", 1, 8}, {"too large", 16, 1}} {
 		run := func(opt simOptions) (float64, int) {
 			si := newSim(opt)
@@ -199,11 +199,11 @@
 			borrowed += len(wk.running)
 		}
 		for i := range 39 {
-			si.submit(0, Demand{Team: platform.TeamID(fmt.Sprintf("team-%d", i)), Kind: "check", Processors: 2}, runs(2, 100*time.Millisecond))
+			si.submit(0, Demand{Team: ids.TeamID(fmt.Sprintf("team-%d", i)), Kind: "check", Processors: 2}, runs(2, 100*time.Millisecond))
 		}
 		si.advance(30*length, nil)
 		for i := range 39 {
-			longest = max(longest, quantile(si.waitOf[platform.TeamID(fmt.Sprintf("team-%d", i))], 1))
+			longest = max(longest, quantile(si.waitOf[ids.TeamID(fmt.Sprintf("team-%d", i))], 1))
 		}
 		return longest, borrowed
 	}
@@ -220,16 +220,16 @@
 func TestQuotasHoldUnderContention(t *testing.T) {
 	gm := NewWithT(t)
 	si := newSim(ordinary)
-	si.scheduler(0).setTeams(map[platform.TeamID]configuration.Team{
+	si.scheduler(0).setTeams(map[ids.TeamID]configuration.Team{
 		"large": {Processors: 120}, "small": {Processors: 40},
 	})
-	running := map[platform.TeamID]int{}
+	running := map[ids.TeamID]int{}
 	si.advance(5*time.Second, func() {
-		waiting := map[platform.TeamID]int{}
+		waiting := map[ids.TeamID]int{}
 		for _, st := range si.waiting {
 			waiting[st.dm.Team]++
 		}
-		for _, team := range []platform.TeamID{"small", "large"} {
+		for _, team := range []ids.TeamID{"small", "large"} {
 			for ; waiting[team] < 200; waiting[team]++ {
 				si.submit(0, Demand{Team: team, Kind: "check"}, runs(1, 300*time.Millisecond))
 			}
@@ -272,7 +272,7 @@
 	})
 	gm.Expect(si.startsOn["worker-3"]).To(BeNumerically("<", 40), "an even part would be 200")
 
-	racks := map[platform.RackID]int{}
+	racks := map[ids.RackID]int{}
 	si.onStart = func(_ *simTask, wk *simWorker) { racks[wk.vm.Rack]++ }
 	for i := range 10 {
 		si.submit(0, Demand{Task: TaskID(fmt.Sprintf("spread/%d", i)), Job: "spread", Kind: "check"}, runs(1, time.Second))
--- a/internal/worker/share.go
+++ b/internal/worker/share.go
@@ -5,7 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // sharing says how the entries share the room of workers without a
@@ -38,14 +38,14 @@
 
 // entryInfo is one live entry as placement sees it.
 type entryInfo struct {
-	id   platform.EntryID
-	zone platform.AvailabilityZone
+	id   ids.EntryID
+	zone ids.AvailabilityZone
 }
 
 // rankOf returns the place of the entry self in the rendezvous order of the
 // worker; 0 is the home. Entries of the worker's own zone come before others.
 // All entries with the same view of membership compute the same order.
-func rankOf(self entryInfo, entries []entryInfo, worker platform.WorkerID, zone platform.AvailabilityZone) int {
+func rankOf(self entryInfo, entries []entryInfo, worker ids.WorkerID, zone ids.AvailabilityZone) int {
 	mine := rendezvous(worker, self.id)
 	rank := 0
 	for _, en := range entries {
@@ -107,6 +107,6 @@
 	}
 }
 
-func rendezvous(worker platform.WorkerID, entry platform.EntryID) uint64 {
+func rendezvous(worker ids.WorkerID, entry ids.EntryID) uint64 {
 	return xxhash.Sum64String(string(worker) + "\x00" + string(entry))
 }
--- a/internal/worker/sim_test.go
+++ b/internal/worker/sim_test.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // placer is what the simulation drives: the scheduler, or a naive version.
@@ -14,7 +14,7 @@
 	enqueue(dm *Demand, assigned func(TaskID, Placement))
 	place(limit int) []assignment
 	ended(tk *task, rep Report)
-	usage(wk platform.WorkerID, use Usage, at time.Time)
+	usage(wk ids.WorkerID, use Usage, at time.Time)
 	tick(elapsed time.Duration)
 }
 
@@ -23,7 +23,7 @@
 
 func (rp realPlacer) ended(tk *task, rep Report) { rp.finished(tk, rep) }
 
-func (rp realPlacer) usage(wk platform.WorkerID, use Usage, at time.Time) {
+func (rp realPlacer) usage(wk ids.WorkerID, use Usage, at time.Time) {
 	rp.report(rp.byID[wk], use, at)
 }
 
@@ -38,10 +38,10 @@
 // naivePlacer is the naive version: round robin over the workers, reserving
 // declared sizes, without reports, health or teams.
 type naivePlacer struct {
-	vms   []platform.VM
+	vms   []ids.VM
 	queue []*task
 	next  int
-	used  map[platform.WorkerID]size
+	used  map[ids.WorkerID]size
 }
 
 func (np *naivePlacer) enqueue(dm *Demand, _ func(TaskID, Placement)) {
@@ -53,7 +53,7 @@
 	for tried := 0; len(np.queue) > 0 && tried < len(np.vms); tried++ {
 		np.next++
 		vm, tk := np.vms[np.next%len(np.vms)], np.queue[0]
-		id := platform.WorkerID(vm.ID)
+		id := ids.WorkerID(vm.ID)
 		if used := np.used[id].plus(tk.size); used.fits(capacityOf(vm)) {
 			np.used[id] = used
 			tk.ws = &workerState{id: id}
@@ -69,10 +69,10 @@
 	np.used[tk.ws.id] = np.used[tk.ws.id].minus(tk.size)
 }
 
-func (np *naivePlacer) usage(platform.WorkerID, Usage, time.Time) {}
-func (np *naivePlacer) tick(time.Duration)                        {}
+func (np *naivePlacer) usage(ids.WorkerID, Usage, time.Time) {}
+func (np *naivePlacer) tick(time.Duration)                   {}
 
-func capacityOf(vm platform.VM) size { return sizeOf(vm.Processors, vm.Memory, vm.Accelerators) }
+func capacityOf(vm ids.VM) size { return sizeOf(vm.Processors, vm.Memory, vm.Accelerators) }
 
 // truth is what a task really does.
 type truth struct {
@@ -87,7 +87,7 @@
 }
 
 type simWorker struct {
-	vm      platform.VM
+	vm      ids.VM
 	running map[TaskID]*simTask
 	used    size
 	failAll bool
@@ -104,7 +104,7 @@
 
 type simEntry struct {
 	pl     placer
-	polled map[platform.WorkerID]time.Time
+	polled map[ids.WorkerID]time.Time
 }
 
 type simOptions struct {
@@ -122,7 +122,7 @@
 	now     time.Time
 	entries []*simEntry
 	workers []*simWorker
-	byID    map[platform.WorkerID]*simWorker
+	byID    map[ids.WorkerID]*simWorker
 	waiting map[TaskID]*simTask
 	reports []func() bool // each delivers one report once its lag is over
 	rng     *rand.Rand
@@ -131,8 +131,8 @@
 	busySteps, overSteps int
 	excess               float64
 	waits                []time.Duration
-	waitOf               map[platform.TeamID][]time.Duration
-	startsOn             map[platform.WorkerID]int
+	waitOf               map[ids.TeamID][]time.Duration
+	startsOn             map[ids.WorkerID]int
 	onStart              func(st *simTask, wk *simWorker)
 }
 
@@ -141,31 +141,31 @@
 func newSim(opt simOptions) *sim {
 	si := &sim{
 		opt: opt, now: time.Unix(1_000_000, 0), rng: rand.New(rand.NewPCG(1, 2)),
-		byID: map[platform.WorkerID]*simWorker{}, waiting: map[TaskID]*simTask{},
-		waitOf: map[platform.TeamID][]time.Duration{}, startsOn: map[platform.WorkerID]int{},
+		byID: map[ids.WorkerID]*simWorker{}, waiting: map[TaskID]*simTask{},
+		waitOf: map[ids.TeamID][]time.Duration{}, startsOn: map[ids.WorkerID]int{},
 	}
-	zone := func(i int) platform.AvailabilityZone {
-		return platform.AvailabilityZone(fmt.Sprintf("zone-%d", i%max(1, opt.zones)))
+	zone := func(i int) ids.AvailabilityZone {
+		return ids.AvailabilityZone(fmt.Sprintf("zone-%d", i%max(1, opt.zones)))
 	}
-	var vms []platform.VM
+	var vms []ids.VM
 	for i := range opt.workers {
-		vm := platform.VM{
-			ID: fmt.Sprintf("worker-%d", i), State: platform.StateLive, AvailabilityZone: zone(i),
-			Rack:       platform.RackID(fmt.Sprintf("rack-%d", i%max(1, opt.racks))),
-			Processors: platform.Cores(opt.capacity.cores), Memory: platform.Megabytes(opt.capacity.memory),
+		vm := ids.VM{
+			ID: fmt.Sprintf("worker-%d", i), State: ids.StateLive, AvailabilityZone: zone(i),
+			Rack:       ids.RackID(fmt.Sprintf("rack-%d", i%max(1, opt.racks))),
+			Processors: ids.Cores(opt.capacity.cores), Memory: ids.Megabytes(opt.capacity.memory),
 			Accelerators: int(opt.capacity.accelerators),
 		}
 		vms = append(vms, vm)
 		wk := &simWorker{vm: vm, running: map[TaskID]*simTask{}, slow: 1}
 		si.workers = append(si.workers, wk)
-		si.byID[platform.WorkerID(vm.ID)] = wk
+		si.byID[ids.WorkerID(vm.ID)] = wk
 	}
 	var infos []entryInfo
 	for i := range opt.entries {
-		infos = append(infos, entryInfo{id: platform.EntryID(fmt.Sprintf("entry-%d", i)), zone: zone(i)})
+		infos = append(infos, entryInfo{id: ids.EntryID(fmt.Sprintf("entry-%d", i)), zone: zone(i)})
 	}
 	for _, info := range infos {
-		en := &simEntry{polled: map[platform.WorkerID]time.Time{}, pl: &naivePlacer{vms: vms, used: map[platform.WorkerID]size{}}}
+		en := &simEntry{polled: map[ids.WorkerID]time.Time{}, pl: &naivePlacer{vms: vms, used: map[ids.WorkerID]size{}}}
 		if !opt.naive {
 			sc := newScheduler(info, nil, func() time.Time { return si.now })
 			sc.sharing = opt.sharing
@@ -187,7 +187,7 @@
 		dm.Task = TaskID(fmt.Sprintf("task-%d", si.nextID))
 	}
 	if dm.Job == "" {
-		dm.Job = platform.JobID(dm.Task)
+		dm.Job = ids.JobID(dm.Task)
 	}
 	si.waiting[dm.Task] = &simTask{dm: dm, truth: tr, owner: si.entries[entry], arrived: si.now}
 	si.entries[entry].pl.enqueue(&dm, nil)
@@ -285,9 +285,9 @@
 		return
 	}
 	rp, isReal := en.pl.(realPlacer)
-	var id platform.WorkerID
+	var id ids.WorkerID
 	for _, wk := range si.workers {
-		next := platform.WorkerID(wk.vm.ID)
+		next := ids.WorkerID(wk.vm.ID)
 		wanted := !isReal || rp.wantsPoll(rp.byID[next], si.now)
 		if wanted && si.now.Sub(en.polled[next]) >= pollEvery && (id == "" || en.polled[next].Before(en.polled[id])) {
 			id = next
@@ -307,8 +307,8 @@
 	})
 }
 
-func usageOf(id TaskID, kind platform.RequestKind, sz size) TaskUsage {
-	return TaskUsage{ID: id, Kind: kind, Processors: platform.Cores(sz.cores), Memory: platform.Megabytes(sz.memory), Accelerators: int(sz.accelerators)}
+func usageOf(id TaskID, kind ids.RequestKind, sz size) TaskUsage {
+	return TaskUsage{ID: id, Kind: kind, Processors: ids.Cores(sz.cores), Memory: ids.Megabytes(sz.memory), Accelerators: int(sz.accelerators)}
 }
 
 func (wk *simWorker) usage() Usage {
--- a/internal/worker/state.go
+++ b/internal/worker/state.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // workerState is one worker as the scheduler sees it.
 type workerState struct {
-	id       platform.WorkerID
+	id       ids.WorkerID
 	address  string
-	zone     platform.AvailabilityZone
+	zone     ids.AvailabilityZone
 	rack     int
 	capacity size
 
@@ -65,10 +65,10 @@
 
 // setWorkers takes over the platform's list of workers. A worker that is no
 // longer listed keeps its tasks until the traffic gives them up.
-func (sc *scheduler) setWorkers(vms []platform.VM) {
-	seen := map[platform.WorkerID]bool{}
+func (sc *scheduler) setWorkers(vms []ids.VM) {
+	seen := map[ids.WorkerID]bool{}
 	for _, vm := range vms {
-		id := platform.WorkerID(vm.ID)
+		id := ids.WorkerID(vm.ID)
 		seen[id] = true
 		ws := sc.byID[id]
 		if ws == nil {
@@ -77,7 +77,7 @@
 			sc.workers = append(sc.workers, ws)
 		}
 		ws.listed = true
-		ws.leaving = vm.State == platform.StateLeaving
+		ws.leaving = vm.State == ids.StateLeaving
 		ws.address = vm.Address
 		ws.zone = vm.AvailabilityZone
 		ws.rack = sc.rackNumber(vm.Rack)
@@ -114,7 +114,7 @@
 	return ws
 }
 
-func (sc *scheduler) rackNumber(id platform.RackID) int {
+func (sc *scheduler) rackNumber(id ids.RackID) int {
 	n, ok := sc.racks[id]
 	if !ok {
 		n = len(sc.racks)
--- a/internal/worker/teams.go
+++ b/internal/worker/teams.go
@@ -4,19 +4,19 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/configuration"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // team is the queue and the use of one team.
 type team struct {
-	id    platform.TeamID
+	id    ids.TeamID
 	quota configuration.Team
 	// entitlement is what the team may use while all teams are busy.
 	entitlement size
 	use         size
 	// share is the largest part of the entitlement in use over the dimensions.
 	share float64
-	lanes map[platform.RequestKind]*lane
+	lanes map[ids.RequestKind]*lane
 }
 
 // lane is the queue of one team's tasks of one kind, in order of arrival. Kinds
@@ -24,7 +24,7 @@
 // smaller ones of another kind.
 type lane struct {
 	team    *team
-	kind    platform.RequestKind
+	kind    ids.RequestKind
 	tasks   []*task
 	first   int
 	turn    int64
@@ -35,17 +35,17 @@
 	since    time.Time
 }
 
-func (sc *scheduler) team(id platform.TeamID) *team {
+func (sc *scheduler) team(id ids.TeamID) *team {
 	tm := sc.teams[id]
 	if tm == nil {
-		tm = &team{id: id, lanes: map[platform.RequestKind]*lane{}}
+		tm = &team{id: id, lanes: map[ids.RequestKind]*lane{}}
 		sc.teams[id] = tm
 		sc.entitle(tm)
 	}
 	return tm
 }
 
-func (tm *team) lane(sc *scheduler, kind platform.RequestKind) *lane {
+func (tm *team) lane(sc *scheduler, kind ids.RequestKind) *lane {
 	ln := tm.lanes[kind]
 	if ln == nil {
 		ln = &lane{team: tm, kind: kind}
@@ -135,7 +135,7 @@
 }
 
 // setTeams puts the quotas of a configuration in force.
-func (sc *scheduler) setTeams(quotas map[platform.TeamID]configuration.Team) {
+func (sc *scheduler) setTeams(quotas map[ids.TeamID]configuration.Team) {
 	sc.quotas = quotas
 	sc.weights = 0
 	for _, quota := range quotas {
--- a/internal/worker/traffic.go
+++ b/internal/worker/traffic.go
@@ -9,8 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
 )
 
 const (
@@ -127,7 +127,7 @@
 
 // Query asks a worker for the state of a task, over a new connection. It
 // reports false when the worker does not know the task.
-func (di *Dispatcher) Query(ctx context.Context, wk platform.WorkerID, task TaskID) (Report, bool, error) {
+func (di *Dispatcher) Query(ctx context.Context, wk ids.WorkerID, task TaskID) (Report, bool, error) {
 	di.mu.Lock()
 	ws := di.sched.byID[wk]
 	var address string
--- a/internal/worker/traffic_test.go
+++ b/internal/worker/traffic_test.go
@@ -15,7 +15,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/blackboard"
 	"github.com/oleanderwall/oleanderwall/internal/counter"
 	"github.com/oleanderwall/oleanderwall/internal/faultproxy"
-	"github.com/oleanderwall/oleanderwall/internal/platform"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 	"github.com/oleanderwall/oleanderwall/internal/standin"
 	"github.com/oleanderwall/oleanderwall/internal/worker"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
@@ -31,7 +31,7 @@
 	di      *worker.Dispatcher
 	fleet   *standin.Fleet
 	proxies []*faultproxy.Proxy
-	vms     []platform.VM
+	vms     []ids.VM
 
 	mu       sync.Mutex
 	finished map[worker.TaskID]worker.Report
@@ -45,7 +45,7 @@
 func newRig(tb testing.TB, workers int) *rig {
 	tb.Helper()
 	fleet, err := standin.StartFleet(standin.FleetOptions{
-		Workers: workers, WorkerCores: 64, WorkerMemory: 128_000, WorkersInRack: 8, Zones: []platform.AvailabilityZone{"zone-0"},
+		Workers: workers, WorkerCores: 64, WorkerMemory: 128_000, WorkersInRack: 8, Zones: []ids.AvailabilityZone{"zone-0"},
 	})
 	if err != nil {
 		tb.Fatal(err)
@@ -53,9 +53,9 @@
 	tb.Cleanup(fleet.Close)
 	rg := &rig{tb: tb, board: &blackboard.Board{}, cnt: counter.New(), fleet: fleet}
 	for i, srv := range fleet.WorkerServers {
-		rg.vms = append(rg.vms, platform.VM{
-			ID: fmt.Sprintf("worker-%d", i), Kind: platform.KindWorker, State: platform.StateLive, Address: srv.Address(),
-			AvailabilityZone: "zone-0", Rack: platform.RackID(fmt.Sprintf("rack-%d", i/8)), Processors: 64, Memory: 128_000,
+		rg.vms = append(rg.vms, ids.VM{
+			ID: fmt.Sprintf("worker-%d", i), Kind: ids.KindWorker, State: ids.StateLive, Address: srv.Address(),
+			AvailabilityZone: "zone-0", Rack: ids.RackID(fmt.Sprintf("rack-%d", i/8)), Processors: 64, Memory: 128_000,
 		})
 	}
 	return rg
@@ -82,7 +82,7 @@
 	rg.started = make(chan struct{}, 1)
 	rg.list(rg.vms)
 	rg.di = worker.New(worker.Options{
-		Board: rg.board, Counters: rg.cnt, Incarnation: platform.NewIncarnation("entry-0"), Zone: "zone-0", Log: zerolog.Nop(),
+		Board: rg.board, Counters: rg.cnt, Incarnation: ids.NewIncarnation("entry-0"), Zone: "zone-0", Log: zerolog.Nop(),
 	})
 	if _, short := rg.tb.(*testing.T); short {
 		rg.di.ShortBounds()
@@ -93,7 +93,7 @@
 	return rg
 }
 
-func (rg *rig) list(vms []platform.VM) {
+func (rg *rig) list(vms []ids.VM) {
 	rg.board.VMs.Publish(&blackboard.VMs{Fetched: time.Now(), Workers: vms})
 }
 
@@ -140,8 +140,8 @@
 	var dms []worker.Demand
 	for i := range n {
 		dms = append(dms, worker.Demand{
-			Task: worker.TaskID(fmt.Sprintf("%s/%d", prefix, i)), Job: platform.JobID(fmt.Sprintf("%s-%d", prefix, i/perJob)), Kind: "check",
-			Team: platform.TeamID(fmt.Sprintf("team-%d", i/perJob%teams)), Processors: 1, Memory: 100, RunMillis: run.Milliseconds(),
+			Task: worker.TaskID(fmt.Sprintf("%s/%d", prefix, i)), Job: ids.JobID(fmt.Sprintf("%s-%d", prefix, i/perJob)), Kind: "check",
+			Team: ids.TeamID(fmt.Sprintf("team-%d", i/perJob%teams)), Processors: 1, Memory: 100, RunMillis: run.Milliseconds(),
 		})
 	}
 	rg.di.Enqueue(dms, func(task worker.TaskID, pl worker.Placement) { places <- place{task, pl} })
