--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -47,6 +47,7 @@
 
 var verbs = map[string]verb{
 	"entry":          {"run the daemon", runEntry},
+	"fleet":          {"run the daemon on the users' platform", runFleet},
 	"check":          {"check a settings file", runCheck},
 	"job submit":     {"submit a job from a YAML or JSON file", runJobSubmit},
 	"job get":        {"show a job", runJobGet},
--- /dev/null
+++ b/internal/command/fleet.go
@@ -0,0 +1,175 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/fleet"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+	"github.com/oleanderwall/oleanderwall/platform"
+)
+
+// The timing of a shutdown on the users' platform.
+const (
+	// balancerNotice is how long the balancer may send new connections after
+	// the entry is no longer ready: two probes, one a second, and a margin.
+	balancerNotice = 2500 * time.Millisecond
+	// exitMargin is kept of the grace time for the exit itself.
+	exitMargin = 250 * time.Millisecond
+	// settingsPoll is the interval at which the settings file is looked at, since
+	// it may change without a signal.
+	settingsPoll = time.Second
+	// headerTimeout and idleTimeout bound connections of callers until the
+	// desired state names its own limits.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+)
+
+// runFleet runs an entry on the users' platform until SIGTERM.
+func runFleet(ctx context.Context, args []string, st Streams) error {
+	fs := flags("fleet", st)
+	file := fs.String("settings", os.Getenv(platform.SettingsVariable), "settings file of the platform")
+	if err := parse(fs, args); err != nil {
+		return err
+	}
+	if *file == "" {
+		return &usageError{message: "no settings file: set " + platform.SettingsVariable + " or give -settings"}
+	}
+	set, err := platform.LoadSettings(*file)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	cnt := counter.New()
+	log := fleet.NewJournal(st.Out, cnt)
+	defer log.Close()
+	cl := platform.NewClient(set.Store)
+	defer cl.Close()
+	dm := fleet.New(set.Options(), cl, cl, log, cnt)
+	if err := dm.Start(); err != nil {
+		return err
+	}
+	defer dm.Close()
+	servers, err := startServers(ctx, set, dm, cnt, log)
+	if err != nil {
+		return err
+	}
+	defer servers.close()
+	grp := group.New(ctx)
+	defer grp.Close()
+	watch := settingsWatch{path: *file, log: log}
+	watch.set.Store(&set)
+	grp.Every(settingsPoll, func(context.Context) { watch.reload("poll") })
+	for sig := range signals {
+		if sig == syscall.SIGHUP {
+			watch.reload("signal")
+			continue
+		}
+		log.Line("shutdown-started", "signal", sig.String())
+		break
+	}
+	servers.shutdown(ctx, dm, watch.set.Load().Grace-exitMargin)
+	return nil
+}
+
+// settingsWatch takes changes of the settings file.
+type settingsWatch struct {
+	path string
+	log  *fleet.Journal
+	set  atomic.Pointer[platform.Settings]
+}
+
+// reload reads the settings again. Addresses and identity stay as they were at
+// the start; the platform restarts a process whose addresses change.
+func (wa *settingsWatch) reload(why string) {
+	set, err := platform.LoadSettings(wa.path)
+	if err != nil {
+		wa.log.Line("settings-unreadable", "reason", why, "error", err.Error())
+		return
+	}
+	if old := wa.set.Load(); *old != set {
+		wa.log.Line("settings-changed", "reason", why, "grace-ms", set.Grace.Milliseconds())
+		wa.set.Store(&set)
+	}
+}
+
+// fleetServers are the HTTP servers of an entry.
+type fleetServers struct {
+	callers *http.Server
+	ready   *http.Server
+	metrics *http.Server
+	grp     *group.Group
+	log     *fleet.Journal
+}
+
+func startServers(ctx context.Context, set platform.Settings, dm *fleet.Daemon, cnt *counter.Set, log *fleet.Journal) (*fleetServers, error) {
+	ca := platform.NewCallers(dm, cnt)
+	rt := chi.NewRouter()
+	rt.Get("/metrics", func(wr http.ResponseWriter, _ *http.Request) {
+		if err := cnt.Write(wr); err != nil {
+			log.Line("metrics-failed", "error", err.Error())
+		}
+	})
+	fl := &fleetServers{
+		callers: &http.Server{Handler: ca.Routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		ready:   &http.Server{Handler: ca.ReadyRoutes(), ReadHeaderTimeout: headerTimeout},
+		metrics: &http.Server{Handler: rt, ReadHeaderTimeout: headerTimeout},
+		grp:     group.New(ctx),
+		log:     log,
+	}
+	for _, sv := range []struct {
+		srv     *http.Server
+		address string
+	}{{fl.callers, set.Callers}, {fl.ready, set.Ready}, {fl.metrics, set.Metrics}} {
+		cfg := net.ListenConfig{}
+		lis, err := cfg.Listen(ctx, "tcp", sv.address)
+		if err != nil {
+			fl.close()
+			return nil, fmt.Errorf("listen on %s: %w", sv.address, err)
+		}
+		fl.grp.Go(func(context.Context) {
+			if err := sv.srv.Serve(lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				log.Line("server-failed", "address", sv.address, "error", err.Error())
+			}
+		})
+	}
+	return fl, nil
+}
+
+// shutdown leaves the balancer, passes the workers on, and answers what has
+// been read, within a time.
+func (fl *fleetServers) shutdown(ctx context.Context, dm *fleet.Daemon, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	drain := group.New(ctx)
+	defer drain.Close()
+	drain.Go(func(ctx context.Context) { dm.Drain(ctx) })
+	fl.callers.SetKeepAlivesEnabled(false)
+	group.Sleep(ctx, balancerNotice)
+	if err := fl.callers.Shutdown(ctx); err != nil {
+		fl.log.Line("shutdown-cut", "error", err.Error())
+	}
+	drain.Wait()
+}
+
+// close ends the servers at once.
+func (fl *fleetServers) close() {
+	for _, srv := range []*http.Server{fl.callers, fl.ready, fl.metrics} {
+		if err := srv.Close(); err != nil {
+			fl.log.Line("server-close", "error", err.Error())
+		}
+	}
+	fl.grp.Close()
+}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -15,6 +15,7 @@
 	"io"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -53,6 +54,37 @@
 	return 0
 }
 
+// histogramSamples and histogramDecay are the usual settings of an
+// exponentially decaying sample: about five minutes of values.
+const (
+	histogramSamples = 1028
+	histogramDecay   = 0.015
+	// latencyPrefix keeps histograms apart from counters of the same name.
+	latencyPrefix = "latency."
+)
+
+// Observe adds a latency to the histogram of the name.
+func (st *Set) Observe(name string, took time.Duration) {
+	hi := st.reg.GetOrRegister(latencyPrefix+name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(histogramSamples, histogramDecay))
+	})
+	if hist, ok := hi.(metrics.Histogram); ok {
+		hist.Update(took.Microseconds())
+	}
+}
+
+// quantiles of a histogram that are exported.
+var quantiles = []float64{0.5, 0.9, 0.99}
+
+func histogramLines(name string, hist metrics.Histogram) []string {
+	snap := hist.Snapshot()
+	lines := []string{fmt.Sprintf("%s_count %d", exported(name), snap.Count())}
+	for num, val := range snap.Percentiles(quantiles) {
+		lines = append(lines, fmt.Sprintf("%s_microseconds{quantile=\"%g\"} %.0f", exported(name), quantiles[num], val))
+	}
+	return lines
+}
+
 // Gauge sets the gauge of the name.
 func (st *Set) Gauge(name string, val int64) {
 	metrics.GetOrRegisterGauge(name, st.reg).Update(val)
@@ -66,7 +98,8 @@
 	return 0
 }
 
-// Write writes one "name value" line for each counter and gauge, sorted by
+// Write writes one "name value" line for each counter, gauge and quantile of a
+// histogram, sorted by
 // name, in the text form that Prometheus scrapes: dots and dashes become
 // underscores and every name starts with oleanderwall_.
 func (st *Set) Write(out io.Writer) error {
@@ -77,6 +110,8 @@
 			lines = append(lines, fmt.Sprintf("%s %d", exported(name), v.Count()))
 		case metrics.Gauge:
 			lines = append(lines, fmt.Sprintf("%s %d", exported(name), v.Value()))
+		case metrics.Histogram:
+			lines = append(lines, histogramLines(name, v)...)
 		}
 	})
 	sort.Strings(lines)
--- /dev/null
+++ b/internal/dispatch/entry.go
@@ -0,0 +1,297 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// Effects carries out what an Entry decides. No method blocks or calls back
+// into the Entry before it returns.
+type Effects interface {
+	// Send passes a message to another entry. Without a session it is dropped.
+	Send(to ids.EntryID, msg Message)
+	// StartTask sends an order; Entry.StartReplied takes the result.
+	StartTask(order StartOrder)
+	// StopTask sends an order; Entry.StopReplied takes the result.
+	StopTask(order StopOrder)
+	// Hold renews leases on a worker and lists its runs; Entry.HoldReplied
+	// takes the result.
+	Hold(order HoldOrder)
+	// Commit changes rows of holders, all or none; Entry.Committed takes the
+	// result.
+	Commit(changes []RowChange)
+	// Log writes one line on a decision. The fields are key and value in turn.
+	Log(event string, fields ...any)
+	// Count adds to a counter.
+	Count(family, reason string, n int64)
+	// Observe adds to a latency histogram.
+	Observe(name string, took time.Duration)
+}
+
+// StartOrder starts one run on a worker.
+type StartOrder struct {
+	Worker     ids.WorkerID
+	Address    string
+	Token      Token
+	Ref        TaskRef
+	Payload    string
+	Checkpoint string
+	Until      WorkerTime // lease of the run
+}
+
+// StopOrder stops one run on a worker.
+type StopOrder struct {
+	Worker  ids.WorkerID
+	Address string
+	Token   Token
+	Ref     TaskRef
+}
+
+// HoldOrder renews the leases on a worker and asks for its runs.
+type HoldOrder struct {
+	Worker  ids.WorkerID
+	Address string
+	Token   Token
+	Extend  bool       // whether leases are renewed
+	Until   WorkerTime // the new end of all leases on the worker
+	Acked   int64      // ends up to this number may be forgotten
+	Wait    time.Duration
+}
+
+// RowChange sets the holder of a worker if the row has the expected version.
+type RowChange struct {
+	Worker   ids.WorkerID
+	Expected Version // 0 when there must be no row
+	Holder   ids.Incarnation
+}
+
+// Entry is the state of one entry. It is not safe for concurrent use.
+type Entry struct {
+	self Self
+	id   ids.EntryID
+	eff  Effects
+	now  func() time.Time
+
+	desired *Desired
+	leaving bool
+
+	sessions map[ids.EntryID]*session
+
+	// as owner
+	jobs      map[ids.JobID]*job
+	groups    map[GroupID]*group
+	lastGroup GroupID
+	learned   map[string]*estimator
+
+	// as holder
+	workers   map[ids.WorkerID]*worker
+	wants     map[wantKey]*want
+	grants    map[GrantID]*grant
+	lastGrant GrantID
+	suspects  suspectJobs
+
+	// as member
+	members    map[ids.EntryID]*member
+	rows       map[ids.WorkerID]HolderRow
+	known      map[ids.WorkerID]*knownWorker
+	committing bool
+	commitAt   time.Time
+	storeLost  time.Time // last time the store was seen to be away
+	lastTick   time.Time
+}
+
+// session is the state of the messages between this entry and another one.
+type session struct {
+	up          bool // messages can be sent
+	incarnation ids.Incarnation
+	upSince     time.Time
+	downSince   time.Time
+	refused     bool // the last attempt to connect was refused
+	load        Load
+	loadAt      time.Time
+	// inbound is the number of the session in the other direction, 0 when
+	// there is none.
+	inbound uint64
+}
+
+// New returns the state of an entry that has just started.
+func New(self Self, eff Effects, now func() time.Time) *Entry {
+	return &Entry{
+		self:     self,
+		id:       self.Incarnation.Entry(),
+		eff:      eff,
+		now:      now,
+		sessions: map[ids.EntryID]*session{},
+		jobs:     map[ids.JobID]*job{},
+		groups:   map[GroupID]*group{},
+		learned:  map[string]*estimator{},
+		workers:  map[ids.WorkerID]*worker{},
+		wants:    map[wantKey]*want{},
+		grants:   map[GrantID]*grant{},
+		suspects: suspectJobs{},
+		members:  map[ids.EntryID]*member{},
+		rows:     map[ids.WorkerID]HolderRow{},
+		known:    map[ids.WorkerID]*knownWorker{},
+		lastTick: now(),
+	}
+}
+
+// TickInterval is the interval at which the runtime calls Tick. It bounds how
+// late a give-up or a takeover is noticed.
+const TickInterval = 20 * time.Millisecond
+
+// pauseLimit is the gap between two ticks above which the process counts as
+// paused: its sessions and leases may have ended meanwhile.
+const pauseLimit = 500 * time.Millisecond
+
+// Tick acts on the passing of time.
+func (en *Entry) Tick() {
+	now := en.now()
+	// The steady clock stands still while a VM is suspended, the wall clock may
+	// be stepped: the larger gap counts.
+	if gap := max(now.Sub(en.lastTick), now.Round(0).Sub(en.lastTick.Round(0))); gap > pauseLimit {
+		en.eff.Log("paused", "gap-ms", gap.Milliseconds())
+		// Beats of others were not read meanwhile; they prove nothing.
+		en.StoreAway()
+	}
+	en.lastTick = now
+	en.tickOwner(now)
+	en.tickHolder(now)
+	en.tickMember(now)
+}
+
+// Apply puts a version of the desired state in force, unless a newer one is.
+func (en *Entry) Apply(des Desired) bool {
+	if en.desired != nil && des.Version <= en.desired.Version {
+		return false
+	}
+	en.desired = &des
+	en.eff.Log("desired-state", "version", des.Version, "queues", len(des.Queues))
+	return true
+}
+
+// Desired returns the desired state in force, nil before the first one.
+func (en *Entry) Desired() *Desired { return en.desired }
+
+// session returns the session with an entry and creates its record.
+func (en *Entry) session(id ids.EntryID) *session {
+	se := en.sessions[id]
+	if se == nil {
+		se = &session{downSince: en.now()}
+		en.sessions[id] = se
+	}
+	return se
+}
+
+// SessionUp tells that messages can be sent to an entry.
+func (en *Entry) SessionUp(id ids.EntryID, inc ids.Incarnation) {
+	se := en.session(id)
+	se.up, se.refused, se.incarnation, se.upSince = true, false, inc, en.now()
+	en.eff.Log("session-up", "entry", string(id), "incarnation", string(inc))
+	en.offerWants(id)
+}
+
+// SessionDown tells that messages can no longer be sent to an entry. What was
+// sent last may or may not have arrived.
+func (en *Entry) SessionDown(id ids.EntryID, why string) {
+	se := en.session(id)
+	if !se.up {
+		return
+	}
+	se.up, se.downSince, se.load = false, en.now(), Load{}
+	en.eff.Log("session-down", "entry", string(id), "incarnation", string(se.incarnation), "reason", why)
+	en.eff.Count("peer", "session-down", 1)
+	en.loseHolder(id)
+	en.endAdoptions(id)
+}
+
+// Refused tells that an entry's VM refused a connection: no process listens.
+func (en *Entry) Refused(id ids.EntryID) {
+	en.session(id).refused = true
+}
+
+// InboundUp tells that an entry has begun a session towards this one. An older
+// session of it has ended.
+func (en *Entry) InboundUp(id ids.EntryID, number uint64) {
+	se := en.session(id)
+	if se.inbound != 0 && se.inbound != number {
+		en.dropOwner(id, "new session")
+	}
+	se.inbound = number
+}
+
+// InboundDown tells that a session of an entry towards this one has ended: its
+// connection is closed or silent for too long.
+func (en *Entry) InboundDown(id ids.EntryID, number uint64, why string) {
+	se := en.session(id)
+	if se.inbound != number {
+		return
+	}
+	se.inbound = 0
+	en.dropOwner(id, why)
+}
+
+// InboundIs tells whether a session is the present one of an entry towards
+// this one.
+func (en *Entry) InboundIs(id ids.EntryID, number uint64) bool {
+	return en.session(id).inbound == number
+}
+
+// Heard takes the load that an entry has reported.
+func (en *Entry) Heard(id ids.EntryID, load Load) {
+	se := en.session(id)
+	se.load, se.loadAt = load, en.now()
+}
+
+// Receive takes a message of another entry.
+func (en *Entry) Receive(from ids.EntryID, msg Message) {
+	switch ms := msg.(type) {
+	case Start:
+		en.onStart(from, ms)
+	case Want:
+		en.onWant(from, ms)
+	case Unwant:
+		en.onUnwant(from, ms)
+	case Stop:
+		en.onStop(from, ms)
+	case Adopted:
+		en.onAdopted(from, ms)
+	case Grant:
+		en.onGrant(from, ms)
+	case Running:
+		en.onRunning(from, ms)
+	case Ended:
+		en.onEnded(from, ms)
+	case Adopt:
+		en.onAdopt(from, ms)
+	case Released:
+		en.onReleased(from, ms)
+	case Handover:
+		en.onHandover(ms)
+	case NewDesired:
+		en.Apply(ms.Desired)
+	default:
+		en.eff.Log("unknown-message", "entry", string(from))
+	}
+}
+
+// send passes a message to an entry, also to this one.
+func (en *Entry) send(to ids.EntryID, msg Message) {
+	if to == en.id {
+		en.Receive(en.id, msg)
+		return
+	}
+	en.eff.Send(to, msg)
+}
+
+// reachable lists the entries that messages can be sent to, this one included.
+func (en *Entry) reachable() []ids.EntryID {
+	list := []ids.EntryID{en.id}
+	for id, se := range en.sessions {
+		if se.up {
+			list = append(list, id)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/dispatch/holder.go
@@ -0,0 +1,645 @@
+package dispatch
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// WorkerTime is a reading of a worker's own steady clock.
+type WorkerTime time.Duration
+
+type slotState string
+
+const (
+	slotGranted  slotState = "granted"  // reserved for a task that the owner may send
+	slotOrdered  slotState = "ordered"  // start sent, no answer yet
+	slotUnknown  slotState = "unknown"  // start without an answer
+	slotRunning  slotState = "running"  // the worker has confirmed the run
+	slotStopping slotState = "stopping" // must end; its room is still taken
+)
+
+// slot is a task's share of a worker's room.
+type slot struct {
+	ref      TaskRef
+	owner    ids.EntryID
+	group    GroupID
+	job      ids.JobID
+	shape    Shape
+	state    slotState
+	until    WorkerTime // after it an order without an answer has no effect
+	began    time.Time
+	stopSent time.Time
+	why      End // how to report a stop that this holder has decided
+	grant    GrantID
+	foreign  bool // found on the worker and not claimed by any owner
+	checked  bool // the worker has listed the run
+}
+
+type workerPhase string
+
+const (
+	phaseFencing  workerPhase = "fencing"  // the token has not been shown yet
+	phaseAdopting workerPhase = "adopting" // owners are asked for what runs there
+	phaseOpen     workerPhase = "open"
+)
+
+// worker is a worker that this entry holds.
+type worker struct {
+	info  WorkerInfo
+	token Token
+	phase workerPhase
+	slots map[TaskRef]*slot
+
+	holding   bool // a Hold is in flight
+	holdSent  time.Time
+	nextHold  time.Time
+	failing   time.Time  // since when holds fail, zero while they succeed
+	leaseEnd  time.Time  // when all leases that were asked for have surely ended
+	acked     int64      // ends up to it have been taken
+	clock     WorkerTime // the worker's clock at clockAt
+	clockAt   time.Time
+	born      int64
+	handingTo ids.Incarnation // set while the worker is passed on
+
+	awaiting   map[ids.EntryID]bool // entries that have not answered Adopt
+	adoptUntil time.Time
+	unclaimed  []TaskRef
+
+	speed   speed
+	streak  int       // failed runs in a row, of different jobs
+	blocked time.Time // no task is placed before this time
+	lastOK  time.Time
+	overdue bool // a task runs far beyond its estimate
+}
+
+// The limits on the traffic with workers.
+const (
+	// leaseTime is the lease asked for in each hold; workers shorten longer ones
+	// than one second.
+	leaseTime = 950 * time.Millisecond
+	// startLease is the lease of a new run. It bounds how late an order that was
+	// delayed on its way can still take effect, and outlasts one hold.
+	startLease = 800 * time.Millisecond
+	// holdWait is how long a worker may keep a hold open without news.
+	holdWait = 400 * time.Millisecond
+	// holdRetry is the pause after a hold that failed.
+	holdRetry = 100 * time.Millisecond
+	// clockError bounds how much slower a worker's clock may run.
+	clockError = 1.03
+	// lateOrderMargin covers the uncertainty of a worker's clock reading.
+	lateOrderMargin = WorkerTime(20 * time.Millisecond)
+	// grantTime bounds how long a grant reserves room without an answer.
+	grantTime = 150 * time.Millisecond
+	// adoptTime bounds how long owners may take to claim tasks.
+	adoptTime = 250 * time.Millisecond
+	// stopAgain is the pause before a stop without effect is sent again.
+	stopAgain = 150 * time.Millisecond
+	// stallFactor times the expected run time is when a task counts as stalled.
+	stallFactor = 4
+	// stallFloor keeps short tasks from counting as stalled by mere noise.
+	stallFloor = 400 * time.Millisecond
+	// overdueFactor times the expected run time makes a worker unattractive.
+	overdueFactor = 2.5
+	// overdueFloor keeps noise of short tasks from counting as overdue.
+	overdueFloor = 120 * time.Millisecond
+)
+
+// clockNow estimates the worker's clock.
+func (wk *worker) clockNow(now time.Time) WorkerTime {
+	return wk.clock + WorkerTime(now.Sub(wk.clockAt))
+}
+
+// used returns the room taken by the slots.
+func (wk *worker) used() Resources {
+	sum := Resources{}
+	for _, sl := range wk.slots {
+		sum = sum.plus(sl.shape.Need)
+	}
+	return sum
+}
+
+// usable tells whether new tasks may be placed on the worker.
+func (wk *worker) usable(now time.Time) bool {
+	return wk.phase == phaseOpen && wk.failing.IsZero() && wk.info.State == WorkerReady &&
+		wk.handingTo == "" && !now.Before(wk.blocked) && !wk.overdue && (wk.streak == 0 || len(wk.slots) == 0)
+}
+
+// TakeWorker begins to hold a worker under a token.
+func (en *Entry) takeWorker(info WorkerInfo, token Token) {
+	wk := &worker{
+		info: info, token: token, phase: phaseFencing, slots: map[TaskRef]*slot{}, born: info.Born,
+	}
+	en.workers[info.ID] = wk
+	en.eff.Log("worker-taken", "worker", string(info.ID), "token", int64(token), "zone", string(info.Zone))
+	en.hold(wk)
+}
+
+// dropWorker ends holding a worker. Its tasks pass to the next holder.
+func (en *Entry) dropWorker(wk *worker, why string) {
+	delete(en.workers, wk.info.ID)
+	owners := map[ids.EntryID]bool{}
+	for ref, sl := range wk.slots {
+		switch sl.state {
+		case slotGranted:
+			en.releaseGrant(sl.grant)
+		case slotOrdered, slotUnknown:
+			owners[sl.owner] = true
+			en.send(sl.owner, Running{Ref: ref, Worker: wk.info.ID})
+		default:
+			owners[sl.owner] = true
+		}
+	}
+	for id := range owners {
+		if id != "" {
+			en.send(id, Released{Worker: wk.info.ID})
+		}
+	}
+	en.eff.Log("worker-dropped", "worker", string(wk.info.ID), "token", int64(wk.token), "reason", why, "slots", len(wk.slots))
+}
+
+// hold sends the next hold to a worker.
+func (en *Entry) hold(wk *worker) {
+	now := en.now()
+	wk.holding, wk.holdSent = true, now
+	order := HoldOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.acked}
+	if wk.phase == phaseOpen && wk.failing.IsZero() {
+		order.Wait = holdWait
+		order.Extend = true
+		order.Until = wk.clockNow(now) + WorkerTime(leaseTime)
+		wk.extendLease(now, leaseTime)
+	}
+	en.eff.Hold(order)
+}
+
+// extendLease notes that a lease of a length was asked for at a time.
+func (wk *worker) extendLease(now time.Time, lease time.Duration) {
+	end := now.Add(time.Duration(float64(lease)*clockError) + leaseMargin)
+	if end.After(wk.leaseEnd) {
+		wk.leaseEnd = end
+	}
+}
+
+// leaseMargin covers the round trip by which a clock reading may be wrong.
+const leaseMargin = 60 * time.Millisecond
+
+// HoldReply is a worker's answer to a hold.
+type HoldReply struct {
+	Clock   WorkerTime
+	Born    int64
+	Running []TaskRef
+	Ended   []EndedRun
+	Fenced  bool // the worker has seen a higher token
+	Other   bool // another lifetime of the worker answered
+	Failed  bool // no answer, or none that can be used
+	Reason  string
+}
+
+// EndedRun is an end that a worker lists until it is acknowledged.
+type EndedRun struct {
+	Number     int64
+	Ref        TaskRef
+	How        End
+	Checkpoint string
+}
+
+// HoldReplied takes the answer to a hold.
+func (en *Entry) HoldReplied(id ids.WorkerID, token Token, rep HoldReply) {
+	wk := en.workers[id]
+	if wk == nil || wk.token != token {
+		return
+	}
+	now := en.now()
+	sent := wk.holdSent
+	wk.holding, wk.nextHold = false, now
+	switch {
+	case rep.Fenced:
+		en.dropWorker(wk, "fenced")
+		return
+	case rep.Failed || rep.Other:
+		if wk.failing.IsZero() {
+			wk.failing = now
+			en.eff.Log("worker-silent", "worker", string(id), "reason", rep.Reason, "slots", len(wk.slots))
+		}
+		wk.nextHold = now.Add(holdRetry)
+		return
+	}
+	if !wk.failing.IsZero() {
+		en.eff.Log("worker-back", "worker", string(id), "after-ms", now.Sub(wk.failing).Milliseconds())
+		wk.failing = time.Time{}
+	}
+	if wk.born != 0 && rep.Born != 0 && rep.Born != wk.born {
+		en.workerReborn(wk, rep.Born)
+	}
+	if rep.Born != 0 {
+		wk.born = rep.Born
+	}
+	wk.clock, wk.clockAt = rep.Clock, now
+	if wk.phase == phaseFencing {
+		en.beginAdopting(wk, rep)
+	} else {
+		en.reconcile(wk, rep, sent)
+	}
+	if en.workers[id] == wk && !wk.holding && wk.phase == phaseOpen {
+		en.hold(wk)
+	}
+	en.match()
+}
+
+// workerReborn forgets what ran in an earlier lifetime of a worker.
+func (en *Entry) workerReborn(wk *worker, born int64) {
+	en.eff.Log("worker-restarted", "worker", string(wk.info.ID), "born", born, "before", wk.born, "slots", len(wk.slots))
+	wk.acked = 0
+	for _, sl := range wk.list() {
+		if sl.state != slotGranted {
+			en.endSlot(wk, sl, EndLost, "", 0)
+		}
+	}
+}
+
+// list returns the slots in a fixed order, so that they may be removed while
+// the list is walked.
+func (wk *worker) list() []*slot {
+	list := make([]*slot, 0, len(wk.slots))
+	for _, sl := range wk.slots {
+		list = append(list, sl)
+	}
+	sort.Slice(list, func(a, b int) bool {
+		if list[a].ref.Task != list[b].ref.Task {
+			return list[a].ref.Task < list[b].ref.Task
+		}
+		return list[a].ref.Run < list[b].ref.Run
+	})
+	return list
+}
+
+// beginAdopting asks all entries for the tasks that a new worker runs.
+func (en *Entry) beginAdopting(wk *worker, rep HoldReply) {
+	ended := make([]Ended, 0, len(rep.Ended))
+	for _, er := range rep.Ended {
+		ended = append(ended, Ended{Ref: er.Ref, Worker: wk.info.ID, How: er.How, Checkpoint: er.Checkpoint})
+		wk.acked = max(wk.acked, er.Number)
+	}
+	if len(rep.Running) == 0 && len(ended) == 0 {
+		en.openWorker(wk)
+		return
+	}
+	wk.phase = phaseAdopting
+	wk.adoptUntil = en.now().Add(adoptTime)
+	wk.awaiting = map[ids.EntryID]bool{}
+	for _, ref := range rep.Running {
+		// The size of an unclaimed task is unknown: it takes all the room.
+		wk.slots[ref] = &slot{
+			ref: ref, state: slotStopping, foreign: true, checked: true, began: en.now(), why: EndStopped,
+			shape: Shape{Need: wk.info.Room},
+		}
+	}
+	list := en.reachable()
+	for _, id := range list {
+		wk.awaiting[id] = true
+	}
+	for _, id := range list {
+		en.send(id, Adopt{Worker: wk.info.ID, Running: rep.Running, Ended: ended})
+	}
+}
+
+func (en *Entry) onAdopted(from ids.EntryID, ms Adopted) {
+	wk := en.workers[ms.Worker]
+	if wk == nil || wk.phase != phaseAdopting {
+		if wk != nil && len(ms.Keep) > 0 {
+			// Too late: the tasks have been stopped or will be.
+			for _, kp := range ms.Keep {
+				en.send(from, Ended{Ref: kp.Ref, Worker: ms.Worker, How: EndLost})
+			}
+		}
+		return
+	}
+	for _, kp := range ms.Keep {
+		sl := wk.slots[kp.Ref]
+		if sl == nil || !sl.foreign {
+			continue
+		}
+		sl.foreign, sl.state, sl.owner = false, slotRunning, from
+		sl.group, sl.job, sl.shape = kp.Group, kp.Job, kp.Shape
+	}
+	delete(wk.awaiting, from)
+	if len(wk.awaiting) == 0 {
+		en.openWorker(wk)
+	}
+}
+
+// endAdoptions no longer waits for an entry that can't answer.
+func (en *Entry) endAdoptions(id ids.EntryID) {
+	for _, wk := range en.workers {
+		if wk.phase == phaseAdopting && wk.awaiting[id] {
+			delete(wk.awaiting, id)
+			if len(wk.awaiting) == 0 {
+				en.openWorker(wk)
+			}
+		}
+	}
+}
+
+// openWorker lets new tasks run on a worker, and stops those that no owner has
+// claimed.
+func (en *Entry) openWorker(wk *worker) {
+	wk.phase = phaseOpen
+	wk.awaiting = nil
+	stopped := 0
+	for _, sl := range wk.list() {
+		if sl.foreign {
+			stopped++
+			en.stopSlot(wk, sl, EndStopped)
+		}
+	}
+	en.eff.Log("worker-open", "worker", string(wk.info.ID), "adopted", len(wk.slots)-stopped, "unclaimed", stopped)
+	if !wk.holding {
+		en.hold(wk)
+	}
+	en.match()
+}
+
+// reconcile compares the worker's lists with the slots. A run that was started
+// after the hold was sent may be missing in its answer.
+func (en *Entry) reconcile(wk *worker, rep HoldReply, sent time.Time) {
+	for _, er := range rep.Ended {
+		if er.Number <= wk.acked {
+			continue
+		}
+		wk.acked = er.Number
+		if sl := wk.slots[er.Ref]; sl != nil && sl.state != slotGranted {
+			en.endSlot(wk, sl, er.How, er.Checkpoint, en.now().Sub(sl.began))
+		}
+	}
+	listed := map[TaskRef]bool{}
+	for _, ref := range rep.Running {
+		listed[ref] = true
+		sl := wk.slots[ref]
+		if sl == nil {
+			// An order that was given up has been carried out late.
+			sl = &slot{ref: ref, foreign: true, checked: true, began: en.now(), shape: Shape{Need: wk.info.Room}}
+			wk.slots[ref] = sl
+			en.eff.Log("unknown-run", "worker", string(wk.info.ID), "task", string(ref.Task), "run", int64(ref.Run))
+			en.stopSlot(wk, sl, EndStopped)
+			continue
+		}
+		sl.checked = true
+		if sl.state == slotOrdered || sl.state == slotUnknown {
+			en.confirmSlot(wk, sl)
+		}
+	}
+	for _, sl := range wk.list() {
+		if listed[sl.ref] || sl.state == slotGranted {
+			continue
+		}
+		en.missing(wk, sl, rep.Clock, sent)
+	}
+}
+
+// missing decides on a run that the worker does not list.
+func (en *Entry) missing(wk *worker, sl *slot, clock WorkerTime, sent time.Time) {
+	switch {
+	case sl.state == slotUnknown && clock > sl.until+lateOrderMargin:
+		en.endSlot(wk, sl, EndLost, "", 0)
+	case (sl.state == slotRunning || sl.state == slotStopping) && sl.checked && sl.until < clock:
+		en.endSlot(wk, sl, EndLost, "", 0)
+	case (sl.state == slotRunning || sl.state == slotStopping) && !sl.checked && sent.Sub(sl.began) > startLease && sl.until < clock:
+		en.endSlot(wk, sl, EndLost, "", 0)
+	}
+}
+
+// confirmSlot notes that a worker runs a task.
+func (en *Entry) confirmSlot(wk *worker, sl *slot) {
+	sl.state = slotRunning
+	en.send(sl.owner, Running{Ref: sl.ref, Worker: wk.info.ID})
+}
+
+// endSlot frees the room of a run and tells its owner.
+func (en *Entry) endSlot(wk *worker, sl *slot, how End, checkpoint string, took time.Duration) {
+	delete(wk.slots, sl.ref)
+	if sl.owner == "" {
+		return
+	}
+	expected := time.Duration(float64(sl.shape.Estimate) / wk.speed.factor())
+	work := time.Duration(0)
+	switch how {
+	case EndDone:
+		work = time.Duration(float64(took) * wk.speed.factor())
+		wk.speed.learn(sl.shape.Estimate, took)
+		wk.streak, wk.blocked, wk.lastOK = 0, time.Time{}, en.now()
+		en.eff.Observe("task.took", took)
+	case EndFailed:
+		en.blame(wk, sl)
+	case EndStopped:
+		if sl.why != "" {
+			how = sl.why
+		}
+	}
+	wk.overdue = wk.anyOverdue(en.now())
+	en.eff.Count("task", string(how), 1)
+	if how != EndDone {
+		en.eff.Log("run-ended", "job", string(sl.job), "task", string(sl.ref.Task), "run", int64(sl.ref.Run),
+			"worker", string(wk.info.ID), "how", string(how), "took-ms", took.Milliseconds(),
+			"expected-ms", expected.Milliseconds(), "speed", wk.speed.factor())
+	}
+	en.send(sl.owner, Ended{Ref: sl.ref, Worker: wk.info.ID, How: how, Checkpoint: checkpoint, Work: work})
+}
+
+// StartReply is the answer to a start order.
+type StartReply struct {
+	Started bool
+	Reason  StartRefusal // why the worker did nothing, "" when the fate is open
+	Clock   WorkerTime
+	Detail  string
+}
+
+// StartRefusal tells why a worker has not started a run.
+type StartRefusal string
+
+// The reasons for which a worker starts nothing.
+const (
+	RefusedFence     StartRefusal = "fence"
+	RefusedOld       StartRefusal = "old"
+	RefusedLate      StartRefusal = "late"
+	RefusedRoom      StartRefusal = "room"
+	RefusedUnhealthy StartRefusal = "unhealthy"
+	RefusedLifetime  StartRefusal = "lifetime"
+	RefusedInvalid   StartRefusal = "invalid"
+)
+
+// StartReplied takes the answer to a start order.
+func (en *Entry) StartReplied(id ids.WorkerID, token Token, ref TaskRef, rep StartReply) {
+	wk := en.workers[id]
+	if wk == nil || wk.token != token {
+		return
+	}
+	sl := wk.slots[ref]
+	if sl == nil || (sl.state != slotOrdered && sl.state != slotStopping) {
+		return
+	}
+	switch {
+	case rep.Started:
+		if sl.state == slotOrdered {
+			en.confirmSlot(wk, sl)
+		}
+		return
+	case rep.Reason == "":
+		if sl.state == slotOrdered {
+			sl.state = slotUnknown
+		}
+		en.eff.Count("retry", "start-unanswered", 1)
+		en.eff.Log("start-unanswered", "job", string(sl.job), "task", string(ref.Task), "run", int64(ref.Run),
+			"worker", string(id), "detail", rep.Detail)
+		return
+	}
+	en.startRefused(wk, sl, rep)
+	en.match()
+}
+
+func (en *Entry) startRefused(wk *worker, sl *slot, rep StartReply) {
+	en.eff.Count("retry", "start-"+string(rep.Reason), 1)
+	en.eff.Log("start-refused", "job", string(sl.job), "task", string(sl.ref.Task), "run", int64(sl.ref.Run),
+		"worker", string(wk.info.ID), "reason", string(rep.Reason), "token", int64(wk.token))
+	how := EndNoRoom
+	switch rep.Reason {
+	case RefusedFence:
+		en.endSlot(wk, sl, EndNoRoom, "", 0)
+		en.dropWorker(wk, "fenced")
+		return
+	case RefusedOld:
+		how = EndOldRun
+	case RefusedInvalid:
+		how = EndFailed
+	case RefusedUnhealthy, RefusedRoom, RefusedLifetime:
+		wk.blocked = en.now().Add(blockFirst)
+	case RefusedLate:
+		wk.clock, wk.clockAt = rep.Clock, en.now()
+	}
+	en.endSlot(wk, sl, how, "", 0)
+}
+
+// stopSlot stops a run. Its room stays taken until the worker lists its end.
+func (en *Entry) stopSlot(wk *worker, sl *slot, why End) {
+	if sl.state == slotGranted {
+		return
+	}
+	sl.state, sl.why, sl.stopSent = slotStopping, why, en.now()
+	en.eff.StopTask(StopOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: sl.ref})
+}
+
+// onStop stops tasks for their owner, who no longer waits for them.
+func (en *Entry) onStop(from ids.EntryID, ms Stop) {
+	for _, ref := range ms.Refs {
+		for _, wk := range en.workers {
+			if sl := wk.slots[ref]; sl != nil && sl.state != slotGranted && sl.state != slotStopping {
+				sl.owner = ""
+				en.stopSlot(wk, sl, EndStopped)
+			} else if sl != nil && sl.owner == from {
+				sl.owner = ""
+			}
+		}
+	}
+}
+
+// dropOwner stops the tasks of an owner that can't be heard any more.
+func (en *Entry) dropOwner(id ids.EntryID, why string) {
+	stopped := 0
+	for _, wk := range en.workers {
+		for _, sl := range wk.list() {
+			if sl.owner != id {
+				continue
+			}
+			if sl.state == slotGranted {
+				en.releaseGrant(sl.grant)
+				continue
+			}
+			sl.owner = ""
+			stopped++
+			if sl.state != slotStopping {
+				en.stopSlot(wk, sl, EndStopped)
+			}
+		}
+	}
+	for key := range en.wants {
+		if key.owner == id {
+			delete(en.wants, key)
+		}
+	}
+	if stopped > 0 {
+		en.eff.Log("owner-dropped", "entry", string(id), "reason", why, "stopped", stopped)
+	}
+	en.match()
+}
+
+func (en *Entry) tickHolder(now time.Time) {
+	for id, gt := range en.grants {
+		if now.After(gt.until) {
+			en.releaseGrant(id)
+		}
+	}
+	list := make([]*worker, 0, len(en.workers))
+	for _, wk := range en.workers {
+		list = append(list, wk)
+	}
+	slices.SortFunc(list, func(a, b *worker) int { return compareText(string(a.info.ID), string(b.info.ID)) })
+	for _, wk := range list {
+		en.tickWorker(wk, now)
+	}
+	en.match()
+}
+
+func (en *Entry) tickWorker(wk *worker, now time.Time) {
+	if wk.phase == phaseAdopting && now.After(wk.adoptUntil) {
+		en.openWorker(wk)
+	}
+	if !wk.failing.IsZero() && now.After(wk.leaseEnd) {
+		for _, sl := range wk.list() {
+			if sl.state != slotGranted {
+				en.endSlot(wk, sl, EndLost, "", 0)
+			}
+		}
+	}
+	if !wk.holding && wk.phase != phaseAdopting && !now.Before(wk.nextHold) {
+		en.hold(wk)
+	}
+	if !wk.failing.IsZero() {
+		return
+	}
+	for _, sl := range wk.list() {
+		switch sl.state {
+		case slotStopping:
+			if now.Sub(sl.stopSent) > stopAgain {
+				en.stopSlot(wk, sl, sl.why)
+			}
+		case slotRunning:
+			en.checkStalled(wk, sl, now)
+		}
+	}
+	wk.overdue = wk.anyOverdue(now)
+}
+
+// checkStalled stops a task that runs far beyond its estimate, so that its
+// owner can start it elsewhere.
+func (en *Entry) checkStalled(wk *worker, sl *slot, now time.Time) {
+	limit := max(stallFloor, stallFactor*sl.shape.Estimate)
+	if now.Sub(sl.began) < limit {
+		return
+	}
+	en.eff.Log("task-stalled", "job", string(sl.job), "task", string(sl.ref.Task), "run", int64(sl.ref.Run),
+		"worker", string(wk.info.ID), "ran-ms", now.Sub(sl.began).Milliseconds(), "limit-ms", limit.Milliseconds())
+	wk.blocked = now.Add(blockFirst)
+	wk.speed.learn(sl.shape.Estimate, now.Sub(sl.began))
+	en.stopSlot(wk, sl, EndStalled)
+}
+
+func (wk *worker) anyOverdue(now time.Time) bool {
+	for _, sl := range wk.slots {
+		expected := float64(sl.shape.Estimate) / wk.speed.factor() * overdueFactor
+		if sl.state == slotRunning && now.Sub(sl.began) > max(overdueFloor, time.Duration(expected)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/match.go
@@ -0,0 +1,333 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+type wantKey struct {
+	owner ids.EntryID
+	group GroupID
+}
+
+// want is tasks of an owner that wait for room here.
+type want struct {
+	key     wantKey
+	count   int // tasks that wait
+	granted int // of these, tasks that room is reserved for
+	shape   Shape
+	inTime  time.Time
+	late    time.Time
+}
+
+// grant is room that is reserved until its owner answers.
+type grant struct {
+	key   wantKey
+	until time.Time
+	slots []grantSlot
+}
+
+type grantSlot struct {
+	worker *worker
+	ref    TaskRef
+}
+
+func (en *Entry) onWant(from ids.EntryID, ms Want) {
+	now := en.now()
+	key := wantKey{owner: from, group: ms.Group}
+	wa := en.wants[key]
+	if wa == nil {
+		wa = &want{key: key}
+		en.wants[key] = wa
+	}
+	wa.count, wa.shape = ms.Count, ms.Shape
+	wa.inTime, wa.late = now.Add(ms.Shape.InTime), now.Add(ms.Shape.Late)
+	en.match()
+}
+
+func (en *Entry) onUnwant(from ids.EntryID, ms Unwant) {
+	delete(en.wants, wantKey{owner: from, group: ms.Group})
+}
+
+// match reserves free room for the wants, in the order of their rank.
+func (en *Entry) match() {
+	if len(en.wants) == 0 || en.leaving {
+		return
+	}
+	now := en.now()
+	list := make([]*want, 0, len(en.wants))
+	for _, wa := range en.wants {
+		if wa.granted < wa.count {
+			list = append(list, wa)
+		}
+	}
+	slices.SortFunc(list, func(a, b *want) int { return compareWants(a, b, now) })
+	for _, wa := range list {
+		// An earlier grant of this round may have led to the end of the want.
+		if en.wants[wa.key] == wa {
+			en.grantWant(wa, now)
+		}
+	}
+}
+
+// compareWants ranks waiting work: what can still be in time goes before what
+// is late, the queue's priority decides next, then jobs that have begun, then
+// what has to start soonest. Late work goes shortest first.
+func compareWants(a, b *want, now time.Time) int {
+	lateA, lateB := a.isLate(now), b.isLate(now)
+	if lateA != lateB {
+		if lateA {
+			return 1
+		}
+		return -1
+	}
+	if byPriority := cmp.Compare(a.shape.Priority, b.shape.Priority); byPriority != 0 {
+		return byPriority
+	}
+	if a.shape.Started != b.shape.Started {
+		if a.shape.Started {
+			return -1
+		}
+		return 1
+	}
+	if lateA {
+		if byWork := cmp.Compare(a.shape.Estimate, b.shape.Estimate); byWork != 0 {
+			return byWork
+		}
+	}
+	if byStart := a.latestStart().Compare(b.latestStart()); byStart != 0 {
+		return byStart
+	}
+	if byOwner := cmp.Compare(a.key.owner, b.key.owner); byOwner != 0 {
+		return byOwner
+	}
+	return cmp.Compare(a.key.group, b.key.group)
+}
+
+func (wa *want) latestStart() time.Time { return wa.inTime.Add(-wa.shape.Estimate) }
+
+func (wa *want) isLate(now time.Time) bool { return now.After(wa.latestStart()) }
+
+// grantWant reserves as much room as there is for one want.
+func (en *Entry) grantWant(wa *want, now time.Time) {
+	var gt *grant
+	var id GrantID
+	for wa.granted < wa.count {
+		wk := en.pick(wa.shape, wa.inTime, wa.key, now, true)
+		if wk == nil {
+			break
+		}
+		if gt == nil {
+			en.lastGrant++
+			id = en.lastGrant
+			gt = &grant{key: wa.key, until: now.Add(grantTime)}
+			en.grants[id] = gt
+		}
+		ref := TaskRef{Task: TaskID("grant." + strconv.FormatUint(uint64(id), 10)), Run: Run(len(gt.slots))}
+		wk.slots[ref] = &slot{
+			ref: ref, owner: wa.key.owner, group: wa.key.group, shape: wa.shape, state: slotGranted,
+			grant: id, began: now,
+		}
+		gt.slots = append(gt.slots, grantSlot{worker: wk, ref: ref})
+		wa.granted++
+	}
+	if gt != nil {
+		en.send(wa.key.owner, Grant{ID: id, Group: wa.key.group, Count: len(gt.slots)})
+	}
+}
+
+// releaseGrant frees what is left of a grant.
+func (en *Entry) releaseGrant(id GrantID) {
+	gt := en.grants[id]
+	if gt == nil {
+		return
+	}
+	delete(en.grants, id)
+	for _, gs := range gt.slots {
+		delete(gs.worker.slots, gs.ref)
+	}
+	if wa := en.wants[gt.key]; wa != nil {
+		wa.granted = max(0, wa.granted-len(gt.slots))
+	}
+}
+
+// onStart places the tasks that an owner has sent, and tells which have no
+// room here.
+func (en *Entry) onStart(from ids.EntryID, ms Start) {
+	now := en.now()
+	inTime := now.Add(ms.Shape.InTime)
+	key := wantKey{owner: from, group: ms.Group}
+	var reserved []grantSlot
+	if gt := en.grants[ms.Grant]; gt != nil && gt.key == key {
+		reserved = gt.slots
+		en.releaseGrant(ms.Grant)
+	}
+	if wa := en.wants[key]; wa != nil && ms.Grant != 0 {
+		wa.count -= max(len(ms.Tasks), len(reserved))
+		if len(ms.Tasks) == 0 || wa.count <= 0 {
+			delete(en.wants, key)
+		}
+	}
+	for num, as := range ms.Tasks {
+		var wk *worker
+		if num < len(reserved) && reserved[num].worker.accepts(ms.Shape, key, now) {
+			wk = reserved[num].worker
+		} else {
+			wk = en.pick(ms.Shape, inTime, key, now, false)
+		}
+		if wk == nil || en.leaving {
+			en.send(from, Ended{Ref: as.TaskRef, How: EndNoRoom})
+			continue
+		}
+		en.order(wk, from, ms, as, now)
+	}
+	if len(reserved) > len(ms.Tasks) {
+		en.match()
+	}
+}
+
+// order sends a start to a worker and takes its room.
+func (en *Entry) order(wk *worker, from ids.EntryID, ms Start, as Assignment, now time.Time) {
+	until := wk.clockNow(now) + WorkerTime(startLease)
+	wk.slots[as.TaskRef] = &slot{
+		ref: as.TaskRef, owner: from, group: ms.Group, job: ms.Job, shape: ms.Shape, state: slotOrdered,
+		until: until, began: now,
+	}
+	wk.extendLease(now, startLease)
+	en.eff.StartTask(StartOrder{
+		Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: as.TaskRef,
+		Payload: ms.Payload, Checkpoint: as.Checkpoint, Until: until,
+	})
+}
+
+// accepts tells whether a worker may run one more task of a shape.
+func (wk *worker) accepts(sh Shape, key wantKey, now time.Time) bool {
+	if wk.info.Service != sh.Service || !wk.usable(now) {
+		return false
+	}
+	if sh.Requirement != "" && !slices.Contains(wk.info.Labels, sh.Requirement) {
+		return false
+	}
+	if sh.AntiAffinity > 0 && wk.tasksOf(key) >= sh.AntiAffinity {
+		return false
+	}
+	return sh.Need.fits(wk.info.Room.minus(wk.used()))
+}
+
+func (wk *worker) tasksOf(key wantKey) int {
+	count := 0
+	for _, sl := range wk.slots {
+		if sl.owner == key.owner && sl.group == key.group {
+			count++
+		}
+	}
+	return count
+}
+
+// patience is the share of the estimate that a task waits for a fast worker
+// rather than be late on a slow one that is free.
+const patience = 1.15
+
+// pick chooses the worker for a task, nil when none has room. Among workers on
+// which the task can be in time it takes the slowest, so that the fast ones
+// stay free for long tasks, and then the one with the least room to spare.
+// While a task may still be in time on a fast worker it does not start on a
+// slow one where it would be late.
+func (en *Entry) pick(sh Shape, inTime time.Time, key wantKey, now time.Time, wait bool) *worker {
+	var best *worker
+	var bestScore pickScore
+	hopeful := wait && !now.Add(sh.Estimate).After(inTime)
+	for _, wk := range en.workers {
+		if !wk.accepts(sh, key, now) {
+			continue
+		}
+		score := wk.score(sh, inTime, now)
+		if !score.inTime && hopeful && wk.speed.factor() < fastSpeed {
+			continue
+		}
+		if best == nil || score.better(bestScore, best, wk) {
+			best, bestScore = wk, score
+		}
+	}
+	return best
+}
+
+type pickScore struct {
+	inTime bool
+	near   bool // on the rack of its data, or none is named
+	fast   bool
+	spare  Millicores
+}
+
+func (wk *worker) score(sh Shape, inTime time.Time, now time.Time) pickScore {
+	took := time.Duration(float64(sh.Estimate) * patience / wk.speed.factor())
+	return pickScore{
+		inTime: !now.Add(took).After(inTime),
+		near:   sh.Affinity == "" || sh.Affinity == wk.info.Rack,
+		fast:   wk.speed.factor() >= fastSpeed,
+		spare:  wk.info.Room.minus(wk.used()).CPU - sh.Need.CPU,
+	}
+}
+
+func (ps pickScore) better(other pickScore, otherWorker, wk *worker) bool {
+	if ps.near != other.near {
+		return ps.near
+	}
+	if ps.inTime != other.inTime {
+		return ps.inTime
+	}
+	if ps.fast != other.fast {
+		// In time on both: keep the fast one free. Late on both: hurry.
+		return ps.fast != ps.inTime
+	}
+	if ps.spare != other.spare {
+		return ps.spare < other.spare
+	}
+	return wk.info.ID < otherWorker.info.ID
+}
+
+// load reports the free room of the workers that this entry holds.
+func (en *Entry) load() Load {
+	now := en.now()
+	ld := Load{Leaving: en.leaving}
+	if en.leaving {
+		return ld
+	}
+	for _, wk := range en.workers {
+		if !wk.usable(now) {
+			continue
+		}
+		room := wk.info.Room.minus(wk.used())
+		if room.CPU > 0 {
+			ld.Free = append(ld.Free, Free{
+				Service: wk.info.Service, CPU: room.CPU, Speed: float32(wk.speed.factor()), Rack: wk.info.Rack,
+			})
+		}
+	}
+	return ld
+}
+
+// Load returns what this entry reports to the others.
+func (en *Entry) Load() Load { return en.load() }
+
+// splitTask splits a task id into job, step and index.
+func splitTask(id TaskID) (ids.JobID, int, int, bool) {
+	const partCount = 4
+	parts := strings.Split(string(id), ".")
+	if len(parts) != partCount {
+		return "", 0, 0, false
+	}
+	step, errStep := strconv.Atoi(parts[2])
+	idx, errIdx := strconv.Atoi(parts[3])
+	if errStep != nil || errIdx != nil || step < 0 || idx < 0 {
+		return "", 0, 0, false
+	}
+	return ids.JobID(parts[0]), step, idx, true
+}
+
+func compareText(a, b string) int { return cmp.Compare(a, b) }
--- /dev/null
+++ b/internal/dispatch/member.go
@@ -0,0 +1,407 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// member is what this entry knows of another one from the store.
+type member struct {
+	Member
+	beatAt time.Time // when its row was last seen to change
+}
+
+// knownWorker is a worker as the store lists it.
+type knownWorker struct {
+	info     WorkerInfo
+	removed  time.Time // since when its row is gone, zero while it is there
+	reported time.Time // when its report last changed
+}
+
+// The limits on membership.
+const (
+	// BeatInterval is the interval at which an entry rewrites its row.
+	BeatInterval = time.Second
+	// beatSilence without a beat, and without a session, makes an entry dead.
+	// It covers two beats that are missed.
+	beatSilence = 2200 * time.Millisecond
+	// beatSilenceRefused is the silence that suffices when the entry's VM also
+	// refuses connections, which means that no process listens there.
+	beatSilenceRefused = 1200 * time.Millisecond
+	// storeRecovery is the time after an outage of the store in which rows that
+	// are missing may come back.
+	storeRecovery = 2500 * time.Millisecond
+	// settleTime is how long an entry must have been reachable before workers
+	// are passed to it, so that restarts in turn do not move workers twice.
+	settleTime = 700 * time.Millisecond
+	// commitPause separates two changes of rows after one that failed.
+	commitPause = 150 * time.Millisecond
+	// commitRows bounds the rows of one change; the store takes 100 entries.
+	commitRows = 40
+	// moveRows bounds the workers that are passed on at a time while this entry
+	// stays, so that only few tasks change their holder at once.
+	moveRows = 4
+)
+
+// PutMember takes the row of an entry from the store.
+func (en *Entry) PutMember(mb Member) {
+	id := mb.Incarnation.Entry()
+	if id == en.id {
+		return
+	}
+	old := en.members[id]
+	if old != nil && old.Member == mb {
+		return
+	}
+	if old == nil || old.Incarnation != mb.Incarnation {
+		en.eff.Log("member", "entry", string(id), "incarnation", string(mb.Incarnation), "address", mb.PeerAddress, "leaving", mb.Leaving)
+	}
+	en.members[id] = &member{Member: mb, beatAt: en.now()}
+}
+
+// DropMember takes the removal of an entry's row.
+func (en *Entry) DropMember(id ids.EntryID) {
+	if en.members[id] != nil {
+		en.eff.Log("member-gone", "entry", string(id))
+		delete(en.members, id)
+	}
+}
+
+// Members lists the other entries and the addresses for their sessions.
+func (en *Entry) Members() []Member {
+	list := make([]Member, 0, len(en.members))
+	for _, mb := range en.members {
+		list = append(list, mb.Member)
+	}
+	return list
+}
+
+// PutWorker takes a worker's report from the store.
+func (en *Entry) PutWorker(info WorkerInfo) {
+	now := en.now()
+	kw := en.known[info.ID]
+	if kw == nil {
+		kw = &knownWorker{}
+		en.known[info.ID] = kw
+		en.eff.Log("worker-listed", "worker", string(info.ID), "service", string(info.Service), "zone", string(info.Zone))
+	} else if kw.info.State != info.State {
+		en.eff.Log("worker-state", "worker", string(info.ID), "state", string(info.State), "sequence", info.Sequence)
+	}
+	kw.info, kw.removed, kw.reported = info, time.Time{}, now
+	wk := en.workers[info.ID]
+	if wk == nil {
+		return
+	}
+	if wk.info.Address != info.Address || (wk.born != 0 && info.Born > wk.born) {
+		en.workerReborn(wk, info.Born)
+		wk.born = info.Born
+	}
+	wk.info = info
+	en.match()
+}
+
+// DropWorker takes the removal of a worker's row. It may come back shortly
+// after an outage of the store, if the worker lives.
+func (en *Entry) DropWorker(id ids.WorkerID) {
+	if kw := en.known[id]; kw != nil && kw.removed.IsZero() {
+		kw.removed = en.now()
+		en.eff.Log("worker-unlisted", "worker", string(id))
+	}
+}
+
+// StoreAway notes that the store did not answer.
+func (en *Entry) StoreAway() { en.storeLost = en.now() }
+
+// PutRow takes the row of a worker's holder from the store.
+func (en *Entry) PutRow(row HolderRow) {
+	old, ok := en.rows[row.Worker]
+	if ok && row.Version < old.Version {
+		return
+	}
+	en.rows[row.Worker] = row
+	wk := en.workers[row.Worker]
+	if row.Holder != en.self.Incarnation {
+		if wk != nil && row.Version > Version(wk.token) {
+			en.dropWorker(wk, "held by "+string(row.Holder))
+		}
+		return
+	}
+	if wk != nil {
+		if Version(wk.token) == row.Version {
+			return
+		}
+		en.dropWorker(wk, "new token")
+	}
+	if kw := en.known[row.Worker]; kw != nil && !en.leaving {
+		en.takeWorker(kw.info, Token(row.Version))
+	}
+}
+
+// DropRow takes the removal of a holder's row.
+func (en *Entry) DropRow(id ids.WorkerID, version Version) {
+	if old, ok := en.rows[id]; ok && old.Version > version {
+		return
+	}
+	delete(en.rows, id)
+}
+
+func (en *Entry) onHandover(ms Handover) {
+	for _, row := range ms.Rows {
+		en.PutRow(row)
+	}
+}
+
+func (en *Entry) zoneOf(id ids.EntryID) ids.AvailabilityZone {
+	if id == en.id {
+		return en.self.Zone
+	}
+	if mb := en.members[id]; mb != nil {
+		return mb.Zone
+	}
+	return ""
+}
+
+// alive tells whether the process of an incarnation may still be running. An
+// entry counts as dead only when it neither answers this entry nor reaches the
+// store, so that one which is merely cut off from here keeps its workers.
+func (en *Entry) alive(inc ids.Incarnation, now time.Time) bool {
+	if inc == en.self.Incarnation {
+		return true
+	}
+	id := inc.Entry()
+	if id == en.id {
+		return false
+	}
+	mb := en.members[id]
+	if mb == nil || mb.Incarnation != inc {
+		return false
+	}
+	se := en.session(id)
+	if se.up && se.incarnation == inc {
+		return true
+	}
+	limit := beatSilence
+	if se.refused {
+		limit = beatSilenceRefused
+	}
+	if now.Sub(en.storeLost) < limit {
+		// No beat could have been seen.
+		return now.Sub(se.downSince) < limit+storeRecovery
+	}
+	return now.Sub(mb.beatAt) < limit
+}
+
+// candidates lists the entries that may hold workers.
+func (en *Entry) candidates(now time.Time) []Member {
+	var list []Member
+	if !en.leaving {
+		list = append(list, Member{Self: en.self})
+	}
+	for id, mb := range en.members {
+		if se := en.sessions[id]; se != nil && se.up && se.load.Leaving {
+			continue
+		}
+		if !mb.Leaving && en.alive(mb.Incarnation, now) {
+			list = append(list, mb.Member)
+		}
+	}
+	return list
+}
+
+// assigned returns the entry that is to hold a worker: one of the worker's zone
+// where there is any, chosen by weighted rendezvous hashing, so that a change
+// of the members moves only the workers that it must.
+func assigned(info WorkerInfo, list []Member) ids.Incarnation {
+	var best ids.Incarnation
+	bestScore, bestNear := math.Inf(-1), false
+	for _, mb := range list {
+		near := mb.Zone == info.Zone
+		if bestNear && !near {
+			continue
+		}
+		size := max(mb.Size, minSize)
+		score := -size / math.Log(rendezvous(string(info.ID), string(mb.Incarnation.Entry())))
+		if score > bestScore || (near && !bestNear) {
+			best, bestScore, bestNear = mb.Incarnation, score, near
+		}
+	}
+	return best
+}
+
+// minSize keeps an entry without a known size from getting no share.
+const minSize = 0.05
+
+// rendezvous returns a number in (0, 1) for a pair of names.
+func rendezvous(a, b string) float64 {
+	const scale = 1 << 53
+	return (float64(xxhash.Sum64String(a+"\x00"+b)>>11) + 0.5) / scale
+}
+
+// Leave makes this entry pass its workers on and take no more.
+func (en *Entry) Leave() {
+	if en.leaving {
+		return
+	}
+	en.leaving = true
+	en.eff.Log("leaving", "workers", len(en.workers), "jobs", len(en.jobs))
+}
+
+// Held returns the number of workers that this entry holds.
+func (en *Entry) Held() int { return len(en.workers) }
+
+// Ready tells whether this entry can serve callers.
+func (en *Entry) Ready() bool {
+	return en.desired != nil && !en.leaving && len(en.known) > 0
+}
+
+func (en *Entry) tickMember(now time.Time) {
+	for id, kw := range en.known {
+		if kw.removed.IsZero() {
+			continue
+		}
+		wk := en.workers[id]
+		answers := wk != nil && wk.failing.IsZero()
+		if now.Sub(kw.removed) < storeRecovery && (answers || now.Sub(en.storeLost) < storeRecovery) {
+			continue
+		}
+		delete(en.known, id)
+		if wk != nil {
+			for _, sl := range wk.list() {
+				if sl.state != slotGranted && !answers && now.After(wk.leaseEnd) {
+					en.endSlot(wk, sl, EndLost, "", 0)
+				}
+			}
+			en.dropWorker(wk, "unlisted")
+		}
+	}
+	if en.committing || now.Before(en.commitAt) || now.Sub(en.storeLost) < commitPause {
+		return
+	}
+	list := en.candidates(now)
+	changes := en.claims(list, now)
+	if len(changes) == 0 {
+		changes = en.moves(list, now)
+	}
+	if len(changes) == 0 {
+		return
+	}
+	en.committing = true
+	en.eff.Commit(changes)
+}
+
+// claims lists the workers without a living holder that fall to this entry.
+func (en *Entry) claims(list []Member, now time.Time) []RowChange {
+	var changes []RowChange
+	if en.leaving {
+		return nil
+	}
+	for id, kw := range en.known {
+		row, ok := en.rows[id]
+		if !kw.removed.IsZero() || (ok && en.alive(row.Holder, now)) {
+			continue
+		}
+		if assigned(kw.info, list) == en.self.Incarnation {
+			changes = append(changes, RowChange{Worker: id, Expected: row.Version, Holder: en.self.Incarnation})
+		}
+	}
+	return limitChanges(changes, commitRows)
+}
+
+// moves lists the workers held here that are to be held by another entry.
+func (en *Entry) moves(list []Member, now time.Time) []RowChange {
+	most := moveRows
+	var settled []Member
+	for _, mb := range list {
+		id := mb.Incarnation.Entry()
+		se := en.sessions[id]
+		if id == en.id || (se != nil && se.up && now.Sub(se.upSince) > settleTime) {
+			settled = append(settled, mb)
+		}
+	}
+	if en.leaving {
+		most = commitRows
+	}
+	var changes []RowChange
+	for id, wk := range en.workers {
+		to := assigned(wk.info, settled)
+		row := en.rows[id]
+		if to == "" || to == en.self.Incarnation || row.Holder != en.self.Incarnation || wk.phase != phaseOpen {
+			continue
+		}
+		if wk.busyOrders() {
+			if en.leaving {
+				wk.handingTo = to
+			}
+			continue
+		}
+		changes = append(changes, RowChange{Worker: id, Expected: row.Version, Holder: to})
+	}
+	changes = limitChanges(changes, most)
+	for _, ch := range changes {
+		en.workers[ch.Worker].handingTo = ch.Holder
+	}
+	return changes
+}
+
+// busyOrders tells whether orders to a worker are on their way.
+func (wk *worker) busyOrders() bool {
+	for _, sl := range wk.slots {
+		if sl.state == slotOrdered || sl.state == slotUnknown || sl.state == slotGranted {
+			return true
+		}
+	}
+	return false
+}
+
+func limitChanges(changes []RowChange, most int) []RowChange {
+	slices.SortFunc(changes, func(a, b RowChange) int { return compareText(string(a.Worker), string(b.Worker)) })
+	return changes[:min(most, len(changes))]
+}
+
+// CommitReply is the store's answer to a change of holders' rows.
+type CommitReply struct {
+	OK       bool
+	Version  Version     // of the changed rows, when OK
+	Present  []HolderRow // the rows as they are, after a conflict; version 0 for none
+	Conflict bool
+	Reason   string
+}
+
+// Committed takes the answer to a Commit.
+func (en *Entry) Committed(changes []RowChange, rep CommitReply) {
+	en.committing = false
+	for _, ch := range changes {
+		if wk := en.workers[ch.Worker]; wk != nil {
+			wk.handingTo = ""
+		}
+	}
+	if !rep.OK {
+		en.commitAt = en.now().Add(commitPause)
+		en.eff.Log("holders-unchanged", "rows", len(changes), "conflict", rep.Conflict, "reason", rep.Reason)
+		for _, row := range rep.Present {
+			if row.Version == 0 {
+				delete(en.rows, row.Worker)
+				continue
+			}
+			en.PutRow(row)
+		}
+		return
+	}
+	moved := map[ids.EntryID][]HolderRow{}
+	for _, ch := range changes {
+		row := HolderRow{Worker: ch.Worker, Holder: ch.Holder, Version: rep.Version}
+		en.PutRow(row)
+		if id := ch.Holder.Entry(); id != en.id {
+			moved[id] = append(moved[id], row)
+		}
+	}
+	en.eff.Log("holders-changed", "rows", len(changes), "version", int64(rep.Version), "passed-on", len(changes) > 0 && len(moved) > 0)
+	for id, rows := range moved {
+		en.send(id, Handover{Rows: rows})
+	}
+}
--- /dev/null
+++ b/internal/dispatch/messages.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// Message is a one-way message between entries. Messages of one session arrive
+// in order, each at most once.
+type Message any
+
+// Start asks a holder to run tasks. With a grant it may carry fewer tasks than
+// granted, also none; the rest of the grant is then released.
+type Start struct {
+	Group   GroupID
+	Job     ids.JobID
+	Shape   Shape
+	Payload string
+	Tasks   []Assignment
+	Grant   GrantID // 0 without a grant
+}
+
+// Want tells a holder that tasks of a group wait for room.
+type Want struct {
+	Group GroupID
+	Count int
+	Shape Shape
+}
+
+// Unwant withdraws a Want.
+type Unwant struct {
+	Group GroupID
+}
+
+// Grant reserves room for tasks of a group until the owner answers with Start.
+type Grant struct {
+	ID    GrantID
+	Group GroupID
+	Count int
+}
+
+// Running tells an owner that a worker runs a task.
+type Running struct {
+	Ref    TaskRef
+	Worker ids.WorkerID
+}
+
+// Ended tells an owner that a run has ended or will never begin.
+type Ended struct {
+	Ref        TaskRef
+	Worker     ids.WorkerID
+	How        End
+	Checkpoint string
+	// Work is the run time scaled to a worker of speed 1, 0 when unknown.
+	Work time.Duration
+}
+
+// Stop asks a holder to stop tasks.
+type Stop struct {
+	Refs []TaskRef
+}
+
+// Adopt tells owners what a new holder found on a worker.
+type Adopt struct {
+	Worker  ids.WorkerID
+	Running []TaskRef
+	Ended   []Ended
+}
+
+// Adopted answers Adopt with the tasks that the owner still wants.
+type Adopted struct {
+	Worker ids.WorkerID
+	Keep   []Kept
+}
+
+// Kept is a task that an owner claims from a new holder.
+type Kept struct {
+	Ref   TaskRef
+	Group GroupID
+	Job   ids.JobID
+	Shape Shape
+}
+
+// Released tells an owner that its tasks on a worker pass to another holder,
+// which will send Adopt.
+type Released struct {
+	Worker ids.WorkerID
+}
+
+// Handover tells the new holder of workers that their rows have changed.
+type Handover struct {
+	Rows []HolderRow
+}
+
+// NewDesired passes on a version of the desired state to an entry that has an
+// older one.
+type NewDesired struct {
+	Desired Desired
+}
+
+// Free is the free room of one worker.
+type Free struct {
+	Service ids.ServiceName
+	CPU     Millicores
+	Speed   float32
+	Rack    ids.RackID
+}
+
+// Load is what an entry reports of the workers that it holds.
+type Load struct {
+	Free    []Free
+	Backlog []Backlog
+	Leaving bool
+}
+
+// Backlog is the work that waits at a holder, by service and priority.
+type Backlog struct {
+	Service  ids.ServiceName
+	Priority int
+	// Delay estimates how long a task of this priority waits for room.
+	Delay time.Duration
+}
+
+// HolderRow records in the store which entry holds a worker. The version of
+// the row is the holder's fencing token.
+type HolderRow struct {
+	Worker  ids.WorkerID
+	Holder  ids.Incarnation
+	Version Version
+}
--- /dev/null
+++ b/internal/dispatch/owner.go
@@ -0,0 +1,695 @@
+package dispatch
+
+import (
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// Submission is a job that a caller waits for.
+type Submission struct {
+	Job      Job
+	Queue    Queue
+	Arrived  time.Time
+	Deadline time.Time // when the caller gives up, zero when unknown
+	// Done takes the final answer, once.
+	Done func(out Outcome)
+}
+
+// OutcomeKind is the final answer to a submission.
+type OutcomeKind string
+
+// The kinds of outcome.
+const (
+	Completed OutcomeKind = "completed"
+	Failed    OutcomeKind = "failed"
+	// Refused jobs have not run and never will.
+	Refused OutcomeKind = "refused"
+	// Abandoned jobs may have run in part; nothing of them runs any more.
+	Abandoned OutcomeKind = "abandoned"
+)
+
+// Outcome is the final answer to a submission.
+type Outcome struct {
+	Kind       OutcomeKind
+	Reason     string
+	RetryAfter time.Duration
+}
+
+type taskState string
+
+const (
+	taskBlocked taskState = "blocked" // waits for earlier steps
+	taskQueued  taskState = "queued"  // waits for room
+	taskPlaced  taskState = "placed"  // sent to a holder
+	taskRunning taskState = "running" // started on a worker
+	taskLost    taskState = "lost"    // its holder is gone; it may still run
+	taskDone    taskState = "done"
+)
+
+type task struct {
+	id         TaskID
+	state      taskState
+	run        Run
+	failed     int // runs that ended failed
+	holder     ids.EntryID
+	worker     ids.WorkerID
+	placedAt   time.Time
+	lostUntil  time.Time // when a lost task surely runs no more
+	checkpoint string
+}
+
+// group is one step of a job: tasks that need the same of a worker.
+type group struct {
+	id      GroupID
+	job     *job
+	step    int
+	tasks   []*task
+	shape   Shape // without the times, which are filled in when it is sent
+	offered map[ids.EntryID]bool
+}
+
+type job struct {
+	Submission
+	groups    []*group
+	estimate  time.Duration // longest chain at speed 1
+	inTime    time.Time
+	late      time.Time
+	begun     bool // a task has been started, or may have been
+	firstSent time.Time
+	waiters   int // connections that wait for the answer
+}
+
+// The limits on jobs at their owner.
+const (
+	// lateFactor times the objective is the age above which an answer is worth
+	// nothing to its caller.
+	lateFactor = 3
+	// loseAfter is the time after the end of a session in which a holder that
+	// still lives has surely stopped the tasks, and a dead one's leases have
+	// run out: the longest lease, the silence that ends a session, and a margin.
+	loseAfter = 1700 * time.Millisecond
+	// runStep is the distance between run numbers after a worker has refused a
+	// run as old: another entry started the same task before.
+	runStep = 1000
+	// wantSpread bounds the number of holders that one group asks for room.
+	wantSpread = 10
+)
+
+// Submit takes a job. Its Done is called once, possibly before Submit returns.
+func (en *Entry) Submit(sub Submission) {
+	if old := en.jobs[sub.Job.ID]; old != nil {
+		// The caller has lost the first connection and asks again.
+		en.eff.Log("job-joined", "job", string(sub.Job.ID))
+		old.waiters++
+		first := old.Done
+		old.Done = func(out Outcome) {
+			first(out)
+			sub.Done(out)
+		}
+		return
+	}
+	jb := &job{Submission: sub, waiters: 1}
+	en.jobs[sub.Job.ID] = jb
+	en.buildGroups(jb)
+	jb.estimate = en.chain(jb)
+	objective := time.Duration(float64(jb.estimate)*sub.Queue.Stretch) + sub.Queue.Slack
+	jb.inTime = sub.Arrived.Add(objective)
+	jb.late = sub.Arrived.Add(lateFactor * objective)
+	if !sub.Deadline.IsZero() && sub.Deadline.Before(jb.late) {
+		jb.late = sub.Deadline
+	}
+	if !en.anyWorker(sub.Queue.Service) {
+		en.finish(jb, Outcome{Kind: Refused, Reason: "no-worker", RetryAfter: retryNoWorker})
+		return
+	}
+	en.advance(jb)
+}
+
+// retryNoWorker is the time to come back when no worker of the service is
+// known: about two reports of a worker.
+const retryNoWorker = 3 * time.Second
+
+func (en *Entry) anyWorker(svc ids.ServiceName) bool {
+	for _, kw := range en.known {
+		if kw.info.Service == svc && kw.info.State == WorkerReady {
+			return true
+		}
+	}
+	return false
+}
+
+func (en *Entry) buildGroups(jb *job) {
+	for num, st := range jb.Job.Steps {
+		en.lastGroup++
+		gr := &group{id: en.lastGroup, job: jb, step: num, offered: map[ids.EntryID]bool{}}
+		gr.shape = Shape{
+			Service:      jb.Queue.Service,
+			Need:         st.Need,
+			Requirement:  st.Requirement,
+			Affinity:     st.Affinity,
+			AntiAffinity: st.AntiAffinity,
+			Estimate:     en.learned[jb.Queue.Name].estimate(st.Estimate),
+			Priority:     jb.Queue.Priority,
+		}
+		prefix := string(jb.Job.ID) + ".0." + strconv.Itoa(num) + "."
+		for idx := range st.Count {
+			gr.tasks = append(gr.tasks, &task{id: TaskID(prefix + strconv.Itoa(idx)), state: taskBlocked})
+		}
+		jb.groups = append(jb.groups, gr)
+		en.groups[gr.id] = gr
+	}
+}
+
+// chain returns the longest chain of estimated work through the steps.
+func (en *Entry) chain(jb *job) time.Duration {
+	ends := make([]time.Duration, len(jb.groups))
+	longest := time.Duration(0)
+	for num, gr := range jb.groups {
+		begin := time.Duration(0)
+		for _, dep := range jb.Job.Steps[num].After {
+			begin = max(begin, ends[dep])
+		}
+		ends[num] = begin + gr.shape.Estimate
+		longest = max(longest, ends[num])
+	}
+	return longest
+}
+
+// advance makes steps ready whose earlier steps are done, and ends the job.
+func (en *Entry) advance(jb *job) {
+	finished := true
+	for num, gr := range jb.groups {
+		if !gr.done() {
+			finished = false
+		}
+		if gr.tasks == nil || gr.tasks[0].state != taskBlocked {
+			continue
+		}
+		ready := true
+		for _, dep := range jb.Job.Steps[num].After {
+			ready = ready && jb.groups[dep].done()
+		}
+		if ready {
+			for _, ta := range gr.tasks {
+				ta.state = taskQueued
+			}
+			en.place(gr)
+		}
+	}
+	if finished {
+		en.finish(jb, Outcome{Kind: Completed})
+	}
+}
+
+func (gr *group) done() bool {
+	for _, ta := range gr.tasks {
+		if ta.state != taskDone {
+			return false
+		}
+	}
+	return true
+}
+
+func (gr *group) queued() []*task {
+	var list []*task
+	for _, ta := range gr.tasks {
+		if ta.state == taskQueued {
+			list = append(list, ta)
+		}
+	}
+	return list
+}
+
+// current returns the shape with the times that are left now.
+func (gr *group) current(now time.Time) Shape {
+	sh := gr.shape
+	sh.Started = gr.job.begun
+	sh.InTime = gr.job.inTime.Sub(now)
+	sh.Late = gr.job.late.Sub(now)
+	return sh
+}
+
+// place sends the queued tasks of a group to holders with free room and leaves
+// a want for the rest.
+func (en *Entry) place(gr *group) {
+	waiting := gr.queued()
+	for _, fr := range en.freeRoom(gr.shape) {
+		if len(waiting) == 0 {
+			break
+		}
+		take := min(fr.count, len(waiting))
+		en.sendTasks(gr, fr.holder, waiting[:take], 0)
+		waiting = gr.queued()
+	}
+	en.want(gr)
+}
+
+// room is the number of tasks that a holder may have room for.
+type room struct {
+	holder ids.EntryID
+	count  int
+	speed  float64
+	near   bool
+}
+
+// freeRoom lists the holders whose last report shows room for the shape, the
+// best first: those of this entry, then those with the fastest free workers.
+func (en *Entry) freeRoom(sh Shape) []room {
+	var list []room
+	if count, best := countFree(en.load().Free, sh); count > 0 {
+		list = append(list, room{holder: en.id, count: count, speed: best, near: true})
+	}
+	for id, se := range en.sessions {
+		if !se.up || se.load.Leaving {
+			continue
+		}
+		if count, best := countFree(se.load.Free, sh); count > 0 {
+			list = append(list, room{holder: id, count: count, speed: best, near: en.zoneOf(id) == en.self.Zone})
+		}
+	}
+	sort.Slice(list, func(a, b int) bool {
+		left, right := list[a], list[b]
+		if fastA, fastB := left.speed >= fastSpeed, right.speed >= fastSpeed; fastA != fastB {
+			return fastA
+		}
+		if left.near != right.near {
+			return left.near
+		}
+		if left.count != right.count {
+			return left.count > right.count
+		}
+		return left.holder < right.holder
+	})
+	return list
+}
+
+// fastSpeed divides workers into fast and slow ones; 1 is the mean.
+const fastSpeed = 0.8
+
+func countFree(free []Free, sh Shape) (int, float64) {
+	count, best := 0, 0.0
+	for _, fr := range free {
+		if fr.Service != sh.Service || fr.CPU < sh.Need.CPU {
+			continue
+		}
+		if sh.Need.CPU > 0 {
+			count += int(fr.CPU / sh.Need.CPU)
+		} else {
+			count++
+		}
+		best = max(best, float64(fr.Speed))
+	}
+	return count, best
+}
+
+// sendTasks sends tasks of a group to a holder. The run number of a task rises
+// with each send, because an order without an answer may still be carried out.
+func (en *Entry) sendTasks(gr *group, holder ids.EntryID, tasks []*task, grant GrantID) {
+	now := en.now()
+	msg := Start{
+		Group: gr.id, Job: gr.job.Job.ID, Shape: gr.current(now), Payload: gr.job.Job.Payload, Grant: grant,
+	}
+	for _, ta := range tasks {
+		ta.run++
+		ta.state, ta.holder, ta.worker, ta.placedAt = taskPlaced, holder, "", now
+		msg.Tasks = append(msg.Tasks, Assignment{
+			TaskRef: TaskRef{Task: ta.id, Run: ta.run}, Checkpoint: ta.checkpoint, Attempt: ta.failed,
+		})
+	}
+	if len(tasks) > 0 {
+		if gr.job.firstSent.IsZero() {
+			gr.job.firstSent = now
+		}
+		en.takeFree(holder, gr.shape, len(tasks))
+	}
+	en.send(holder, msg)
+}
+
+// takeFree lowers the room that a holder last reported by what was sent to it.
+func (en *Entry) takeFree(holder ids.EntryID, sh Shape, count int) {
+	se := en.sessions[holder]
+	if se == nil {
+		return
+	}
+	free := se.load.Free
+	for num := range free {
+		for count > 0 && free[num].Service == sh.Service && free[num].CPU >= sh.Need.CPU && sh.Need.CPU > 0 {
+			free[num].CPU -= sh.Need.CPU
+			count--
+		}
+	}
+}
+
+// want leaves a want for the queued tasks of a group with the holders.
+func (en *Entry) want(gr *group) {
+	count := len(gr.queued())
+	if count == 0 {
+		en.unwant(gr)
+		return
+	}
+	for _, id := range en.wantTargets() {
+		en.sendWant(gr, id, count)
+	}
+}
+
+func (en *Entry) sendWant(gr *group, id ids.EntryID, count int) {
+	gr.offered[id] = true
+	en.send(id, Want{Group: gr.id, Count: count, Shape: gr.current(en.now())})
+}
+
+// wantTargets lists the holders to ask for room: all of them while they are
+// few, else those of this zone first.
+func (en *Entry) wantTargets() []ids.EntryID {
+	list := en.reachable()
+	if len(list) <= wantSpread {
+		return list
+	}
+	sort.Slice(list, func(a, b int) bool {
+		if nearA, nearB := en.zoneOf(list[a]) == en.self.Zone, en.zoneOf(list[b]) == en.self.Zone; nearA != nearB {
+			return nearA
+		}
+		return rendezvous(string(en.id), string(list[a])) > rendezvous(string(en.id), string(list[b]))
+	})
+	return list[:wantSpread]
+}
+
+func (en *Entry) unwant(gr *group) {
+	offered := gr.offered
+	gr.offered = map[ids.EntryID]bool{}
+	for id := range offered {
+		en.send(id, Unwant{Group: gr.id})
+	}
+}
+
+// offerWants tells an entry that has just become reachable what waits here.
+func (en *Entry) offerWants(id ids.EntryID) {
+	for _, gr := range en.groups {
+		if count := len(gr.queued()); count > 0 {
+			en.sendWant(gr, id, count)
+		}
+	}
+}
+
+// onGrant answers reserved room with queued tasks.
+func (en *Entry) onGrant(from ids.EntryID, ms Grant) {
+	gr := en.groups[ms.Group]
+	if gr == nil {
+		en.send(from, Start{Group: ms.Group, Grant: ms.ID})
+		return
+	}
+	waiting := gr.queued()
+	en.sendTasks(gr, from, waiting[:min(ms.Count, len(waiting))], ms.ID)
+	if len(waiting) <= ms.Count {
+		en.unwant(gr)
+	}
+}
+
+// find returns the task of a reference if that run of it is the latest one.
+func (en *Entry) find(ref TaskRef) (*group, *task) {
+	jid, step, idx, ok := splitTask(ref.Task)
+	if !ok {
+		return nil, nil
+	}
+	jb := en.jobs[jid]
+	if jb == nil || step >= len(jb.groups) || idx >= len(jb.groups[step].tasks) {
+		return nil, nil
+	}
+	gr := jb.groups[step]
+	ta := gr.tasks[idx]
+	if ta.run != ref.Run || ta.state == taskDone || ta.state == taskQueued {
+		return nil, nil
+	}
+	return gr, ta
+}
+
+func (en *Entry) onRunning(from ids.EntryID, ms Running) {
+	gr, ta := en.find(ms.Ref)
+	if ta == nil || ta.holder != from {
+		return
+	}
+	ta.state, ta.worker = taskRunning, ms.Worker
+	if !gr.job.begun {
+		gr.job.begun = true
+		en.eff.Observe("job.first-start", en.now().Sub(gr.job.Arrived))
+	}
+}
+
+// onEnded takes the end of a run and decides what becomes of the task.
+func (en *Entry) onEnded(from ids.EntryID, ms Ended) {
+	gr, ta := en.find(ms.Ref)
+	if ta == nil {
+		return
+	}
+	jb := gr.job
+	if ms.Checkpoint != "" {
+		ta.checkpoint = ms.Checkpoint
+	}
+	switch ms.How {
+	case EndDone:
+		ta.state = taskDone
+		jb.begun = true
+		en.learn(jb, gr, ms.Work)
+		en.advance(jb)
+		return
+	case EndFailed:
+		jb.begun = true
+		ta.failed++
+		en.eff.Log("task-failed", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
+			"worker", string(ms.Worker), "holder", string(from), "failed", ta.failed, "attempts", jb.Queue.MaxAttempts)
+		if ta.failed >= jb.Queue.MaxAttempts {
+			en.finish(jb, Outcome{Kind: Failed, Reason: "attempts"})
+			return
+		}
+	case EndOldRun:
+		ta.run += runStep
+	case EndNoRoom:
+	default:
+		jb.begun = true
+		en.eff.Count("retry", string(ms.How), 1)
+		en.eff.Log("task-again", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
+			"worker", string(ms.Worker), "holder", string(from), "reason", string(ms.How))
+	}
+	en.requeue(gr, ta, ms.How == EndNoRoom)
+}
+
+// requeue lets a task wait for room again.
+func (en *Entry) requeue(gr *group, ta *task, noRoom bool) {
+	ta.state, ta.holder, ta.worker = taskQueued, "", ""
+	if noRoom {
+		en.want(gr)
+		return
+	}
+	en.place(gr)
+}
+
+func (en *Entry) learn(jb *job, gr *group, work time.Duration) {
+	es := en.learned[jb.Queue.Name]
+	if es == nil {
+		es = &estimator{}
+		en.learned[jb.Queue.Name] = es
+	}
+	es.learn(jb.Job.Steps[gr.step].Estimate, work)
+}
+
+// loseHolder marks the tasks at an entry as lost after its session has ended.
+func (en *Entry) loseHolder(id ids.EntryID) {
+	until := en.now().Add(loseAfter)
+	for _, gr := range en.groups {
+		delete(gr.offered, id)
+		for _, ta := range gr.tasks {
+			if ta.holder == id && (ta.state == taskPlaced || ta.state == taskRunning) {
+				en.lose(gr, ta, until)
+			}
+		}
+	}
+}
+
+func (en *Entry) lose(gr *group, ta *task, until time.Time) {
+	gr.job.begun = true
+	ta.state, ta.lostUntil = taskLost, until
+}
+
+// onReleased expects another holder of a worker to report the tasks there.
+func (en *Entry) onReleased(from ids.EntryID, ms Released) {
+	until := en.now().Add(loseAfter)
+	for _, gr := range en.groups {
+		for _, ta := range gr.tasks {
+			if ta.holder == from && ta.worker == ms.Worker && ta.state == taskRunning {
+				en.lose(gr, ta, until)
+			}
+		}
+	}
+}
+
+// onAdopt claims the tasks that a new holder has found on a worker.
+func (en *Entry) onAdopt(from ids.EntryID, ms Adopt) {
+	reply := Adopted{Worker: ms.Worker}
+	now := en.now()
+	for _, ref := range ms.Running {
+		gr, ta := en.find(ref)
+		if ta == nil {
+			continue
+		}
+		ta.state, ta.holder, ta.worker = taskRunning, from, ms.Worker
+		gr.job.begun = true
+		reply.Keep = append(reply.Keep, Kept{Ref: ref, Group: gr.id, Job: gr.job.Job.ID, Shape: gr.current(now)})
+	}
+	for _, ed := range ms.Ended {
+		en.onEnded(from, ed)
+	}
+	en.send(from, reply)
+}
+
+// Cancel tells that a connection no longer waits for a job. Without any other
+// the job ends.
+func (en *Entry) Cancel(id ids.JobID, reason string) {
+	if jb := en.jobs[id]; jb != nil {
+		jb.waiters--
+		if jb.waiters > 0 {
+			return
+		}
+		kind := Refused
+		if jb.begun {
+			kind = Abandoned
+		}
+		en.finish(jb, Outcome{Kind: kind, Reason: reason})
+	}
+}
+
+// finish answers a job and stops what is left of it.
+func (en *Entry) finish(jb *job, out Outcome) {
+	delete(en.jobs, jb.Job.ID)
+	stops := map[ids.EntryID][]TaskRef{}
+	for _, gr := range jb.groups {
+		delete(en.groups, gr.id)
+		en.unwant(gr)
+		for _, ta := range gr.tasks {
+			if ta.state == taskPlaced || ta.state == taskRunning || ta.state == taskLost {
+				stops[ta.holder] = append(stops[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
+			}
+		}
+	}
+	for holder, refs := range stops {
+		en.send(holder, Stop{Refs: refs})
+	}
+	took := en.now().Sub(jb.Arrived)
+	en.eff.Observe("job."+string(out.Kind), took)
+	en.eff.Count("job", string(out.Kind), 1)
+	if out.Reason != "" {
+		en.eff.Count("refusal", out.Reason, 1)
+	}
+	firstSent := int64(-1)
+	if !jb.firstSent.IsZero() {
+		firstSent = jb.firstSent.Sub(jb.Arrived).Milliseconds()
+	}
+	en.eff.Log("job-ended", "job", string(jb.Job.ID), "queue", jb.Queue.Name, "outcome", string(out.Kind),
+		"reason", out.Reason, "took-ms", took.Milliseconds(), "objective-ms", jb.inTime.Sub(jb.Arrived).Milliseconds(),
+		"first-sent-ms", firstSent, "begun", jb.begun, "tasks", jb.taskCounts(), "version", en.version())
+	jb.Done(out)
+}
+
+func (en *Entry) version() int64 {
+	if en.desired == nil {
+		return 0
+	}
+	return en.desired.Version
+}
+
+// taskCounts writes how many tasks of a job were in which state.
+func (jb *job) taskCounts() string {
+	counts := map[taskState]int{}
+	for _, gr := range jb.groups {
+		for _, ta := range gr.tasks {
+			counts[ta.state]++
+		}
+	}
+	text := ""
+	for _, st := range []taskState{taskBlocked, taskQueued, taskPlaced, taskRunning, taskLost, taskDone} {
+		if counts[st] > 0 {
+			text += string(st) + ":" + strconv.Itoa(counts[st]) + ","
+		}
+	}
+	return text
+}
+
+// Jobs returns the number of jobs that wait for an answer.
+func (en *Entry) Jobs() int { return len(en.jobs) }
+
+func (en *Entry) tickOwner(now time.Time) {
+	var ended []*job
+	for _, jb := range en.jobs {
+		en.recoverLost(jb, now)
+		if !jb.Deadline.IsZero() && now.After(jb.Deadline) {
+			ended = append(ended, jb)
+			continue
+		}
+		if en.hopeless(jb, now) {
+			ended = append(ended, jb)
+		}
+	}
+	slices.SortFunc(ended, func(a, b *job) int { return a.Arrived.Compare(b.Arrived) })
+	for _, jb := range ended {
+		kind, reason := Abandoned, "deadline"
+		if jb.untouched() {
+			kind, reason = Refused, "overload"
+		}
+		en.finish(jb, Outcome{Kind: kind, Reason: reason, RetryAfter: retryOverload})
+	}
+}
+
+// retryOverload is the time to come back after a refusal for want of room: a
+// few times the longest task that this system is made for.
+const retryOverload = 2 * time.Second
+
+// hopeless tells whether a job of which nothing has begun can no longer be of
+// use to its caller.
+func (en *Entry) hopeless(jb *job, now time.Time) bool {
+	return jb.untouched() && now.Add(jb.estimate).After(jb.late)
+}
+
+// untouched tells whether no worker can have begun a task of the job.
+func (jb *job) untouched() bool {
+	if jb.begun {
+		return false
+	}
+	for _, gr := range jb.groups {
+		for _, ta := range gr.tasks {
+			if ta.state != taskBlocked && ta.state != taskQueued {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// recoverLost lets lost tasks wait for room once they surely run no more.
+func (en *Entry) recoverLost(jb *job, now time.Time) {
+	for _, gr := range jb.groups {
+		for _, ta := range gr.tasks {
+			if ta.state == taskLost && now.After(ta.lostUntil) {
+				en.eff.Count("retry", "holder-lost", 1)
+				en.eff.Log("task-again", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
+					"worker", string(ta.worker), "holder", string(ta.holder), "reason", "holder-lost")
+				en.requeue(gr, ta, false)
+			}
+		}
+	}
+}
+
+// Pending returns the jobs of a queue of which no task has begun.
+func (en *Entry) Pending(queue string) int {
+	count := 0
+	for _, jb := range en.jobs {
+		if jb.Queue.Name == queue && !jb.begun {
+			count++
+		}
+	}
+	return count
+}
+
+// Knows tells whether a job waits for its answer here.
+func (en *Entry) Knows(id ids.JobID) bool { return en.jobs[id] != nil }
--- /dev/null
+++ b/internal/fleet/effects.go
@@ -0,0 +1,103 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/dispatch"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// effects carries out the decisions of a dispatch.Entry. Its methods are called
+// with the lock of the daemon.
+type effects struct{ dm *Daemon }
+
+// Send queues a message for another entry.
+func (ef *effects) Send(to ids.EntryID, msg dispatch.Message) {
+	if lk := ef.dm.links[to]; lk != nil {
+		lk.push(msg)
+	}
+}
+
+// StartTask sends a start to a worker.
+func (ef *effects) StartTask(order dispatch.StartOrder) {
+	ef.dm.grp.Go(func(ctx context.Context) {
+		began := time.Now()
+		rep := ef.dm.workers.StartTask(ctx, order)
+		ef.dm.cnt.Observe("worker.start", time.Since(began))
+		ef.dm.locked(func(en *dispatch.Entry) { en.StartReplied(order.Worker, order.Token, order.Ref, rep) })
+	})
+}
+
+// StopTask sends a stop to a worker. The end shows in the next hold; a stop
+// without effect is sent again.
+func (ef *effects) StopTask(order dispatch.StopOrder) {
+	ef.dm.grp.Go(func(ctx context.Context) {
+		if err := ef.dm.workers.StopTask(ctx, order); err != nil && ctx.Err() == nil {
+			ef.dm.log.Line("stop-unanswered", "worker", string(order.Worker), "task", string(order.Ref.Task),
+				"run", int64(order.Ref.Run), "error", err.Error())
+		}
+	})
+}
+
+// Hold sends a hold to a worker.
+func (ef *effects) Hold(order dispatch.HoldOrder) {
+	ef.dm.grp.Go(func(ctx context.Context) {
+		ef.dm.cnt.Add("worker", "holds", 1)
+		rep := ef.dm.workers.Hold(ctx, order)
+		if ctx.Err() != nil {
+			return
+		}
+		ef.dm.locked(func(en *dispatch.Entry) { en.HoldReplied(order.Worker, order.Token, rep) })
+	})
+}
+
+// holderRecord is a row of TableFleet that tells who holds a worker.
+type holderRecord struct {
+	Holder ids.Incarnation `json:"holder"`
+}
+
+// Commit changes rows of holders.
+func (ef *effects) Commit(changes []dispatch.RowChange) {
+	ef.dm.grp.Go(func(ctx context.Context) {
+		rep := ef.dm.commitHolders(ctx, changes)
+		ef.dm.locked(func(en *dispatch.Entry) { en.Committed(changes, rep) })
+	})
+}
+
+func (dm *Daemon) commitHolders(ctx context.Context, changes []dispatch.RowChange) dispatch.CommitReply {
+	tx := Transaction{}
+	for _, ch := range changes {
+		raw, err := json.Marshal(holderRecord{Holder: ch.Holder})
+		if err != nil {
+			return dispatch.CommitReply{Reason: err.Error()}
+		}
+		key := holderPrefix + string(ch.Worker)
+		tx.Checks = append(tx.Checks, Check{Key: key, Version: ch.Expected})
+		tx.Puts = append(tx.Puts, Put{Key: key, Value: raw})
+	}
+	dm.cnt.Add("store", "commits", 1)
+	rep, err := dm.store.Commit(ctx, tx)
+	if err != nil {
+		dm.cnt.Add("store", "commit-errors", 1)
+		return dispatch.CommitReply{Reason: err.Error()}
+	}
+	out := dispatch.CommitReply{OK: rep.OK, Version: rep.Version, Conflict: !rep.OK}
+	for _, ro := range rep.Present {
+		row, ok := dm.decodeHolder(ro)
+		if ok {
+			out.Present = append(out.Present, row)
+		}
+	}
+	return out
+}
+
+// Log writes one line on a decision.
+func (ef *effects) Log(event string, fields ...any) { ef.dm.log.Line(event, fields...) }
+
+// Count adds to a counter.
+func (ef *effects) Count(family, reason string, n int64) { ef.dm.cnt.Add(family, reason, n) }
+
+// Observe adds to a latency histogram.
+func (ef *effects) Observe(name string, took time.Duration) { ef.dm.cnt.Observe(name, took) }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,257 @@
+// Package fleet runs an entry on a fleet of VMs without disks: it follows the
+// platform's store, keeps sessions with the other entries, carries out the
+// orders of internal/dispatch, and serves its decisions to callers.
+//
+// All state of the entry is a dispatch.Entry behind one lock. Goroutines of
+// this package wait for the network and then call it; it answers with Effects,
+// which start further goroutines. Nothing waits while it has the lock.
+//
+// # Usage
+//
+//	dm := fleet.New(options, store, workers, log, counters)
+//	if err := dm.Start(); err != nil { ... }
+//	dm.Submit(submission)
+//	...
+//	dm.Drain(ctx) // passes the workers on and waits for the jobs
+//	dm.Close()
+//
+// # Errors
+//
+// Start fails when the address for the other entries can't be listened on.
+// Faults of the store, the workers and the other entries are logged and tried
+// again.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/dispatch"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// Table names a table of the platform's store.
+type Table string
+
+// The tables that an entry uses.
+const (
+	TableWorkers Table = "workers" // reports of the workers, written by them
+	TableDesired Table = "desired" // desired state, written by the operator
+	TableFleet   Table = "fleet"   // entries and holders of workers, written by the entries
+)
+
+// Row is a row of a table.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version dispatch.Version
+	Deleted bool
+}
+
+// Check demands that a row has a version, 0 for no row.
+type Check struct {
+	Key     string
+	Version dispatch.Version
+}
+
+// Put sets a row.
+type Put struct {
+	Key   string
+	Value []byte
+}
+
+// Transaction changes rows of TableFleet, all or none.
+type Transaction struct {
+	Checks  []Check
+	Puts    []Put
+	Removes []string
+}
+
+// TransactionReply is the answer to a transaction: done, or the rows as they
+// are where a check failed.
+type TransactionReply struct {
+	OK      bool
+	Version dispatch.Version
+	Present []Row
+}
+
+// ErrHistoryGone tells that changes since a version are no longer known.
+var ErrHistoryGone = errors.New("the store has dropped the history since that version")
+
+// Store is the platform's store. An error leaves open whether a transaction
+// was carried out, or will be.
+type Store interface {
+	Read(ctx context.Context, tb Table) ([]Row, dispatch.Version, error)
+	Follow(ctx context.Context, tb Table, after dispatch.Version, wait time.Duration) ([]Row, dispatch.Version, error)
+	Commit(ctx context.Context, tx Transaction) (TransactionReply, error)
+	// DecodeWorker reads a row of TableWorkers.
+	DecodeWorker(id string, raw []byte) (dispatch.WorkerInfo, error)
+	// DecodeDesired reads a row of TableDesired, false when it is of another kind.
+	DecodeDesired(key string, raw []byte) (dispatch.Desired, bool, error)
+}
+
+// Workers carries out orders to workers.
+type Workers interface {
+	StartTask(ctx context.Context, order dispatch.StartOrder) dispatch.StartReply
+	StopTask(ctx context.Context, order dispatch.StopOrder) error
+	Hold(ctx context.Context, order dispatch.HoldOrder) dispatch.HoldReply
+}
+
+// Options describe an entry.
+type Options struct {
+	Self dispatch.Self
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+}
+
+// Daemon is a running entry.
+type Daemon struct {
+	opt     Options
+	store   Store
+	workers Workers
+	log     *Journal
+	cnt     *counter.Set
+	grp     *group.Group
+	lis     net.Listener
+
+	desired  atomic.Pointer[dispatch.Desired]
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	en       *dispatch.Entry
+	links    map[ids.EntryID]*link
+	inbound  map[*inbound]bool
+	lastSess uint64
+	storeBad map[Table]bool
+}
+
+// New returns an entry that is not started yet.
+func New(opt Options, store Store, workers Workers, log *Journal, cnt *counter.Set) *Daemon {
+	dm := &Daemon{
+		opt: opt, store: store, workers: workers, log: log, cnt: cnt,
+		grp:      group.New(context.Background()),
+		links:    map[ids.EntryID]*link{},
+		inbound:  map[*inbound]bool{},
+		storeBad: map[Table]bool{},
+	}
+	dm.en = dispatch.New(opt.Self, &effects{dm: dm}, time.Now)
+	return dm
+}
+
+// Start begins to serve.
+func (dm *Daemon) Start() error {
+	cfg := net.ListenConfig{}
+	lis, err := cfg.Listen(dm.grp.Context(), "tcp", dm.opt.Self.PeerAddress)
+	if err != nil {
+		return err
+	}
+	dm.lis = lis
+	dm.log.Line("started", "entry", string(dm.opt.Self.Incarnation.Entry()), "incarnation", string(dm.opt.Self.Incarnation),
+		"zone", string(dm.opt.Self.Zone), "peers", dm.opt.Self.PeerAddress, "size", dm.opt.Self.Size)
+	dm.grp.Go(dm.accept)
+	dm.grp.Go(dm.beat)
+	dm.grp.Go(dm.followDesired)
+	dm.grp.Go(dm.followWorkers)
+	dm.grp.Go(dm.followFleet)
+	dm.grp.Every(dispatch.TickInterval, func(context.Context) {
+		dm.locked(func(en *dispatch.Entry) { en.Tick() })
+	})
+	dm.grp.Every(silenceCheck, func(context.Context) { dm.checkSilence() })
+	return nil
+}
+
+// locked runs fn with the lock of the entry's state.
+func (dm *Daemon) locked(fn func(en *dispatch.Entry)) {
+	dm.mu.Lock()
+	defer dm.mu.Unlock()
+	fn(dm.en)
+	if des := dm.en.Desired(); des != dm.desired.Load() {
+		dm.desired.Store(des)
+	}
+}
+
+// Desired returns the desired state in force, nil before the first one.
+func (dm *Daemon) Desired() *dispatch.Desired { return dm.desired.Load() }
+
+// Ready tells whether callers should come to this entry.
+func (dm *Daemon) Ready() bool {
+	if dm.draining.Load() {
+		return false
+	}
+	ready := false
+	dm.locked(func(en *dispatch.Entry) { ready = en.Ready() })
+	return ready
+}
+
+// Draining tells whether this entry shuts down.
+func (dm *Daemon) Draining() bool { return dm.draining.Load() }
+
+// Submit takes a job; its Done is called once.
+func (dm *Daemon) Submit(sub dispatch.Submission) {
+	dm.locked(func(en *dispatch.Entry) { en.Submit(sub) })
+}
+
+// Cancel tells that a caller no longer waits for a job.
+func (dm *Daemon) Cancel(id ids.JobID, reason string) {
+	dm.locked(func(en *dispatch.Entry) { en.Cancel(id, reason) })
+}
+
+// Pending returns the jobs of a queue at this entry of which nothing has begun.
+func (dm *Daemon) Pending(queue string) int {
+	count := 0
+	dm.locked(func(en *dispatch.Entry) { count = en.Pending(queue) })
+	return count
+}
+
+// Knows tells whether a job waits for its answer here.
+func (dm *Daemon) Knows(id ids.JobID) bool {
+	known := false
+	dm.locked(func(en *dispatch.Entry) { known = en.Knows(id) })
+	return known
+}
+
+// drainPoll is the interval at which a drain looks whether all is done.
+const drainPoll = 50 * time.Millisecond
+
+// Drain passes the workers on and waits until no job is left and no worker is
+// held, or ctx ends.
+func (dm *Daemon) Drain(ctx context.Context) {
+	dm.draining.Store(true)
+	dm.locked(func(en *dispatch.Entry) { en.Leave() })
+	dm.writeBeat(ctx)
+	for ctx.Err() == nil {
+		left := 0
+		dm.locked(func(en *dispatch.Entry) { left = en.Jobs() + en.Held() })
+		if left == 0 {
+			return
+		}
+		group.Sleep(ctx, drainPoll)
+	}
+}
+
+// Close ends all goroutines and removes this entry's row.
+func (dm *Daemon) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), farewellTimeout)
+	defer cancel()
+	if dm.draining.Load() {
+		if _, err := dm.store.Commit(ctx, Transaction{Removes: []string{dm.entryKey()}}); err != nil {
+			dm.log.Line("farewell-failed", "error", err.Error())
+		}
+	}
+	dm.grp.Close()
+	if dm.lis != nil {
+		if err := dm.lis.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			dm.log.Line("listener-close", "error", err.Error())
+		}
+	}
+	dm.log.Line("stopped", "entry", string(dm.opt.Self.Incarnation.Entry()))
+}
+
+// farewellTimeout bounds the removal of the row in a shutdown.
+const farewellTimeout = 200 * time.Millisecond
--- /dev/null
+++ b/internal/fleet/link.go
@@ -0,0 +1,314 @@
+package fleet
+
+import (
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"syscall"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/dispatch"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// The timing of sessions between entries. An owner may count on a session that
+// it has ended to be noticed by the holder within inboundSilence.
+const (
+	// linkBeat is the longest pause between two batches of a session.
+	linkBeat = 200 * time.Millisecond
+	// linkTimeout without an answer ends a session. Round trips take 1 ms; an
+	// entry that is slowed down five times still answers in time.
+	linkTimeout = 600 * time.Millisecond
+	// inboundSilence without a batch ends the session at the receiver.
+	inboundSilence = 900 * time.Millisecond
+	silenceCheck   = 100 * time.Millisecond
+	// linkRetry is the pause before an entry is dialled again.
+	linkRetry   = 150 * time.Millisecond
+	dialTimeout = 300 * time.Millisecond
+)
+
+// Batch is what one entry sends to another in one call.
+type Batch struct {
+	From           ids.Incarnation
+	Session        uint64
+	Load           dispatch.Load
+	DesiredVersion int64
+	Messages       []dispatch.Message
+}
+
+// Ack answers a batch.
+type Ack struct {
+	Incarnation    ids.Incarnation
+	Load           dispatch.Load
+	DesiredVersion int64
+}
+
+func init() {
+	for _, msg := range []dispatch.Message{
+		dispatch.Start{}, dispatch.Want{}, dispatch.Unwant{}, dispatch.Grant{}, dispatch.Running{}, dispatch.Ended{},
+		dispatch.Stop{}, dispatch.Adopt{}, dispatch.Adopted{}, dispatch.Released{}, dispatch.Handover{}, dispatch.NewDesired{},
+	} {
+		gob.Register(msg)
+	}
+}
+
+// link keeps the session towards one entry. Its fields are guarded by the lock
+// of the daemon.
+type link struct {
+	dm      *Daemon
+	to      ids.EntryID
+	address string
+	up      bool
+	queue   []dispatch.Message
+	kick    chan struct{}
+}
+
+// keepLinks starts and ends links as members come and go.
+func (dm *Daemon) keepLinks(en *dispatch.Entry) {
+	for _, mb := range en.Members() {
+		id := mb.Incarnation.Entry()
+		if lk := dm.links[id]; lk != nil {
+			lk.address = mb.PeerAddress
+			continue
+		}
+		lk := &link{dm: dm, to: id, address: mb.PeerAddress, kick: make(chan struct{}, 1)}
+		dm.links[id] = lk
+		dm.grp.Go(lk.run)
+	}
+}
+
+// push queues a message; without a session it is dropped.
+func (lk *link) push(msg dispatch.Message) {
+	if !lk.up {
+		return
+	}
+	lk.queue = append(lk.queue, msg)
+	select {
+	case lk.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run keeps a session until ctx ends.
+func (lk *link) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		var address string
+		lk.dm.locked(func(*dispatch.Entry) { address = lk.address })
+		err := lk.session(ctx, address)
+		if ctx.Err() != nil {
+			return
+		}
+		lk.dm.locked(func(en *dispatch.Entry) {
+			lk.up, lk.queue = false, nil
+			en.SessionDown(lk.to, err.Error())
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				en.Refused(lk.to)
+			}
+		})
+		group.Sleep(ctx, linkRetry)
+	}
+}
+
+// session runs one session until it fails.
+func (lk *link) session(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	cl := rpc.NewClient(conn)
+	defer cl.Close()
+	var number uint64
+	lk.dm.locked(func(*dispatch.Entry) {
+		// Numbers of one incarnation rise; another incarnation differs in From.
+		lk.dm.lastSess++
+		number = lk.dm.lastSess
+	})
+	for {
+		batch := Batch{From: lk.dm.opt.Self.Incarnation, Session: number}
+		lk.dm.locked(func(en *dispatch.Entry) {
+			batch.Load = en.Load()
+			if des := en.Desired(); des != nil {
+				batch.DesiredVersion = des.Version
+			}
+			batch.Messages, lk.queue = lk.queue, nil
+		})
+		ack, err := lk.deliver(ctx, conn, cl, batch)
+		if err != nil {
+			return err
+		}
+		lk.acked(ack)
+		lk.wait(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// wait returns when there is something to send or a beat is due.
+func (lk *link) wait(ctx context.Context) {
+	timer := time.NewTimer(linkBeat)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-lk.kick:
+	case <-timer.C:
+	}
+}
+
+func (lk *link) deliver(ctx context.Context, conn net.Conn, cl *rpc.Client, batch Batch) (Ack, error) {
+	if err := conn.SetDeadline(time.Now().Add(linkTimeout + linkBeat)); err != nil {
+		return Ack{}, err
+	}
+	var ack Ack
+	timer := time.NewTimer(linkTimeout)
+	defer timer.Stop()
+	call := cl.Go("Peer.Deliver", batch, &ack, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return ack, call.Error
+	case <-timer.C:
+		return Ack{}, fmt.Errorf("no answer in %s", linkTimeout)
+	case <-ctx.Done():
+		return Ack{}, ctx.Err()
+	}
+}
+
+// acked takes the answer to a batch.
+func (lk *link) acked(ack Ack) {
+	lk.dm.locked(func(en *dispatch.Entry) {
+		if !lk.up {
+			lk.up = true
+			en.SessionUp(lk.to, ack.Incarnation)
+		}
+		en.Heard(lk.to, ack.Load)
+		lk.dm.shareDesired(en, lk.to, ack.DesiredVersion)
+	})
+}
+
+// shareDesired sends the desired state to an entry that has an older one, which
+// may be cut off from the store.
+func (dm *Daemon) shareDesired(en *dispatch.Entry, to ids.EntryID, version int64) {
+	if des := en.Desired(); des != nil && des.Version > version {
+		if lk := dm.links[to]; lk != nil {
+			lk.push(dispatch.NewDesired{Desired: *des})
+		}
+	}
+}
+
+// inbound is the receiving end of a session. Its fields are guarded by the lock
+// of the daemon.
+type inbound struct {
+	dm     *Daemon
+	conn   net.Conn
+	from   ids.EntryID
+	number uint64
+	heard  time.Time
+	ended  bool
+}
+
+// accept serves connections of other entries until ctx ends.
+func (dm *Daemon) accept(ctx context.Context) {
+	dm.grp.Go(func(ctx context.Context) {
+		<-ctx.Done()
+		if err := dm.lis.Close(); err != nil {
+			dm.log.Line("listener-close", "error", err.Error())
+		}
+	})
+	for ctx.Err() == nil {
+		conn, err := dm.lis.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				dm.log.Line("accept-failed", "error", err.Error())
+				group.Sleep(ctx, linkRetry)
+			}
+			continue
+		}
+		dm.grp.Go(func(ctx context.Context) { dm.serve(ctx, conn) })
+	}
+}
+
+// serve handles one connection and ends its session with it.
+func (dm *Daemon) serve(_ context.Context, conn net.Conn) {
+	in := &inbound{dm: dm, conn: conn, heard: time.Now()}
+	srv := rpc.NewServer()
+	if err := srv.RegisterName("Peer", &Peer{in: in}); err != nil {
+		dm.log.Line("register-failed", "error", err.Error())
+		return
+	}
+	dm.locked(func(*dispatch.Entry) { dm.inbound[in] = true })
+	srv.ServeConn(conn)
+	dm.locked(func(en *dispatch.Entry) { in.end(en, "connection closed") })
+}
+
+// end ends the session of a connection.
+func (in *inbound) end(en *dispatch.Entry, why string) {
+	delete(in.dm.inbound, in)
+	if in.ended {
+		return
+	}
+	in.ended = true
+	if in.from != "" {
+		en.InboundDown(in.from, in.number, why)
+	}
+}
+
+// checkSilence ends the sessions that have been silent for too long.
+func (dm *Daemon) checkSilence() {
+	dm.locked(func(en *dispatch.Entry) {
+		now := time.Now()
+		for in := range dm.inbound {
+			if now.Sub(in.heard) > inboundSilence {
+				in.end(en, "silent")
+				if err := in.conn.Close(); err != nil {
+					dm.log.Line("session-close", "error", err.Error())
+				}
+			}
+		}
+	})
+}
+
+// Peer is the net/rpc service that entries call.
+type Peer struct{ in *inbound }
+
+// errSessionEnded answers a batch on a session that has ended.
+var errSessionEnded = errors.New("the session has ended")
+
+// Deliver takes a batch.
+func (pe *Peer) Deliver(batch Batch, ack *Ack) error {
+	in := pe.in
+	var err error
+	in.dm.locked(func(en *dispatch.Entry) {
+		if in.ended || (in.from != "" && !en.InboundIs(in.from, in.number)) {
+			err = errSessionEnded
+			return
+		}
+		in.heard = time.Now()
+		from := batch.From.Entry()
+		if in.from == "" {
+			in.from, in.number = from, in.dm.nextInbound()
+			en.InboundUp(from, in.number)
+		}
+		en.Heard(from, batch.Load)
+		for _, msg := range batch.Messages {
+			en.Receive(from, msg)
+		}
+		ack.Incarnation = in.dm.opt.Self.Incarnation
+		ack.Load = en.Load()
+		if des := en.Desired(); des != nil {
+			ack.DesiredVersion = des.Version
+		}
+		in.dm.shareDesired(en, from, batch.DesiredVersion)
+	})
+	return err
+}
+
+// nextInbound numbers the sessions towards this entry.
+func (dm *Daemon) nextInbound() uint64 {
+	dm.lastSess++
+	return dm.lastSess
+}
--- a/internal/logline/logline.go
+++ b/internal/logline/logline.go
@@ -29,8 +29,12 @@
 
 // New returns a logger that writes key=value lines with time stamps to out.
 func New(out io.Writer, level zerolog.Level) zerolog.Logger {
-	wr := &writer{out: out}
-	return zerolog.New(wr).Level(level).With().Timestamp().Logger()
+	return Untimed(out, level).With().Timestamp().Logger()
+}
+
+// Untimed returns a logger whose events carry their own time field.
+func Untimed(out io.Writer, level zerolog.Level) zerolog.Logger {
+	return zerolog.New(&writer{out: out}).Level(level)
 }
 
 type writer struct {
