dispatch: keep the account of room up to date instead of summing it

Ruled out: the size of messages. The emulator of workers, store and entries on a virtual clock comes with it.

--- /dev/null
+++ b/internal/dispatch/emulator_test.go
@@ -0,0 +1,763 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// world emulates entries, workers and the store on a virtual clock. It checks
+// from what the workers see that no worker is given more than it has room for,
+// that no task runs twice at a time, and that no refused job has run.
+type world struct {
+	at      time.Time
+	rnd     *rand.Rand
+	events  eventQueue
+	seq     int
+	entries map[ids.EntryID]*emuEntry
+	workers map[ids.WorkerID]*emuWorker
+	rows    map[ids.WorkerID]HolderRow
+	version Version
+	storeUp bool
+	cut     map[[2]string]bool // severed pairs of entries or of entry and worker
+	jobs    map[ids.JobID]*emuJob
+	running map[TaskID]int // runs of a task at this moment
+	faults  []string
+	desired Desired
+	done    map[OutcomeKind]int
+	inTime  map[string]int
+	asked   map[string]int
+	lastJob int
+}
+
+type emuJob struct {
+	queue   string
+	arrived time.Time
+	work    time.Duration // true longest work on a worker of speed 1
+	stretch float64
+	slack   time.Duration
+	started bool
+	refused bool
+	length  map[TaskID]time.Duration
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	fn  func()
+}
+
+type eventQueue []event
+
+func (eq eventQueue) Len() int { return len(eq) }
+func (eq eventQueue) Less(a, b int) bool {
+	if !eq[a].at.Equal(eq[b].at) {
+		return eq[a].at.Before(eq[b].at)
+	}
+	return eq[a].seq < eq[b].seq
+}
+func (eq eventQueue) Swap(a, b int) { eq[a], eq[b] = eq[b], eq[a] }
+func (eq *eventQueue) Push(x any)   { *eq = append(*eq, x.(event)) }
+func (eq *eventQueue) Pop() any {
+	old := *eq
+	last := old[len(old)-1]
+	*eq = old[:len(old)-1]
+	return last
+}
+
+func newWorld(seed uint64) *world {
+	return &world{
+		at:      time.Unix(1_700_000_000, 0),
+		rnd:     rand.New(rand.NewPCG(seed, 7)),
+		entries: map[ids.EntryID]*emuEntry{},
+		workers: map[ids.WorkerID]*emuWorker{},
+		rows:    map[ids.WorkerID]HolderRow{},
+		storeUp: true,
+		cut:     map[[2]string]bool{},
+		jobs:    map[ids.JobID]*emuJob{},
+		running: map[TaskID]int{},
+		done:    map[OutcomeKind]int{},
+		inTime:  map[string]int{},
+		asked:   map[string]int{},
+	}
+}
+
+func (wo *world) after(du time.Duration, fn func()) {
+	wo.seq++
+	heap.Push(&wo.events, event{at: wo.at.Add(du), seq: wo.seq, fn: fn})
+}
+
+func (wo *world) run(du time.Duration) {
+	end := wo.at.Add(du)
+	for len(wo.events) > 0 && !wo.events[0].at.After(end) {
+		ev := heap.Pop(&wo.events).(event)
+		wo.at = ev.at
+		ev.fn()
+	}
+	wo.at = end
+}
+
+func (wo *world) fault(format string, args ...any) {
+	wo.faults = append(wo.faults, fmt.Sprintf(format, args...))
+}
+
+// The latencies of the emulated network and store.
+const (
+	emuHop   = 500 * time.Microsecond
+	emuStore = 6 * time.Millisecond
+	emuFeed  = 200 * time.Millisecond
+)
+
+// emuEntry is one entry VM.
+type emuEntry struct {
+	wo     *world
+	id     ids.EntryID
+	zone   ids.AvailabilityZone
+	en     *Entry
+	alive  bool
+	frozen bool
+	gen    int
+	inc    ids.Incarnation
+	beat   int64
+	number uint64
+	log    func(event string, fields ...any)
+	held   []func() // what arrives while the process is frozen
+}
+
+func (wo *world) addEntry(name string, zone ids.AvailabilityZone, size float64) *emuEntry {
+	ee := &emuEntry{wo: wo, id: ids.EntryID(name), zone: zone}
+	wo.entries[ee.id] = ee
+	ee.start(size)
+	return ee
+}
+
+func (ee *emuEntry) start(size float64) {
+	wo := ee.wo
+	ee.gen++
+	ee.alive = true
+	ee.inc = ids.Incarnation(fmt.Sprintf("%s/%d", ee.id, ee.gen))
+	ee.en = New(Self{Incarnation: ee.inc, Zone: ee.zone, Size: size}, &emuEffects{ee: ee, en: nil}, func() time.Time { return wo.at })
+	ee.en.eff = &emuEffects{ee: ee, en: ee.en}
+	if wo.desired.Version > 0 {
+		ee.en.Apply(wo.desired)
+	}
+	gen := ee.gen
+	var tick, beat, feed, link func()
+	tick = func() {
+		if ee.gen != gen || !ee.alive {
+			return
+		}
+		if !ee.frozen {
+			ee.en.Tick()
+		}
+		wo.after(TickInterval, tick)
+	}
+	beat = func() {
+		if ee.gen != gen || !ee.alive {
+			return
+		}
+		if !ee.frozen && wo.storeUp {
+			ee.beat++
+		}
+		wo.after(BeatInterval, beat)
+	}
+	feed = func() {
+		if ee.gen != gen || !ee.alive {
+			return
+		}
+		if !ee.frozen {
+			ee.read()
+		}
+		wo.after(emuFeed, feed)
+	}
+	link = func() {
+		if ee.gen != gen || !ee.alive {
+			return
+		}
+		if !ee.frozen {
+			ee.link()
+		}
+		wo.after(emuFeed, link)
+	}
+	wo.after(0, tick)
+	wo.after(0, beat)
+	wo.after(time.Millisecond, feed)
+	wo.after(2*time.Millisecond, link)
+}
+
+// read takes everything from the store.
+func (ee *emuEntry) read() {
+	wo := ee.wo
+	if !wo.storeUp {
+		ee.en.StoreAway()
+		return
+	}
+	for _, other := range wo.sortedEntries() {
+		if other.id != ee.id && other.gen > 0 {
+			ee.en.PutMember(Member{Self: Self{Incarnation: other.inc, Zone: other.zone, Size: 1}, Beat: other.beat, Leaving: other.en.leaving})
+		}
+	}
+	for _, wk := range wo.sortedWorkers() {
+		if wk.up {
+			info := wk.info
+			info.Sequence = wo.at.UnixNano()
+			ee.en.PutWorker(info)
+		} else if ee.en.known[wk.info.ID] != nil && wo.at.Sub(wk.downAt) > 4*time.Second {
+			ee.en.DropWorker(wk.info.ID)
+		}
+	}
+	for _, wk := range wo.sortedWorkers() {
+		if row, ok := wo.rows[wk.info.ID]; ok {
+			ee.en.PutRow(row)
+		}
+	}
+}
+
+func (wo *world) sortedEntries() []*emuEntry {
+	var list []*emuEntry
+	for _, ee := range wo.entries {
+		list = append(list, ee)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].id < list[b].id })
+	return list
+}
+
+func (wo *world) sortedWorkers() []*emuWorker {
+	var list []*emuWorker
+	for _, wk := range wo.workers {
+		list = append(list, wk)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].info.ID < list[b].info.ID })
+	return list
+}
+
+// link beats the sessions: loads are exchanged, and sessions come and go with
+// the network.
+func (ee *emuEntry) link() {
+	wo := ee.wo
+	for _, other := range wo.sortedEntries() {
+		if other == ee {
+			continue
+		}
+		reach := other.alive && !other.frozen && !wo.isCut(string(ee.id), string(other.id))
+		se := ee.en.session(other.id)
+		switch {
+		case reach && !se.up:
+			ee.number++
+			number := uint64(ee.gen)<<32 | ee.number
+			other.en.InboundUp(ee.id, number)
+			ee.en.SessionUp(other.id, other.inc)
+		case !reach && se.up:
+			gen, since := ee.gen, wo.at
+			_ = since
+			wo.after(600*time.Millisecond, func() {
+				if ee.gen == gen && ee.alive {
+					ee.deliver(func() { ee.en.SessionDown(other.id, "silent") })
+				}
+			})
+			number := other.en.session(ee.id).inbound
+			ogen := other.gen
+			wo.after(900*time.Millisecond, func() {
+				if other.gen == ogen && other.alive {
+					other.deliver(func() { other.en.InboundDown(ee.id, number, "silent") })
+				}
+			})
+		case reach:
+			ee.en.Heard(other.id, other.en.Load())
+		}
+	}
+}
+
+// deliver runs a call of the entry, or keeps it until the process thaws.
+func (ee *emuEntry) deliver(fn func()) {
+	if ee.frozen {
+		ee.held = append(ee.held, fn)
+		return
+	}
+	fn()
+}
+
+func (wo *world) isCut(a, b string) bool { return wo.cut[[2]string{a, b}] || wo.cut[[2]string{b, a}] }
+
+func (wo *world) setCut(a, b string, cut bool) { wo.cut[[2]string{a, b}] = cut }
+
+// kill ends the process of an entry; its VM refuses connections.
+func (ee *emuEntry) kill() {
+	ee.alive = false
+	wo := ee.wo
+	for _, other := range wo.sortedEntries() {
+		if other == ee || !other.alive {
+			continue
+		}
+		wo.after(emuHop, func() {
+			other.deliver(func() {
+				other.en.SessionDown(ee.id, "reset")
+				other.en.Refused(ee.id)
+				other.en.InboundDown(ee.id, other.en.session(ee.id).inbound, "reset")
+			})
+		})
+	}
+}
+
+func (ee *emuEntry) freeze(du time.Duration) {
+	ee.frozen = true
+	ee.wo.after(du, func() {
+		ee.frozen = false
+		held := ee.held
+		ee.held = nil
+		for _, fn := range held {
+			fn()
+		}
+	})
+}
+
+// emuEffects carries out the decisions of one incarnation.
+type emuEffects struct {
+	ee *emuEntry
+	en *Entry
+}
+
+// back calls the entry with a result, if that incarnation still runs.
+func (ef *emuEffects) back(du time.Duration, fn func(en *Entry)) {
+	ee, gen := ef.ee, ef.ee.gen
+	ee.wo.after(du, func() {
+		if ee.gen == gen && ee.alive {
+			ee.deliver(func() { fn(ee.en) })
+		}
+	})
+}
+
+func (ef *emuEffects) Send(to ids.EntryID, msg Message) {
+	wo, from := ef.ee.wo, ef.ee
+	other := wo.entries[to]
+	se := from.en.session(to)
+	if other == nil || !se.up {
+		return
+	}
+	ogen := other.gen
+	wo.after(emuHop, func() {
+		if other.gen != ogen || !other.alive || wo.isCut(string(from.id), string(to)) {
+			return
+		}
+		other.deliver(func() { other.en.Receive(from.id, msg) })
+	})
+}
+
+func (ef *emuEffects) StartTask(order StartOrder) {
+	ef.order(order.Worker, func(wk *emuWorker) StartReply { return wk.start(order) }, func(en *Entry, rep StartReply) {
+		en.StartReplied(order.Worker, order.Token, order.Ref, rep)
+	})
+}
+
+// order carries an order to a worker and its answer back.
+func (ef *emuEffects) order(id ids.WorkerID, do func(wk *emuWorker) StartReply, reply func(en *Entry, rep StartReply)) {
+	wo, from := ef.ee.wo, ef.ee
+	wk := wo.workers[id]
+	const orderTimeout = 250 * time.Millisecond
+	if wo.rnd.Float64() < wk.lateShare {
+		delay := time.Duration(2+wo.rnd.Float64()*8) * time.Second
+		wo.after(delay, func() { do(wk) })
+		ef.back(orderTimeout, func(en *Entry) { reply(en, StartReply{}) })
+		return
+	}
+	wo.after(emuHop, func() {
+		if !wk.up || wo.isCut(string(from.id), string(id)) {
+			ef.back(orderTimeout, func(en *Entry) { reply(en, StartReply{}) })
+			return
+		}
+		rep := do(wk)
+		ef.back(emuHop, func(en *Entry) { reply(en, rep) })
+	})
+}
+
+func (ef *emuEffects) StopTask(order StopOrder) {
+	ef.order(order.Worker, func(wk *emuWorker) StartReply {
+		wk.stop(order)
+		return StartReply{}
+	}, func(*Entry, StartReply) {})
+}
+
+func (ef *emuEffects) Hold(order HoldOrder) {
+	wo, from := ef.ee.wo, ef.ee
+	wk := wo.workers[order.Worker]
+	reply := func(rep HoldReply) {
+		ef.back(emuHop, func(en *Entry) { en.HoldReplied(order.Worker, order.Token, rep) })
+	}
+	wo.after(emuHop, func() {
+		if !wk.up || wo.isCut(string(from.id), string(order.Worker)) {
+			ef.back(order.Wait+300*time.Millisecond, func(en *Entry) {
+				en.HoldReplied(order.Worker, order.Token, HoldReply{Failed: true, Reason: "silent"})
+			})
+			return
+		}
+		wk.hold(order, reply)
+	})
+}
+
+func (ef *emuEffects) Commit(changes []RowChange) {
+	wo := ef.ee.wo
+	if !wo.storeUp {
+		ef.back(900*time.Millisecond, func(en *Entry) { en.Committed(changes, CommitReply{Reason: "down"}) })
+		return
+	}
+	wo.after(emuStore, func() {
+		rep := wo.commit(changes)
+		ef.back(emuStore, func(en *Entry) { en.Committed(changes, rep) })
+	})
+}
+
+func (wo *world) commit(changes []RowChange) CommitReply {
+	rep := CommitReply{OK: true}
+	for _, ch := range changes {
+		if wo.rows[ch.Worker].Version != ch.Expected {
+			rep.OK, rep.Conflict = false, true
+		}
+		rep.Present = append(rep.Present, HolderRow{Worker: ch.Worker, Holder: wo.rows[ch.Worker].Holder, Version: wo.rows[ch.Worker].Version})
+	}
+	if !rep.OK {
+		return rep
+	}
+	wo.version++
+	for _, ch := range changes {
+		wo.rows[ch.Worker] = HolderRow{Worker: ch.Worker, Holder: ch.Holder, Version: wo.version}
+	}
+	return CommitReply{OK: true, Version: wo.version}
+}
+
+func (ef *emuEffects) Log(event string, fields ...any) {
+	if ef.ee.log != nil {
+		ef.ee.log(event, fields...)
+	}
+}
+func (ef *emuEffects) Count(string, string, int64)   {}
+func (ef *emuEffects) Observe(string, time.Duration) {}
+
+// emuWorker is one worker, with the behaviour that the platform's pages tell.
+type emuWorker struct {
+	wo        *world
+	info      WorkerInfo
+	speed     float64
+	up        bool
+	downAt    time.Time
+	offset    time.Duration // of its clock
+	token     Token
+	runs      map[TaskRef]*emuRun
+	latest    map[TaskID]Run // highest run that was stopped or ended
+	ends      []EndedRun
+	number    int64
+	lease     WorkerTime
+	waiting   func()
+	fails     bool    // fails all that it starts
+	hangs     bool    // its tasks stand still
+	lateShare float64 // share of the orders that are carried out late
+}
+
+type emuRun struct {
+	ref  TaskRef
+	need Resources
+	over bool
+}
+
+func (wo *world) addWorker(num int, zone ids.AvailabilityZone, cpu Millicores, speed float64) *emuWorker {
+	id := ids.WorkerID(fmt.Sprintf("w-%03d", num))
+	wk := &emuWorker{
+		wo: wo, speed: speed, up: true, runs: map[TaskRef]*emuRun{}, latest: map[TaskID]Run{},
+		offset: time.Duration(num) * time.Minute,
+		info: WorkerInfo{
+			ID: id, Service: "fitdesk", Address: string(id), Zone: zone, State: WorkerReady, Born: 1,
+			Room: Resources{CPU: cpu, Memory: 65536},
+		},
+	}
+	wo.workers[id] = wk
+	return wk
+}
+
+func (wk *emuWorker) clock() WorkerTime {
+	return WorkerTime(wk.wo.at.Sub(time.Unix(1_700_000_000, 0)) + wk.offset)
+}
+
+func (wk *emuWorker) start(order StartOrder) StartReply {
+	wo := wk.wo
+	if !wk.up {
+		return StartReply{}
+	}
+	rep := StartReply{Clock: wk.clock()}
+	switch {
+	case order.Token < wk.token:
+		rep.Reason = RefusedFence
+	case order.Ref.Run <= wk.latest[order.Ref.Task]:
+		rep.Reason = RefusedOld
+	case order.Until <= wk.clock():
+		rep.Reason = RefusedLate
+	}
+	if rep.Reason != "" {
+		return rep
+	}
+	rep.Started = true
+	wk.token = order.Token
+	if wk.runs[order.Ref] != nil {
+		return rep
+	}
+	jid, _, _, _ := splitTask(order.Ref.Task)
+	jb := wo.jobs[jid]
+	if jb == nil {
+		wo.fault("worker %s starts %v, which nobody has submitted", wk.info.ID, order.Ref)
+		return rep
+	}
+	if jb.refused {
+		wo.fault("task %v starts although its job was refused as not run", order.Ref)
+	}
+	jb.started = true
+	if wo.running[order.Ref.Task]++; wo.running[order.Ref.Task] > 1 {
+		wo.fault("task %s runs twice at a time, on %s too", order.Ref.Task, wk.info.ID)
+	}
+	run := &emuRun{ref: order.Ref, need: emuNeed(order.Payload)}
+	wk.runs[order.Ref] = run
+	used := Resources{}
+	for _, other := range wk.runs {
+		used = used.plus(other.need)
+	}
+	if !used.fits(wk.info.Room) {
+		wo.fault("worker %s is given %d of %d millicores", wk.info.ID, used.CPU, wk.info.Room.CPU)
+	}
+	wk.extend(order.Until)
+	if wk.hangs {
+		return rep
+	}
+	took, how := time.Duration(float64(jb.length[order.Ref.Task])/wk.speed), EndDone
+	if wk.fails {
+		took, how = 5*time.Millisecond, EndFailed
+	}
+	wo.after(took, func() { wk.end(run, how) })
+	return rep
+}
+
+// emuNeed reads the need of a task from its payload.
+func emuNeed(payload string) Resources {
+	var cpu int64
+	if _, err := fmt.Sscanf(payload, "cpu=%d", &cpu); err != nil {
+		panic(err)
+	}
+	return Resources{CPU: Millicores(cpu), Memory: 64}
+}
+
+func (wk *emuWorker) extend(until WorkerTime) {
+	until = min(until, wk.clock()+WorkerTime(time.Second))
+	if until <= wk.lease {
+		return
+	}
+	wk.lease = until
+	wk.wo.after(time.Duration(until-wk.clock()), func() {
+		if wk.clock() < wk.lease {
+			return
+		}
+		for _, run := range wk.sortedRuns() {
+			wk.end(run, EndLapsed)
+		}
+	})
+}
+
+func (wk *emuWorker) sortedRuns() []*emuRun {
+	var list []*emuRun
+	for _, run := range wk.runs {
+		list = append(list, run)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].ref.Task < list[b].ref.Task })
+	return list
+}
+
+func (wk *emuWorker) end(run *emuRun, how End) {
+	if run.over {
+		return
+	}
+	run.over = true
+	delete(wk.runs, run.ref)
+	wk.wo.running[run.ref.Task]--
+	wk.latest[run.ref.Task] = max(wk.latest[run.ref.Task], run.ref.Run)
+	if !wk.up {
+		return
+	}
+	wk.number++
+	wk.ends = append(wk.ends, EndedRun{Number: wk.number, Ref: run.ref, How: how})
+	if wk.waiting != nil {
+		fn := wk.waiting
+		wk.waiting = nil
+		fn()
+	}
+}
+
+func (wk *emuWorker) stop(order StopOrder) {
+	if !wk.up || order.Token < wk.token {
+		return
+	}
+	wk.token = order.Token
+	wk.latest[order.Ref.Task] = max(wk.latest[order.Ref.Task], order.Ref.Run)
+	if run := wk.runs[order.Ref]; run != nil {
+		wk.wo.after(20*time.Millisecond, func() { wk.end(run, EndStopped) })
+	}
+}
+
+func (wk *emuWorker) hold(order HoldOrder, reply func(rep HoldReply)) {
+	if order.Token < wk.token {
+		reply(HoldReply{Fenced: true})
+		return
+	}
+	wk.token = order.Token
+	if order.Extend {
+		wk.extend(order.Until)
+	}
+	var kept []EndedRun
+	for _, er := range wk.ends {
+		if er.Number > order.Acked {
+			kept = append(kept, er)
+		}
+	}
+	wk.ends = kept
+	answered := false
+	answer := func() {
+		if answered || !wk.up {
+			return
+		}
+		answered = true
+		rep := HoldReply{Clock: wk.clock(), Born: wk.info.Born, Ended: append([]EndedRun(nil), wk.ends...)}
+		for _, run := range wk.sortedRuns() {
+			rep.Running = append(rep.Running, run.ref)
+		}
+		reply(rep)
+	}
+	if order.Wait == 0 || len(wk.ends) > 0 {
+		answer()
+		return
+	}
+	wk.waiting = answer
+	wk.wo.after(order.Wait, answer)
+}
+
+// crash ends a worker; with restart it comes back empty after that time.
+func (wk *emuWorker) crash(restart time.Duration) {
+	wk.up, wk.downAt = false, wk.wo.at
+	for _, run := range wk.sortedRuns() {
+		wk.end(run, EndLost)
+	}
+	wk.ends, wk.waiting = nil, nil
+	if restart == 0 {
+		return
+	}
+	wk.wo.after(restart, func() {
+		wk.up = true
+		wk.info.Born++
+		wk.token, wk.number, wk.lease, wk.latest = 0, 0, 0, map[TaskID]Run{}
+		wk.offset += time.Hour
+	})
+}
+
+// kind is a kind of job in the emulated load.
+type kind struct {
+	queue string
+	perS  float64
+	width int
+	work  time.Duration
+}
+
+// submit sends one job to an entry.
+func (wo *world) submit(ee *emuEntry, kd kind) {
+	if !ee.alive || ee.frozen {
+		return
+	}
+	wo.lastJob++
+	id := ids.JobID(fmt.Sprintf("%016x", wo.lastJob))
+	qu, _ := wo.desired.Route("example", "/"+kd.queue+"/")
+	count := max(1, int(math.Round(float64(kd.width)*math.Exp(0.4*wo.rnd.NormFloat64()))))
+	base := time.Duration(float64(kd.work) * math.Exp(0.4*wo.rnd.NormFloat64()-0.08))
+	cpu := Millicores(14000 * max(0.5, min(1.4, 1+0.2*wo.rnd.NormFloat64())))
+	jb := &emuJob{queue: kd.queue, arrived: wo.at, stretch: qu.Stretch, slack: qu.Slack, length: map[TaskID]time.Duration{}}
+	for idx := range count {
+		length := time.Duration(float64(base) * (0.9 + 0.2*wo.rnd.Float64()))
+		jb.length[TaskID(fmt.Sprintf("%s.0.0.%d", id, idx))] = length
+		jb.work = max(jb.work, length)
+	}
+	wo.jobs[id] = jb
+	wo.asked[kd.queue]++
+	declared := time.Duration(float64(base) * math.Exp(0.4*wo.rnd.NormFloat64()))
+	ee.en.Submit(Submission{
+		Job: Job{ID: id, Payload: fmt.Sprintf("cpu=%d", cpu), Steps: []Step{{
+			Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared,
+		}}},
+		Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(4 * time.Second),
+		Done: func(out Outcome) {
+			wo.done[out.Kind]++
+			objective := time.Duration(float64(jb.work)*jb.stretch) + jb.slack
+			if out.Kind == Completed && wo.at.Sub(jb.arrived) <= objective {
+				wo.inTime[jb.queue]++
+			}
+			if out.Kind == Refused {
+				jb.refused = true
+				if jb.started {
+					wo.fault("job %s is refused as not run after a task has started", id)
+				}
+			}
+		},
+	})
+}
+
+// load submits jobs of the kinds at random moments and entries.
+func (wo *world) load(kinds []kind, factor float64, du time.Duration) {
+	end := wo.at.Add(du)
+	for _, kd := range kinds {
+		var next func()
+		next = func() {
+			if wo.at.After(end) {
+				return
+			}
+			list := wo.sortedEntries()
+			wo.submit(list[wo.rnd.IntN(len(list))], kd)
+			wo.after(time.Duration(wo.rnd.ExpFloat64()/(kd.perS*factor)*float64(time.Second)), next)
+		}
+		wo.after(time.Duration(wo.rnd.Float64()*float64(time.Second)/(kd.perS*factor)), next)
+	}
+}
+
+// standardKinds are the users' kinds of job, for a fleet of 48 workers.
+var standardKinds = []kind{
+	{queue: "peek", perS: 34.4, width: 8, work: 60 * time.Millisecond},
+	{queue: "fit", perS: 100, width: 2, work: 200 * time.Millisecond},
+	{queue: "pair", perS: 6.25, width: 4, work: 900 * time.Millisecond},
+}
+
+func standardDesired(version int64) Desired {
+	qu := func(name string, priority, attempts int) Queue {
+		return Queue{
+			Name: name, Host: "example", Prefix: "/" + name + "/", Service: "fitdesk", Priority: priority,
+			MaxAttempts: attempts, Stretch: 1.6, Slack: 60 * time.Millisecond,
+		}
+	}
+	return Desired{Version: version, Queues: []Queue{qu("peek", 0, 4), qu("fit", 1, 3), qu("pair", 2, 2)}}
+}
+
+// standardWorld is the users' deployment: entries and workers in zones, a
+// quarter of the workers slow, a third of them larger.
+func standardWorld(seed uint64, entries, workers int) *world {
+	wo := newWorld(seed)
+	wo.desired = standardDesired(1)
+	zones := []ids.AvailabilityZone{"north", "east", "south", "west"}
+	for num := range entries {
+		wo.addEntry(fmt.Sprintf("entry-%02d", num), zones[num%len(zones)], 0.4)
+	}
+	for num := range workers {
+		cpu, speed := Millicores(32000), 1.2
+		if num%3 == 2 {
+			cpu = 48000
+		}
+		if (num/len(zones))%4 == 0 {
+			speed = 0.55
+		}
+		wo.addWorker(num, zones[num%len(zones)], cpu, speed)
+	}
+	wo.run(3 * time.Second)
+	return wo
+}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -99,6 +99,7 @@
 	commitAt   time.Time
 	storeLost  time.Time // last time the store was seen to be away
 	lastTick   time.Time
+	memberTick time.Time
 }
 
 // session is the state of the messages between this entry and another one.
@@ -158,7 +159,10 @@
 	en.lastTick = now
 	en.tickOwner(now)
 	en.tickHolder(now)
-	en.tickMember(now)
+	if now.Sub(en.memberTick) >= memberInterval {
+		en.memberTick = now
+		en.tickMember(now)
+	}
 }
 
 // Apply puts a version of the desired state in force, unless a newer one is.
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -52,6 +52,7 @@
 	token Token
 	phase workerPhase
 	slots map[TaskRef]*slot
+	taken Resources // sum of the slots
 
 	holding   bool // a Hold is in flight
 	holdSent  time.Time
@@ -112,13 +113,25 @@
 	return wk.clock + WorkerTime(now.Sub(wk.clockAt))
 }
 
-// used returns the room taken by the slots.
-func (wk *worker) used() Resources {
-	sum := Resources{}
-	for _, sl := range wk.slots {
-		sum = sum.plus(sl.shape.Need)
+// free returns the room that no slot takes.
+func (wk *worker) free() Resources { return wk.info.Room.minus(wk.taken) }
+
+func (wk *worker) addSlot(sl *slot) {
+	wk.slots[sl.ref] = sl
+	wk.taken = wk.taken.plus(sl.shape.Need)
+}
+
+func (wk *worker) removeSlot(ref TaskRef) {
+	if sl := wk.slots[ref]; sl != nil {
+		delete(wk.slots, ref)
+		wk.taken = wk.taken.minus(sl.shape.Need)
 	}
-	return sum
+}
+
+// resizeSlot takes the true shape of a run whose owner has been found.
+func (wk *worker) resizeSlot(sl *slot, sh Shape) {
+	wk.taken = wk.taken.minus(sl.shape.Need).plus(sh.Need)
+	sl.shape = sh
 }
 
 // usable tells whether new tasks may be placed on the worker.
@@ -291,10 +304,10 @@
 	wk.awaiting = map[ids.EntryID]bool{}
 	for _, ref := range rep.Running {
 		// The size of an unclaimed task is unknown: it takes all the room.
-		wk.slots[ref] = &slot{
+		wk.addSlot(&slot{
 			ref: ref, state: slotStopping, foreign: true, checked: true, began: en.now(), why: EndStopped,
 			shape: Shape{Need: wk.info.Room},
-		}
+		})
 	}
 	list := en.reachable()
 	for _, id := range list {
@@ -322,7 +335,8 @@
 			continue
 		}
 		sl.foreign, sl.state, sl.owner = false, slotRunning, from
-		sl.group, sl.job, sl.shape = kp.Group, kp.Job, kp.Shape
+		sl.group, sl.job = kp.Group, kp.Job
+		wk.resizeSlot(sl, kp.Shape)
 	}
 	delete(wk.awaiting, from)
 	if len(wk.awaiting) == 0 {
@@ -380,7 +394,7 @@
 		if sl == nil {
 			// An order that was given up has been carried out late.
 			sl = &slot{ref: ref, foreign: true, checked: true, began: en.now(), shape: Shape{Need: wk.info.Room}}
-			wk.slots[ref] = sl
+			wk.addSlot(sl)
 			en.eff.Log("unknown-run", "worker", string(wk.info.ID), "task", string(ref.Task), "run", int64(ref.Run))
 			en.stopSlot(wk, sl, EndStopped)
 			continue
@@ -418,7 +432,7 @@
 
 // endSlot frees the room of a run and tells its owner.
 func (en *Entry) endSlot(wk *worker, sl *slot, how End, checkpoint string, took time.Duration) {
-	delete(wk.slots, sl.ref)
+	wk.removeSlot(sl.ref)
 	if sl.owner == "" {
 		return
 	}
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -47,7 +47,10 @@
 	}
 	wa.count, wa.shape = ms.Count, ms.Shape
 	wa.inTime, wa.late = now.Add(ms.Shape.InTime), now.Add(ms.Shape.Late)
-	en.match()
+	if !en.leaving && wa.granted < wa.count {
+		// The others have been tried with the present room.
+		en.grantWant(wa, now)
+	}
 }
 
 func (en *Entry) onUnwant(from ids.EntryID, ms Unwant) {
@@ -60,9 +63,10 @@
 		return
 	}
 	now := en.now()
+	most := en.mostFree(now)
 	list := make([]*want, 0, len(en.wants))
 	for _, wa := range en.wants {
-		if wa.granted < wa.count {
+		if wa.granted < wa.count && wa.shape.Need.CPU <= most[wa.shape.Service] {
 			list = append(list, wa)
 		}
 	}
@@ -75,6 +79,21 @@
 	}
 }
 
+// mostFree returns the most processors that are free on one worker of each
+// service. Wants that need more need not be ranked.
+func (en *Entry) mostFree(now time.Time) map[ids.ServiceName]Millicores {
+	most := map[ids.ServiceName]Millicores{}
+	for _, wk := range en.workers {
+		if !wk.usable(now) {
+			continue
+		}
+		if free := wk.free().CPU; free > most[wk.info.Service] {
+			most[wk.info.Service] = free
+		}
+	}
+	return most
+}
+
 // compareWants ranks waiting work: what can still be in time goes before what
 // is late, the queue's priority decides next, then jobs that have begun, then
 // what has to start soonest. Late work goes shortest first.
@@ -129,10 +148,10 @@
 			en.grants[id] = gt
 		}
 		ref := TaskRef{Task: TaskID("grant." + strconv.FormatUint(uint64(id), 10)), Run: Run(len(gt.slots))}
-		wk.slots[ref] = &slot{
+		wk.addSlot(&slot{
 			ref: ref, owner: wa.key.owner, group: wa.key.group, shape: wa.shape, state: slotGranted,
 			grant: id, began: now,
-		}
+		})
 		gt.slots = append(gt.slots, grantSlot{worker: wk, ref: ref})
 		wa.granted++
 	}
@@ -149,7 +168,7 @@
 	}
 	delete(en.grants, id)
 	for _, gs := range gt.slots {
-		delete(gs.worker.slots, gs.ref)
+		gs.worker.removeSlot(gs.ref)
 	}
 	if wa := en.wants[gt.key]; wa != nil {
 		wa.granted = max(0, wa.granted-len(gt.slots))
@@ -194,10 +213,10 @@
 // order sends a start to a worker and takes its room.
 func (en *Entry) order(wk *worker, from ids.EntryID, ms Start, as Assignment, now time.Time) {
 	until := wk.clockNow(now) + WorkerTime(startLease)
-	wk.slots[as.TaskRef] = &slot{
+	wk.addSlot(&slot{
 		ref: as.TaskRef, owner: from, group: ms.Group, job: ms.Job, shape: ms.Shape, state: slotOrdered,
 		until: until, began: now,
-	}
+	})
 	wk.extendLease(now, startLease)
 	en.eff.StartTask(StartOrder{
 		Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: as.TaskRef,
@@ -216,7 +235,7 @@
 	if sh.AntiAffinity > 0 && wk.tasksOf(key) >= sh.AntiAffinity {
 		return false
 	}
-	return sh.Need.fits(wk.info.Room.minus(wk.used()))
+	return sh.Need.fits(wk.free())
 }
 
 func (wk *worker) tasksOf(key wantKey) int {
@@ -270,7 +289,7 @@
 		inTime: !now.Add(took).After(inTime),
 		near:   sh.Affinity == "" || sh.Affinity == wk.info.Rack,
 		fast:   wk.speed.factor() >= fastSpeed,
-		spare:  wk.info.Room.minus(wk.used()).CPU - sh.Need.CPU,
+		spare:  wk.free().CPU - sh.Need.CPU,
 	}
 }
 
@@ -302,7 +321,7 @@
 		if !wk.usable(now) {
 			continue
 		}
-		room := wk.info.Room.minus(wk.used())
+		room := wk.free()
 		if room.CPU > 0 {
 			ld.Free = append(ld.Free, Free{
 				Service: wk.info.Service, CPU: room.CPU, Speed: float32(wk.speed.factor()), Rack: wk.info.Rack,
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -39,6 +39,8 @@
 	// settleTime is how long an entry must have been reachable before workers
 	// are passed to it, so that restarts in turn do not move workers twice.
 	settleTime = 700 * time.Millisecond
+	// memberInterval separates two looks at who should hold which worker.
+	memberInterval = 60 * time.Millisecond
 	// commitPause separates two changes of rows after one that failed.
 	commitPause = 150 * time.Millisecond
 	// commitRows bounds the rows of one change; the store takes 100 entries.
