--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -100,6 +100,7 @@
 	storeLost  time.Time // last time the store was seen to be away
 	lastTick   time.Time
 	memberTick time.Time
+	staleUntil time.Time // run times are not judged before
 }
 
 // session is the state of the messages between this entry and another one.
@@ -156,6 +157,9 @@
 		// Beats of others were not read meanwhile; they prove nothing.
 		en.StoreAway()
 	}
+	if now.Sub(en.lastTick) > staleAfter {
+		en.staleUntil = now.Add(staleTime)
+	}
 	en.lastTick = now
 	en.tickOwner(now)
 	en.tickHolder(now)
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -64,10 +64,14 @@
 	return time.Duration(math.Exp(lg) * float64(time.Millisecond))
 }
 
-// speed is the learned speed of a worker: 1 is the mean of the service.
+// speed is the learned speed of a worker: 1 is the mean of the service. It adds
+// a lasting part, learned slowly, and a recent deviation, which follows a worker
+// that turns slow within a few tasks and fades so that the worker is tried again.
 type speed struct {
-	log     float64
+	lasting float64 // logarithm
 	samples int
+	recent  float64 // logarithm, at recentAt
+	at      time.Time
 }
 
 // The weights of the speed of a worker.
@@ -76,20 +80,53 @@
 	// estimates off by 40% it leaves an error of about 10%.
 	speedWindow = 12
 	// speedBound bounds what one task can say, as a factor.
-	speedBound = 8.0
+	speedBound = 10.0
+	// outlier is the deviation of the logarithm above which a task says that the
+	// worker has changed: 2.5 times the spread of estimates.
+	outlier = 0.9
+	// recentFade is the time in which a recent deviation falls to a third.
+	recentFade = 2 * time.Second
 )
 
+// deviation returns the recent deviation at a time.
+func (sp *speed) deviation(now time.Time) float64 {
+	if sp.recent == 0 {
+		return 0
+	}
+	return sp.recent * math.Exp(-float64(now.Sub(sp.at))/float64(recentFade))
+}
+
 // learn takes the expected time at speed 1 and the time that it took.
-func (sp *speed) learn(expected, took time.Duration) {
+func (sp *speed) learn(expected, took time.Duration, now time.Time) {
 	if expected <= 0 || took <= 0 {
 		return
 	}
 	ratio := max(1/speedBound, min(speedBound, float64(expected)/float64(took)))
+	off := math.Log(ratio) - sp.lasting
+	dev := sp.deviation(now)
+	if off < -outlier || dev < -outlier {
+		// Half of the new evidence counts at once; the lasting part stays as it is.
+		sp.recent, sp.at = dev+(min(off, 0)-dev)/2, now
+		return
+	}
 	sp.samples = min(sp.samples+1, speedWindow)
 	// One sample counts half against the prior that the worker is like others.
-	sp.log += (math.Log(ratio) - sp.log) / float64(sp.samples+1)
+	sp.lasting += off / float64(sp.samples+1)
+	sp.recent, sp.at = dev, now
+}
+
+// atMost takes the evidence of a task that has already run for longer than
+// expected and has not ended.
+func (sp *speed) atMost(expected, ran time.Duration, now time.Time) {
+	if expected <= 0 || ran <= expected {
+		return
+	}
+	off := math.Log(max(1/speedBound, float64(expected)/float64(ran))) - sp.lasting
+	if off < min(-outlier, sp.deviation(now)) {
+		sp.recent, sp.at = off, now
+	}
 }
 
-func (sp *speed) factor() float64 {
-	return math.Exp(sp.log)
+func (sp *speed) factor(now time.Time) float64 {
+	return math.Exp(sp.lasting + sp.deviation(now))
 }
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -98,14 +99,23 @@
 	adoptTime = 250 * time.Millisecond
 	// stopAgain is the pause before a stop without effect is sent again.
 	stopAgain = 150 * time.Millisecond
-	// stallFactor times the expected run time is when a task counts as stalled.
-	stallFactor = 4
-	// stallFloor keeps short tasks from counting as stalled by mere noise.
-	stallFloor = 400 * time.Millisecond
-	// overdueFactor times the expected run time makes a worker unattractive.
+	// overdueFactor times the expected run time makes a worker unattractive: it
+	// is three times the spread of estimates.
 	overdueFactor = 2.5
 	// overdueFloor keeps noise of short tasks from counting as overdue.
-	overdueFloor = 120 * time.Millisecond
+	overdueFloor = 140 * time.Millisecond
+	// stallFactor times the expected run time is when a task is stopped if there
+	// is room elsewhere, and hopelessFactor times that when it is stopped anyway.
+	// At 2.5 too many sound tasks lost their work.
+	stallFactor    = 4
+	hopelessFactor = 1.5
+	// stallFloor keeps short tasks from being stopped for mere noise.
+	stallFloor = 300 * time.Millisecond
+	// staleAfter is the gap between two ticks after which the age of a run says
+	// nothing: its end may have been listed meanwhile.
+	staleAfter = 100 * time.Millisecond
+	// staleTime is how long run times are not judged after such a gap.
+	staleTime = 300 * time.Millisecond
 )
 
 // clockNow estimates the worker's clock.
@@ -295,7 +305,12 @@
 		ended = append(ended, Ended{Ref: er.Ref, Worker: wk.info.ID, How: er.How, Checkpoint: er.Checkpoint})
 		wk.acked = max(wk.acked, er.Number)
 	}
-	if len(rep.Running) == 0 && len(ended) == 0 {
+	if len(rep.Running) == 0 {
+		for _, id := range en.reachable() {
+			if len(ended) > 0 {
+				en.send(id, Adopt{Worker: wk.info.ID, Ended: ended})
+			}
+		}
 		en.openWorker(wk)
 		return
 	}
@@ -320,13 +335,11 @@
 
 func (en *Entry) onAdopted(from ids.EntryID, ms Adopted) {
 	wk := en.workers[ms.Worker]
-	if wk == nil || wk.phase != phaseAdopting {
-		if wk != nil && len(ms.Keep) > 0 {
-			// Too late: the tasks have been stopped or will be.
-			for _, kp := range ms.Keep {
-				en.send(from, Ended{Ref: kp.Ref, Worker: ms.Worker, How: EndLost})
-			}
-		}
+	if wk == nil {
+		return
+	}
+	if wk.phase != phaseAdopting {
+		en.adoptedLate(wk, from, ms)
 		return
 	}
 	for _, kp := range ms.Keep {
@@ -344,6 +357,22 @@
 	}
 }
 
+// adoptedLate takes a claim that comes after unclaimed tasks have been stopped.
+// The owner hears of the end of its task when the worker lists it.
+func (en *Entry) adoptedLate(wk *worker, from ids.EntryID, ms Adopted) {
+	for _, kp := range ms.Keep {
+		sl := wk.slots[kp.Ref]
+		if sl == nil {
+			en.send(from, Ended{Ref: kp.Ref, Worker: ms.Worker, How: EndLost})
+			continue
+		}
+		if sl.foreign {
+			sl.foreign, sl.owner, sl.group, sl.job = false, from, kp.Group, kp.Job
+			wk.resizeSlot(sl, kp.Shape)
+		}
+	}
+}
+
 // endAdoptions no longer waits for an entry that can't answer.
 func (en *Entry) endAdoptions(id ids.EntryID) {
 	for _, wk := range en.workers {
@@ -436,12 +465,13 @@
 	if sl.owner == "" {
 		return
 	}
-	expected := time.Duration(float64(sl.shape.Estimate) / wk.speed.factor())
+	factor := wk.speed.factor(en.now())
+	expected := time.Duration(float64(sl.shape.Estimate) / factor)
 	work := time.Duration(0)
 	switch how {
 	case EndDone:
-		work = time.Duration(float64(took) * wk.speed.factor())
-		wk.speed.learn(sl.shape.Estimate, took)
+		work = time.Duration(float64(took) * factor)
+		wk.speed.learn(sl.shape.Estimate, took, en.now())
 		wk.streak, wk.blocked, wk.lastOK = 0, time.Time{}, en.now()
 		en.eff.Observe("task.took", took)
 	case EndFailed:
@@ -456,7 +486,7 @@
 	if how != EndDone {
 		en.eff.Log("run-ended", "job", string(sl.job), "task", string(sl.ref.Task), "run", int64(sl.ref.Run),
 			"worker", string(wk.info.ID), "how", string(how), "took-ms", took.Milliseconds(),
-			"expected-ms", expected.Milliseconds(), "speed", wk.speed.factor())
+			"expected-ms", expected.Milliseconds(), "speed", factor)
 	}
 	en.send(sl.owner, Ended{Ref: sl.ref, Worker: wk.info.ID, How: how, Checkpoint: checkpoint, Work: work})
 }
@@ -628,29 +658,52 @@
 				en.stopSlot(wk, sl, sl.why)
 			}
 		case slotRunning:
-			en.checkStalled(wk, sl, now)
+			en.checkOverdue(wk, sl, now)
 		}
 	}
 	wk.overdue = wk.anyOverdue(now)
 }
 
-// checkStalled stops a task that runs far beyond its estimate, so that its
+// checkOverdue stops a task that runs far beyond its estimate, so that its
 // owner can start it elsewhere.
-func (en *Entry) checkStalled(wk *worker, sl *slot, now time.Time) {
-	limit := max(stallFloor, stallFactor*sl.shape.Estimate)
-	if now.Sub(sl.began) < limit {
+func (en *Entry) checkOverdue(wk *worker, sl *slot, now time.Time) {
+	ran := now.Sub(sl.began)
+	expected := time.Duration(float64(sl.shape.Estimate) / math.Exp(wk.speed.lasting))
+	limit := max(overdueFloor, time.Duration(overdueFactor*float64(expected)))
+	if ran < limit || now.Before(en.staleUntil) {
+		return
+	}
+	wk.speed.atMost(sl.shape.Estimate, ran, now)
+	stall := max(stallFloor, time.Duration(stallFactor*float64(expected)))
+	if ran < stall || (float64(ran) < hopelessFactor*float64(stall) && !en.roomElsewhere(wk, sl.shape, now)) {
 		return
 	}
 	en.eff.Log("task-stalled", "job", string(sl.job), "task", string(sl.ref.Task), "run", int64(sl.ref.Run),
-		"worker", string(wk.info.ID), "ran-ms", now.Sub(sl.began).Milliseconds(), "limit-ms", limit.Milliseconds())
-	wk.blocked = now.Add(blockFirst)
-	wk.speed.learn(sl.shape.Estimate, now.Sub(sl.began))
+		"worker", string(wk.info.ID), "ran-ms", ran.Milliseconds(), "limit-ms", limit.Milliseconds())
 	en.stopSlot(wk, sl, EndStalled)
 }
 
+// roomElsewhere tells whether another worker has room for a task now.
+func (en *Entry) roomElsewhere(not *worker, sh Shape, now time.Time) bool {
+	for _, wk := range en.workers {
+		if wk != not && wk.speed.factor(now) >= fastSpeed && wk.accepts(sh, wantKey{}, now) {
+			return true
+		}
+	}
+	for _, se := range en.sessions {
+		if !se.up || se.load.Leaving {
+			continue
+		}
+		if count, best := countFree(se.load.Free, sh); count > 0 && best >= fastSpeed {
+			return true
+		}
+	}
+	return false
+}
+
 func (wk *worker) anyOverdue(now time.Time) bool {
 	for _, sl := range wk.slots {
-		expected := float64(sl.shape.Estimate) / wk.speed.factor() * overdueFactor
+		expected := float64(sl.shape.Estimate) / wk.speed.factor(now) * overdueFactor
 		if sl.state == slotRunning && now.Sub(sl.began) > max(overdueFloor, time.Duration(expected)) {
 			return true
 		}
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -130,7 +130,19 @@
 
 func (wa *want) latestStart() time.Time { return wa.inTime.Add(-wa.shape.Estimate) }
 
-func (wa *want) isLate(now time.Time) bool { return now.After(wa.latestStart()) }
+// isLate tells whether the want ranks behind work that can still be in time.
+// The last tasks of a job that has begun do not: they cost little, and without
+// them all that was done for the job is lost.
+func (wa *want) isLate(now time.Time) bool {
+	if wa.shape.Started && wa.shape.Left <= lastShare && now.Before(wa.late) {
+		return false
+	}
+	return now.After(wa.latestStart())
+}
+
+// lastShare of the tasks of a job are its last ones. An answer that is late is
+// worth about a fifth of one in time.
+const lastShare = 0.25
 
 // grantWant reserves as much room as there is for one want.
 func (en *Entry) grantWant(wa *want, now time.Time) {
@@ -266,7 +278,7 @@
 			continue
 		}
 		score := wk.score(sh, inTime, now)
-		if !score.inTime && hopeful && wk.speed.factor() < fastSpeed {
+		if !score.inTime && hopeful && wk.speed.factor(now) < fastSpeed {
 			continue
 		}
 		if best == nil || score.better(bestScore, best, wk) {
@@ -284,11 +296,12 @@
 }
 
 func (wk *worker) score(sh Shape, inTime time.Time, now time.Time) pickScore {
-	took := time.Duration(float64(sh.Estimate) * patience / wk.speed.factor())
+	factor := wk.speed.factor(now)
+	took := time.Duration(float64(sh.Estimate) * patience / factor)
 	return pickScore{
 		inTime: !now.Add(took).After(inTime),
 		near:   sh.Affinity == "" || sh.Affinity == wk.info.Rack,
-		fast:   wk.speed.factor() >= fastSpeed,
+		fast:   factor >= fastSpeed,
 		spare:  wk.free().CPU - sh.Need.CPU,
 	}
 }
@@ -324,7 +337,7 @@
 		room := wk.free()
 		if room.CPU > 0 {
 			ld.Free = append(ld.Free, Free{
-				Service: wk.info.Service, CPU: room.CPU, Speed: float32(wk.speed.factor()), Rack: wk.info.Rack,
+				Service: wk.info.Service, CPU: room.CPU, Speed: float32(wk.speed.factor(now)), Rack: wk.info.Rack,
 			})
 		}
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -194,6 +194,7 @@
 	Estimate     time.Duration // expected run time on a worker of speed 1
 	Priority     int
 	Started      bool          // a task of the job has been started already
+	Left         float64       // share of the step's tasks that are not done
 	InTime       time.Duration // time left until the objective is missed
 	Late         time.Duration // time left until nobody waits any more
 }
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -228,6 +228,13 @@
 func (gr *group) current(now time.Time) Shape {
 	sh := gr.shape
 	sh.Started = gr.job.begun
+	left := 0
+	for _, ta := range gr.tasks {
+		if ta.state != taskDone {
+			left++
+		}
+	}
+	sh.Left = float64(left) / float64(len(gr.tasks))
 	sh.InTime = gr.job.inTime.Sub(now)
 	sh.Late = gr.job.late.Sub(now)
 	return sh
