--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -671,6 +671,7 @@
 	perS  float64
 	width int
 	work  time.Duration
+	steps int // in a chain, 0 for one
 }
 
 // submit sends one job to an entry.
@@ -685,19 +686,26 @@
 	base := time.Duration(float64(kd.work) * math.Exp(0.4*wo.rnd.NormFloat64()-0.08))
 	cpu := Millicores(14000 * max(0.5, min(1.4, 1+0.2*wo.rnd.NormFloat64())))
 	jb := &emuJob{queue: kd.queue, arrived: wo.at, stretch: qu.Stretch, slack: qu.Slack, length: map[TaskID]time.Duration{}}
-	for idx := range count {
-		length := time.Duration(float64(base) * (0.9 + 0.2*wo.rnd.Float64()))
-		jb.length[TaskID(fmt.Sprintf("%s.0.0.%d", id, idx))] = length
-		jb.work = max(jb.work, length)
+	declared := time.Duration(float64(base) * math.Exp(0.4*wo.rnd.NormFloat64()))
+	job := Job{ID: id, Payload: fmt.Sprintf("cpu=%d", cpu)}
+	for step := range max(kd.steps, 1) {
+		longest := time.Duration(0)
+		for idx := range count {
+			length := time.Duration(float64(base) * (0.9 + 0.2*wo.rnd.Float64()))
+			jb.length[TaskID(fmt.Sprintf("%s.0.%d.%d", id, step, idx))] = length
+			longest = max(longest, length)
+		}
+		jb.work += longest
+		st := Step{Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared}
+		if step > 0 {
+			st.After = []int{step - 1}
+		}
+		job.Steps = append(job.Steps, st)
 	}
 	wo.jobs[id] = jb
 	wo.asked[kd.queue]++
-	declared := time.Duration(float64(base) * math.Exp(0.4*wo.rnd.NormFloat64()))
 	ee.en.Submit(Submission{
-		Job: Job{ID: id, Payload: fmt.Sprintf("cpu=%d", cpu), Steps: []Step{{
-			Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared,
-		}}},
-		Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(4 * time.Second),
+		Job: job, Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(4 * time.Second),
 		Done: func(out Outcome) {
 			wo.done[out.Kind]++
 			objective := time.Duration(float64(jb.work)*jb.stretch) + jb.slack
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -98,12 +98,9 @@
 // is late, the queue's priority decides next, then jobs that have begun, then
 // what has to start soonest. Late work goes shortest first.
 func compareWants(a, b *want, now time.Time) int {
-	lateA, lateB := a.isLate(now), b.isLate(now)
-	if lateA != lateB {
-		if lateA {
-			return 1
-		}
-		return -1
+	tier := a.tier(now)
+	if byTier := cmp.Compare(tier, b.tier(now)); byTier != 0 {
+		return byTier
 	}
 	if byPriority := cmp.Compare(a.shape.Priority, b.shape.Priority); byPriority != 0 {
 		return byPriority
@@ -114,8 +111,8 @@
 		}
 		return 1
 	}
-	if lateA {
-		if byWork := cmp.Compare(a.shape.Estimate, b.shape.Estimate); byWork != 0 {
+	if tier != tierInTime {
+		if byWork := cmp.Compare(a.shape.Chain, b.shape.Chain); byWork != 0 {
 			return byWork
 		}
 	}
@@ -128,16 +125,26 @@
 	return cmp.Compare(a.key.group, b.key.group)
 }
 
-func (wa *want) latestStart() time.Time { return wa.inTime.Add(-wa.shape.Estimate) }
+func (wa *want) latestStart() time.Time { return wa.inTime.Add(-wa.shape.Chain) }
 
-// isLate tells whether the want ranks behind work that can still be in time.
-// The last tasks of a job that has begun do not: they cost little, and without
-// them all that was done for the job is lost.
-func (wa *want) isLate(now time.Time) bool {
-	if wa.shape.Started && wa.shape.Left <= lastShare && now.Before(wa.late) {
-		return false
-	}
-	return now.After(wa.latestStart())
+// The tiers of wants, the first to be served first.
+const (
+	tierInTime = iota // can still be in time
+	tierLate          // can still be of use to its caller
+	tierOver          // serves nobody, unless the estimate is wrong
+)
+
+// tier tells what can still become of a want. The last tasks of a job that has
+// begun rank with those in time: they cost little, and without them all that
+// was done for the job is lost.
+func (wa *want) tier(now time.Time) int {
+	switch {
+	case !now.After(wa.latestStart()), wa.shape.Started && wa.shape.Left <= lastShare && now.Before(wa.late):
+		return tierInTime
+	case !now.Add(wa.shape.Chain).After(wa.late):
+		return tierLate
+	}
+	return tierOver
 }
 
 // lastShare of the tasks of a job are its last ones. An answer that is late is
@@ -272,6 +279,8 @@
 func (en *Entry) pick(sh Shape, inTime time.Time, key wantKey, now time.Time, wait bool) *worker {
 	var best *worker
 	var bestScore pickScore
+	// What follows the step has to be in time too.
+	inTime = inTime.Add(sh.Estimate - sh.Chain)
 	hopeful := wait && !now.Add(sh.Estimate).After(inTime)
 	for _, wk := range en.workers {
 		if !wk.accepts(sh, key, now) {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -192,9 +192,10 @@
 	Affinity     ids.RackID
 	AntiAffinity int
 	Estimate     time.Duration // expected run time on a worker of speed 1
+	Chain        time.Duration // the same for this step and the longest chain after it
 	Priority     int
 	Started      bool          // a task of the job has been started already
-	Left         float64       // share of the step's tasks that are not done
+	Left         float64       // share of the job's tasks that are not done
 	InTime       time.Duration // time left until the objective is missed
 	Late         time.Duration // time left until nobody waits any more
 }
--- /dev/null
+++ b/internal/dispatch/overload_test.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestOverload guards against collapse: under a load of several times what the
+// workers can take, the workers' time must go to jobs that end in time, and the
+// others must be refused at once.
+func TestOverload(t *testing.T) {
+	rows := []struct {
+		name   string
+		factor float64
+		steps  int
+		least  float64 // share of all jobs in time
+	}{
+		{"1.3 times", 1.3, 1, 0.5},
+		{"2 times", 2, 1, 0.35},
+		{"3 times", 3, 1, 0.25},
+		{"jobs of three steps in a chain, 1.8 times", 0.6, 3, 0.35},
+		{"jobs of three steps in a chain, 3 times", 1, 3, 0.2},
+	}
+	for num, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(uint64(num)+70, 7, 48)
+			kinds := slices.Clone(standardKinds)
+			for at := range kinds {
+				kinds[at].steps = row.steps
+			}
+			wo.load(kinds, row.factor, 15*time.Second)
+			wo.run(20 * time.Second)
+			wo.check(t)
+			t.Log(wo.share(), wo.inTime, wo.asked, wo.done)
+			if share := wo.share(); share < row.least {
+				t.Errorf("%.3f of the jobs were in time, want %.2f or more: %v of %v, %v", share, row.least, wo.inTime, wo.asked, wo.done)
+			}
+		})
+	}
+}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -116,7 +116,7 @@
 	jb := &job{Submission: sub, waiters: 1}
 	en.jobs[sub.Job.ID] = jb
 	en.buildGroups(jb)
-	jb.estimate = en.chain(jb)
+	jb.estimate = jb.setChains()
 	objective := time.Duration(float64(jb.estimate)*sub.Queue.Stretch) + sub.Queue.Slack
 	jb.inTime = sub.Arrived.Add(objective)
 	jb.late = sub.Arrived.Add(lateFactor * objective)
@@ -165,17 +165,18 @@
 	}
 }
 
-// chain returns the longest chain of estimated work through the steps.
-func (en *Entry) chain(jb *job) time.Duration {
-	ends := make([]time.Duration, len(jb.groups))
+// setChains notes at each step the longest chain of estimated work from it to
+// the end of the job, and returns the longest of all.
+func (jb *job) setChains() time.Duration {
 	longest := time.Duration(0)
-	for num, gr := range jb.groups {
-		begin := time.Duration(0)
+	for num := len(jb.groups) - 1; num >= 0; num-- {
+		sh := &jb.groups[num].shape
+		sh.Chain += sh.Estimate
+		longest = max(longest, sh.Chain)
 		for _, dep := range jb.Job.Steps[num].After {
-			begin = max(begin, ends[dep])
+			before := &jb.groups[dep].shape
+			before.Chain = max(before.Chain, sh.Chain)
 		}
-		ends[num] = begin + gr.shape.Estimate
-		longest = max(longest, ends[num])
 	}
 	return longest
 }
@@ -229,18 +230,26 @@
 func (gr *group) current(now time.Time) Shape {
 	sh := gr.shape
 	sh.Started = gr.job.begun
-	left := 0
-	for _, ta := range gr.tasks {
-		if ta.state != taskDone {
-			left++
-		}
-	}
-	sh.Left = float64(left) / float64(len(gr.tasks))
+	sh.Left = gr.job.left()
 	sh.InTime = gr.job.inTime.Sub(now)
 	sh.Late = gr.job.late.Sub(now)
 	return sh
 }
 
+// left returns the share of the tasks that are not done.
+func (jb *job) left() float64 {
+	left, all := 0, 0
+	for _, gr := range jb.groups {
+		for _, ta := range gr.tasks {
+			all++
+			if ta.state != taskDone {
+				left++
+			}
+		}
+	}
+	return float64(left) / float64(all)
+}
+
 // place sends the queued tasks of a group to holders with free room and leaves
 // a want for the rest.
 func (en *Entry) place(gr *group) {
