--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -438,6 +438,8 @@
 	return CommitReply{OK: true, Version: wo.version}
 }
 
+func (ef *emuEffects) StoreJob(JobWrite) {}
+func (ef *emuEffects) LoadJob(ids.JobID) {}
 func (ef *emuEffects) Log(event string, fields ...any) {
 	if ef.ee.log != nil {
 		ef.ee.log(event, fields...)
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -23,6 +23,10 @@
 	// Commit changes rows of holders, all or none; Entry.Committed takes the
 	// result.
 	Commit(changes []RowChange)
+	// StoreJob changes the row of a stored job; Entry.JobStored takes the result.
+	StoreJob(write JobWrite)
+	// LoadJob reads a stored job; Entry.JobLoaded takes the result.
+	LoadJob(id ids.JobID)
 	// Log writes one line on a decision. The fields are key and value in turn.
 	Log(event string, fields ...any)
 	// Count adds to a counter.
@@ -85,6 +89,14 @@
 	groups    map[GroupID]*group
 	lastGroup GroupID
 	learned   map[string]*estimator
+	records   map[ids.JobID]*record
+	lookups   map[ids.JobID][]func(failed bool)
+	cancels   map[ids.JobID][]func(out Outcome)
+	beaten    time.Time // when the last beat that is stored was sent
+	fenced    bool      // stored jobs may be taken over by other entries
+	claimTick time.Time
+	started   time.Time
+	leftAt    time.Time
 
 	// as holder
 	workers   map[ids.WorkerID]*worker
@@ -130,6 +142,10 @@
 		jobs:     map[ids.JobID]*job{},
 		groups:   map[GroupID]*group{},
 		learned:  map[string]*estimator{},
+		records:  map[ids.JobID]*record{},
+		lookups:  map[ids.JobID][]func(failed bool){},
+		cancels:  map[ids.JobID][]func(out Outcome){},
+		started:  now(),
 		workers:  map[ids.WorkerID]*worker{},
 		wants:    map[wantKey]*want{},
 		grants:   map[GrantID]*grant{},
@@ -178,6 +194,7 @@
 func (en *Entry) Tick() {
 	now := en.now()
 	en.tickOwner(now)
+	en.tickStored(now)
 	en.tickHolder(now)
 	if now.Sub(en.memberTick) >= memberInterval {
 		en.memberTick = now
@@ -214,6 +231,7 @@
 	se.up, se.refused, se.incarnation, se.upSince = true, false, inc, en.now()
 	en.eff.Log("session-up", "entry", string(id), "incarnation", string(inc))
 	en.offerWants(id)
+	en.askAgain(id)
 }
 
 // SessionDown tells that messages can no longer be sent to an entry. What was
@@ -293,6 +311,14 @@
 		en.onReleased(from, ms)
 	case Handover:
 		en.onHandover(ms)
+	case Noted:
+		en.onNoted(ms)
+	case Claimed:
+		en.onClaimed(from, ms)
+	case PastEnds:
+		en.onPastEnds(from, ms)
+	case JobNews:
+		en.onJobNews(ms)
 	case NewDesired:
 		en.Apply(ms.Desired)
 	default:
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -57,11 +57,12 @@
 	holding   bool // a Hold is in flight
 	holdSent  time.Time
 	nextHold  time.Time
-	recheckAt time.Time  // no new tasks until a hold sent after it is answered
-	failing   time.Time  // since when holds fail, zero while they succeed
-	leaseEnd  time.Time  // when all leases that were asked for have surely ended
-	acked     int64      // ends up to it have been taken
-	clock     WorkerTime // the worker's clock at clockAt
+	recheckAt time.Time            // no new tasks until a hold sent after it is answered
+	failing   time.Time            // since when holds fail, zero while they succeed
+	leaseEnd  time.Time            // when all leases that were asked for have surely ended
+	acked     int64                // ends up to it have been taken
+	unnoted   map[int64]unnotedEnd // ends whose owners have not stored them yet
+	clock     WorkerTime           // the worker's clock at clockAt
 	clockAt   time.Time
 	born      int64
 	handingTo ids.Incarnation // set while the worker is passed on
@@ -153,6 +154,7 @@
 func (en *Entry) takeWorker(info WorkerInfo, token Token) {
 	wk := &worker{
 		info: info, token: token, phase: phaseFencing, slots: map[TaskRef]*slot{}, born: info.Born,
+		unnoted: map[int64]unnotedEnd{},
 	}
 	en.workers[info.ID] = wk
 	en.eff.Log("worker-taken", "worker", string(info.ID), "token", int64(token), "zone", string(info.Zone))
@@ -186,9 +188,11 @@
 func (en *Entry) hold(wk *worker) {
 	now := en.now()
 	wk.holding, wk.holdSent = true, now
-	order := HoldOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.acked}
+	order := HoldOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.ackThrough()}
 	if wk.phase == phaseOpen && wk.failing.IsZero() {
-		order.Wait = holdWait
+		if len(wk.unnoted) == 0 {
+			order.Wait = holdWait
+		}
 		order.Extend = true
 		order.Until = wk.clockNow(now) + WorkerTime(leaseTime)
 		wk.extendLease(now, leaseTime)
@@ -196,6 +200,15 @@
 	en.eff.Hold(order)
 }
 
+// ackThrough returns the number up to which the worker may forget ends.
+func (wk *worker) ackThrough() int64 {
+	through := wk.acked
+	for number := range wk.unnoted {
+		through = min(through, number-1)
+	}
+	return through
+}
+
 // extendLease notes that a lease of a length was asked for at a time.
 func (wk *worker) extendLease(now time.Time, lease time.Duration) {
 	end := now.Add(time.Duration(float64(lease)*clockError) + leaseMargin)
@@ -268,11 +281,19 @@
 		en.reconcile(wk, rep, sent)
 	}
 	if en.workers[id] == wk && !wk.holding && wk.phase == phaseOpen {
-		en.hold(wk)
+		if len(wk.unnoted) > 0 {
+			// The worker would answer at once with the same ends.
+			wk.nextHold = now.Add(unnotedPause)
+		} else {
+			en.hold(wk)
+		}
 	}
 	en.match()
 }
 
+// unnotedPause separates two holds while ends wait to be stored.
+const unnotedPause = 30 * time.Millisecond
+
 // recheck keeps new tasks away from a worker until a hold that is sent from now
 // on has been answered.
 func (wk *worker) recheck(now time.Time) {
@@ -284,7 +305,7 @@
 // reach it.
 func (en *Entry) workerReborn(wk *worker, rep HoldReply) {
 	en.eff.Log("worker-restarted", "worker", string(wk.info.ID), "born", rep.Born, "before", wk.born, "slots", len(wk.slots))
-	wk.acked = 0
+	wk.acked, wk.unnoted = 0, map[int64]unnotedEnd{}
 	listed := map[TaskRef]bool{}
 	for _, ref := range rep.Running {
 		listed[ref] = true
@@ -322,6 +343,9 @@
 	for _, er := range rep.Ended {
 		ended = append(ended, Ended{Ref: er.Ref, Worker: wk.info.ID, How: er.How, Checkpoint: er.Checkpoint})
 		wk.acked = max(wk.acked, er.Number)
+		if en.storedHere(er.Ref) && (er.How == EndDone || er.How == EndFailed) {
+			en.keepEnd(wk, er)
+		}
 	}
 	if len(rep.Running) == 0 {
 		for _, id := range en.reachable() {
@@ -432,6 +456,9 @@
 		}
 		wk.acked = er.Number
 		if sl := wk.slots[er.Ref]; sl != nil && sl.state != slotGranted {
+			if sl.shape.Stored && (er.How == EndDone || er.How == EndFailed) {
+				en.keepEnd(wk, er)
+			}
 			en.endSlot(wk, sl, er.How, er.Checkpoint, en.now().Sub(sl.began))
 		}
 	}
@@ -655,6 +682,7 @@
 }
 
 func (en *Entry) tickWorker(wk *worker, now time.Time) {
+	en.pruneUnnoted(wk, now)
 	if wk.phase == phaseAdopting && now.After(wk.adoptUntil) {
 		en.openWorker(wk)
 	}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -251,7 +251,7 @@
 	if en.leaving {
 		return
 	}
-	en.leaving = true
+	en.leaving, en.leftAt = true, en.now()
 	en.eff.Log("leaving", "workers", len(en.workers), "jobs", len(en.jobs))
 }
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -108,6 +108,8 @@
 	ID      ids.JobID
 	Payload string
 	Steps   []Step
+	// Stored jobs outlive their caller's connection and their owner.
+	Stored bool
 }
 
 // Queue is a route of the desired state: where jobs come in and which service
@@ -194,6 +196,7 @@
 	Estimate     time.Duration // expected run time on a worker of speed 1
 	Chain        time.Duration // the same for this step and the longest chain after it
 	Priority     int
+	Stored       bool          // ends must be stored before the worker forgets them
 	Started      bool          // a task of the job has been started already
 	Left         float64       // share of the job's tasks that are not done
 	InTime       time.Duration // time left until the objective is missed
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -16,6 +16,8 @@
 	Queue    Queue
 	Arrived  time.Time
 	Deadline time.Time // when the caller gives up, zero when unknown
+	// Stored jobs are accepted once they are stored, and run without a caller.
+	Stored bool
 	// Done takes the final answer, once.
 	Done func(out Outcome)
 }
@@ -25,6 +27,8 @@
 
 // The kinds of outcome.
 const (
+	// Accepted jobs are stored; their end is asked for later.
+	Accepted  OutcomeKind = "accepted"
 	Completed OutcomeKind = "completed"
 	Failed    OutcomeKind = "failed"
 	// Refused jobs have not run and never will.
@@ -49,6 +53,7 @@
 	taskRunning taskState = "running" // started on a worker
 	taskLost    taskState = "lost"    // its holder is gone; it may still run
 	taskDone    taskState = "done"
+	taskFailed  taskState = "failed" // for good
 )
 
 type task struct {
@@ -60,6 +65,8 @@
 	worker     ids.WorkerID
 	placedAt   time.Time
 	lostUntil  time.Time // when a lost task surely runs no more
+	notBefore  time.Time // when runs of a former owner have surely ended
+	asked      bool      // the holder has told how its runs of this task ended
 	checkpoint string
 }
 
@@ -82,6 +89,9 @@
 	begun     bool // a task has been started, or may have been
 	firstSent time.Time
 	waiters   int // connections that wait for the answer
+	stored    *storedJob
+	suspended bool // nothing is placed
+	claimed   bool // taken over from another owner
 }
 
 // The limits on jobs at their owner.
@@ -102,19 +112,28 @@
 
 // Submit takes a job. Its Done is called once, possibly before Submit returns.
 func (en *Entry) Submit(sub Submission) {
+	if sub.Stored {
+		en.submitStored(sub)
+		return
+	}
 	if old := en.jobs[sub.Job.ID]; old != nil {
 		// The caller has lost the first connection and asks again.
-		en.eff.Log("job-joined", "job", string(sub.Job.ID))
-		old.waiters++
-		first := old.Done
-		old.Done = func(out Outcome) {
-			first(out)
-			sub.Done(out)
-		}
+		en.join(old, sub)
 		return
 	}
 	jb := &job{Submission: sub, waiters: 1}
 	en.jobs[sub.Job.ID] = jb
+	en.prepare(jb)
+	if !en.anyWorker(sub.Queue.Service) {
+		en.finish(jb, Outcome{Kind: Refused, Reason: "no-worker", RetryAfter: retryNoWorker})
+		return
+	}
+	en.advance(jb)
+}
+
+// prepare builds the tasks of a job and works out when it should end.
+func (en *Entry) prepare(jb *job) {
+	sub := jb.Submission
 	en.buildGroups(jb)
 	jb.estimate = jb.setChains()
 	objective := time.Duration(float64(jb.estimate)*sub.Queue.Stretch) + sub.Queue.Slack
@@ -123,11 +142,6 @@
 	if !sub.Deadline.IsZero() && sub.Deadline.Before(jb.late) {
 		jb.late = sub.Deadline
 	}
-	if !en.anyWorker(sub.Queue.Service) {
-		en.finish(jb, Outcome{Kind: Refused, Reason: "no-worker", RetryAfter: retryNoWorker})
-		return
-	}
-	en.advance(jb)
 }
 
 // retryNoWorker is the time to come back when no worker of the service is
@@ -155,6 +169,7 @@
 			AntiAffinity: st.AntiAffinity,
 			Estimate:     en.learned[jb.Queue.Name].estimate(st.Estimate),
 			Priority:     jb.Queue.Priority,
+			Stored:       jb.stored != nil,
 		}
 		prefix := string(jb.Job.ID) + ".0." + strconv.Itoa(num) + "."
 		for idx := range st.Count {
@@ -188,23 +203,54 @@
 		if !gr.done() {
 			finished = false
 		}
-		if gr.tasks == nil || gr.tasks[0].state != taskBlocked {
+		if !gr.blocked() {
 			continue
 		}
-		ready := true
-		for _, dep := range jb.Job.Steps[num].After {
-			ready = ready && jb.groups[dep].done()
-		}
-		if ready {
+		if en.ready(jb, num) {
 			for _, ta := range gr.tasks {
-				ta.state = taskQueued
+				if ta.state == taskBlocked {
+					ta.state = taskQueued
+				}
 			}
 			en.place(gr)
 		}
 	}
-	if finished {
-		en.finish(jb, Outcome{Kind: Completed})
+	if !finished {
+		return
+	}
+	if jb.stored != nil {
+		en.settle(jb, JobCompleted)
+		return
+	}
+	en.finish(jb, Outcome{Kind: Completed})
+}
+
+// ready tells whether all steps before a step are done.
+func (en *Entry) ready(jb *job, num int) bool {
+	for _, dep := range jb.Job.Steps[num].After {
+		if !jb.groups[dep].done() {
+			return false
+		}
+	}
+	return true
+}
+
+func (jb *job) allDone() bool {
+	for _, gr := range jb.groups {
+		if !gr.done() {
+			return false
+		}
+	}
+	return true
+}
+
+func (gr *group) blocked() bool {
+	for _, ta := range gr.tasks {
+		if ta.state == taskBlocked {
+			return true
+		}
 	}
+	return false
 }
 
 func (gr *group) done() bool {
@@ -253,6 +299,9 @@
 // place sends the queued tasks of a group to holders with free room and leaves
 // a want for the rest.
 func (en *Entry) place(gr *group) {
+	if gr.job.suspended {
+		return
+	}
 	waiting := gr.queued()
 	for _, fr := range en.freeRoom(gr.shape) {
 		if len(waiting) == 0 {
@@ -364,7 +413,7 @@
 // want leaves a want for the queued tasks of a group with the holders.
 func (en *Entry) want(gr *group) {
 	count := len(gr.queued())
-	if count == 0 {
+	if count == 0 || gr.job.suspended {
 		en.unwant(gr)
 		return
 	}
@@ -406,7 +455,7 @@
 func (en *Entry) offerWants(id ids.EntryID) {
 	for _, gid := range sortedKeys(en.groups) {
 		gr := en.groups[gid]
-		if count := len(gr.queued()); count > 0 {
+		if count := len(gr.queued()); count > 0 && !gr.job.suspended {
 			en.sendWant(gr, id, count)
 		}
 	}
@@ -415,7 +464,7 @@
 // onGrant answers reserved room with queued tasks.
 func (en *Entry) onGrant(from ids.EntryID, ms Grant) {
 	gr := en.groups[ms.Group]
-	if gr == nil {
+	if gr == nil || gr.job.suspended {
 		en.send(from, Start{Group: ms.Group, Grant: ms.ID})
 		return
 	}
@@ -438,7 +487,7 @@
 	}
 	gr := jb.groups[step]
 	ta := gr.tasks[idx]
-	if ta.run != ref.Run || ta.state == taskDone || ta.state == taskQueued {
+	if ta.run != ref.Run || ta.state == taskDone || ta.state == taskQueued || ta.state == taskFailed {
 		return nil, nil
 	}
 	return gr, ta
@@ -453,6 +502,10 @@
 	if !gr.job.begun {
 		gr.job.begun = true
 		en.eff.Observe("job.first-start", en.now().Sub(gr.job.Arrived))
+		if gr.job.stored != nil {
+			en.learnRecord(gr.job.stored.rec, true)
+			en.tellAll(gr.job)
+		}
 	}
 }
 
@@ -471,6 +524,9 @@
 		ta.state = taskDone
 		jb.begun = true
 		en.learn(jb, gr, ms.Work)
+		if jb.stored != nil {
+			en.endedStored(jb, ta, from, EndDone)
+		}
 		en.advance(jb)
 		return
 	case EndFailed:
@@ -478,6 +534,14 @@
 		ta.failed++
 		en.eff.Log("task-failed", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
 			"worker", string(ms.Worker), "holder", string(from), "failed", ta.failed, "attempts", jb.Queue.MaxAttempts)
+		if jb.stored != nil {
+			en.endedStored(jb, ta, from, EndFailed)
+		}
+		if ta.failed >= jb.Queue.MaxAttempts && jb.stored != nil {
+			ta.state = taskFailed
+			en.settle(jb, JobFailed)
+			return
+		}
 		if ta.failed >= jb.Queue.MaxAttempts {
 			en.finish(jb, Outcome{Kind: Failed, Reason: "attempts"})
 			return
@@ -528,7 +592,7 @@
 
 func (en *Entry) lose(gr *group, ta *task, until time.Time) {
 	gr.job.begun = true
-	ta.state, ta.lostUntil = taskLost, until
+	ta.state, ta.lostUntil, ta.asked = taskLost, until, false
 }
 
 // onReleased expects another holder of a worker to report the tasks there.
@@ -549,7 +613,7 @@
 	now := en.now()
 	for _, ref := range ms.Running {
 		gr, ta := en.find(ref)
-		if ta == nil {
+		if ta == nil || gr.job.suspended {
 			continue
 		}
 		ta.state, ta.holder, ta.worker = taskRunning, from, ms.Worker
@@ -565,7 +629,14 @@
 // Cancel tells that a connection no longer waits for a job. Without any other
 // the job ends.
 func (en *Entry) Cancel(id ids.JobID, reason string) {
-	if jb := en.jobs[id]; jb != nil {
+	if jb := en.jobs[id]; jb != nil && (jb.stored == nil || !jb.stored.accepted) {
+		if jb.stored != nil {
+			// The insertion is on its way: the job may be accepted without a witness.
+			done := jb.Done
+			jb.Done = func(Outcome) {}
+			done(Outcome{Kind: Abandoned, Reason: reason})
+			return
+		}
 		jb.waiters--
 		if jb.waiters > 0 {
 			return
@@ -626,7 +697,7 @@
 		}
 	}
 	var text []string
-	for _, st := range []taskState{taskBlocked, taskQueued, taskPlaced, taskRunning, taskLost, taskDone} {
+	for _, st := range []taskState{taskBlocked, taskQueued, taskPlaced, taskRunning, taskLost, taskDone, taskFailed} {
 		if counts[st] > 0 {
 			text = append(text, string(st)+":"+strconv.Itoa(counts[st]))
 		}
@@ -642,6 +713,9 @@
 	for _, id := range sortedKeys(en.jobs) {
 		jb := en.jobs[id]
 		en.recoverLost(jb, now)
+		if jb.stored != nil {
+			continue
+		}
 		if !jb.Deadline.IsZero() && now.After(jb.Deadline) {
 			ended = append(ended, jb)
 			continue
@@ -689,7 +763,7 @@
 func (en *Entry) recoverLost(jb *job, now time.Time) {
 	for _, gr := range jb.groups {
 		for _, ta := range gr.tasks {
-			if ta.state == taskLost && now.After(ta.lostUntil) {
+			if ta.state == taskLost && now.After(ta.lostUntil) && !jb.suspended && !en.mayHaveEnded(jb, ta, now) {
 				en.eff.Count("retry", "holder-lost", 1)
 				en.eff.Log("task-again", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
 					"worker", string(ta.worker), "holder", string(ta.holder), "reason", "holder-lost")
@@ -699,16 +773,31 @@
 	}
 }
 
-// Pending returns the jobs of a queue of which no task has begun.
+// Pending returns the jobs of a queue of which no task has begun: the stored
+// ones of all entries and the others of this one.
 func (en *Entry) Pending(queue string) int {
 	count := 0
 	for _, jb := range en.jobs {
-		if jb.Queue.Name == queue && !jb.begun {
+		if jb.Queue.Name == queue && !jb.begun && jb.stored == nil {
+			count++
+		}
+	}
+	for _, re := range en.records {
+		if re.Queue == queue && !re.begun && !re.State.over() {
 			count++
 		}
 	}
 	return count
 }
 
-// Knows tells whether a job waits for its answer here.
-func (en *Entry) Knows(id ids.JobID) bool { return en.jobs[id] != nil }
+// Waits tells whether the caller of a job that is not stored waits here.
+func (en *Entry) Waits(id ids.JobID) bool {
+	jb := en.jobs[id]
+	return jb != nil && jb.stored == nil
+}
+
+// taskName returns the part of a task's id that follows the job.
+func taskName(id TaskID) string {
+	_, name, _ := strings.Cut(string(id), ".")
+	return name
+}
--- /dev/null
+++ b/internal/dispatch/stored.go
@@ -0,0 +1,882 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// JobState is the state of a stored job.
+type JobState string
+
+// The states of a stored job.
+const (
+	JobAccepted  JobState = "accepted" // not ended yet
+	JobCompleted JobState = "completed"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+func (js JobState) over() bool { return js != JobAccepted }
+
+// JobRecord is the row of a stored job. A change of the row is conditional on
+// its version, so an owner that has been replaced can't change it any more.
+type JobRecord struct {
+	ID      ids.JobID
+	Version Version
+	Queue   string
+	State   JobState
+	Owner   ids.Incarnation // "" when the last owner has released it
+	Epoch   int64           // rises with each owner; run numbers begin with it
+	// Nonce tells an owner's own insertion, after a lost answer, from that of
+	// another entry.
+	Nonce     string
+	Submitted int64 // Unix milliseconds
+	// Done and Fails hold what has been noted of tasks, by their names without
+	// the job.
+	Done  []string
+	Fails map[string]int
+}
+
+// JobWrite changes the row of a job if it has the expected version.
+type JobWrite struct {
+	Record   JobRecord
+	Expected Version // 0 to insert
+	Body     *Job    // with an insertion
+	Remove   bool
+}
+
+// JobWriteReply is the store's answer to a JobWrite.
+type JobWriteReply struct {
+	OK       bool
+	Version  Version
+	Conflict bool
+	Present  *JobRecord // the row as it is, after a conflict
+	Nothing  bool       // the store has surely done nothing
+	Reason   string
+}
+
+// JobLoad is the answer to a read of a job.
+type JobLoad struct {
+	Record *JobRecord // nil when there is none
+	Body   *Job
+	Failed bool
+	Reason string
+}
+
+// JobNews tells the other entries how a stored job stands.
+type JobNews struct {
+	Record JobRecord
+	Begun  bool
+}
+
+// Noted tells a holder that the ends of runs are stored, so that the worker may
+// forget them.
+type Noted struct {
+	Refs []TaskRef
+}
+
+// record is what an entry knows of a stored job.
+type record struct {
+	JobRecord
+	begun   bool
+	loading bool
+	endedAt time.Time
+}
+
+// storedJob is the part of a job that only stored jobs have.
+type storedJob struct {
+	rec      JobRecord
+	writing  bool
+	dirty    bool // something of the job is not stored yet
+	dirtyAt  time.Time
+	retryAt  time.Time
+	unsaved  []unsavedEnd // ends that a write is to store
+	inWrite  []unsavedEnd // ends that the write in flight stores
+	accepted bool         // the insertion has been confirmed
+	cancels  []func(out Outcome)
+}
+
+type unsavedEnd struct {
+	holder ids.EntryID
+	ref    TaskRef
+}
+
+// The limits on stored jobs.
+const (
+	// progressInterval is how long ends of tasks may wait for a write while the
+	// job goes on. The worker keeps them listed meanwhile.
+	progressInterval = 300 * time.Millisecond
+	// writeRetry is the pause after a write without success.
+	writeRetry = 100 * time.Millisecond
+	// beatFence is the age of the last stored beat at which an owner that is
+	// cut off from other entries stops its stored jobs, because they may soon be
+	// taken over.
+	beatFence = 5 * time.Second
+	// ownerSilence without a beat or a session lets another entry take the jobs
+	// of an owner that has not been proved dead: beatFence and the time to stop.
+	ownerSilence = 7 * time.Second
+	// claimsAtOnce bounds the jobs that are taken over at a time.
+	claimsAtOnce = 50
+	// recordTime is how long an ended job can be asked for, with a margin over
+	// the two minutes that callers are promised.
+	recordTime = 150 * time.Second
+	// storeAwayLimit after the last read that failed the store counts as away.
+	storeAwayLimit = 400 * time.Millisecond
+	// unnotedTime bounds how long ends of a job that no entry knows are kept.
+	unnotedTime = 3 * time.Second
+	// leaveWait is how long a leaving owner lets running tasks end.
+	leaveWait = 2500 * time.Millisecond
+)
+
+// submitStored takes a job that must be stored before it is accepted.
+func (en *Entry) submitStored(sub Submission) {
+	id := sub.Job.ID
+	if re := en.records[id]; re != nil {
+		sub.Done(Outcome{Kind: Accepted})
+		return
+	}
+	if old := en.jobs[id]; old != nil {
+		en.join(old, sub)
+		return
+	}
+	if en.now().Sub(en.storeLost) < storeAwayLimit {
+		sub.Done(Outcome{Kind: Refused, Reason: "store-away", RetryAfter: retryOverload})
+		return
+	}
+	jb := &job{Submission: sub, waiters: 1, stored: &storedJob{rec: JobRecord{
+		ID: id, Queue: sub.Queue.Name, State: JobAccepted, Owner: en.self.Incarnation, Epoch: 1,
+		Nonce: string(en.self.Incarnation), Submitted: en.now().UnixMilli(),
+	}}}
+	en.jobs[id] = jb
+	en.write(jb)
+}
+
+// join lets one more connection wait for a job.
+func (en *Entry) join(jb *job, sub Submission) {
+	en.eff.Log("job-joined", "job", string(sub.Job.ID))
+	jb.waiters++
+	first := jb.Done
+	jb.Done = func(out Outcome) {
+		first(out)
+		sub.Done(out)
+	}
+}
+
+// write stores what is new about a job.
+func (en *Entry) write(jb *job) {
+	st := jb.stored
+	if st.writing {
+		return
+	}
+	st.writing, st.dirty = true, false
+	st.inWrite, st.unsaved = st.unsaved, nil
+	wr := JobWrite{Record: st.rec, Expected: st.rec.Version}
+	wr.Record.Done = slices.Clone(st.rec.Done)
+	if !st.accepted {
+		wr.Body = &jb.Job
+	}
+	en.eff.StoreJob(wr)
+}
+
+// JobStored takes the answer to a write.
+func (en *Entry) JobStored(wr JobWrite, rep JobWriteReply) {
+	if wr.Remove {
+		return
+	}
+	jb := en.jobs[wr.Record.ID]
+	if jb == nil || jb.stored == nil {
+		en.cancelStored(wr, rep)
+		return
+	}
+	st := jb.stored
+	st.writing = false
+	switch {
+	case rep.OK:
+		st.rec.Version = rep.Version
+		wr.Record.Version = rep.Version
+		en.stored(jb, wr.Record)
+	case rep.Conflict && rep.Present != nil && en.mine(st, rep.Present):
+		// An earlier write took effect although its answer was lost.
+		st.rec.Version = rep.Present.Version
+		st.accepted = true
+		en.again(jb)
+	case rep.Conflict:
+		en.lostJob(jb, rep.Present)
+	default:
+		en.eff.Log("job-write-failed", "job", string(wr.Record.ID), "state", string(wr.Record.State), "reason", rep.Reason)
+		en.again(jb)
+	}
+}
+
+// mine tells whether a row is the one that this owner wrote.
+func (en *Entry) mine(st *storedJob, present *JobRecord) bool {
+	return present.Nonce == st.rec.Nonce && present.Owner == en.self.Incarnation && present.Epoch == st.rec.Epoch && !present.State.over()
+}
+
+// again writes a job once more after a pause.
+func (en *Entry) again(jb *job) {
+	st := jb.stored
+	st.unsaved = append(st.inWrite, st.unsaved...)
+	st.inWrite = nil
+	st.dirty, st.dirtyAt = true, en.now().Add(-progressInterval)
+	st.retryAt = en.now().Add(writeRetry)
+}
+
+// stored acts on a write that has succeeded.
+func (en *Entry) stored(jb *job, rec JobRecord) {
+	st := jb.stored
+	notes := map[ids.EntryID][]TaskRef{}
+	for _, ue := range st.inWrite {
+		notes[ue.holder] = append(notes[ue.holder], ue.ref)
+	}
+	st.inWrite = nil
+	for _, holder := range sortedKeys(notes) {
+		en.send(holder, Noted{Refs: notes[holder]})
+	}
+	en.learnRecord(rec, jb.begun)
+	if !st.accepted {
+		st.accepted = true
+		en.eff.Log("job-accepted", "job", string(rec.ID), "queue", rec.Queue, "version", int64(rec.Version))
+		done := jb.Done
+		jb.Done = func(Outcome) {}
+		done(Outcome{Kind: Accepted})
+		en.tellAll(jb)
+		en.begin(jb)
+		return
+	}
+	if rec.State.over() {
+		en.tellAll(jb)
+		en.endStored(jb, rec.State)
+		return
+	}
+	if st.rec.Owner == "" {
+		en.finish(jb, Outcome{Kind: Abandoned, Reason: "released"})
+		return
+	}
+	if st.dirty && st.rec.State.over() {
+		en.write(jb)
+	}
+}
+
+// begin starts the steps of a job whose record is stored.
+func (en *Entry) begin(jb *job) {
+	en.prepare(jb)
+	en.advance(jb)
+}
+
+// tellAll sends the state of a job to all entries that can be reached.
+func (en *Entry) tellAll(jb *job) {
+	for _, id := range en.reachable() {
+		if id != en.id {
+			en.eff.Send(id, JobNews{Record: jb.stored.rec, Begun: jb.begun})
+		}
+	}
+}
+
+// endStored ends a stored job here.
+func (en *Entry) endStored(jb *job, state JobState) {
+	for _, fn := range jb.stored.cancels {
+		fn(Outcome{Kind: Completed, Reason: string(state)})
+	}
+	kind := Completed
+	switch state {
+	case JobFailed:
+		kind = Failed
+	case JobCancelled:
+		kind = Abandoned
+	default:
+	}
+	en.finish(jb, Outcome{Kind: kind})
+}
+
+// lostJob drops a job whose row another entry has changed.
+func (en *Entry) lostJob(jb *job, present *JobRecord) {
+	en.eff.Log("job-lost", "job", string(jb.Job.ID), "accepted", jb.stored.accepted)
+	if present != nil {
+		en.learnRecord(*present, false)
+	}
+	for _, fn := range jb.stored.cancels {
+		fn(Outcome{Kind: Abandoned, Reason: "owner changed"})
+	}
+	// An insertion that meets a row means that the job is stored already.
+	en.finish(jb, Outcome{Kind: Accepted})
+}
+
+// learnRecord takes the state of a stored job.
+func (en *Entry) learnRecord(rec JobRecord, begun bool) {
+	re := en.records[rec.ID]
+	if re == nil {
+		re = &record{}
+		en.records[rec.ID] = re
+	}
+	if rec.Version < re.Version {
+		return
+	}
+	re.JobRecord = rec
+	re.begun = re.begun || begun
+	if rec.State.over() && re.endedAt.IsZero() {
+		re.endedAt = en.now()
+	}
+}
+
+// PutRecord takes the row of a stored job from the store.
+func (en *Entry) PutRecord(rec JobRecord) {
+	en.learnRecord(rec, false)
+	jb := en.jobs[rec.ID]
+	if jb == nil || jb.stored == nil || rec.Version <= jb.stored.rec.Version || jb.stored.writing {
+		return
+	}
+	if !en.mine(jb.stored, &rec) {
+		en.lostJob(jb, &rec)
+	}
+}
+
+// DropRecord takes the removal of a job's row.
+func (en *Entry) DropRecord(id ids.JobID, version Version) {
+	if re := en.records[id]; re != nil && re.Version <= version {
+		delete(en.records, id)
+	}
+}
+
+func (en *Entry) onJobNews(ms JobNews) {
+	en.learnRecord(ms.Record, ms.Begun)
+	if jb := en.jobs[ms.Record.ID]; jb != nil && jb.stored != nil && ms.Record.Owner != en.self.Incarnation && ms.Record.Version > jb.stored.rec.Version {
+		en.lostJob(jb, &ms.Record)
+	}
+}
+
+// ended notes an end of a stored job's task, to be stored before the worker may
+// forget it.
+func (en *Entry) endedStored(jb *job, ta *task, holder ids.EntryID, how End) {
+	st := jb.stored
+	name := taskName(ta.id)
+	if how == EndDone {
+		st.rec.Done = append(st.rec.Done, name)
+	} else {
+		if st.rec.Fails == nil {
+			st.rec.Fails = map[string]int{}
+		}
+		fails := map[string]int{}
+		for key, val := range st.rec.Fails {
+			fails[key] = val
+		}
+		fails[name] = ta.failed
+		st.rec.Fails = fails
+	}
+	st.unsaved = append(st.unsaved, unsavedEnd{holder: holder, ref: TaskRef{Task: ta.id, Run: ta.run}})
+	if !st.dirty {
+		st.dirty, st.dirtyAt = true, en.now()
+	}
+}
+
+// settle stores the final state of a job.
+func (en *Entry) settle(jb *job, state JobState) {
+	st := jb.stored
+	if st.rec.State.over() {
+		return
+	}
+	st.rec.State = state
+	st.dirty, st.dirtyAt = true, en.now()
+	en.write(jb)
+}
+
+// State tells what this entry knows of a stored job. The function is called
+// once, possibly later: an unknown job is looked up in the store.
+func (en *Entry) State(id ids.JobID, tell func(state JobState, begun, known, failed bool)) {
+	if re := en.records[id]; re != nil {
+		tell(re.State, re.begun, true, false)
+		return
+	}
+	en.lookups[id] = append(en.lookups[id], func(failed bool) {
+		if re := en.records[id]; re != nil {
+			tell(re.State, re.begun, true, false)
+			return
+		}
+		tell("", false, false, failed)
+	})
+	if len(en.lookups[id]) == 1 {
+		en.eff.LoadJob(id)
+	}
+}
+
+// JobLoaded takes the answer to a read of a job.
+func (en *Entry) JobLoaded(id ids.JobID, ld JobLoad) {
+	if ld.Record != nil {
+		en.learnRecord(*ld.Record, false)
+	}
+	calls := en.lookups[id]
+	delete(en.lookups, id)
+	for _, fn := range calls {
+		fn(ld.Failed)
+	}
+	if re := en.records[id]; re != nil && re.loading {
+		re.loading = false
+		if ld.Body != nil && !ld.Failed {
+			en.claimJob(re, *ld.Body)
+		}
+	}
+}
+
+// CancelStored cancels a stored job; done is called once it is stored.
+func (en *Entry) CancelStored(id ids.JobID, done func(out Outcome)) {
+	if jb := en.jobs[id]; jb != nil && jb.stored != nil {
+		jb.stored.cancels = append(jb.stored.cancels, done)
+		en.settle(jb, JobCancelled)
+		return
+	}
+	re := en.records[id]
+	if re == nil {
+		done(Outcome{Kind: Refused, Reason: "no-job"})
+		return
+	}
+	if re.State.over() {
+		done(Outcome{Kind: Completed, Reason: string(re.State)})
+		return
+	}
+	en.cancels[id] = append(en.cancels[id], done)
+	if len(en.cancels[id]) == 1 {
+		en.writeCancel(re)
+	}
+}
+
+func (en *Entry) writeCancel(re *record) {
+	rec := re.JobRecord
+	rec.State = JobCancelled
+	en.eff.StoreJob(JobWrite{Record: rec, Expected: rec.Version})
+}
+
+// cancelStored takes the answer to a cancel of a job that another entry owns.
+func (en *Entry) cancelStored(wr JobWrite, rep JobWriteReply) {
+	id := wr.Record.ID
+	if rep.Present != nil {
+		en.learnRecord(*rep.Present, false)
+	}
+	calls := en.cancels[id]
+	if len(calls) == 0 {
+		return
+	}
+	re := en.records[id]
+	switch {
+	case rep.OK:
+		wr.Record.Version = rep.Version
+		en.learnRecord(wr.Record, false)
+		for _, other := range en.reachable() {
+			if other != en.id {
+				en.eff.Send(other, JobNews{Record: wr.Record})
+			}
+		}
+	case re != nil && !re.State.over() && len(calls) < cancelTries:
+		// The owner has changed the row meanwhile, or the answer was lost.
+		en.cancels[id] = append(calls, func(Outcome) {})
+		en.writeCancel(re)
+		return
+	}
+	delete(en.cancels, id)
+	out := Outcome{Kind: Abandoned, Reason: "not stored"}
+	if re != nil && re.State.over() {
+		out = Outcome{Kind: Completed, Reason: string(re.State)}
+	}
+	for _, fn := range calls {
+		fn(out)
+	}
+}
+
+// cancelTries bounds the writes of one cancel.
+const cancelTries = 12
+
+// Beaten tells that a beat sent at a time has been stored.
+func (en *Entry) Beaten(sent time.Time) {
+	if sent.After(en.beaten) {
+		en.beaten = sent
+	}
+}
+
+// replaceable tells whether other entries may take over this one's jobs: it
+// has not beaten for long, and some member can't see that it lives.
+func (en *Entry) replaceable(now time.Time) bool {
+	if en.beaten.IsZero() || now.Sub(en.beaten) < beatFence {
+		return false
+	}
+	for id := range en.members {
+		if se := en.sessions[id]; se == nil || !se.up {
+			return true
+		}
+	}
+	return false
+}
+
+// tickStored writes what waits, stops what may be taken over, and takes over
+// the jobs of dead owners.
+func (en *Entry) tickStored(now time.Time) {
+	fenced := en.replaceable(now)
+	if fenced != en.fenced {
+		en.fenced = fenced
+		en.eff.Log("jobs-fenced", "fenced", fenced, "beat-age-ms", now.Sub(en.beaten).Milliseconds())
+	}
+	for _, id := range sortedKeys(en.jobs) {
+		jb := en.jobs[id]
+		if jb == nil || jb.stored == nil {
+			continue
+		}
+		if fenced {
+			en.suspend(jb, now)
+		} else if jb.suspended {
+			en.resume(jb)
+		}
+		st := jb.stored
+		due := st.dirty && (now.Sub(st.dirtyAt) >= progressInterval || st.rec.State.over())
+		if due && !now.Before(st.retryAt) {
+			en.write(jb)
+		}
+		if en.leaving {
+			en.release(jb, now)
+		}
+	}
+	if now.Sub(en.claimTick) < claimInterval {
+		return
+	}
+	en.claimTick = now
+	en.claimJobs(now)
+}
+
+// claimInterval separates two looks at jobs without an owner.
+const claimInterval = 200 * time.Millisecond
+
+// suspend stops the tasks of a job and places none.
+func (en *Entry) suspend(jb *job, now time.Time) {
+	if jb.suspended {
+		return
+	}
+	jb.suspended = true
+	stops := map[ids.EntryID][]TaskRef{}
+	for _, gr := range jb.groups {
+		en.unwant(gr)
+		for _, ta := range gr.tasks {
+			if ta.state == taskPlaced || ta.state == taskRunning {
+				stops[ta.holder] = append(stops[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
+				en.lose(gr, ta, now.Add(loseAfter))
+			}
+		}
+	}
+	for _, holder := range sortedKeys(stops) {
+		en.send(holder, Stop{Refs: stops[holder]})
+	}
+}
+
+func (en *Entry) resume(jb *job) {
+	jb.suspended = false
+	for _, gr := range jb.groups {
+		en.place(gr)
+	}
+}
+
+// release gives up a job in a shutdown, once its tasks have ended or have had
+// time to.
+func (en *Entry) release(jb *job, now time.Time) {
+	st := jb.stored
+	if !st.accepted || st.rec.State.over() || st.rec.Owner == "" || st.writing {
+		return
+	}
+	if jb.active() {
+		// Another entry takes over once this one is gone.
+		if now.Sub(en.leftAt) > leaveWait {
+			en.suspend(jb, now)
+		}
+		return
+	}
+	jb.suspended = true
+	st.rec.Owner = ""
+	st.dirty, st.dirtyAt = true, now
+	en.write(jb)
+}
+
+// active tells whether a task of the job is with a holder.
+func (jb *job) active() bool {
+	for _, gr := range jb.groups {
+		for _, ta := range gr.tasks {
+			if ta.state == taskPlaced || ta.state == taskRunning || ta.state == taskLost {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// ownerGone tells whether the owner of a job surely no longer starts tasks.
+func (en *Entry) ownerGone(inc ids.Incarnation, now time.Time) bool {
+	if inc == en.self.Incarnation {
+		return false
+	}
+	if inc == "" || inc.Entry() == en.id {
+		return true
+	}
+	mb := en.members[inc.Entry()]
+	if mb == nil {
+		return now.Sub(en.started) > ownerSilence
+	}
+	if mb.Incarnation != inc {
+		return true
+	}
+	se := en.session(inc.Entry())
+	return !se.up && now.Sub(mb.beatAt) > ownerSilence && now.Sub(en.storeLost) > ownerSilence
+}
+
+// claimJobs takes over jobs whose owners are gone.
+func (en *Entry) claimJobs(now time.Time) {
+	if en.leaving || en.fenced {
+		return
+	}
+	list := en.candidates(now)
+	count := 0
+	for _, id := range sortedKeys(en.records) {
+		re := en.records[id]
+		if re.State.over() {
+			if now.Sub(re.endedAt) > recordTime {
+				en.forgetRecord(re)
+			}
+			continue
+		}
+		if re.loading || en.jobs[id] != nil || !en.ownerGone(re.Owner, now) || count >= claimsAtOnce {
+			continue
+		}
+		if assigned(WorkerInfo{ID: ids.WorkerID(id)}, list) == en.self.Incarnation {
+			count++
+			re.loading = true
+			en.eff.LoadJob(id)
+		}
+	}
+}
+
+// forgetRecord removes the row of a job that ended long ago. Its last owner
+// does so, or any entry once that owner is gone.
+func (en *Entry) forgetRecord(re *record) {
+	if re.Owner == en.self.Incarnation || en.ownerGone(re.Owner, en.now()) {
+		delete(en.records, re.ID)
+		en.eff.StoreJob(JobWrite{Record: re.JobRecord, Expected: re.Version, Remove: true})
+	}
+}
+
+// claimJob makes this entry the owner of a job.
+func (en *Entry) claimJob(re *record, body Job) {
+	if re.State.over() || en.jobs[re.ID] != nil || !en.ownerGone(re.Owner, en.now()) {
+		return
+	}
+	qu, ok := en.queue(re.Queue)
+	if !ok {
+		return
+	}
+	rec := re.JobRecord
+	before := rec.Owner
+	rec.Owner = en.self.Incarnation
+	rec.Nonce = string(en.self.Incarnation)
+	rec.Epoch++
+	jb := &job{
+		Submission: Submission{Job: body, Queue: qu, Arrived: en.now(), Done: func(Outcome) {}},
+		begun:      re.begun,
+		stored:     &storedJob{rec: rec, accepted: true},
+		claimed:    true,
+	}
+	en.jobs[re.ID] = jb
+	en.eff.Log("job-claimed", "job", string(re.ID), "before", string(before), "epoch", rec.Epoch, "done", len(rec.Done))
+	en.prepare(jb)
+	until := en.now().Add(loseAfter)
+	for _, gr := range jb.groups {
+		for _, ta := range gr.tasks {
+			name := taskName(ta.id)
+			ta.run = Run(rec.Epoch * runStep)
+			ta.failed = rec.Fails[name]
+			if slices.Contains(rec.Done, name) {
+				ta.state = taskDone
+			} else if before != "" {
+				// The tasks of the former owner may take that long to be stopped.
+				ta.notBefore = until
+			}
+		}
+	}
+	en.write(jb)
+	for _, id := range en.reachable() {
+		en.askEnds(id, []ids.JobID{re.ID})
+	}
+	en.advanceClaimed(jb)
+}
+
+// advanceClaimed starts the steps of a claimed job once its tasks may start.
+func (en *Entry) advanceClaimed(jb *job) {
+	for num, gr := range jb.groups {
+		if !en.ready(jb, num) {
+			continue
+		}
+		for _, ta := range gr.tasks {
+			if ta.state == taskBlocked {
+				ta.state, ta.lostUntil = taskLost, ta.notBefore
+			}
+		}
+	}
+	if jb.allDone() {
+		en.settle(jb, JobCompleted)
+	}
+}
+
+// queue finds a queue of the desired state by its name.
+func (en *Entry) queue(name string) (Queue, bool) {
+	if en.desired == nil {
+		return Queue{}, false
+	}
+	for _, qu := range en.desired.Queues {
+		if qu.Name == name {
+			return qu, true
+		}
+	}
+	return Queue{}, false
+}
+
+// Claimed asks holders for ends of the jobs' tasks that are not stored yet.
+type Claimed struct {
+	Jobs []ids.JobID
+}
+
+// PastEnds answers Claimed.
+type PastEnds struct {
+	Jobs []ids.JobID
+	Ends []Ended
+}
+
+// askEnds asks an entry for the ends of stored jobs' tasks that it may know.
+func (en *Entry) askEnds(to ids.EntryID, jobs []ids.JobID) {
+	if len(jobs) > 0 {
+		en.send(to, Claimed{Jobs: jobs})
+	}
+}
+
+// askAgain asks an entry that is reachable again for the ends of the tasks
+// that were lost with its session.
+func (en *Entry) askAgain(id ids.EntryID) {
+	var list []ids.JobID
+	for _, jid := range sortedKeys(en.jobs) {
+		if jb := en.jobs[jid]; jb.stored != nil && (jb.claimed || jb.lostAt(id)) {
+			list = append(list, jid)
+		}
+	}
+	en.askEnds(id, list)
+}
+
+func (jb *job) lostAt(id ids.EntryID) bool {
+	for _, gr := range jb.groups {
+		for _, ta := range gr.tasks {
+			if ta.state == taskLost && ta.holder == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// onClaimed answers with the ends that workers here still list.
+func (en *Entry) onClaimed(from ids.EntryID, ms Claimed) {
+	reply := PastEnds{Jobs: ms.Jobs}
+	for _, id := range sortedKeys(en.workers) {
+		wk := en.workers[id]
+		for _, number := range sortedKeys(wk.unnoted) {
+			un := wk.unnoted[number]
+			if jid, _, _, ok := splitTask(un.ref.Task); ok && slices.Contains(ms.Jobs, jid) {
+				reply.Ends = append(reply.Ends, Ended{Ref: un.ref, Worker: id, How: un.how})
+			}
+		}
+	}
+	en.send(from, reply)
+}
+
+// onPastEnds takes the ends of runs that this owner has not heard of, or that
+// a former owner has started.
+func (en *Entry) onPastEnds(from ids.EntryID, ms PastEnds) {
+	for _, ed := range ms.Ends {
+		jid, step, idx, ok := splitTask(ed.Ref.Task)
+		jb := en.jobs[jid]
+		if !ok || jb == nil || jb.stored == nil || step >= len(jb.groups) || idx >= len(jb.groups[step].tasks) {
+			continue
+		}
+		ta := jb.groups[step].tasks[idx]
+		if ta.state == taskDone || ta.run > ed.Ref.Run && !jb.claimed {
+			jb.stored.unsaved = append(jb.stored.unsaved, unsavedEnd{holder: from, ref: ed.Ref})
+			if !jb.stored.dirty {
+				jb.stored.dirty, jb.stored.dirtyAt = true, en.now()
+			}
+			continue
+		}
+		ta.run = max(ta.run, ed.Ref.Run)
+		past := ed
+		past.Ref.Run = ta.run
+		if ed.How == EndDone || ta.state == taskLost {
+			jb.stored.unsaved = append(jb.stored.unsaved, unsavedEnd{holder: from, ref: ed.Ref})
+			en.onEnded(from, past)
+		}
+	}
+	for _, jid := range ms.Jobs {
+		jb := en.jobs[jid]
+		if jb == nil {
+			continue
+		}
+		for _, gr := range jb.groups {
+			for _, ta := range gr.tasks {
+				if ta.holder == from {
+					ta.asked = true
+				}
+			}
+		}
+	}
+}
+
+// mayHaveEnded tells whether a lost task of a stored job may have ended at a
+// holder that lives but can't be asked. It is not started again meanwhile: its
+// end may be noted there at any moment.
+func (en *Entry) mayHaveEnded(jb *job, ta *task, now time.Time) bool {
+	if jb.stored == nil || ta.asked || ta.holder == "" || ta.holder == en.id {
+		return false
+	}
+	mb := en.members[ta.holder]
+	return mb != nil && en.alive(mb.Incarnation, now)
+}
+
+// unnotedEnd is an end that a worker must keep until it is stored.
+type unnotedEnd struct {
+	ref   TaskRef
+	how   End
+	since time.Time
+}
+
+// keepEnd keeps an end of a stored job's task on the worker's list.
+func (en *Entry) keepEnd(wk *worker, er EndedRun) {
+	wk.unnoted[er.Number] = unnotedEnd{ref: er.Ref, how: er.How, since: en.now()}
+}
+
+// storedHere tells whether a task belongs to a stored job that goes on.
+func (en *Entry) storedHere(ref TaskRef) bool {
+	jid, _, _, ok := splitTask(ref.Task)
+	re := en.records[jid]
+	return ok && re != nil && !re.State.over()
+}
+
+// pruneUnnoted lets the worker forget ends of jobs that are over.
+func (en *Entry) pruneUnnoted(wk *worker, now time.Time) {
+	for number, un := range wk.unnoted {
+		if !en.storedHere(un.ref) && now.Sub(un.since) > unnotedTime {
+			delete(wk.unnoted, number)
+		}
+	}
+}
+
+// onNoted lets a worker forget ends that are stored.
+func (en *Entry) onNoted(ms Noted) {
+	for _, ref := range ms.Refs {
+		for _, id := range sortedKeys(en.workers) {
+			wk := en.workers[id]
+			for number, un := range wk.unnoted {
+				if un.ref == ref {
+					delete(wk.unnoted, number)
+				}
+			}
+		}
+	}
+}
--- a/internal/fleet/effects.go
+++ b/internal/fleet/effects.go
@@ -74,8 +74,8 @@
 			return dispatch.CommitReply{Reason: err.Error()}
 		}
 		key := holderPrefix + string(ch.Worker)
-		tx.Checks = append(tx.Checks, Check{Key: key, Version: ch.Expected})
-		tx.Puts = append(tx.Puts, Put{Key: key, Value: raw})
+		tx.Checks = append(tx.Checks, Check{Table: TableFleet, Key: key, Version: ch.Expected})
+		tx.Puts = append(tx.Puts, Put{Table: TableFleet, Key: key, Value: raw})
 	}
 	dm.cnt.Add("store", "commits", 1)
 	rep, err := dm.store.Commit(ctx, tx)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,6 +46,8 @@
 	TableWorkers Table = "workers" // reports of the workers, written by them
 	TableDesired Table = "desired" // desired state, written by the operator
 	TableFleet   Table = "fleet"   // entries and holders of workers, written by the entries
+	TableJobs    Table = "jobs"    // states of stored jobs, written by the entries
+	TableBodies  Table = "bodies"  // what the callers submitted, beside TableJobs
 )
 
 // Row is a row of a table.
@@ -56,23 +58,35 @@
 	Deleted bool
 }
 
+// Part is a shard of a table. A transaction stays within one part.
+type Part string
+
 // Check demands that a row has a version, 0 for no row.
 type Check struct {
+	Table   Table
 	Key     string
 	Version dispatch.Version
 }
 
 // Put sets a row.
 type Put struct {
+	Table Table
 	Key   string
 	Value []byte
 }
 
-// Transaction changes rows of TableFleet, all or none.
+// Remove deletes a row.
+type Remove struct {
+	Table Table
+	Key   string
+}
+
+// Transaction changes rows of one part, all or none.
 type Transaction struct {
+	Part    Part
 	Checks  []Check
 	Puts    []Put
-	Removes []string
+	Removes []Remove
 }
 
 // TransactionReply is the answer to a transaction: done, or the rows as they
@@ -83,13 +97,17 @@
 	Present []Row
 }
 
+// ErrNothingDone tells that the store has surely not carried out a transaction.
+var ErrNothingDone = errors.New("the store has refused the transaction")
+
 // ErrHistoryGone tells that changes since a version are no longer known.
 var ErrHistoryGone = errors.New("the store has dropped the history since that version")
 
 // Store is the platform's store. An error leaves open whether a transaction
 // was carried out, or will be.
 type Store interface {
-	Read(ctx context.Context, tb Table) ([]Row, dispatch.Version, error)
+	// Read returns the rows of a part, or the one with a key when it is not "".
+	Read(ctx context.Context, tb Table, part Part, key string) ([]Row, dispatch.Version, error)
 	Follow(ctx context.Context, tb Table, after dispatch.Version, wait time.Duration) ([]Row, dispatch.Version, error)
 	Commit(ctx context.Context, tx Transaction) (TransactionReply, error)
 	// DecodeWorker reads a row of TableWorkers.
@@ -132,6 +150,7 @@
 	inbound  map[*inbound]bool
 	lastSess uint64
 	storeBad map[Table]bool
+	writers  map[Part]*jobWriter
 }
 
 // New returns an entry that is not started yet.
@@ -142,6 +161,7 @@
 		links:    map[ids.EntryID]*link{},
 		inbound:  map[*inbound]bool{},
 		storeBad: map[Table]bool{},
+		writers:  map[Part]*jobWriter{},
 	}
 	dm.at = dm.clock()
 	dm.en = dispatch.New(opt.Self, &effects{dm: dm}, func() time.Time { return dm.at })
@@ -163,6 +183,7 @@
 	dm.grp.Go(dm.followDesired)
 	dm.grp.Go(dm.followWorkers)
 	dm.grp.Go(dm.followFleet)
+	dm.grp.Go(dm.followJobs)
 	dm.grp.Every(dispatch.TickInterval, func(context.Context) {
 		dm.locked(func(en *dispatch.Entry) { en.Tick() })
 	})
@@ -229,13 +250,41 @@
 	return count
 }
 
-// Knows tells whether a job waits for its answer here.
-func (dm *Daemon) Knows(id ids.JobID) bool {
+// Waits tells whether the caller of a job that is not stored waits here.
+func (dm *Daemon) Waits(id ids.JobID) bool {
 	known := false
-	dm.locked(func(en *dispatch.Entry) { known = en.Knows(id) })
+	dm.locked(func(en *dispatch.Entry) { known = en.Waits(id) })
 	return known
 }
 
+// JobStatus is what is known of a stored job.
+type JobStatus struct {
+	State  dispatch.JobState
+	Begun  bool // a task has been started
+	Known  bool
+	Failed bool // the store did not answer
+}
+
+// State returns the state of a stored job. It may wait for the store.
+func (dm *Daemon) State(id ids.JobID) JobStatus {
+	reply := make(chan JobStatus, 1)
+	dm.locked(func(en *dispatch.Entry) {
+		en.State(id, func(state dispatch.JobState, begun, known, failed bool) {
+			reply <- JobStatus{State: state, Begun: begun, Known: known, Failed: failed}
+		})
+	})
+	return <-reply
+}
+
+// CancelStored cancels a stored job and waits until that is stored.
+func (dm *Daemon) CancelStored(id ids.JobID) dispatch.Outcome {
+	reply := make(chan dispatch.Outcome, 1)
+	dm.locked(func(en *dispatch.Entry) {
+		en.CancelStored(id, func(out dispatch.Outcome) { reply <- out })
+	})
+	return <-reply
+}
+
 // drainPoll is the interval at which a drain looks whether all is done.
 const drainPoll = 50 * time.Millisecond
 
@@ -260,7 +309,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), farewellTimeout)
 	defer cancel()
 	if dm.draining.Load() {
-		if _, err := dm.store.Commit(ctx, Transaction{Removes: []string{dm.entryKey()}}); err != nil {
+		if _, err := dm.store.Commit(ctx, Transaction{Removes: []Remove{{Table: TableFleet, Key: dm.entryKey()}}}); err != nil {
 			dm.log.Line("farewell-failed", "error", err.Error())
 		}
 	}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -34,6 +34,7 @@
 // table describes how a table of the store is followed.
 type table struct {
 	name  Table
+	parts []Part // read one by one; "" where the table has no shards
 	wait  time.Duration
 	pause time.Duration
 	// put takes a row that is new or has changed.
@@ -52,7 +53,7 @@
 		var err error
 		whole := version < 0
 		if whole {
-			rows, next, err = dm.store.Read(ctx, tb.name)
+			rows, next, err = dm.readAll(ctx, tb)
 		} else {
 			rows, next, err = dm.store.Follow(ctx, tb.name, version, tb.wait)
 		}
@@ -81,6 +82,24 @@
 	}
 }
 
+// readAll reads the parts of a table. The version is that of the first read, so
+// that changes meanwhile come again through the feed.
+func (dm *Daemon) readAll(ctx context.Context, tb table) ([]Row, dispatch.Version, error) {
+	var rows []Row
+	version := dispatch.Version(-1)
+	for _, part := range tb.parts {
+		some, next, err := dm.store.Read(ctx, tb.name, part, "")
+		if err != nil {
+			return nil, 0, err
+		}
+		rows = append(rows, some...)
+		if version < 0 {
+			version = next
+		}
+	}
+	return rows, version, nil
+}
+
 // missingRows returns removals for the keys that a whole read no longer holds.
 func missingRows(keys map[string]bool, rows []Row, version dispatch.Version) []Row {
 	present := map[string]bool{}
@@ -138,7 +157,7 @@
 
 func (dm *Daemon) followDesired(ctx context.Context) {
 	dm.follow(ctx, table{
-		name: TableDesired, wait: desiredWait,
+		name: TableDesired, parts: []Part{""}, wait: desiredWait,
 		put: func(en *dispatch.Entry, ro Row) {
 			des, ok, err := dm.store.DecodeDesired(ro.Key, ro.Value)
 			if err != nil {
@@ -155,7 +174,7 @@
 
 func (dm *Daemon) followWorkers(ctx context.Context) {
 	dm.follow(ctx, table{
-		name: TableWorkers, wait: workersWait, pause: workersPause,
+		name: TableWorkers, parts: []Part{""}, wait: workersWait, pause: workersPause,
 		put: func(en *dispatch.Entry, ro Row) {
 			info, err := dm.store.DecodeWorker(ro.Key, ro.Value)
 			if err != nil {
@@ -190,7 +209,7 @@
 }
 
 func (dm *Daemon) followFleet(ctx context.Context) {
-	dm.follow(ctx, table{name: TableFleet, wait: fleetWait, pause: fleetPause, put: dm.putFleet, drop: dropFleet})
+	dm.follow(ctx, table{name: TableFleet, parts: []Part{""}, wait: fleetWait, pause: fleetPause, put: dm.putFleet, drop: dropFleet})
 }
 
 func (dm *Daemon) putFleet(en *dispatch.Entry, ro Row) {
@@ -253,15 +272,18 @@
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	self := dm.opt.Self
+	sent := dm.clock()
 	raw, err := json.Marshal(entryRecord{
 		Incarnation: self.Incarnation, Zone: self.Zone, PeerAddress: self.PeerAddress, Size: self.Size,
 		Leaving: dm.draining.Load(), Beat: time.Now().UnixMilli(),
 	})
 	if err == nil {
-		_, err = dm.store.Commit(ctx, Transaction{Puts: []Put{{Key: dm.entryKey(), Value: raw}}})
+		_, err = dm.store.Commit(ctx, Transaction{Puts: []Put{{Table: TableFleet, Key: dm.entryKey(), Value: raw}}})
 	}
-	if err != nil && ctx.Err() == nil {
+	if err != nil {
 		dm.cnt.Add("store", "beat-errors", 1)
 		dm.log.Line("beat-failed", "error", err.Error())
+		return
 	}
+	dm.locked(func(en *dispatch.Entry) { en.Beaten(sent) })
 }
--- /dev/null
+++ b/internal/fleet/jobs.go
@@ -0,0 +1,267 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/oleanderwall/oleanderwall/internal/dispatch"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// The storing of jobs.
+const (
+	// jobParts is the number of shards of the tables of jobs. One shard takes
+	// 200 transactions a second; the store takes 600 and more in all.
+	jobParts = 8
+	// writeGather is how long a writer waits for more writes of its shard, for
+	// each entry of the fleet, so that the whole fleet stays within the rate of
+	// the store however many entries there are.
+	writeGather = 2 * time.Millisecond
+	// writesAtOnce bounds the jobs of one transaction; each takes two rows.
+	writesAtOnce = 40
+	jobsWait     = time.Second
+	jobsPause    = 500 * time.Millisecond
+	// jobLoadTimeout bounds the read of one job.
+	jobLoadTimeout = 700 * time.Millisecond
+)
+
+// partOf returns the shard of a job. All entries agree on it, so that an id is
+// inserted only once.
+func partOf(id ids.JobID) Part {
+	return Part("p" + strconv.FormatUint(xxhash.Sum64String(string(id))%jobParts, 10))
+}
+
+func allParts() []Part {
+	var list []Part
+	for num := range jobParts {
+		list = append(list, Part("p"+strconv.Itoa(num)))
+	}
+	return list
+}
+
+// jobRecord is a row of TableJobs.
+type jobRecord struct {
+	Queue     string            `json:"queue"`
+	State     dispatch.JobState `json:"state"`
+	Owner     ids.Incarnation   `json:"owner,omitempty"`
+	Epoch     int64             `json:"epoch"`
+	Nonce     string            `json:"nonce"`
+	Submitted int64             `json:"submitted-unix-millis"`
+	Done      []string          `json:"done,omitempty"`
+	Fails     map[string]int    `json:"fails,omitempty"`
+}
+
+func encodeRecord(rec dispatch.JobRecord) ([]byte, error) {
+	return json.Marshal(jobRecord{
+		Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch, Nonce: rec.Nonce,
+		Submitted: rec.Submitted, Done: rec.Done, Fails: rec.Fails,
+	})
+}
+
+func decodeRecord(ro Row) (dispatch.JobRecord, error) {
+	var rec jobRecord
+	if err := json.Unmarshal(ro.Value, &rec); err != nil {
+		return dispatch.JobRecord{}, err
+	}
+	return dispatch.JobRecord{
+		ID: ids.JobID(ro.Key), Version: ro.Version, Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
+		Nonce: rec.Nonce, Submitted: rec.Submitted, Done: rec.Done, Fails: rec.Fails,
+	}, nil
+}
+
+// jobWriter gathers the writes of one shard into transactions.
+type jobWriter struct {
+	dm    *Daemon
+	part  Part
+	queue []dispatch.JobWrite // guarded by the lock of the daemon
+	busy  bool
+}
+
+// StoreJob queues a change of a job's row.
+func (ef *effects) StoreJob(write dispatch.JobWrite) {
+	part := partOf(write.Record.ID)
+	wr := ef.dm.writers[part]
+	if wr == nil {
+		wr = &jobWriter{dm: ef.dm, part: part}
+		ef.dm.writers[part] = wr
+	}
+	wr.queue = append(wr.queue, write)
+	if !wr.busy {
+		wr.busy = true
+		ef.dm.grp.Go(wr.run)
+	}
+}
+
+// run writes until the queue is empty.
+func (wr *jobWriter) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		entries := 1
+		wr.dm.locked(func(en *dispatch.Entry) { entries += len(en.Members()) })
+		group.Sleep(ctx, time.Duration(entries)*writeGather)
+		var batch []dispatch.JobWrite
+		wr.dm.locked(func(*dispatch.Entry) {
+			count := min(len(wr.queue), writesAtOnce)
+			batch, wr.queue = wr.queue[:count:count], wr.queue[count:]
+			wr.busy = count > 0
+		})
+		if len(batch) == 0 {
+			return
+		}
+		wr.commit(ctx, batch)
+	}
+}
+
+// commit writes a batch. When the check of one row fails the others are tried
+// again without it.
+func (wr *jobWriter) commit(ctx context.Context, batch []dispatch.JobWrite) {
+	for len(batch) > 0 && ctx.Err() == nil {
+		tx := Transaction{Part: wr.part}
+		for _, write := range batch {
+			tx.add(wr.dm, write)
+		}
+		wr.dm.cnt.Add("store", "job-commits", 1)
+		rep, err := wr.dm.store.Commit(ctx, tx)
+		if err != nil || rep.OK {
+			wr.reply(batch, func(dispatch.JobWrite) dispatch.JobWriteReply { return jobReply(rep, err) })
+			return
+		}
+		var failed, rest []dispatch.JobWrite
+		present := map[string]Row{}
+		for _, ro := range rep.Present {
+			present[ro.Key] = ro
+		}
+		for _, write := range batch {
+			if present[string(write.Record.ID)].Version == write.Expected {
+				rest = append(rest, write)
+			} else {
+				failed = append(failed, write)
+			}
+		}
+		if len(failed) == 0 {
+			// The rows changed between the check and the answer.
+			failed, rest = batch, nil
+		}
+		wr.reply(failed, func(write dispatch.JobWrite) dispatch.JobWriteReply {
+			return wr.dm.conflict(present[string(write.Record.ID)])
+		})
+		batch = rest
+	}
+}
+
+func jobReply(rep TransactionReply, err error) dispatch.JobWriteReply {
+	if err != nil {
+		return dispatch.JobWriteReply{Reason: err.Error(), Nothing: errors.Is(err, ErrNothingDone)}
+	}
+	return dispatch.JobWriteReply{OK: true, Version: rep.Version}
+}
+
+// conflict describes the row that a write has met.
+func (dm *Daemon) conflict(ro Row) dispatch.JobWriteReply {
+	rep := dispatch.JobWriteReply{Conflict: true, Reason: "conflict"}
+	if ro.Version == 0 || ro.Deleted {
+		return rep
+	}
+	rec, err := decodeRecord(ro)
+	if err != nil {
+		dm.log.Line("job-row-unreadable", "job", ro.Key, "error", err.Error())
+		return rep
+	}
+	rep.Present = &rec
+	return rep
+}
+
+func (wr *jobWriter) reply(batch []dispatch.JobWrite, make func(dispatch.JobWrite) dispatch.JobWriteReply) {
+	wr.dm.locked(func(en *dispatch.Entry) {
+		for _, write := range batch {
+			en.JobStored(write, make(write))
+		}
+	})
+}
+
+// add puts the change of one job into a transaction.
+func (tx *Transaction) add(dm *Daemon, write dispatch.JobWrite) {
+	key := string(write.Record.ID)
+	tx.Checks = append(tx.Checks, Check{Table: TableJobs, Key: key, Version: write.Expected})
+	if write.Remove {
+		tx.Removes = append(tx.Removes, Remove{Table: TableJobs, Key: key}, Remove{Table: TableBodies, Key: key})
+		return
+	}
+	raw, err := encodeRecord(write.Record)
+	if err != nil {
+		dm.log.Line("job-unwritable", "job", key, "error", err.Error())
+		return
+	}
+	tx.Puts = append(tx.Puts, Put{Table: TableJobs, Key: key, Value: raw})
+	if write.Body == nil {
+		return
+	}
+	if raw, err = json.Marshal(write.Body); err != nil {
+		dm.log.Line("job-unwritable", "job", key, "error", err.Error())
+		return
+	}
+	tx.Puts = append(tx.Puts, Put{Table: TableBodies, Key: key, Value: raw})
+}
+
+// LoadJob reads a job's row and its body.
+func (ef *effects) LoadJob(id ids.JobID) {
+	ef.dm.grp.Go(func(ctx context.Context) {
+		ld := ef.dm.loadJob(ctx, id)
+		ef.dm.locked(func(en *dispatch.Entry) { en.JobLoaded(id, ld) })
+	})
+}
+
+func (dm *Daemon) loadJob(ctx context.Context, id ids.JobID) dispatch.JobLoad {
+	ctx, cancel := context.WithTimeout(ctx, jobLoadTimeout)
+	defer cancel()
+	dm.cnt.Add("store", "job-reads", 1)
+	rows, _, err := dm.store.Read(ctx, TableJobs, partOf(id), string(id))
+	if err != nil {
+		return dispatch.JobLoad{Failed: true, Reason: err.Error()}
+	}
+	if len(rows) == 0 {
+		return dispatch.JobLoad{}
+	}
+	rec, err := decodeRecord(rows[0])
+	if err != nil {
+		return dispatch.JobLoad{Failed: true, Reason: err.Error()}
+	}
+	ld := dispatch.JobLoad{Record: &rec}
+	if rec.State != dispatch.JobAccepted {
+		return ld
+	}
+	bodies, _, err := dm.store.Read(ctx, TableBodies, partOf(id), string(id))
+	if err != nil || len(bodies) == 0 {
+		return ld
+	}
+	var job dispatch.Job
+	if err := json.Unmarshal(bodies[0].Value, &job); err != nil {
+		dm.log.Line("job-body-unreadable", "job", string(id), "error", err.Error())
+		return ld
+	}
+	ld.Body = &job
+	return ld
+}
+
+// followJobs follows the states of stored jobs.
+func (dm *Daemon) followJobs(ctx context.Context) {
+	dm.follow(ctx, table{
+		name: TableJobs, parts: allParts(), wait: jobsWait, pause: jobsPause,
+		put: func(en *dispatch.Entry, ro Row) {
+			rec, err := decodeRecord(ro)
+			if err != nil {
+				dm.log.Line("job-row-unreadable", "job", ro.Key, "error", err.Error())
+				return
+			}
+			en.PutRecord(rec)
+		},
+		drop: func(en *dispatch.Entry, key string, version dispatch.Version) {
+			en.DropRecord(ids.JobID(key), version)
+		},
+	})
+}
