dispatch: start a lost task of a stored job only when its end can't be listed

The owner now asks all living entries for ends that are not stored, waits until all workers have holders that have read their lists, and both directions of a session end together.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -24,18 +24,26 @@
 	rows    map[ids.WorkerID]HolderRow
 	version Version
 	storeUp bool
-	cut     map[[2]string]bool // severed pairs of entries or of entry and worker
-	jobs    map[ids.JobID]*emuJob
-	running map[TaskID]int // runs of a task at this moment
-	faults  []string
-	desired Desired
-	done    map[OutcomeKind]int
-	inTime  map[string]int
-	asked   map[string]int
-	lastJob int
+	// lostShare of the answers to writes of jobs are lost.
+	lostShare float64
+	cut       map[[2]string]bool // severed pairs of entries or of entry and worker
+	jobs      map[ids.JobID]*emuJob
+	running   map[TaskID]int // runs of a task at this moment
+	faults    []string
+	desired   Desired
+	done      map[OutcomeKind]int
+	inTime    map[string]int
+	asked     map[string]int
+	lastJob   int
+	// stored jobs
+	records   map[ids.JobID]JobRecord
+	bodies    map[ids.JobID]Job
+	noted     map[TaskID]bool      // tasks whose end done was acknowledged
+	lastStart map[TaskID]time.Time // of the latest run
 }
 
 type emuJob struct {
+	stored  bool
 	queue   string
 	arrived time.Time
 	work    time.Duration // true longest work on a worker of speed 1
@@ -84,6 +92,11 @@
 		done:    map[OutcomeKind]int{},
 		inTime:  map[string]int{},
 		asked:   map[string]int{},
+
+		records:   map[ids.JobID]JobRecord{},
+		bodies:    map[ids.JobID]Job{},
+		noted:     map[TaskID]bool{},
+		lastStart: map[TaskID]time.Time{},
 	}
 }
 
@@ -118,6 +131,7 @@
 	wo     *world
 	id     ids.EntryID
 	zone   ids.AvailabilityZone
+	size   float64
 	en     *Entry
 	alive  bool
 	frozen bool
@@ -126,6 +140,7 @@
 	beat   int64
 	number uint64
 	log    func(event string, fields ...any)
+	seen   Version  // of the rows of jobs
 	held   []func() // what arrives while the process is frozen
 }
 
@@ -139,7 +154,8 @@
 func (ee *emuEntry) start(size float64) {
 	wo := ee.wo
 	ee.gen++
-	ee.alive = true
+	ee.size = size
+	ee.alive, ee.seen = true, 0
 	ee.inc = ids.Incarnation(fmt.Sprintf("%s/%d", ee.id, ee.gen))
 	ee.en = New(Self{Incarnation: ee.inc, Zone: ee.zone, Size: size}, &emuEffects{ee: ee, en: nil}, func() time.Time { return wo.at })
 	ee.en.eff = &emuEffects{ee: ee, en: ee.en}
@@ -164,6 +180,8 @@
 		}
 		if !ee.frozen && wo.storeUp {
 			ee.beat++
+			ee.en.Wake()
+			ee.en.Beaten(wo.at)
 		}
 		wo.after(BeatInterval, beat)
 	}
@@ -200,7 +218,7 @@
 	}
 	for _, other := range wo.sortedEntries() {
 		if other.id != ee.id && other.gen > 0 {
-			ee.en.PutMember(Member{Self: Self{Incarnation: other.inc, Zone: other.zone, Size: 1}, Beat: other.beat, Leaving: other.en.leaving})
+			ee.en.PutMember(Member{Self: Self{Incarnation: other.inc, Zone: other.zone, Size: other.size}, Beat: other.beat, Leaving: other.en.leaving})
 		}
 	}
 	for _, wk := range wo.sortedWorkers() {
@@ -212,6 +230,13 @@
 			ee.en.DropWorker(wk.info.ID)
 		}
 	}
+	for _, id := range sortedKeys(wo.records) {
+		if rec := wo.records[id]; rec.Version > ee.seen {
+			ee.en.PutRecord(rec)
+		}
+	}
+	ee.seen = wo.version
+	ee.en.RecordsRead()
 	for _, wk := range wo.sortedWorkers() {
 		if row, ok := wo.rows[wk.info.ID]; ok {
 			ee.en.PutRow(row)
@@ -247,6 +272,14 @@
 		}
 		reach := other.alive && !other.frozen && !wo.isCut(string(ee.id), string(other.id))
 		se := ee.en.session(other.id)
+		if number := se.inbound; !reach && number != 0 {
+			gen := ee.gen
+			wo.after(900*time.Millisecond, func() {
+				if ee.gen == gen && ee.alive {
+					ee.deliver(func() { ee.en.InboundDown(other.id, number, "silent") })
+				}
+			})
+		}
 		switch {
 		case reach && !se.up:
 			ee.number++
@@ -438,8 +471,65 @@
 	return CommitReply{OK: true, Version: wo.version}
 }
 
-func (ef *emuEffects) StoreJob(JobWrite) {}
-func (ef *emuEffects) LoadJob(ids.JobID) {}
+// StoreJob changes the row of a job.
+func (ef *emuEffects) StoreJob(write JobWrite) {
+	wo := ef.ee.wo
+	if !wo.storeUp {
+		ef.back(900*time.Millisecond, func(en *Entry) { en.JobStored(write, JobWriteReply{Reason: "down"}) })
+		return
+	}
+	wo.after(emuStore, func() {
+		rep := wo.storeJob(write)
+		if wo.rnd.Float64() < wo.lostShare {
+			ef.back(900*time.Millisecond, func(en *Entry) { en.JobStored(write, JobWriteReply{Reason: "lost"}) })
+			return
+		}
+		ef.back(emuStore, func(en *Entry) { en.JobStored(write, rep) })
+	})
+}
+
+func (wo *world) storeJob(write JobWrite) JobWriteReply {
+	id := write.Record.ID
+	present, ok := wo.records[id]
+	if present.Version != write.Expected {
+		rep := JobWriteReply{Conflict: true}
+		if ok {
+			rep.Present = &present
+		}
+		return rep
+	}
+	wo.version++
+	if write.Remove {
+		delete(wo.records, id)
+		delete(wo.bodies, id)
+		return JobWriteReply{OK: true, Version: wo.version}
+	}
+	rec := write.Record
+	rec.Version = wo.version
+	wo.records[id] = rec
+	if write.Body != nil {
+		wo.bodies[id] = *write.Body
+	}
+	return JobWriteReply{OK: true, Version: wo.version}
+}
+
+// LoadJob reads a job.
+func (ef *emuEffects) LoadJob(id ids.JobID) {
+	wo := ef.ee.wo
+	if !wo.storeUp {
+		ef.back(700*time.Millisecond, func(en *Entry) { en.JobLoaded(id, JobLoad{Failed: true}) })
+		return
+	}
+	ef.back(emuStore, func(en *Entry) {
+		ld := JobLoad{}
+		if rec, ok := wo.records[id]; ok {
+			body := wo.bodies[id]
+			ld.Record, ld.Body = &rec, &body
+		}
+		en.JobLoaded(id, ld)
+	})
+}
+
 func (ef *emuEffects) Log(event string, fields ...any) {
 	if ef.ee.log != nil {
 		ef.ee.log(event, fields...)
@@ -461,6 +551,7 @@
 	latest    map[TaskID]Run // highest run that was stopped or ended
 	ends      []EndedRun
 	number    int64
+	endedAt   map[int64]time.Time
 	lease     WorkerTime
 	waiting   func()
 	fails     bool    // fails all that it starts
@@ -478,7 +569,8 @@
 	id := ids.WorkerID(fmt.Sprintf("w-%03d", num))
 	wk := &emuWorker{
 		wo: wo, speed: speed, up: true, runs: map[TaskRef]*emuRun{}, latest: map[TaskID]Run{},
-		offset: time.Duration(num) * time.Minute,
+		endedAt: map[int64]time.Time{},
+		offset:  time.Duration(num) * time.Minute,
 		info: WorkerInfo{
 			ID: id, Service: "fitdesk", Address: string(id), Zone: zone, State: WorkerReady, Born: 1,
 			Room: Resources{CPU: cpu, Memory: 65536},
@@ -527,6 +619,10 @@
 	if wo.running[order.Ref.Task]++; wo.running[order.Ref.Task] > 1 {
 		wo.fault("task %s runs twice at a time, on %s too", order.Ref.Task, wk.info.ID)
 	}
+	if jb.stored && wo.noted[order.Ref.Task] {
+		wo.fault("task %v starts although its end done was noted", order.Ref)
+	}
+	wo.lastStart[order.Ref.Task] = wo.at
 	run := &emuRun{ref: order.Ref, need: emuNeed(order.Payload)}
 	wk.runs[order.Ref] = run
 	used := Resources{}
@@ -594,6 +690,7 @@
 		return
 	}
 	wk.number++
+	wk.endedAt[wk.number] = wk.wo.at
 	wk.ends = append(wk.ends, EndedRun{Number: wk.number, Ref: run.ref, How: how})
 	if wk.waiting != nil {
 		fn := wk.waiting
@@ -626,15 +723,23 @@
 	for _, er := range wk.ends {
 		if er.Number > order.Acked {
 			kept = append(kept, er)
+			continue
+		}
+		if er.How == EndDone {
+			wk.wo.note(wk, er)
 		}
 	}
 	wk.ends = kept
-	answered := false
+	answered, born := false, wk.info.Born
 	answer := func() {
-		if answered || !wk.up {
+		if answered {
 			return
 		}
 		answered = true
+		if !wk.up || wk.info.Born != born {
+			reply(HoldReply{Failed: true, Reason: "no answer"})
+			return
+		}
 		rep := HoldReply{Clock: wk.clock(), Born: wk.info.Born, Ended: append([]EndedRun(nil), wk.ends...)}
 		for _, run := range wk.sortedRuns() {
 			rep.Running = append(rep.Running, run.ref)
@@ -649,6 +754,18 @@
 	wk.wo.after(order.Wait, answer)
 }
 
+// note records that an end done was acknowledged.
+func (wo *world) note(wk *emuWorker, er EndedRun) {
+	jid, _, _, _ := splitTask(er.Ref.Task)
+	if !wo.jobs[jid].stored {
+		return
+	}
+	if wo.lastStart[er.Ref.Task].After(wk.endedAt[er.Number]) {
+		wo.fault("task %v was started again after its end done on %s, which is noted now", er.Ref, wk.info.ID)
+	}
+	wo.noted[er.Ref.Task] = true
+}
+
 // crash ends a worker; with restart it comes back empty after that time.
 func (wk *emuWorker) crash(restart time.Duration) {
 	wk.up, wk.downAt = false, wk.wo.at
@@ -674,6 +791,8 @@
 	width int
 	work  time.Duration
 	steps int // in a chain, 0 for one
+
+	stored bool
 }
 
 // submit sends one job to an entry.
@@ -706,10 +825,17 @@
 	}
 	wo.jobs[id] = jb
 	wo.asked[kd.queue]++
+	jb.stored = kd.stored
+	job.Stored = kd.stored
 	ee.en.Submit(Submission{
-		Job: job, Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(4 * time.Second),
+		Stored: kd.stored, Job: job, Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(4 * time.Second),
 		Done: func(out Outcome) {
 			wo.done[out.Kind]++
+			if out.Kind == Accepted {
+				if _, ok := wo.records[id]; !ok {
+					wo.fault("job %s is accepted and not stored", id)
+				}
+			}
 			objective := time.Duration(float64(jb.work)*jb.stretch) + jb.slack
 			if out.Kind == Completed && wo.at.Sub(jb.arrived) <= objective {
 				wo.inTime[jb.queue]++
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -85,18 +85,20 @@
 	sessions map[ids.EntryID]*session
 
 	// as owner
-	jobs      map[ids.JobID]*job
-	groups    map[GroupID]*group
-	lastGroup GroupID
-	learned   map[string]*estimator
-	records   map[ids.JobID]*record
-	lookups   map[ids.JobID][]func(failed bool)
-	cancels   map[ids.JobID][]func(out Outcome)
-	beaten    time.Time // when the last beat that is stored was sent
-	fenced    bool      // stored jobs may be taken over by other entries
-	claimTick time.Time
-	started   time.Time
-	leftAt    time.Time
+	jobs        map[ids.JobID]*job
+	groups      map[GroupID]*group
+	lastGroup   GroupID
+	learned     map[string]*estimator
+	records     map[ids.JobID]*record
+	recordsRead bool
+	settledAt   time.Time // since when all workers have living holders
+	lookups     map[ids.JobID][]func(failed bool)
+	cancels     map[ids.JobID][]func(out Outcome)
+	beaten      time.Time // when the last beat that is stored was sent
+	fenced      bool      // stored jobs may be taken over by other entries
+	claimTick   time.Time
+	started     time.Time
+	leftAt      time.Time
 
 	// as holder
 	workers   map[ids.WorkerID]*worker
@@ -230,8 +232,9 @@
 	se := en.session(id)
 	se.up, se.refused, se.incarnation, se.upSince = true, false, inc, en.now()
 	en.eff.Log("session-up", "entry", string(id), "incarnation", string(inc))
-	en.offerWants(id)
-	en.askAgain(id)
+	if se.inbound != 0 {
+		en.offerWants(id)
+	}
 }
 
 // SessionDown tells that messages can no longer be sent to an entry. What was
@@ -246,6 +249,10 @@
 	en.eff.Count("peer", "session-down", 1)
 	en.loseHolder(id)
 	en.endAdoptions(id)
+	if se.inbound != 0 {
+		// Answers to that entry would not arrive.
+		en.InboundDown(id, se.inbound, "session down")
+	}
 }
 
 // Refused tells that an entry's VM refused a connection: no process listens.
@@ -259,8 +266,14 @@
 	se := en.session(id)
 	if se.inbound != 0 && se.inbound != number {
 		en.dropOwner(id, "new session")
+		if se.up {
+			en.loseHolder(id)
+		}
 	}
 	se.inbound = number
+	if se.up {
+		en.offerWants(id)
+	}
 }
 
 // InboundDown tells that a session of an entry towards this one has ended: its
@@ -272,6 +285,11 @@
 	}
 	se.inbound = 0
 	en.dropOwner(id, why)
+	if se.up {
+		// What that entry has to tell does not arrive.
+		en.loseHolder(id)
+		en.endAdoptions(id)
+	}
 }
 
 // InboundIs tells whether a session is the present one of an entry towards
@@ -335,11 +353,15 @@
 	en.eff.Send(to, msg)
 }
 
-// reachable lists the entries that messages can be sent to, this one included.
+// mutual tells whether messages go in both directions.
+func (se *session) mutual() bool { return se.up && se.inbound != 0 }
+
+// reachable lists the entries that messages can be exchanged with, this one
+// included.
 func (en *Entry) reachable() []ids.EntryID {
 	list := []ids.EntryID{en.id}
 	for _, id := range sortedKeys(en.sessions) {
-		if en.sessions[id].up {
+		if en.sessions[id].mutual() {
 			list = append(list, id)
 		}
 	}
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -455,10 +455,15 @@
 			continue
 		}
 		wk.acked = er.Number
-		if sl := wk.slots[er.Ref]; sl != nil && sl.state != slotGranted {
-			if sl.shape.Stored && (er.How == EndDone || er.How == EndFailed) {
-				en.keepEnd(wk, er)
+		sl := wk.slots[er.Ref]
+		stored := (sl != nil && sl.shape.Stored) || en.storedHere(er.Ref)
+		if stored && (er.How == EndDone || er.How == EndFailed) {
+			en.keepEnd(wk, er)
+			if sl == nil || sl.owner == "" {
+				en.tellEnd(wk, er)
 			}
+		}
+		if sl != nil && sl.state != slotGranted {
 			en.endSlot(wk, sl, er.How, er.Checkpoint, en.now().Sub(sl.began))
 		}
 	}
@@ -688,7 +693,9 @@
 	}
 	if !wk.failing.IsZero() && now.After(wk.leaseEnd) {
 		for _, sl := range wk.list() {
-			if sl.state != slotGranted {
+			// A stored job's task may have ended done; the worker tells when it is
+			// back, and its row goes when it is not.
+			if sl.state != slotGranted && !sl.shape.Stored {
 				en.endSlot(wk, sl, EndLost, "", 0)
 			}
 		}
@@ -739,7 +746,7 @@
 		}
 	}
 	for _, se := range en.sessions {
-		if !se.up || se.load.Leaving {
+		if !se.mutual() || se.load.Leaving {
 			continue
 		}
 		if count, best := countFree(se.load.Free, sh); count > 0 && best >= fastSpeed {
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -185,8 +185,9 @@
 		return false
 	}
 	se := en.session(id)
-	if se.up && se.incarnation == inc {
-		return true
+	if se.up {
+		// Another incarnation that answers proves that this one has ended.
+		return se.incarnation == inc
 	}
 	limit := beatSilence
 	if se.refused {
@@ -296,6 +297,7 @@
 
 func (en *Entry) tickMember(now time.Time) {
 	en.forgetWorkers(now)
+	en.noteSettled(now)
 	if en.committing || now.Before(en.commitAt) || now.Sub(en.storeLost) < commitPause {
 		return
 	}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -66,7 +66,6 @@
 	placedAt   time.Time
 	lostUntil  time.Time // when a lost task surely runs no more
 	notBefore  time.Time // when runs of a former owner have surely ended
-	asked      bool      // the holder has told how its runs of this task ended
 	checkpoint string
 }
 
@@ -92,6 +91,10 @@
 	stored    *storedJob
 	suspended bool // nothing is placed
 	claimed   bool // taken over from another owner
+	// heard holds the entries that have told which runs of the job have ended
+	// at their workers, since a task was last lost.
+	heard map[ids.EntryID]bool
+	askAt time.Time
 }
 
 // The limits on jobs at their owner.
@@ -208,7 +211,12 @@
 		}
 		if en.ready(jb, num) {
 			for _, ta := range gr.tasks {
-				if ta.state == taskBlocked {
+				switch {
+				case ta.state != taskBlocked:
+				case jb.claimed:
+					// A former owner may have started it.
+					ta.state, ta.lostUntil = taskLost, ta.notBefore
+				default:
 					ta.state = taskQueued
 				}
 			}
@@ -330,7 +338,7 @@
 		list = append(list, room{holder: en.id, count: count, speed: best, near: true})
 	}
 	for id, se := range en.sessions {
-		if !se.up || se.load.Leaving {
+		if !se.mutual() || se.load.Leaving {
 			continue
 		}
 		if count, best := countFree(se.load.Free, sh); count > 0 {
@@ -592,7 +600,8 @@
 
 func (en *Entry) lose(gr *group, ta *task, until time.Time) {
 	gr.job.begun = true
-	ta.state, ta.lostUntil, ta.asked = taskLost, until, false
+	gr.job.heard = nil
+	ta.state, ta.lostUntil = taskLost, until
 }
 
 // onReleased expects another holder of a worker to report the tasks there.
@@ -611,9 +620,11 @@
 func (en *Entry) onAdopt(from ids.EntryID, ms Adopt) {
 	reply := Adopted{Worker: ms.Worker}
 	now := en.now()
+	reached := from == en.id || en.session(from).mutual()
 	for _, ref := range ms.Running {
 		gr, ta := en.find(ref)
-		if ta == nil || gr.job.suspended {
+		// A claim that does not reach the holder would leave the task to be stopped.
+		if ta == nil || gr.job.suspended || !reached {
 			continue
 		}
 		ta.state, ta.holder, ta.worker = taskRunning, from, ms.Worker
@@ -621,7 +632,11 @@
 		reply.Keep = append(reply.Keep, Kept{Ref: ref, Group: gr.id, Job: gr.job.Job.ID, Shape: gr.current(now)})
 	}
 	for _, ed := range ms.Ended {
-		en.onEnded(from, ed)
+		if _, ta := en.find(ed.Ref); ta != nil {
+			en.onEnded(from, ed)
+		} else {
+			en.pastEnd(from, ed)
+		}
 	}
 	en.send(from, reply)
 }
@@ -763,7 +778,7 @@
 func (en *Entry) recoverLost(jb *job, now time.Time) {
 	for _, gr := range jb.groups {
 		for _, ta := range gr.tasks {
-			if ta.state == taskLost && now.After(ta.lostUntil) && !jb.suspended && !en.mayHaveEnded(jb, ta, now) {
+			if ta.state == taskLost && now.After(ta.lostUntil) && !jb.suspended && !en.mayHaveEnded(jb, now) {
 				en.eff.Count("retry", "holder-lost", 1)
 				en.eff.Log("task-again", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
 					"worker", string(ta.worker), "holder", string(ta.holder), "reason", "holder-lost")
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -200,7 +200,10 @@
 	case rep.Conflict && rep.Present != nil && en.mine(st, rep.Present):
 		// An earlier write took effect although its answer was lost.
 		st.rec.Version = rep.Present.Version
-		st.accepted = true
+		if !st.accepted {
+			en.stored(jb, *rep.Present)
+			return
+		}
 		en.again(jb)
 	case rep.Conflict:
 		en.lostJob(jb, rep.Present)
@@ -525,6 +528,7 @@
 		} else if jb.suspended {
 			en.resume(jb)
 		}
+		en.askAround(jb, now)
 		st := jb.stored
 		due := st.dirty && (now.Sub(st.dirtyAt) >= progressInterval || st.rec.State.over())
 		if due && !now.Before(st.retryAt) {
@@ -620,12 +624,15 @@
 		return true
 	}
 	se := en.session(inc.Entry())
+	if se.up && se.incarnation != inc {
+		return true
+	}
 	return !se.up && now.Sub(mb.beatAt) > ownerSilence && now.Sub(en.storeLost) > ownerSilence
 }
 
 // claimJobs takes over jobs whose owners are gone.
 func (en *Entry) claimJobs(now time.Time) {
-	if en.leaving || en.fenced {
+	if en.leaving || en.fenced || !en.recordsRead {
 		return
 	}
 	list := en.candidates(now)
@@ -696,27 +703,7 @@
 		}
 	}
 	en.write(jb)
-	for _, id := range en.reachable() {
-		en.askEnds(id, []ids.JobID{re.ID})
-	}
-	en.advanceClaimed(jb)
-}
-
-// advanceClaimed starts the steps of a claimed job once its tasks may start.
-func (en *Entry) advanceClaimed(jb *job) {
-	for num, gr := range jb.groups {
-		if !en.ready(jb, num) {
-			continue
-		}
-		for _, ta := range gr.tasks {
-			if ta.state == taskBlocked {
-				ta.state, ta.lostUntil = taskLost, ta.notBefore
-			}
-		}
-	}
-	if jb.allDone() {
-		en.settle(jb, JobCompleted)
-	}
+	en.advance(jb)
 }
 
 // queue finds a queue of the desired state by its name.
@@ -743,6 +730,16 @@
 	Ends []Ended
 }
 
+// runsAny tells whether a slot of one of the jobs is left on the worker.
+func (wk *worker) runsAny(jobs []ids.JobID) bool {
+	for ref, sl := range wk.slots {
+		if jid, _, _, ok := splitTask(ref.Task); ok && sl.state != slotGranted && slices.Contains(jobs, jid) {
+			return true
+		}
+	}
+	return false
+}
+
 // askEnds asks an entry for the ends of stored jobs' tasks that it may know.
 func (en *Entry) askEnds(to ids.EntryID, jobs []ids.JobID) {
 	if len(jobs) > 0 {
@@ -750,22 +747,26 @@
 	}
 }
 
-// askAgain asks an entry that is reachable again for the ends of the tasks
-// that were lost with its session.
-func (en *Entry) askAgain(id ids.EntryID) {
-	var list []ids.JobID
-	for _, jid := range sortedKeys(en.jobs) {
-		if jb := en.jobs[jid]; jb.stored != nil && (jb.claimed || jb.lostAt(id)) {
-			list = append(list, jid)
+// askInterval separates two questions about the ends of a job's tasks.
+const askInterval = 200 * time.Millisecond
+
+// askAround asks the entries that have not told yet how runs of a job ended.
+func (en *Entry) askAround(jb *job, now time.Time) {
+	if !jb.anyLost() || !en.settled(now) || now.Sub(jb.askAt) < askInterval {
+		return
+	}
+	jb.askAt = now
+	for _, id := range en.reachable() {
+		if !jb.heard[id] {
+			en.askEnds(id, []ids.JobID{jb.Job.ID})
 		}
 	}
-	en.askEnds(id, list)
 }
 
-func (jb *job) lostAt(id ids.EntryID) bool {
+func (jb *job) anyLost() bool {
 	for _, gr := range jb.groups {
 		for _, ta := range gr.tasks {
-			if ta.state == taskLost && ta.holder == id {
+			if ta.state == taskLost {
 				return true
 			}
 		}
@@ -778,6 +779,10 @@
 	reply := PastEnds{Jobs: ms.Jobs}
 	for _, id := range sortedKeys(en.workers) {
 		wk := en.workers[id]
+		if wk.phase != phaseOpen || wk.runsAny(ms.Jobs) {
+			// More ends may come; the owner asks again.
+			return
+		}
 		for _, number := range sortedKeys(wk.unnoted) {
 			un := wk.unnoted[number]
 			if jid, _, _, ok := splitTask(un.ref.Task); ok && slices.Contains(ms.Jobs, jid) {
@@ -792,51 +797,94 @@
 // a former owner has started.
 func (en *Entry) onPastEnds(from ids.EntryID, ms PastEnds) {
 	for _, ed := range ms.Ends {
-		jid, step, idx, ok := splitTask(ed.Ref.Task)
+		en.pastEnd(from, ed)
+	}
+	for _, jid := range ms.Jobs {
 		jb := en.jobs[jid]
-		if !ok || jb == nil || jb.stored == nil || step >= len(jb.groups) || idx >= len(jb.groups[step].tasks) {
+		if jb == nil || jb.stored == nil {
 			continue
 		}
-		ta := jb.groups[step].tasks[idx]
-		if ta.state == taskDone || ta.run > ed.Ref.Run && !jb.claimed {
-			jb.stored.unsaved = append(jb.stored.unsaved, unsavedEnd{holder: from, ref: ed.Ref})
-			if !jb.stored.dirty {
-				jb.stored.dirty, jb.stored.dirtyAt = true, en.now()
-			}
-			continue
+		if jb.heard == nil {
+			jb.heard = map[ids.EntryID]bool{}
 		}
-		ta.run = max(ta.run, ed.Ref.Run)
-		past := ed
-		past.Ref.Run = ta.run
-		if ed.How == EndDone || ta.state == taskLost {
-			jb.stored.unsaved = append(jb.stored.unsaved, unsavedEnd{holder: from, ref: ed.Ref})
-			en.onEnded(from, past)
+		jb.heard[from] = true
+	}
+}
+
+// pastEnd takes one end that may belong to an earlier run than the latest.
+func (en *Entry) pastEnd(from ids.EntryID, ed Ended) {
+	jid, step, idx, ok := splitTask(ed.Ref.Task)
+	jb := en.jobs[jid]
+	if !ok || jb == nil || jb.stored == nil || step >= len(jb.groups) || idx >= len(jb.groups[step].tasks) {
+		return
+	}
+	ta := jb.groups[step].tasks[idx]
+	st := jb.stored
+	st.unsaved = append(st.unsaved, unsavedEnd{holder: from, ref: ed.Ref})
+	if !st.dirty {
+		st.dirty, st.dirtyAt = true, en.now()
+	}
+	if ta.state == taskDone || ta.state == taskFailed || (ed.How != EndDone && ta.state != taskLost) {
+		return
+	}
+	if ta.state != taskLost && ta.state != taskQueued {
+		// A later run is on its way: the first end counts, the later run is stopped.
+		en.send(ta.holder, Stop{Refs: []TaskRef{{Task: ta.id, Run: ta.run}}})
+	}
+	ta.state = taskLost
+	ed.Ref.Run = ta.run
+	en.onEnded(from, ed)
+}
+
+// mayHaveEnded tells whether a lost task of a stored job may have ended, or may
+// still run, at an entry that has not told. It is not started again meanwhile:
+// its end may be noted there at any moment.
+func (en *Entry) mayHaveEnded(jb *job, now time.Time) bool {
+	if jb.stored == nil {
+		return false
+	}
+	if !en.settled(now) || !jb.heard[en.id] {
+		return true
+	}
+	for id, mb := range en.members {
+		if !jb.heard[id] && en.alive(mb.Incarnation, now) {
+			return true
 		}
 	}
-	for _, jid := range ms.Jobs {
-		jb := en.jobs[jid]
-		if jb == nil {
+	return false
+}
+
+// settled tells whether all workers have living holders that have read what the
+// workers list.
+func (en *Entry) settled(now time.Time) bool {
+	return !en.settledAt.IsZero() && now.Sub(en.settledAt) >= settledTime
+}
+
+// noteSettled notes since when all workers have living holders.
+func (en *Entry) noteSettled(now time.Time) {
+	for id, kw := range en.known {
+		row, ok := en.rows[id]
+		if !kw.removed.IsZero() || (ok && en.alive(row.Holder, now)) {
 			continue
 		}
-		for _, gr := range jb.groups {
-			for _, ta := range gr.tasks {
-				if ta.holder == from {
-					ta.asked = true
-				}
-			}
-		}
+		en.settledAt = time.Time{}
+		return
+	}
+	if en.settledAt.IsZero() {
+		en.settledAt = now
 	}
 }
 
-// mayHaveEnded tells whether a lost task of a stored job may have ended at a
-// holder that lives but can't be asked. It is not started again meanwhile: its
-// end may be noted there at any moment.
-func (en *Entry) mayHaveEnded(jb *job, ta *task, now time.Time) bool {
-	if jb.stored == nil || ta.asked || ta.holder == "" || ta.holder == en.id {
-		return false
+// settledTime covers the time from the claim of a worker until its new holder
+// has told the owners what the worker lists.
+const settledTime = 700 * time.Millisecond
+
+// tellEnd tells the owner of a stored job of an end that no slot stands for.
+func (en *Entry) tellEnd(wk *worker, er EndedRun) {
+	jid, _, _, ok := splitTask(er.Ref.Task)
+	if re := en.records[jid]; ok && re != nil && re.Owner != "" {
+		en.send(re.Owner.Entry(), PastEnds{Ends: []Ended{{Ref: er.Ref, Worker: wk.info.ID, How: er.How}}})
 	}
-	mb := en.members[ta.holder]
-	return mb != nil && en.alive(mb.Incarnation, now)
 }
 
 // unnotedEnd is an end that a worker must keep until it is stored.
@@ -854,10 +902,20 @@
 // storedHere tells whether a task belongs to a stored job that goes on.
 func (en *Entry) storedHere(ref TaskRef) bool {
 	jid, _, _, ok := splitTask(ref.Task)
+	if !ok {
+		return false
+	}
+	if !en.recordsRead {
+		// Which jobs are stored is not known yet.
+		return true
+	}
 	re := en.records[jid]
-	return ok && re != nil && !re.State.over()
+	return re != nil && !re.State.over()
 }
 
+// RecordsRead tells that all rows of stored jobs have been taken once.
+func (en *Entry) RecordsRead() { en.recordsRead = true }
+
 // pruneUnnoted lets the worker forget ends of jobs that are over.
 func (en *Entry) pruneUnnoted(wk *worker, now time.Time) {
 	for number, un := range wk.unnoted {
--- /dev/null
+++ b/internal/dispatch/stored_test.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// storedKinds are the users' kinds of job, stored and in two steps.
+func storedKinds() []kind {
+	var list []kind
+	for _, kd := range standardKinds {
+		kd.stored, kd.steps = true, 2
+		list = append(list, kd)
+	}
+	return list
+}
+
+// checkStored reports stored jobs that have not ended.
+func (wo *world) checkStored(t *testing.T) {
+	t.Helper()
+	open := 0
+	for _, id := range sortedKeys(wo.records) {
+		rec := wo.records[id]
+		if !rec.State.over() {
+			if open++; open <= 3 {
+				t.Errorf("job %s has not ended: owner %s, epoch %d, done %v", id, rec.Owner, rec.Epoch, rec.Done)
+			}
+		}
+	}
+	if open > 0 {
+		t.Errorf("%d of %d stored jobs have not ended", open, len(wo.records))
+	}
+}
+
+// TestStoredJobs guards the promises on stored jobs: none is lost, no task runs
+// twice at a time, and none is started again once its end is noted.
+func TestStoredJobs(t *testing.T) {
+	rows := []struct {
+		name  string
+		fault func(wo *world)
+	}{
+		{"calm", func(*world) {}},
+		{"answers of the store are lost", func(wo *world) { wo.lostShare = 0.3 }},
+		{"owner killed", func(wo *world) { wo.entries["entry-01"].kill() }},
+		{"owner restarts at once", func(wo *world) {
+			wo.entries["entry-01"].kill()
+			wo.after(500*time.Millisecond, func() { wo.entries["entry-01"].start(0.4) })
+		}},
+		{"all entries restart at once", func(wo *world) {
+			for _, ee := range wo.sortedEntries() {
+				ee.kill()
+				wo.after(time.Second, func() { ee.start(0.4) })
+			}
+		}},
+		{"store down, then all entries restart", func(wo *world) {
+			wo.storeUp = false
+			wo.after(2*time.Second, func() { wo.storeUp = true })
+			for _, ee := range wo.sortedEntries() {
+				wo.after(time.Second, func() {
+					ee.kill()
+					wo.after(700*time.Millisecond, func() { ee.start(0.4) })
+				})
+			}
+		}},
+		{"entry cut off from the others for long", func(wo *world) {
+			for _, other := range wo.sortedEntries() {
+				wo.setCut("entry-01", string(other.id), true)
+			}
+			wo.after(9*time.Second, func() { clear(wo.cut) })
+		}},
+		{"entries leave in turn and come back", func(wo *world) {
+			for num, ee := range wo.sortedEntries() {
+				wo.after(time.Duration(num)*2*time.Second, func() { ee.en.Leave() })
+				wo.after(time.Duration(num)*2*time.Second+1800*time.Millisecond, ee.kill)
+				wo.after(time.Duration(num)*2*time.Second+2200*time.Millisecond, func() { ee.start(0.4) })
+			}
+		}},
+	}
+	for num, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(uint64(num)+200, 7, 48)
+			wo.load(storedKinds(), 0.2, 15*time.Second)
+			wo.run(5 * time.Second)
+			row.fault(wo)
+			wo.run(35 * time.Second)
+			wo.check(t)
+			wo.checkStored(t)
+		})
+	}
+}
+
+// TestRandomFaultsStored plays random series of faults with stored jobs.
+func TestRandomFaultsStored(t *testing.T) {
+	for seed := range seeds(t) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(seed+5000, 7, 48)
+			storedSchedule(wo)
+			wo.check(t)
+			wo.checkStored(t)
+		})
+	}
+}
+
+// storedSchedule plays the load and the faults of one random schedule.
+func storedSchedule(wo *world) {
+	wo.load(storedKinds(), 0.1+0.2*wo.rnd.Float64(), 15*time.Second)
+	for range 6 {
+		wo.after(time.Duration(wo.rnd.Float64()*12)*time.Second, wo.randomFault)
+	}
+	wo.run(50 * time.Second)
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -75,6 +75,9 @@
 			rows = append(rows, missingRows(keys, rows, next)...)
 		}
 		dm.apply(tb, rows, keys)
+		if whole && tb.name == TableJobs {
+			dm.locked(func(en *dispatch.Entry) { en.RecordsRead() })
+		}
 		version = next
 		if tb.pause > 0 {
 			group.Sleep(ctx, tb.pause)
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -19,12 +19,13 @@
 	// jobParts is the number of shards of the tables of jobs. One shard takes
 	// 200 transactions a second; the store takes 600 and more in all.
 	jobParts = 8
-	// writeGather is how long a writer waits for more writes of its shard, for
+	// writeGather is the least time between two transactions of a writer, for
 	// each entry of the fleet, so that the whole fleet stays within the rate of
-	// the store however many entries there are.
+	// the store however many entries there are. Writes meanwhile go together.
 	writeGather = 2 * time.Millisecond
-	// writesAtOnce bounds the jobs of one transaction; each takes two rows.
-	writesAtOnce = 40
+	// writesAtOnce bounds the jobs of one transaction. Each takes up to three
+	// entries of the hundred that the store accepts, and 10 KB of its 1 MB.
+	writesAtOnce = 30
 	jobsWait     = time.Second
 	jobsPause    = 500 * time.Millisecond
 	// jobLoadTimeout bounds the read of one job.
@@ -81,6 +82,7 @@
 	part  Part
 	queue []dispatch.JobWrite // guarded by the lock of the daemon
 	busy  bool
+	last  time.Time // when the last transaction began
 }
 
 // StoreJob queues a change of a job's row.
@@ -101,9 +103,14 @@
 // run writes until the queue is empty.
 func (wr *jobWriter) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		entries := 1
-		wr.dm.locked(func(en *dispatch.Entry) { entries += len(en.Members()) })
-		group.Sleep(ctx, time.Duration(entries)*writeGather)
+		var pause time.Duration
+		wr.dm.locked(func(en *dispatch.Entry) {
+			pause = time.Duration(1+len(en.Members()))*writeGather - wr.dm.at.Sub(wr.last)
+			wr.last = wr.dm.at.Add(max(pause, 0))
+		})
+		if pause > 0 {
+			group.Sleep(ctx, pause)
+		}
 		var batch []dispatch.JobWrite
 		wr.dm.locked(func(*dispatch.Entry) {
 			count := min(len(wr.queue), writesAtOnce)
