--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -96,6 +96,7 @@
 	cancels     map[ids.JobID][]func(out Outcome)
 	beaten      time.Time // when the last beat that is stored was sent
 	fenced      bool      // stored jobs may be taken over by other entries
+	checkTick   time.Time
 	claimTick   time.Time
 	started     time.Time
 	leftAt      time.Time
@@ -315,6 +316,8 @@
 		en.onUnwant(from, ms)
 	case Stop:
 		en.onStop(from, ms)
+	case Check:
+		en.onCheck(from, ms)
 	case Adopted:
 		en.onAdopted(from, ms)
 	case Grant:
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -34,6 +34,7 @@
 	stopSent time.Time
 	why      End // how to report a stop that this holder has decided
 	grant    GrantID
+	stalls   int  // earlier runs that were stopped for running too long
 	foreign  bool // found on the worker and not claimed by any owner
 	checked  bool // the worker has listed the run
 }
@@ -109,6 +110,8 @@
 	// At 2.5 too many sound tasks lost their work.
 	stallFactor    = 4
 	hopelessFactor = 1.5
+	// stallsMost bounds the growth of the limit, by four for each stop.
+	stallsMost = 6
 	// stallFloor keeps short tasks from being stopped for mere noise.
 	stallFloor = 300 * time.Millisecond
 	// staleAfter is the gap between two ticks after which the age of a run says
@@ -626,6 +629,32 @@
 	en.eff.StopTask(StopOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: sl.ref})
 }
 
+// onCheck tells an owner which tasks are not here.
+func (en *Entry) onCheck(from ids.EntryID, ms Check) {
+	for _, ref := range ms.Refs {
+		if how, here := en.findRun(from, ref); !here {
+			en.eff.Log("run-unknown", "task", string(ref.Task), "run", int64(ref.Run), "owner", string(from), "how", string(how))
+			en.send(from, Ended{Ref: ref, How: how})
+		}
+	}
+}
+
+// findRun tells whether a run of an owner is here, and else how it ended.
+func (en *Entry) findRun(from ids.EntryID, ref TaskRef) (End, bool) {
+	for _, id := range sortedKeys(en.workers) {
+		wk := en.workers[id]
+		if sl := wk.slots[ref]; sl != nil && sl.owner == from {
+			return "", true
+		}
+		for _, un := range wk.unnoted {
+			if un.ref == ref {
+				return un.how, false
+			}
+		}
+	}
+	return EndLost, false
+}
+
 // onStop stops tasks for their owner, who no longer waits for them.
 func (en *Entry) onStop(from ids.EntryID, ms Stop) {
 	for _, ref := range ms.Refs {
@@ -729,7 +758,8 @@
 		return
 	}
 	wk.speed.atMost(sl.shape.Estimate, ran, now)
-	stall := max(stallFloor, time.Duration(stallFactor*float64(expected)))
+	// A task that was stopped before may be longer than anybody expects.
+	stall := max(stallFloor, time.Duration(stallFactor*float64(expected))) << (2 * min(sl.stalls, stallsMost))
 	if ran < stall || (float64(ran) < hopelessFactor*float64(stall) && !en.roomElsewhere(wk, sl.shape, now)) {
 		return
 	}
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -234,7 +234,7 @@
 	until := wk.clockNow(now) + WorkerTime(startLease)
 	wk.addSlot(&slot{
 		ref: as.TaskRef, owner: from, group: ms.Group, job: ms.Job, shape: ms.Shape, state: slotOrdered,
-		until: until, began: now,
+		until: until, began: now, stalls: as.Stalls,
 	})
 	wk.extendLease(now, startLease)
 	en.eff.StartTask(StartOrder{
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -67,9 +67,10 @@
 	en.members[id] = &member{Member: mb, beatAt: en.now()}
 }
 
-// DropMember takes the removal of an entry's row.
+// DropMember takes the removal of an entry's row. An entry removes its row when
+// it has left; any other removal proves nothing.
 func (en *Entry) DropMember(id ids.EntryID) {
-	if en.members[id] != nil {
+	if mb := en.members[id]; mb != nil && mb.Leaving {
 		en.eff.Log("member-gone", "entry", string(id))
 		delete(en.members, id)
 	}
@@ -127,6 +128,9 @@
 		return
 	}
 	en.rows[row.Worker] = row
+	if !ok || row.Version != old.Version {
+		en.forgetHeard()
+	}
 	wk := en.workers[row.Worker]
 	if row.Holder != en.self.Incarnation {
 		if wk != nil && row.Version > Version(wk.token) {
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -61,6 +61,12 @@
 	Refs []TaskRef
 }
 
+// Check asks a holder whether it has tasks; it answers with Ended for those
+// that it has not.
+type Check struct {
+	Refs []TaskRef
+}
+
 // Adopt tells owners what a new holder found on a worker.
 type Adopt struct {
 	Worker  ids.WorkerID
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -214,6 +214,7 @@
 	TaskRef
 	Checkpoint string
 	Attempt    int // failed runs so far
+	Stalls     int // runs so far that were stopped for running too long
 }
 
 // End tells how a run ended.
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -61,6 +61,7 @@
 	state      taskState
 	run        Run
 	failed     int // runs that ended failed
+	stalls     int // runs that were stopped for running too long
 	holder     ids.EntryID
 	worker     ids.WorkerID
 	placedAt   time.Time
@@ -391,7 +392,7 @@
 		ta.run++
 		ta.state, ta.holder, ta.worker, ta.placedAt = taskPlaced, holder, "", now
 		msg.Tasks = append(msg.Tasks, Assignment{
-			TaskRef: TaskRef{Task: ta.id, Run: ta.run}, Checkpoint: ta.checkpoint, Attempt: ta.failed,
+			TaskRef: TaskRef{Task: ta.id, Run: ta.run}, Checkpoint: ta.checkpoint, Attempt: ta.failed, Stalls: ta.stalls,
 		})
 	}
 	if len(tasks) > 0 {
@@ -558,6 +559,9 @@
 		ta.run += runStep
 	case EndNoRoom:
 	default:
+		if ms.How == EndStalled {
+			ta.stalls++
+		}
 		jb.begun = true
 		en.eff.Count("retry", string(ms.How), 1)
 		en.eff.Log("task-again", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
@@ -723,7 +727,31 @@
 // Jobs returns the number of jobs that wait for an answer.
 func (en *Entry) Jobs() int { return len(en.jobs) }
 
+// checkInterval separates two questions about the tasks at a holder. They find
+// tasks whose messages were lost with a session.
+const checkInterval = time.Second
+
+// checkHolders asks the holders whether they still have the tasks.
+func (en *Entry) checkHolders(now time.Time) {
+	if now.Sub(en.checkTick) < checkInterval {
+		return
+	}
+	en.checkTick = now
+	refs := map[ids.EntryID][]TaskRef{}
+	for _, gid := range sortedKeys(en.groups) {
+		for _, ta := range en.groups[gid].tasks {
+			if (ta.state == taskPlaced || ta.state == taskRunning) && now.Sub(ta.placedAt) > checkInterval {
+				refs[ta.holder] = append(refs[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
+			}
+		}
+	}
+	for _, id := range sortedKeys(refs) {
+		en.send(id, Check{Refs: refs[id]})
+	}
+}
+
 func (en *Entry) tickOwner(now time.Time) {
+	en.checkHolders(now)
 	var ended []*job
 	for _, id := range sortedKeys(en.jobs) {
 		jb := en.jobs[id]
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -617,16 +617,16 @@
 		return true
 	}
 	mb := en.members[inc.Entry()]
+	se := en.session(inc.Entry())
+	if se.up {
+		return se.incarnation != inc
+	}
 	if mb == nil {
 		return now.Sub(en.started) > ownerSilence
 	}
 	if mb.Incarnation != inc {
 		return true
 	}
-	se := en.session(inc.Entry())
-	if se.up && se.incarnation != inc {
-		return true
-	}
 	return !se.up && now.Sub(mb.beatAt) > ownerSilence && now.Sub(en.storeLost) > ownerSilence
 }
 
@@ -824,7 +824,17 @@
 	if !st.dirty {
 		st.dirty, st.dirtyAt = true, en.now()
 	}
-	if ta.state == taskDone || ta.state == taskFailed || (ed.How != EndDone && ta.state != taskLost) {
+	if ta.state == taskDone || ta.state == taskFailed {
+		return
+	}
+	if ed.How != EndDone {
+		// An earlier run has failed; a later one may have ended otherwise.
+		ta.failed++
+		en.endedStored(jb, ta, from, EndFailed)
+		if ta.failed >= jb.Queue.MaxAttempts {
+			ta.state = taskFailed
+			en.settle(jb, JobFailed)
+		}
 		return
 	}
 	if ta.state != taskLost && ta.state != taskQueued {
@@ -843,6 +853,7 @@
 	if jb.stored == nil {
 		return false
 	}
+	en.noteSettled(now)
 	if !en.settled(now) || !jb.heard[en.id] {
 		return true
 	}
@@ -879,6 +890,16 @@
 // has told the owners what the worker lists.
 const settledTime = 700 * time.Millisecond
 
+// forgetHeard makes the owner ask again how lost tasks ended, because a worker
+// has changed its holder.
+func (en *Entry) forgetHeard() {
+	for _, jb := range en.jobs {
+		if jb.stored != nil {
+			jb.heard = nil
+		}
+	}
+}
+
 // tellEnd tells the owner of a stored job of an end that no slot stands for.
 func (en *Entry) tellEnd(wk *worker, er EndedRun) {
 	jid, _, _, ok := splitTask(er.Ref.Task)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -142,6 +142,8 @@
 
 	desired  atomic.Pointer[dispatch.Desired]
 	draining atomic.Bool
+	// rowVersion is the version of this entry's row in TableFleet.
+	rowVersion atomic.Int64
 
 	mu       sync.Mutex
 	at       time.Time // the clock when the lock was taken
@@ -309,7 +311,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), farewellTimeout)
 	defer cancel()
 	if dm.draining.Load() {
-		if _, err := dm.store.Commit(ctx, Transaction{Removes: []Remove{{Table: TableFleet, Key: dm.entryKey()}}}); err != nil {
+		// A removal that is carried out late must not meet the next incarnation's row.
+		own := Check{Table: TableFleet, Key: dm.entryKey(), Version: dispatch.Version(dm.rowVersion.Load())}
+		if _, err := dm.store.Commit(ctx, Transaction{Checks: []Check{own}, Removes: []Remove{{Table: TableFleet, Key: dm.entryKey()}}}); err != nil {
 			dm.log.Line("farewell-failed", "error", err.Error())
 		}
 	}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -281,7 +281,11 @@
 		Leaving: dm.draining.Load(), Beat: time.Now().UnixMilli(),
 	})
 	if err == nil {
-		_, err = dm.store.Commit(ctx, Transaction{Puts: []Put{{Table: TableFleet, Key: dm.entryKey(), Value: raw}}})
+		var rep TransactionReply
+		rep, err = dm.store.Commit(ctx, Transaction{Puts: []Put{{Table: TableFleet, Key: dm.entryKey(), Value: raw}}})
+		if err == nil {
+			dm.rowVersion.Store(int64(rep.Version))
+		}
 	}
 	if err != nil {
 		dm.cnt.Add("store", "beat-errors", 1)
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -51,7 +51,7 @@
 	for _, msg := range []dispatch.Message{
 		dispatch.Start{}, dispatch.Want{}, dispatch.Unwant{}, dispatch.Grant{}, dispatch.Running{}, dispatch.Ended{},
 		dispatch.Stop{}, dispatch.Adopt{}, dispatch.Adopted{}, dispatch.Released{}, dispatch.Handover{}, dispatch.NewDesired{},
-		dispatch.JobNews{}, dispatch.Noted{}, dispatch.Claimed{}, dispatch.PastEnds{},
+		dispatch.JobNews{}, dispatch.Check{}, dispatch.Noted{}, dispatch.Claimed{}, dispatch.PastEnds{},
 	} {
 		gob.Register(msg)
 	}
