--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -346,7 +346,7 @@
 	for _, er := range rep.Ended {
 		ended = append(ended, Ended{Ref: er.Ref, Worker: wk.info.ID, How: er.How, Checkpoint: er.Checkpoint})
 		wk.acked = max(wk.acked, er.Number)
-		if en.storedHere(er.Ref) && (er.How == EndDone || er.How == EndFailed) {
+		if en.mayBeStored(er.Ref) && (er.How == EndDone || er.How == EndFailed) {
 			en.keepEnd(wk, er)
 		}
 	}
@@ -459,7 +459,7 @@
 		}
 		wk.acked = er.Number
 		sl := wk.slots[er.Ref]
-		stored := (sl != nil && sl.shape.Stored) || en.storedHere(er.Ref)
+		stored := (sl != nil && sl.shape.Stored) || en.storedHere(er.Ref) || (sl == nil && en.mayBeStored(er.Ref))
 		if stored && (er.How == EndDone || er.How == EndFailed) {
 			en.keepEnd(wk, er)
 			if sl == nil || sl.owner == "" {
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -934,6 +934,13 @@
 	return re != nil && !re.State.over()
 }
 
+// mayBeStored tells whether a task may belong to a stored job: its row may not
+// have been read yet.
+func (en *Entry) mayBeStored(ref TaskRef) bool {
+	jid, _, _, ok := splitTask(ref.Task)
+	return ok && (en.storedHere(ref) || en.records[jid] == nil)
+}
+
 // RecordsRead tells that all rows of stored jobs have been taken once.
 func (en *Entry) RecordsRead() { en.recordsRead = true }
 
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -234,7 +234,14 @@
 }
 
 // serve handles one connection and ends its session with it.
-func (dm *Daemon) serve(_ context.Context, conn net.Conn) {
+func (dm *Daemon) serve(ctx context.Context, conn net.Conn) {
+	// Other entries keep their connections open; Close must not wait for them.
+	stop := context.AfterFunc(ctx, func() {
+		if err := conn.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			dm.log.Line("session-close", "error", err.Error())
+		}
+	})
+	defer stop()
 	in := &inbound{dm: dm, conn: conn, heard: dm.clock()}
 	srv := rpc.NewServer()
 	if err := srv.RegisterName("Peer", &Peer{in: in}); err != nil {
