--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -314,3 +314,24 @@
 		})
 	}
 }
+
+// TestSeveredZone guards against entries that claim the workers of a zone that
+// they can't reach, and so take them from their living holders when the cut
+// heals.
+func TestSeveredZone(t *testing.T) {
+	wo := standardWorld(400, 7, 48)
+	wo.load(standardKinds, 0.6, 20*time.Second)
+	wo.run(5 * time.Second)
+	before := map[ids.WorkerID]Version{}
+	for id, row := range wo.rows {
+		before[id] = row.Version
+	}
+	wo.sever("east", 6*time.Second)
+	wo.run(25 * time.Second)
+	wo.check(t)
+	for _, wk := range wo.sortedWorkers() {
+		if row := wo.rows[wk.info.ID]; row.Version != before[wk.info.ID] {
+			t.Errorf("worker %s of zone %s has changed its holder to %s", wk.info.ID, wk.info.Zone, row.Holder)
+		}
+	}
+}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -24,6 +24,9 @@
 	rows    map[ids.WorkerID]HolderRow
 	version Version
 	storeUp bool
+	// severed zones are cut off from the others and from the store.
+	severed   map[ids.AvailabilityZone]bool
+	severedAt time.Time
 	// lostShare of the answers to writes of jobs are lost.
 	lostShare float64
 	cut       map[[2]string]bool // severed pairs of entries or of entry and worker
@@ -86,6 +89,7 @@
 		workers: map[ids.WorkerID]*emuWorker{},
 		rows:    map[ids.WorkerID]HolderRow{},
 		storeUp: true,
+		severed: map[ids.AvailabilityZone]bool{},
 		cut:     map[[2]string]bool{},
 		jobs:    map[ids.JobID]*emuJob{},
 		running: map[TaskID]int{},
@@ -178,7 +182,7 @@
 		if ee.gen != gen || !ee.alive {
 			return
 		}
-		if !ee.frozen && wo.storeUp {
+		if !ee.frozen && wo.storeUp && !wo.severed[ee.zone] {
 			ee.beat++
 			ee.en.Wake()
 			ee.en.Beaten(wo.at)
@@ -212,7 +216,7 @@
 // read takes everything from the store.
 func (ee *emuEntry) read() {
 	wo := ee.wo
-	if !wo.storeUp {
+	if !wo.storeUp || wo.severed[ee.zone] {
 		ee.en.StoreAway()
 		return
 	}
@@ -222,7 +226,11 @@
 		}
 	}
 	for _, wk := range wo.sortedWorkers() {
-		if wk.up {
+		away := wo.severed[wk.info.Zone]
+		if away {
+			wk.downAt = wo.severedAt
+		}
+		if wk.up && !away {
 			info := wk.info
 			info.Sequence = wo.at.UnixNano()
 			ee.en.PutWorker(info)
@@ -323,6 +331,33 @@
 
 func (wo *world) setCut(a, b string, cut bool) { wo.cut[[2]string{a, b}] = cut }
 
+// sever cuts a zone off from the others and from the store for a while.
+func (wo *world) sever(zone ids.AvailabilityZone, du time.Duration) {
+	wo.severed[zone], wo.severedAt = true, wo.at
+	var pairs [][2]string
+	for _, ee := range wo.sortedEntries() {
+		for _, other := range wo.sortedEntries() {
+			if (ee.zone == zone) != (other.zone == zone) {
+				pairs = append(pairs, [2]string{string(ee.id), string(other.id)})
+			}
+		}
+		for _, wk := range wo.sortedWorkers() {
+			if (ee.zone == zone) != (wk.info.Zone == zone) {
+				pairs = append(pairs, [2]string{string(ee.id), string(wk.info.ID)})
+			}
+		}
+	}
+	for _, pair := range pairs {
+		wo.setCut(pair[0], pair[1], true)
+	}
+	wo.after(du, func() {
+		delete(wo.severed, zone)
+		for _, pair := range pairs {
+			wo.setCut(pair[0], pair[1], false)
+		}
+	})
+}
+
 // kill ends the process of an entry; its VM refuses connections.
 func (ee *emuEntry) kill() {
 	ee.alive = false
@@ -443,7 +478,7 @@
 
 func (ef *emuEffects) Commit(changes []RowChange) {
 	wo := ef.ee.wo
-	if !wo.storeUp {
+	if !wo.storeUp || wo.severed[ef.ee.zone] {
 		ef.back(900*time.Millisecond, func(en *Entry) { en.Committed(changes, CommitReply{Reason: "down"}) })
 		return
 	}
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -454,38 +454,14 @@
 // after the hold was sent may be missing in its answer.
 func (en *Entry) reconcile(wk *worker, rep HoldReply, sent time.Time) {
 	for _, er := range rep.Ended {
-		if er.Number <= wk.acked {
-			continue
-		}
-		wk.acked = er.Number
-		sl := wk.slots[er.Ref]
-		stored := (sl != nil && sl.shape.Stored) || en.storedHere(er.Ref) || (sl == nil && en.mayBeStored(er.Ref))
-		if stored && (er.How == EndDone || er.How == EndFailed) {
-			en.keepEnd(wk, er)
-			if sl == nil || sl.owner == "" {
-				en.tellEnd(wk, er)
-			}
-		}
-		if sl != nil && sl.state != slotGranted {
-			en.endSlot(wk, sl, er.How, er.Checkpoint, en.now().Sub(sl.began))
+		if er.Number > wk.acked {
+			en.takeEnd(wk, er)
 		}
 	}
 	listed := map[TaskRef]bool{}
 	for _, ref := range rep.Running {
 		listed[ref] = true
-		sl := wk.slots[ref]
-		if sl == nil {
-			// An order that was given up has been carried out late.
-			sl = &slot{ref: ref, foreign: true, checked: true, began: en.now(), shape: Shape{Need: wk.info.Room}}
-			wk.addSlot(sl)
-			en.eff.Log("unknown-run", "worker", string(wk.info.ID), "task", string(ref.Task), "run", int64(ref.Run))
-			en.stopSlot(wk, sl, EndStopped)
-			continue
-		}
-		sl.checked = true
-		if sl.state == slotOrdered || sl.state == slotUnknown {
-			en.confirmSlot(wk, sl)
-		}
+		en.takeRunning(wk, ref)
 	}
 	for _, sl := range wk.list() {
 		if listed[sl.ref] || sl.state == slotGranted {
@@ -495,6 +471,39 @@
 	}
 }
 
+// takeEnd takes an end that the worker lists for the first time.
+func (en *Entry) takeEnd(wk *worker, er EndedRun) {
+	wk.acked = er.Number
+	sl := wk.slots[er.Ref]
+	stored := (sl != nil && sl.shape.Stored) || en.storedHere(er.Ref) || (sl == nil && en.mayBeStored(er.Ref))
+	if stored && (er.How == EndDone || er.How == EndFailed) {
+		en.keepEnd(wk, er)
+		if sl == nil || sl.owner == "" {
+			en.tellEnd(wk, er)
+		}
+	}
+	if sl != nil && sl.state != slotGranted {
+		en.endSlot(wk, sl, er.How, er.Checkpoint, en.now().Sub(sl.began))
+	}
+}
+
+// takeRunning takes a run that the worker lists.
+func (en *Entry) takeRunning(wk *worker, ref TaskRef) {
+	sl := wk.slots[ref]
+	if sl == nil {
+		// An order that was given up has been carried out late.
+		sl = &slot{ref: ref, foreign: true, checked: true, began: en.now(), shape: Shape{Need: wk.info.Room}}
+		wk.addSlot(sl)
+		en.eff.Log("unknown-run", "worker", string(wk.info.ID), "task", string(ref.Task), "run", int64(ref.Run))
+		en.stopSlot(wk, sl, EndStopped)
+		return
+	}
+	sl.checked = true
+	if sl.state == slotOrdered || sl.state == slotUnknown {
+		en.confirmSlot(wk, sl)
+	}
+}
+
 // missing decides on a run that the worker does not list.
 func (en *Entry) missing(wk *worker, sl *slot, clock WorkerTime, sent time.Time) {
 	switch {
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -34,6 +34,9 @@
 	// beatSilenceRefused is the silence that suffices when the entry's VM also
 	// refuses connections, which means that no process listens there.
 	beatSilenceRefused = 1200 * time.Millisecond
+	// reportAge is the age above which a worker's report says that it may be cut
+	// off: reports come every 1.5 s and are read with a delay of up to 0.4 s.
+	reportAge = 2100 * time.Millisecond
 	// storeRecovery is the time after an outage of the store in which rows that
 	// are missing may come back.
 	storeRecovery = 2500 * time.Millisecond
@@ -328,6 +331,11 @@
 		if !kw.removed.IsZero() || (ok && en.alive(row.Holder, now)) {
 			continue
 		}
+		if ok && now.Sub(kw.reported) > reportAge {
+			// It is as silent as its holder: both may be cut off from here, and the
+			// holder may go on using it.
+			continue
+		}
 		if assigned(kw.info, list) == en.self.Incarnation {
 			changes = append(changes, RowChange{Worker: id, Expected: row.Version, Holder: en.self.Incarnation})
 		}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -244,15 +244,6 @@
 	return true
 }
 
-func (jb *job) allDone() bool {
-	for _, gr := range jb.groups {
-		if !gr.done() {
-			return false
-		}
-	}
-	return true
-}
-
 func (gr *group) blocked() bool {
 	for _, ta := range gr.tasks {
 		if ta.state == taskBlocked {
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,230 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/counter"
+	"github.com/oleanderwall/oleanderwall/internal/dispatch"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// cluster is a few entries in one process, over loopback, with a store and
+// workers in memory.
+type cluster struct {
+	t       *testing.T
+	store   *memStore
+	workers *memWorkers
+	entries []*Daemon
+	log     *lockedBuffer
+	journal *Journal
+}
+
+// lockedBuffer keeps the journal for a failing test.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (lb *lockedBuffer) Write(raw []byte) (int, error) {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return lb.buf.Write(raw)
+}
+
+func (lb *lockedBuffer) String() string {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return lb.buf.String()
+}
+
+// waitLimit bounds what a test waits for; the takeover of a silent entry takes
+// 2.2 s.
+const waitLimit = 20 * time.Second
+
+func startCluster(t *testing.T, entries, workers int, took time.Duration) *cluster {
+	t.Helper()
+	cl := &cluster{t: t, store: newMemStore(), workers: newMemWorkers(took), log: &lockedBuffer{}}
+	cnt := counter.New()
+	cl.journal = NewJournal(cl.log, cnt)
+	cl.store.put(TableDesired, "desired", dispatch.Desired{Version: 1, Queues: []dispatch.Queue{{
+		Name: "tilt", Host: "h", Prefix: "/t/", Service: "fitdesk", MaxAttempts: 3, Stretch: 20, Slack: 3 * time.Second,
+	}}})
+	for num := range workers {
+		id := ids.WorkerID(fmt.Sprintf("w-%d", num))
+		cl.store.put(TableWorkers, string(id), dispatch.WorkerInfo{
+			ID: id, Service: "fitdesk", Address: string(id), Zone: "north", State: dispatch.WorkerReady, Born: 1,
+			Room: dispatch.Resources{CPU: 4000, Memory: 4096},
+		})
+	}
+	for num := range entries {
+		cl.start(fmt.Sprintf("entry-%d", num), cnt)
+	}
+	t.Cleanup(func() {
+		for _, dm := range cl.entries {
+			dm.Close()
+		}
+		cl.workers.grp.Close()
+		cl.journal.Close()
+		if t.Failed() {
+			t.Log(cl.log.String())
+		}
+	})
+	cl.eventually("all workers are held", func() bool {
+		held := 0
+		for _, dm := range cl.entries {
+			dm.locked(func(en *dispatch.Entry) { held += en.Held() })
+		}
+		return held == workers
+	})
+	return cl
+}
+
+func (cl *cluster) start(name string, cnt *counter.Set) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	address := lis.Addr().String()
+	if err := lis.Close(); err != nil {
+		cl.t.Fatal(err)
+	}
+	dm := New(Options{Self: dispatch.Self{
+		Incarnation: ids.NewIncarnation(ids.EntryID(name)), Zone: "north", PeerAddress: address, Size: 1,
+	}}, cl.store, cl.workers, cl.journal, cnt)
+	if err := dm.Start(); err != nil {
+		cl.t.Fatal(err)
+	}
+	cl.entries = append(cl.entries, dm)
+}
+
+func (cl *cluster) eventually(what string, cond func() bool) {
+	cl.t.Helper()
+	end := time.Now().Add(waitLimit)
+	for !cond() {
+		if time.Now().After(end) {
+			cl.t.Fatalf("not within %s: %s", waitLimit, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// submit sends a job of some tasks to an entry and returns its outcome.
+func (cl *cluster) submit(dm *Daemon, id string, tasks int, stored bool) <-chan dispatch.Outcome {
+	out := make(chan dispatch.Outcome, 1)
+	qu, _ := dm.Desired().Route("h", "/t/"+id)
+	dm.Submit(dispatch.Submission{
+		Job: dispatch.Job{ID: ids.JobID(id), Stored: stored, Steps: []dispatch.Step{{
+			Count: tasks, Need: dispatch.Resources{CPU: 1000, Memory: 64}, Estimate: 200 * time.Millisecond,
+		}}},
+		Queue: qu, Arrived: dm.Now(), Stored: stored, Done: func(oc dispatch.Outcome) { out <- oc },
+	})
+	return out
+}
+
+func (cl *cluster) checkTwice() {
+	cl.t.Helper()
+	cl.workers.mu.Lock()
+	defer cl.workers.mu.Unlock()
+	for _, id := range cl.workers.twice {
+		cl.t.Errorf("task %s ran twice at a time", id)
+	}
+}
+
+// TestJobsOverEntries guards the path of a task through sessions, holders and
+// workers: every entry serves, whoever holds the workers.
+func TestJobsOverEntries(t *testing.T) {
+	cl := startCluster(t, 3, 6, 50*time.Millisecond)
+	var outs []<-chan dispatch.Outcome
+	for num := range 30 {
+		outs = append(outs, cl.submit(cl.entries[num%3], fmt.Sprintf("%016x", num), 8, false))
+	}
+	for _, out := range outs {
+		if oc := <-out; oc.Kind != dispatch.Completed {
+			t.Errorf("outcome %+v", oc)
+		}
+	}
+	cl.checkTwice()
+}
+
+// TestCloseWithOpenSessions guards against a shutdown that waits for the
+// connections of other entries until the platform kills the process.
+func TestCloseWithOpenSessions(t *testing.T) {
+	cl := startCluster(t, 3, 6, 50*time.Millisecond)
+	leaving := cl.entries[0]
+	cl.entries = cl.entries[1:]
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	leaving.Drain(ctx)
+	leaving.Close()
+	const limit = 5 * time.Second // the grace time of the platform is 6 s
+	if took := time.Since(began); took > limit {
+		t.Errorf("the shutdown took %s, want at most %s", took, limit)
+	}
+	out := cl.submit(cl.entries[0], "00000000000000aa", 24, false)
+	if oc := <-out; oc.Kind != dispatch.Completed {
+		t.Errorf("after the shutdown: %+v", oc)
+	}
+	cl.checkTwice()
+}
+
+// TestOwnerEnds guards stored jobs against the end of the entry that accepted
+// them: another one finishes them, and tells their state.
+func TestOwnerEnds(t *testing.T) {
+	cl := startCluster(t, 3, 6, 300*time.Millisecond)
+	owner := cl.entries[0]
+	cl.entries = cl.entries[1:]
+	const id = "00000000000000bb"
+	if oc := <-cl.submit(owner, id, 12, true); oc.Kind != dispatch.Accepted {
+		t.Fatalf("outcome %+v", oc)
+	}
+	owner.Close() // without a drain, like a crash
+	cl.eventually("another entry shows the job as completed", func() bool {
+		return cl.entries[1].State(id).State == dispatch.JobCompleted
+	})
+	if oc := cl.entries[0].CancelStored(id); oc.Kind != dispatch.Completed || oc.Reason != string(dispatch.JobCompleted) {
+		t.Errorf("cancel of a completed job: %+v", oc)
+	}
+	cl.checkTwice()
+}
+
+// TestDesiredWithoutStore guards an entry that is cut off from the store
+// against old desired states: it hears of new ones from the others.
+func TestDesiredWithoutStore(t *testing.T) {
+	cl := startCluster(t, 2, 2, 50*time.Millisecond)
+	cl.eventually("sessions are up", func() bool { return strings.Count(cl.log.String(), "message=session-up") >= 2 })
+	cl.store.mu.Lock()
+	cl.store.down = true
+	cl.store.mu.Unlock()
+	cl.entries[0].locked(func(en *dispatch.Entry) { en.Apply(dispatch.Desired{Version: 9}) })
+	cl.eventually("the other entry has version 9", func() bool { return cl.entries[1].Desired().Version == 9 })
+}
+
+// TestJournalDrops guards against output that blocks decisions.
+func TestJournalDrops(t *testing.T) {
+	cnt := counter.New()
+	stuck := make(chan struct{})
+	jo := NewJournal(blockedWriter{stuck}, cnt)
+	for range linesQueued + linesBurst + 10 {
+		jo.Line("event")
+	}
+	if cnt.Value("log", "lines-dropped") == 0 {
+		t.Error("no line was dropped while the output was stuck")
+	}
+	close(stuck)
+	jo.Close()
+}
+
+type blockedWriter struct{ until chan struct{} }
+
+func (bw blockedWriter) Write(raw []byte) (int, error) {
+	<-bw.until
+	return len(raw), nil
+}
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -183,10 +183,10 @@
 	return rep
 }
 
-func (wr *jobWriter) reply(batch []dispatch.JobWrite, make func(dispatch.JobWrite) dispatch.JobWriteReply) {
+func (wr *jobWriter) reply(batch []dispatch.JobWrite, answer func(dispatch.JobWrite) dispatch.JobWriteReply) {
 	wr.dm.locked(func(en *dispatch.Entry) {
 		for _, write := range batch {
-			en.JobStored(write, make(write))
+			en.JobStored(write, answer(write))
 		}
 	})
 }
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -49,9 +49,23 @@
 
 func init() {
 	for _, msg := range []dispatch.Message{
-		dispatch.Start{}, dispatch.Want{}, dispatch.Unwant{}, dispatch.Grant{}, dispatch.Running{}, dispatch.Ended{},
-		dispatch.Stop{}, dispatch.Adopt{}, dispatch.Adopted{}, dispatch.Released{}, dispatch.Handover{}, dispatch.NewDesired{},
-		dispatch.JobNews{}, dispatch.Check{}, dispatch.Noted{}, dispatch.Claimed{}, dispatch.PastEnds{},
+		dispatch.Start{},
+		dispatch.Want{},
+		dispatch.Unwant{},
+		dispatch.Grant{},
+		dispatch.Running{},
+		dispatch.Ended{},
+		dispatch.Stop{},
+		dispatch.Adopt{},
+		dispatch.Adopted{},
+		dispatch.Released{},
+		dispatch.Handover{},
+		dispatch.NewDesired{},
+		dispatch.JobNews{},
+		dispatch.Check{},
+		dispatch.Noted{},
+		dispatch.Claimed{},
+		dispatch.PastEnds{},
 	} {
 		gob.Register(msg)
 	}
--- /dev/null
+++ b/internal/fleet/stand_in_test.go
@@ -0,0 +1,236 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/dispatch"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/group"
+)
+
+// memStore is a store in memory. Rows of workers and desired states hold the
+// project's own types as JSON.
+type memStore struct {
+	mu      sync.Mutex
+	version dispatch.Version
+	rows    map[string]Row // by table, part and key
+	tables  map[string]Table
+	down    bool
+}
+
+func newMemStore() *memStore {
+	return &memStore{rows: map[string]Row{}, tables: map[string]Table{}}
+}
+
+var errStoreDown = errors.New("the store is down")
+
+func memKey(tb Table, part Part, key string) string { return fmt.Sprint(tb, "|", part, "|", key) }
+
+func (ms *memStore) Read(_ context.Context, tb Table, part Part, key string) ([]Row, dispatch.Version, error) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if ms.down {
+		return nil, 0, errStoreDown
+	}
+	var rows []Row
+	for id, ro := range ms.rows {
+		if !ro.Deleted && id == memKey(tb, part, ro.Key) && (key == "" || ro.Key == key) {
+			rows = append(rows, ro)
+		}
+	}
+	return rows, ms.version, nil
+}
+
+func (ms *memStore) Follow(ctx context.Context, tb Table, after dispatch.Version, wait time.Duration) ([]Row, dispatch.Version, error) {
+	end := time.Now().Add(wait)
+	for {
+		ms.mu.Lock()
+		down, version := ms.down, ms.version
+		var rows []Row
+		for id, ro := range ms.rows {
+			if ms.tables[id] == tb && ro.Version > after {
+				rows = append(rows, ro)
+			}
+		}
+		ms.mu.Unlock()
+		if down {
+			return nil, 0, errStoreDown
+		}
+		if len(rows) > 0 || time.Now().After(end) || ctx.Err() != nil {
+			return rows, version, ctx.Err()
+		}
+		group.Sleep(ctx, 5*time.Millisecond)
+	}
+}
+
+func (ms *memStore) Commit(_ context.Context, tx Transaction) (TransactionReply, error) {
+	ms.mu.Lock()
+	defer ms.mu.Unlock()
+	if ms.down {
+		return TransactionReply{}, errStoreDown
+	}
+	rep := TransactionReply{OK: true}
+	for _, ck := range tx.Checks {
+		ro := ms.rows[memKey(ck.Table, tx.Part, ck.Key)]
+		if ro.Deleted {
+			ro = Row{Key: ck.Key}
+		}
+		if ro.Version != ck.Version {
+			rep.OK = false
+		}
+		if ro.Version != 0 {
+			rep.Present = append(rep.Present, ro)
+		}
+	}
+	if !rep.OK {
+		return rep, nil
+	}
+	ms.version++
+	for _, pt := range tx.Puts {
+		id := memKey(pt.Table, tx.Part, pt.Key)
+		ms.rows[id], ms.tables[id] = Row{Key: pt.Key, Value: pt.Value, Version: ms.version}, pt.Table
+	}
+	for _, rm := range tx.Removes {
+		id := memKey(rm.Table, tx.Part, rm.Key)
+		ms.rows[id], ms.tables[id] = Row{Key: rm.Key, Version: ms.version, Deleted: true}, rm.Table
+	}
+	return TransactionReply{OK: true, Version: ms.version}, nil
+}
+
+func (ms *memStore) DecodeWorker(_ string, raw []byte) (dispatch.WorkerInfo, error) {
+	var info dispatch.WorkerInfo
+	err := json.Unmarshal(raw, &info)
+	return info, err
+}
+
+func (ms *memStore) DecodeDesired(_ string, raw []byte) (dispatch.Desired, bool, error) {
+	var des dispatch.Desired
+	err := json.Unmarshal(raw, &des)
+	return des, true, err
+}
+
+// put writes a row as the operator or a worker does.
+func (ms *memStore) put(tb Table, key string, val any) {
+	raw, err := json.Marshal(val)
+	if err != nil {
+		panic(err)
+	}
+	if _, err := ms.Commit(context.Background(), Transaction{Puts: []Put{{Table: tb, Key: key, Value: raw}}}); err != nil {
+		panic(err)
+	}
+}
+
+// memWorkers are workers in memory. They check that no task runs twice at a
+// time.
+type memWorkers struct {
+	mu      sync.Mutex
+	grp     *group.Group
+	took    time.Duration // run time of every task
+	workers map[ids.WorkerID]*memWorker
+	running map[dispatch.TaskID]int
+	starts  int
+	twice   []dispatch.TaskID
+}
+
+type memWorker struct {
+	token  dispatch.Token
+	runs   map[dispatch.TaskRef]bool
+	ends   []dispatch.EndedRun
+	number int64
+}
+
+func newMemWorkers(took time.Duration) *memWorkers {
+	return &memWorkers{
+		grp: group.New(context.Background()), took: took,
+		workers: map[ids.WorkerID]*memWorker{}, running: map[dispatch.TaskID]int{},
+	}
+}
+
+func (mw *memWorkers) get(id ids.WorkerID) *memWorker {
+	wk := mw.workers[id]
+	if wk == nil {
+		wk = &memWorker{runs: map[dispatch.TaskRef]bool{}}
+		mw.workers[id] = wk
+	}
+	return wk
+}
+
+var memEpoch = time.Now()
+
+func memClock() dispatch.WorkerTime { return dispatch.WorkerTime(time.Since(memEpoch)) }
+
+func (mw *memWorkers) StartTask(_ context.Context, order dispatch.StartOrder) dispatch.StartReply {
+	mw.mu.Lock()
+	defer mw.mu.Unlock()
+	wk := mw.get(order.Worker)
+	if order.Token < wk.token {
+		return dispatch.StartReply{Reason: dispatch.RefusedFence, Clock: memClock()}
+	}
+	wk.token = order.Token
+	wk.runs[order.Ref] = true
+	mw.starts++
+	if mw.running[order.Ref.Task]++; mw.running[order.Ref.Task] > 1 {
+		mw.twice = append(mw.twice, order.Ref.Task)
+	}
+	mw.grp.Go(func(ctx context.Context) {
+		group.Sleep(ctx, mw.took)
+		mw.end(wk, order.Ref, dispatch.EndDone)
+	})
+	return dispatch.StartReply{Started: true, Clock: memClock()}
+}
+
+func (mw *memWorkers) end(wk *memWorker, ref dispatch.TaskRef, how dispatch.End) {
+	mw.mu.Lock()
+	defer mw.mu.Unlock()
+	if !wk.runs[ref] {
+		return
+	}
+	delete(wk.runs, ref)
+	mw.running[ref.Task]--
+	wk.number++
+	wk.ends = append(wk.ends, dispatch.EndedRun{Number: wk.number, Ref: ref, How: how})
+}
+
+func (mw *memWorkers) StopTask(_ context.Context, order dispatch.StopOrder) error {
+	mw.mu.Lock()
+	wk := mw.get(order.Worker)
+	mw.mu.Unlock()
+	mw.end(wk, order.Ref, dispatch.EndStopped)
+	return nil
+}
+
+func (mw *memWorkers) Hold(ctx context.Context, order dispatch.HoldOrder) dispatch.HoldReply {
+	end := time.Now().Add(order.Wait)
+	for {
+		rep, ready := mw.list(order)
+		if ready || time.Now().After(end) || ctx.Err() != nil {
+			return rep
+		}
+		group.Sleep(ctx, 2*time.Millisecond)
+	}
+}
+
+func (mw *memWorkers) list(order dispatch.HoldOrder) (dispatch.HoldReply, bool) {
+	mw.mu.Lock()
+	defer mw.mu.Unlock()
+	wk := mw.get(order.Worker)
+	if order.Token < wk.token {
+		return dispatch.HoldReply{Fenced: true}, true
+	}
+	wk.token = order.Token
+	rep := dispatch.HoldReply{Clock: memClock(), Born: 1}
+	for ref := range wk.runs {
+		rep.Running = append(rep.Running, ref)
+	}
+	for _, er := range wk.ends {
+		if er.Number > order.Acked {
+			rep.Ended = append(rep.Ended, er)
+		}
+	}
+	return rep, len(rep.Ended) > 0
+}
