dispatch: take the longest lease and the penalty of remote racks from the settings

Deployments that were not seen may have shorter leases or tasks with data on a rack: leases and holds are shares of the longest lease now, a task placed away from its data is expected to take the penalty longer, and it waits for room near its data while it can still be in time (TestAffinity).

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -315,6 +315,28 @@
 	}
 }
 
+// TestAffinity guards tasks against starts away from the rack of their data,
+// where they take three times as long, while there is room near it.
+func TestAffinity(t *testing.T) {
+	wo := standardWorld(500, 7, 48)
+	kinds := slices.Clone(standardKinds)
+	for at := range kinds {
+		kinds[at].racks = emuRacks
+	}
+	wo.load(kinds, 0.4, 20*time.Second)
+	wo.run(25 * time.Second)
+	wo.check(t)
+	// Without regard to racks seven of eight starts are away from their data.
+	const most = 0.2
+	if share := float64(wo.far) / float64(wo.starts); share > most {
+		t.Errorf("%.3f of the starts were away from their data, want at most %.2f", share, most)
+	}
+	const least = 0.75
+	if share := wo.share(); share < least {
+		t.Errorf("%.3f of the jobs were in time, want %.2f or more: %v of %v, %v", share, least, wo.inTime, wo.asked, wo.done)
+	}
+}
+
 // TestSeveredZone guards against entries that claim the workers of a zone that
 // they can't reach, and so take them from their living holders when the cut
 // heals.
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -38,6 +38,8 @@
 	inTime    map[string]int
 	asked     map[string]int
 	lastJob   int
+	starts    int
+	far       int // starts away from the rack of the data
 	// stored jobs
 	records   map[ids.JobID]JobRecord
 	bodies    map[ids.JobID]Job
@@ -45,7 +47,11 @@
 	lastStart map[TaskID]time.Time // of the latest run
 }
 
+// emuPenalty is how many times as long a task takes away from its data.
+const emuPenalty = 3
+
 type emuJob struct {
+	rack    ids.RackID // of the data
 	stored  bool
 	queue   string
 	arrived time.Time
@@ -161,7 +167,7 @@
 	ee.size = size
 	ee.alive, ee.seen = true, 0
 	ee.inc = ids.Incarnation(fmt.Sprintf("%s/%d", ee.id, ee.gen))
-	ee.en = New(Self{Incarnation: ee.inc, Zone: ee.zone, Size: size}, &emuEffects{ee: ee, en: nil}, func() time.Time { return wo.at })
+	ee.en = New(Self{Incarnation: ee.inc, Zone: ee.zone, Size: size}, Limits{RemotePenalty: emuPenalty}, &emuEffects{ee: ee, en: nil}, func() time.Time { return wo.at })
 	ee.en.eff = &emuEffects{ee: ee, en: ee.en}
 	if wo.desired.Version > 0 {
 		ee.en.Apply(wo.desired)
@@ -607,7 +613,8 @@
 		endedAt: map[int64]time.Time{},
 		offset:  time.Duration(num) * time.Minute,
 		info: WorkerInfo{
-			ID: id, Service: "fitdesk", Address: string(id), Zone: zone, State: WorkerReady, Born: 1,
+			Rack: ids.RackID(fmt.Sprintf("rack-%d", num%emuRacks)),
+			ID:   id, Service: "fitdesk", Address: string(id), Zone: zone, State: WorkerReady, Born: 1,
 			Room: Resources{CPU: cpu, Memory: 65536},
 		},
 	}
@@ -615,6 +622,9 @@
 	return wk
 }
 
+// emuRacks is the number of racks; workers are spread over them in turn.
+const emuRacks = 8
+
 func (wk *emuWorker) clock() WorkerTime {
 	return WorkerTime(wk.wo.at.Sub(time.Unix(1_700_000_000, 0)) + wk.offset)
 }
@@ -672,6 +682,11 @@
 		return rep
 	}
 	took, how := time.Duration(float64(jb.length[order.Ref.Task])/wk.speed), EndDone
+	if jb.rack != "" && jb.rack != wk.info.Rack {
+		took = time.Duration(float64(took) * emuPenalty)
+		wo.far++
+	}
+	wo.starts++
 	if wk.fails {
 		took, how = 5*time.Millisecond, EndFailed
 	}
@@ -828,6 +843,7 @@
 	steps int // in a chain, 0 for one
 
 	stored bool
+	racks  int // number of racks that hold data, 0 for no affinity
 }
 
 // submit sends one job to an entry.
@@ -852,7 +868,10 @@
 			longest = max(longest, length)
 		}
 		jb.work += longest
-		st := Step{Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared}
+		if kd.racks > 0 && jb.rack == "" {
+			jb.rack = ids.RackID(fmt.Sprintf("rack-%d", wo.rnd.IntN(kd.racks)))
+		}
+		st := Step{Affinity: jb.rack, Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared}
 		if step > 0 {
 			st.After = []int{step - 1}
 		}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -76,8 +76,13 @@
 type Entry struct {
 	self Self
 	id   ids.EntryID
-	eff  Effects
-	now  func() time.Time
+
+	lease         time.Duration // asked for in each hold
+	startLease    time.Duration // of a new run
+	holdWait      time.Duration // how long a worker may keep a hold open without news
+	remotePenalty float64
+	eff           Effects
+	now           func() time.Time
 
 	desired *Desired
 	leaving bool
@@ -135,8 +140,18 @@
 }
 
 // New returns the state of an entry that has just started.
-func New(self Self, eff Effects, now func() time.Time) *Entry {
+func New(self Self, lim Limits, eff Effects, now func() time.Time) *Entry {
+	most := lim.LeaseMost
+	if most <= 0 {
+		most = defaultLease
+	}
+	most = min(most, defaultLease)
 	return &Entry{
+		lease:         time.Duration(leaseShare * float64(most)),
+		startLease:    time.Duration(startLeaseShare * float64(most)),
+		holdWait:      time.Duration(holdWaitShare * float64(most)),
+		remotePenalty: max(lim.RemotePenalty, 1),
+
 		self:     self,
 		id:       self.Incarnation.Entry(),
 		eff:      eff,
@@ -160,6 +175,20 @@
 	}
 }
 
+// The leases on workers. Longer leases than a second would only delay the
+// moment when the tasks of a lost worker may start elsewhere.
+const (
+	defaultLease = time.Second
+	// leaseShare of the longest lease is asked for, so that a worker whose clock
+	// is read a little late does not shorten it.
+	leaseShare = 0.95
+	// startLeaseShare bounds how late an order that was delayed on its way can
+	// still take effect, and outlasts one hold.
+	startLeaseShare = 0.8
+	// holdWaitShare leaves time for a second hold when one gets no answer.
+	holdWaitShare = 0.4
+)
+
 // TickInterval is the interval at which the runtime calls Tick. It bounds how
 // late a give-up or a takeover is noticed.
 const TickInterval = 20 * time.Millisecond
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -34,6 +34,7 @@
 	stopSent time.Time
 	why      End // how to report a stop that this holder has decided
 	grant    GrantID
+	far      bool // runs away from the rack of its data
 	stalls   int  // earlier runs that were stopped for running too long
 	foreign  bool // found on the worker and not claimed by any owner
 	checked  bool // the worker has listed the run
@@ -80,14 +81,6 @@
 
 // The limits on the traffic with workers.
 const (
-	// leaseTime is the lease asked for in each hold; workers shorten longer ones
-	// than one second.
-	leaseTime = 950 * time.Millisecond
-	// startLease is the lease of a new run. It bounds how late an order that was
-	// delayed on its way can still take effect, and outlasts one hold.
-	startLease = 800 * time.Millisecond
-	// holdWait is how long a worker may keep a hold open without news.
-	holdWait = 400 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 100 * time.Millisecond
 	// clockError bounds how much slower a worker's clock may run.
@@ -194,11 +187,11 @@
 	order := HoldOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.ackThrough()}
 	if wk.phase == phaseOpen && wk.failing.IsZero() {
 		if len(wk.unnoted) == 0 {
-			order.Wait = holdWait
+			order.Wait = en.holdWait
 		}
 		order.Extend = true
-		order.Until = wk.clockNow(now) + WorkerTime(leaseTime)
-		wk.extendLease(now, leaseTime)
+		order.Until = wk.clockNow(now) + WorkerTime(en.lease)
+		wk.extendLease(now, en.lease)
 	}
 	en.eff.Hold(order)
 }
@@ -317,7 +310,7 @@
 		switch {
 		case sl.state == slotGranted || listed[sl.ref]:
 		case sl.state == slotOrdered || sl.state == slotUnknown || (sl.state == slotRunning && !sl.checked):
-			sl.state, sl.until = slotUnknown, rep.Clock+WorkerTime(startLease)
+			sl.state, sl.until = slotUnknown, rep.Clock+WorkerTime(en.startLease)
 		default:
 			en.endSlot(wk, sl, EndLost, "", 0)
 		}
@@ -511,7 +504,7 @@
 		en.endSlot(wk, sl, EndLost, "", 0)
 	case (sl.state == slotRunning || sl.state == slotStopping) && sl.checked && sl.until < clock:
 		en.endSlot(wk, sl, EndLost, "", 0)
-	case (sl.state == slotRunning || sl.state == slotStopping) && !sl.checked && sent.Sub(sl.began) > startLease && sl.until < clock:
+	case (sl.state == slotRunning || sl.state == slotStopping) && !sl.checked && sent.Sub(sl.began) > en.startLease && sl.until < clock:
 		en.endSlot(wk, sl, EndLost, "", 0)
 	}
 }
@@ -534,6 +527,9 @@
 	switch how {
 	case EndDone:
 		work = time.Duration(float64(took) * factor)
+		if sl.far {
+			work = time.Duration(float64(work) / en.remotePenalty)
+		}
 		wk.speed.learn(sl.shape.Estimate, took, en.now())
 		wk.streak, wk.blocked, wk.lastOK = 0, time.Time{}, en.now()
 		en.eff.Observe("task.took", took)
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -216,7 +216,7 @@
 		if num < len(reserved) && reserved[num].worker.accepts(ms.Shape, key, now) {
 			wk = reserved[num].worker
 		} else {
-			wk = en.pick(ms.Shape, inTime, key, now, false)
+			wk = en.pick(ms.Shape, inTime, key, now, ms.Shape.Affinity != "")
 		}
 		if wk == nil || en.leaving {
 			en.send(from, Ended{Ref: as.TaskRef, How: EndNoRoom})
@@ -231,12 +231,16 @@
 
 // order sends a start to a worker and takes its room.
 func (en *Entry) order(wk *worker, from ids.EntryID, ms Start, as Assignment, now time.Time) {
-	until := wk.clockNow(now) + WorkerTime(startLease)
+	until := wk.clockNow(now) + WorkerTime(en.startLease)
+	shape, far := ms.Shape, !wk.near(ms.Shape)
+	if far {
+		shape.Estimate = time.Duration(float64(shape.Estimate) * en.remotePenalty)
+	}
 	wk.addSlot(&slot{
-		ref: as.TaskRef, owner: from, group: ms.Group, job: ms.Job, shape: ms.Shape, state: slotOrdered,
-		until: until, began: now, stalls: as.Stalls,
+		ref: as.TaskRef, owner: from, group: ms.Group, job: ms.Job, shape: shape, state: slotOrdered,
+		until: until, began: now, far: far, stalls: as.Stalls,
 	})
-	wk.extendLease(now, startLease)
+	wk.extendLease(now, en.startLease)
 	en.eff.StartTask(StartOrder{
 		Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: as.TaskRef,
 		Payload: ms.Payload, Checkpoint: as.Checkpoint, Until: until,
@@ -275,7 +279,7 @@
 // which the task can be in time it takes the slowest, so that the fast ones
 // stay free for long tasks, and then the one with the least room to spare.
 // While a task may still be in time on a fast worker it does not start on a
-// slow one where it would be late.
+// slow one, or away from its data, where it would be late.
 func (en *Entry) pick(sh Shape, inTime time.Time, key wantKey, now time.Time, wait bool) *worker {
 	var best *worker
 	var bestScore pickScore
@@ -286,8 +290,8 @@
 		if !wk.accepts(sh, key, now) {
 			continue
 		}
-		score := wk.score(sh, inTime, now)
-		if !score.inTime && hopeful && wk.speed.factor(now) < fastSpeed {
+		score := en.score(wk, sh, inTime, now)
+		if !score.inTime && hopeful && (!score.near || wk.speed.factor(now) < fastSpeed) {
 			continue
 		}
 		if best == nil || score.better(bestScore, best, wk) {
@@ -304,12 +308,18 @@
 	spare  Millicores
 }
 
-func (wk *worker) score(sh Shape, inTime time.Time, now time.Time) pickScore {
+// near tells whether a worker is on the rack of a task's data, or none is named.
+func (wk *worker) near(sh Shape) bool { return sh.Affinity == "" || sh.Affinity == wk.info.Rack }
+
+func (en *Entry) score(wk *worker, sh Shape, inTime time.Time, now time.Time) pickScore {
 	factor := wk.speed.factor(now)
+	if !wk.near(sh) {
+		factor /= en.remotePenalty
+	}
 	took := time.Duration(float64(sh.Estimate) * patience / factor)
 	return pickScore{
 		inTime: !now.Add(took).After(inTime),
-		near:   sh.Affinity == "" || sh.Affinity == wk.info.Rack,
+		near:   wk.near(sh),
 		fast:   factor >= fastSpeed,
 		spare:  wk.free().CPU - sh.Need.CPU,
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -32,7 +32,7 @@
 //
 // # Usage
 //
-//	en := dispatch.New(dispatch.Self{...}, effects, limits, now)
+//	en := dispatch.New(dispatch.Self{...}, dispatch.Limits{...}, effects, now)
 //	en.Submit(submission)
 //	en.Tick()
 package dispatch
@@ -164,6 +164,15 @@
 	Sequence int64     // rises with each report of this lifetime
 }
 
+// Limits are properties of the workers that the platform's settings tell.
+type Limits struct {
+	// LeaseMost is the longest lease that a worker grants, 0 for a second.
+	LeaseMost time.Duration
+	// RemotePenalty is how many times as long a task takes that runs away from
+	// the rack of its data, 0 for no difference.
+	RemotePenalty float64
+}
+
 // Self describes this entry to the others.
 type Self struct {
 	Incarnation ids.Incarnation
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -322,8 +322,8 @@
 	near   bool
 }
 
-// freeRoom lists the holders whose last report shows room for the shape, the
-// best first: those of this entry, then those with the fastest free workers.
+// freeRoom lists the holders whose last report shows room for the shape, on the
+// rack of its data if one is named, the best first: those of this entry, then those with the fastest free workers.
 func (en *Entry) freeRoom(sh Shape) []room {
 	var list []room
 	if count, best := countFree(en.load().Free, sh); count > 0 {
@@ -359,7 +359,7 @@
 func countFree(free []Free, sh Shape) (int, float64) {
 	count, best := 0, 0.0
 	for _, fr := range free {
-		if fr.Service != sh.Service || fr.CPU < sh.Need.CPU {
+		if fr.Service != sh.Service || fr.CPU < sh.Need.CPU || (sh.Affinity != "" && fr.Rack != sh.Affinity) {
 			continue
 		}
 		if sh.Need.CPU > 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -125,7 +125,8 @@
 
 // Options describe an entry.
 type Options struct {
-	Self dispatch.Self
+	Self   dispatch.Self
+	Limits dispatch.Limits
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 }
@@ -166,7 +167,7 @@
 		writers:  map[Part]*jobWriter{},
 	}
 	dm.at = dm.clock()
-	dm.en = dispatch.New(opt.Self, &effects{dm: dm}, func() time.Time { return dm.at })
+	dm.en = dispatch.New(opt.Self, opt.Limits, &effects{dm: dm}, func() time.Time { return dm.at })
 	return dm
 }
 
