--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -181,17 +181,25 @@
 	return px
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago. The
-// port lies below the range from which the kernel picks ports of proxies and of
-// outgoing connections: one of those took the port now and then before the
-// entry listened on it.
+// handedOut holds the addresses that freeAddress has returned.
+var handedOut sync.Map
+
+// freeAddress returns a loopback address whose port was free a moment ago, a
+// different one each time: two listeners of one cluster drew the same port now
+// and then, and the entry that listened second did not start. The port lies
+// below the range from which the kernel picks ports of proxies and of outgoing
+// connections: one of those took the port now and then before the entry
+// listened on it.
 func freeAddress() string {
 	const first, count = 10000, 20000
 	for range 1000 {
 		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count)))
 		if err == nil {
-			defer ln.Close()
-			return ln.Addr().String()
+			address := ln.Addr().String()
+			_ = ln.Close()
+			if _, taken := handedOut.LoadOrStore(address, true); !taken {
+				return address
+			}
 		}
 	}
 	Fail("no free port")
