--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -133,7 +133,6 @@
 	downSince   time.Time
 	refused     bool // the last attempt to connect was refused
 	load        Load
-	loadAt      time.Time
 	// inbound is the number of the session in the other direction, 0 when
 	// there is none.
 	inbound uint64
@@ -330,8 +329,7 @@
 
 // Heard takes the load that an entry has reported.
 func (en *Entry) Heard(id ids.EntryID, load Load) {
-	se := en.session(id)
-	se.load, se.loadAt = load, en.now()
+	en.session(id).load = load
 }
 
 // Receive takes a message of another entry.
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -116,18 +116,9 @@
 // Load is what an entry reports of the workers that it holds.
 type Load struct {
 	Free    []Free
-	Backlog []Backlog
 	Leaving bool
 }
 
-// Backlog is the work that waits at a holder, by service and priority.
-type Backlog struct {
-	Service  ids.ServiceName
-	Priority int
-	// Delay estimates how long a task of this priority waits for room.
-	Delay time.Duration
-}
-
 // HolderRow records in the store which entry holds a worker. The version of
 // the row is the holder's fencing token.
 type HolderRow struct {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -123,15 +123,12 @@
 	MaxAttempts int // runs of a task that may fail
 	Stretch     float64
 	Slack       time.Duration // added to the stretched run time to give the objective
-	Timeout     time.Duration
 }
 
 // CallerLimits bound what callers may send.
 type CallerLimits struct {
 	HeaderBytes int
 	BodyBytes   int64
-	HeaderTime  time.Duration
-	IdleTime    time.Duration
 }
 
 // Desired is one version of the desired state.
--- /dev/null
+++ b/internal/dispatch/orders.go
@@ -0,0 +1,253 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// confirmSlot notes that a worker runs a task.
+func (en *Entry) confirmSlot(wk *worker, sl *slot) {
+	sl.state = slotRunning
+	en.send(sl.owner, Running{Ref: sl.ref, Worker: wk.info.ID})
+}
+
+// endSlot frees the room of a run and tells its owner.
+func (en *Entry) endSlot(wk *worker, sl *slot, how End, checkpoint string, took time.Duration) {
+	wk.removeSlot(sl.ref)
+	if sl.owner == "" {
+		return
+	}
+	factor := wk.speed.factor(en.now())
+	expected := time.Duration(float64(sl.shape.Estimate) / factor)
+	work := time.Duration(0)
+	switch how {
+	case EndDone:
+		work = time.Duration(float64(took) * factor)
+		if sl.far {
+			work = time.Duration(float64(work) / en.remotePenalty)
+		}
+		wk.speed.learn(sl.shape.Estimate, took, en.now())
+		wk.streak, wk.blocked = 0, time.Time{}
+		en.eff.Observe("task.took", took)
+	case EndFailed:
+		en.blame(wk, sl)
+	case EndStopped:
+		if sl.why != "" {
+			how = sl.why
+		}
+	}
+	wk.overdue = wk.anyOverdue(en.now())
+	en.eff.Count("task", string(how), 1)
+	if how != EndDone {
+		en.eff.Log("run-ended", "job", string(sl.job), "task", string(sl.ref.Task), "run", int64(sl.ref.Run),
+			"worker", string(wk.info.ID), "how", string(how), "took-ms", took.Milliseconds(),
+			"expected-ms", expected.Milliseconds(), "speed", factor)
+	}
+	en.send(sl.owner, Ended{Ref: sl.ref, Worker: wk.info.ID, How: how, Checkpoint: checkpoint, Work: work})
+}
+
+// StartReply is the answer to a start order.
+type StartReply struct {
+	Started bool
+	Reason  StartRefusal // why the worker did nothing, "" when the fate is open
+	Clock   WorkerTime
+	Detail  string
+}
+
+// StartRefusal tells why a worker has not started a run.
+type StartRefusal string
+
+// The reasons for which a worker starts nothing.
+const (
+	RefusedFence     StartRefusal = "fence"
+	RefusedOld       StartRefusal = "old"
+	RefusedLate      StartRefusal = "late"
+	RefusedRoom      StartRefusal = "room"
+	RefusedUnhealthy StartRefusal = "unhealthy"
+	RefusedLifetime  StartRefusal = "lifetime"
+	RefusedInvalid   StartRefusal = "invalid"
+)
+
+// StartReplied takes the answer to a start order.
+func (en *Entry) StartReplied(id ids.WorkerID, token Token, ref TaskRef, rep StartReply) {
+	wk := en.workers[id]
+	if wk == nil || wk.token != token {
+		return
+	}
+	sl := wk.slots[ref]
+	if sl == nil || (sl.state != slotOrdered && sl.state != slotStopping) {
+		return
+	}
+	switch {
+	case rep.Started:
+		if sl.state == slotOrdered {
+			en.confirmSlot(wk, sl)
+		}
+		return
+	case rep.Reason == "":
+		if sl.state == slotOrdered {
+			sl.state = slotUnknown
+		}
+		en.eff.Count("retry", "start-unanswered", 1)
+		en.eff.Log("start-unanswered", "job", string(sl.job), "task", string(ref.Task), "run", int64(ref.Run),
+			"worker", string(id), "detail", rep.Detail)
+		return
+	}
+	en.startRefused(wk, sl, rep)
+	en.match()
+}
+
+func (en *Entry) startRefused(wk *worker, sl *slot, rep StartReply) {
+	en.eff.Count("retry", "start-"+string(rep.Reason), 1)
+	en.eff.Log("start-refused", "job", string(sl.job), "task", string(sl.ref.Task), "run", int64(sl.ref.Run),
+		"worker", string(wk.info.ID), "reason", string(rep.Reason), "token", int64(wk.token))
+	how := EndNoRoom
+	switch rep.Reason {
+	case RefusedFence:
+		en.endSlot(wk, sl, EndNoRoom, "", 0)
+		en.dropWorker(wk, "fenced")
+		return
+	case RefusedOld:
+		how = EndOldRun
+	case RefusedInvalid:
+		how = EndFailed
+	case RefusedUnhealthy, RefusedRoom, RefusedLifetime:
+		wk.blocked = en.now().Add(blockFirst)
+		wk.recheck(en.now())
+	case RefusedLate:
+		// The clock is not as expected: this may be another lifetime.
+		wk.recheck(en.now())
+	}
+	en.endSlot(wk, sl, how, "", 0)
+}
+
+// stopSlot stops a run. Its room stays taken until the worker lists its end.
+func (en *Entry) stopSlot(wk *worker, sl *slot, why End) {
+	if sl.state == slotGranted {
+		return
+	}
+	sl.state, sl.why, sl.stopSent = slotStopping, why, en.now()
+	en.eff.StopTask(StopOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: sl.ref})
+}
+
+// onCheck tells an owner which tasks are not here.
+func (en *Entry) onCheck(from ids.EntryID, ms Check) {
+	for _, ref := range ms.Refs {
+		if how, here := en.findRun(from, ref); !here {
+			en.eff.Log("run-unknown", "task", string(ref.Task), "run", int64(ref.Run), "owner", string(from), "how", string(how))
+			en.send(from, Ended{Ref: ref, How: how})
+		}
+	}
+}
+
+// findRun tells whether a run of an owner is here, and else how it ended.
+func (en *Entry) findRun(from ids.EntryID, ref TaskRef) (End, bool) {
+	for _, id := range sortedKeys(en.workers) {
+		wk := en.workers[id]
+		if sl := wk.slots[ref]; sl != nil && sl.owner == from {
+			return "", true
+		}
+		for _, un := range wk.unnoted {
+			if un.ref == ref {
+				return un.how, false
+			}
+		}
+	}
+	return EndLost, false
+}
+
+// onStop stops tasks for their owner, who no longer waits for them.
+func (en *Entry) onStop(from ids.EntryID, ms Stop) {
+	for _, ref := range ms.Refs {
+		for _, id := range sortedKeys(en.workers) {
+			wk := en.workers[id]
+			if sl := wk.slots[ref]; sl != nil && sl.state != slotGranted && sl.state != slotStopping {
+				sl.owner = ""
+				en.stopSlot(wk, sl, EndStopped)
+			} else if sl != nil && sl.owner == from {
+				sl.owner = ""
+			}
+		}
+	}
+}
+
+// dropOwner stops the tasks of an owner that can't be heard any more.
+func (en *Entry) dropOwner(id ids.EntryID, why string) {
+	stopped := 0
+	for _, wid := range sortedKeys(en.workers) {
+		wk := en.workers[wid]
+		for _, sl := range wk.list() {
+			if sl.owner != id {
+				continue
+			}
+			if sl.state == slotGranted {
+				en.releaseGrant(sl.grant)
+				continue
+			}
+			sl.owner = ""
+			stopped++
+			if sl.state != slotStopping {
+				en.stopSlot(wk, sl, EndStopped)
+			}
+		}
+	}
+	for key := range en.wants {
+		if key.owner == id {
+			delete(en.wants, key)
+		}
+	}
+	if stopped > 0 {
+		en.eff.Log("owner-dropped", "entry", string(id), "reason", why, "stopped", stopped)
+	}
+	en.match()
+}
+
+// checkOverdue stops a task that runs far beyond its estimate, so that its
+// owner can start it elsewhere.
+func (en *Entry) checkOverdue(wk *worker, sl *slot, now time.Time) {
+	ran := now.Sub(sl.began)
+	expected := time.Duration(float64(sl.shape.Estimate) / math.Exp(wk.speed.lasting))
+	limit := max(overdueFloor, time.Duration(overdueFactor*float64(expected)))
+	if ran < limit || now.Before(en.staleUntil) {
+		return
+	}
+	wk.speed.atMost(sl.shape.Estimate, ran, now)
+	// A task that was stopped before may be longer than anybody expects.
+	stall := max(stallFloor, time.Duration(stallFactor*float64(expected))) << (2 * min(sl.stalls, stallsMost))
+	if ran < stall || (float64(ran) < hopelessFactor*float64(stall) && !en.roomElsewhere(wk, sl.shape, now)) {
+		return
+	}
+	en.eff.Log("task-stalled", "job", string(sl.job), "task", string(sl.ref.Task), "run", int64(sl.ref.Run),
+		"worker", string(wk.info.ID), "ran-ms", ran.Milliseconds(), "limit-ms", limit.Milliseconds())
+	en.stopSlot(wk, sl, EndStalled)
+}
+
+// roomElsewhere tells whether another worker has room for a task now.
+func (en *Entry) roomElsewhere(not *worker, sh Shape, now time.Time) bool {
+	for _, wk := range en.workers {
+		if wk != not && wk.speed.factor(now) >= fastSpeed && wk.accepts(sh, wantKey{}, now) {
+			return true
+		}
+	}
+	for _, se := range en.sessions {
+		if !se.mutual() || se.load.Leaving {
+			continue
+		}
+		if count, best := countFree(se.load.Free, sh); count > 0 && best >= fastSpeed {
+			return true
+		}
+	}
+	return false
+}
+
+func (wk *worker) anyOverdue(now time.Time) bool {
+	for _, sl := range wk.slots {
+		expected := float64(sl.shape.Estimate) / wk.speed.factor(now) * overdueFactor
+		if sl.state == slotRunning && now.Sub(sl.began) > max(overdueFloor, time.Duration(expected)) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/dispatch/placing.go
@@ -0,0 +1,211 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// current returns the shape with the times that are left now.
+func (gr *group) current(now time.Time) Shape {
+	sh := gr.shape
+	sh.Started = gr.job.begun
+	sh.Left = gr.job.left()
+	sh.InTime = gr.job.inTime.Sub(now)
+	sh.Late = gr.job.late.Sub(now)
+	return sh
+}
+
+// left returns the share of the tasks that are not done.
+func (jb *job) left() float64 {
+	left, all := 0, 0
+	for _, gr := range jb.groups {
+		for _, ta := range gr.tasks {
+			all++
+			if ta.state != taskDone {
+				left++
+			}
+		}
+	}
+	return float64(left) / float64(all)
+}
+
+// place sends the queued tasks of a group to holders with free room and leaves
+// a want for the rest.
+func (en *Entry) place(gr *group) {
+	if gr.job.suspended {
+		return
+	}
+	waiting := gr.queued()
+	for _, fr := range en.freeRoom(gr.shape) {
+		if len(waiting) == 0 {
+			break
+		}
+		take := min(fr.count, len(waiting))
+		en.sendTasks(gr, fr.holder, waiting[:take], 0)
+		waiting = gr.queued()
+	}
+	en.want(gr)
+}
+
+// room is the number of tasks that a holder may have room for.
+type room struct {
+	holder ids.EntryID
+	count  int
+	speed  float64
+	near   bool
+}
+
+// freeRoom lists the holders whose last report shows room for the shape, on the
+// rack of its data if one is named, the best first: those of this entry, then those with the fastest free workers.
+func (en *Entry) freeRoom(sh Shape) []room {
+	var list []room
+	if count, best := countFree(en.load().Free, sh); count > 0 {
+		list = append(list, room{holder: en.id, count: count, speed: best, near: true})
+	}
+	for id, se := range en.sessions {
+		if !se.mutual() || se.load.Leaving {
+			continue
+		}
+		if count, best := countFree(se.load.Free, sh); count > 0 {
+			list = append(list, room{holder: id, count: count, speed: best, near: en.zoneOf(id) == en.self.Zone})
+		}
+	}
+	sort.Slice(list, func(a, b int) bool {
+		left, right := list[a], list[b]
+		if fastA, fastB := left.speed >= fastSpeed, right.speed >= fastSpeed; fastA != fastB {
+			return fastA
+		}
+		if left.near != right.near {
+			return left.near
+		}
+		if left.count != right.count {
+			return left.count > right.count
+		}
+		return left.holder < right.holder
+	})
+	return list
+}
+
+// fastSpeed divides workers into fast and slow ones; 1 is the mean.
+const fastSpeed = 0.8
+
+func countFree(free []Free, sh Shape) (int, float64) {
+	count, best := 0, 0.0
+	for _, fr := range free {
+		if fr.Service != sh.Service || fr.CPU < sh.Need.CPU || (sh.Affinity != "" && fr.Rack != sh.Affinity) {
+			continue
+		}
+		if sh.Need.CPU > 0 {
+			count += int(fr.CPU / sh.Need.CPU)
+		} else {
+			count++
+		}
+		best = max(best, float64(fr.Speed))
+	}
+	return count, best
+}
+
+// sendTasks sends tasks of a group to a holder. The run number of a task rises
+// with each send, because an order without an answer may still be carried out.
+func (en *Entry) sendTasks(gr *group, holder ids.EntryID, tasks []*task, grant GrantID) {
+	now := en.now()
+	msg := Start{
+		Group: gr.id, Job: gr.job.Job.ID, Shape: gr.current(now), Payload: gr.job.Job.Payload, Grant: grant,
+	}
+	for _, ta := range tasks {
+		ta.run++
+		ta.state, ta.holder, ta.worker, ta.placedAt = taskPlaced, holder, "", now
+		msg.Tasks = append(msg.Tasks, Assignment{
+			TaskRef: TaskRef{Task: ta.id, Run: ta.run}, Checkpoint: ta.checkpoint, Attempt: ta.failed, Stalls: ta.stalls,
+		})
+	}
+	if len(tasks) > 0 {
+		if gr.job.firstSent.IsZero() {
+			gr.job.firstSent = now
+		}
+		en.takeFree(holder, gr.shape, len(tasks))
+	}
+	en.send(holder, msg)
+}
+
+// takeFree lowers the room that a holder last reported by what was sent to it.
+func (en *Entry) takeFree(holder ids.EntryID, sh Shape, count int) {
+	se := en.sessions[holder]
+	if se == nil {
+		return
+	}
+	free := se.load.Free
+	for num := range free {
+		for count > 0 && free[num].Service == sh.Service && free[num].CPU >= sh.Need.CPU && sh.Need.CPU > 0 {
+			free[num].CPU -= sh.Need.CPU
+			count--
+		}
+	}
+}
+
+// want leaves a want for the queued tasks of a group with the holders.
+func (en *Entry) want(gr *group) {
+	count := len(gr.queued())
+	if count == 0 || gr.job.suspended {
+		en.unwant(gr)
+		return
+	}
+	for _, id := range en.wantTargets() {
+		en.sendWant(gr, id, count)
+	}
+}
+
+func (en *Entry) sendWant(gr *group, id ids.EntryID, count int) {
+	gr.offered[id] = true
+	en.send(id, Want{Group: gr.id, Count: count, Shape: gr.current(en.now())})
+}
+
+// wantTargets lists the holders to ask for room: all of them while they are
+// few, else those of this zone first.
+func (en *Entry) wantTargets() []ids.EntryID {
+	list := en.reachable()
+	if len(list) <= wantSpread {
+		return list
+	}
+	sort.Slice(list, func(a, b int) bool {
+		if nearA, nearB := en.zoneOf(list[a]) == en.self.Zone, en.zoneOf(list[b]) == en.self.Zone; nearA != nearB {
+			return nearA
+		}
+		return rendezvous(string(en.id), string(list[a])) > rendezvous(string(en.id), string(list[b]))
+	})
+	return list[:wantSpread]
+}
+
+func (en *Entry) unwant(gr *group) {
+	offered := gr.offered
+	gr.offered = map[ids.EntryID]bool{}
+	for _, id := range sortedKeys(offered) {
+		en.send(id, Unwant{Group: gr.id})
+	}
+}
+
+// offerWants tells an entry that has just become reachable what waits here.
+func (en *Entry) offerWants(id ids.EntryID) {
+	for _, gid := range sortedKeys(en.groups) {
+		gr := en.groups[gid]
+		if count := len(gr.queued()); count > 0 && !gr.job.suspended {
+			en.sendWant(gr, id, count)
+		}
+	}
+}
+
+// onGrant answers reserved room with queued tasks.
+func (en *Entry) onGrant(from ids.EntryID, ms Grant) {
+	gr := en.groups[ms.Group]
+	if gr == nil || gr.job.suspended {
+		en.send(from, Start{Group: ms.Group, Grant: ms.ID})
+		return
+	}
+	waiting := gr.queued()
+	en.sendTasks(gr, from, waiting[:min(ms.Count, len(waiting))], ms.ID)
+	if len(waiting) <= ms.Count {
+		en.unwant(gr)
+	}
+}
