dispatch: forget entries that are gone for good

Cause: an entry that was replaced under another name stayed in the members of all others and was dialled for ever (TestRemovedEntry failed before). After a minute without a beat or a session its row is removed and its link ends.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -315,6 +315,22 @@
 	}
 }
 
+// TestRemovedEntry guards against rows and sessions of entries that are gone
+// for good, which would be dialled for ever.
+func TestRemovedEntry(t *testing.T) {
+	wo := standardWorld(600, 4, 12)
+	wo.entries["entry-01"].kill()
+	wo.run(memberTime + 5*time.Second)
+	for _, ee := range wo.sortedEntries() {
+		if ee.alive && len(ee.en.Members()) != 2 {
+			t.Errorf("%s knows %d other entries, want 2", ee.id, len(ee.en.Members()))
+		}
+	}
+	if !wo.gone["entry-01"] {
+		t.Error("the row of the removed entry is still there")
+	}
+}
+
 // TestAffinity guards tasks against starts away from the rack of their data,
 // where they take three times as long, while there is room near it.
 func TestAffinity(t *testing.T) {
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -24,6 +24,7 @@
 	rows    map[ids.WorkerID]HolderRow
 	version Version
 	storeUp bool
+	gone    map[ids.EntryID]bool // entries whose rows were removed
 	// severed zones are cut off from the others and from the store.
 	severed   map[ids.AvailabilityZone]bool
 	severedAt time.Time
@@ -95,6 +96,7 @@
 		workers: map[ids.WorkerID]*emuWorker{},
 		rows:    map[ids.WorkerID]HolderRow{},
 		storeUp: true,
+		gone:    map[ids.EntryID]bool{},
 		severed: map[ids.AvailabilityZone]bool{},
 		cut:     map[[2]string]bool{},
 		jobs:    map[ids.JobID]*emuJob{},
@@ -227,7 +229,7 @@
 		return
 	}
 	for _, other := range wo.sortedEntries() {
-		if other.id != ee.id && other.gen > 0 {
+		if other.id != ee.id && other.gen > 0 && !wo.gone[other.id] {
 			ee.en.PutMember(Member{Self: Self{Incarnation: other.inc, Zone: other.zone, Size: other.size}, Beat: other.beat, Leaving: other.en.leaving})
 		}
 	}
@@ -281,7 +283,7 @@
 func (ee *emuEntry) link() {
 	wo := ee.wo
 	for _, other := range wo.sortedEntries() {
-		if other == ee {
+		if other == ee || wo.gone[other.id] {
 			continue
 		}
 		reach := other.alive && !other.frozen && !wo.isCut(string(ee.id), string(other.id))
@@ -512,6 +514,9 @@
 	return CommitReply{OK: true, Version: wo.version}
 }
 
+// ForgetMember removes an entry that is gone.
+func (ef *emuEffects) ForgetMember(id ids.EntryID, _ Version) { ef.ee.wo.gone[id] = true }
+
 // StoreJob changes the row of a job.
 func (ef *emuEffects) StoreJob(write JobWrite) {
 	wo := ef.ee.wo
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -23,6 +23,9 @@
 	// Commit changes rows of holders, all or none; Entry.Committed takes the
 	// result.
 	Commit(changes []RowChange)
+	// ForgetMember ends what is done for an entry that is gone for good, and
+	// removes its row if it has the version.
+	ForgetMember(id ids.EntryID, version Version)
 	// StoreJob changes the row of a stored job; Entry.JobStored takes the result.
 	StoreJob(write JobWrite)
 	// LoadJob reads a stored job; Entry.JobLoaded takes the result.
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -45,6 +45,8 @@
 	settleTime = 700 * time.Millisecond
 	// memberInterval separates two looks at who should hold which worker.
 	memberInterval = 60 * time.Millisecond
+	// memberTime without a beat or a session an entry counts as removed for good.
+	memberTime = time.Minute
 	// commitPause separates two changes of rows after one that failed.
 	commitPause = 150 * time.Millisecond
 	// commitRows bounds the rows of one change; the store takes 100 entries.
@@ -302,7 +304,22 @@
 	}
 }
 
+// forgetMembers drops the entries that have been silent for long.
+func (en *Entry) forgetMembers(now time.Time) {
+	for _, id := range sortedKeys(en.members) {
+		mb := en.members[id]
+		if en.session(id).up || now.Sub(mb.beatAt) < memberTime || now.Sub(en.storeLost) < memberTime {
+			continue
+		}
+		en.eff.Log("member-forgotten", "entry", string(id), "beat-age-ms", now.Sub(mb.beatAt).Milliseconds())
+		delete(en.members, id)
+		delete(en.sessions, id)
+		en.eff.ForgetMember(id, mb.Version)
+	}
+}
+
 func (en *Entry) tickMember(now time.Time) {
+	en.forgetMembers(now)
 	en.forgetWorkers(now)
 	en.noteSettled(now)
 	if en.committing || now.Before(en.commitAt) || now.Sub(en.storeLost) < commitPause {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -182,7 +182,8 @@
 type Member struct {
 	Self
 	Leaving bool
-	Beat    int64 // rises while the entry lives and reaches the store
+	Version Version // of its row
+	Beat    int64   // rises while the entry lives and reaches the store
 }
 
 // TaskRef names one run of a task.
--- a/internal/fleet/effects.go
+++ b/internal/fleet/effects.go
@@ -93,6 +93,21 @@
 	return out
 }
 
+// ForgetMember ends the link to an entry and removes its row.
+func (ef *effects) ForgetMember(id ids.EntryID, version dispatch.Version) {
+	delete(ef.dm.links, id)
+	ef.dm.grp.Go(func(ctx context.Context) {
+		key := entryPrefix + string(id)
+		_, err := ef.dm.store.Commit(ctx, Transaction{
+			Checks:  []Check{{Table: TableFleet, Key: key, Version: version}},
+			Removes: []Remove{{Table: TableFleet, Key: key}},
+		})
+		if err != nil {
+			ef.dm.log.Line("member-row-kept", "entry", string(id), "error", err.Error())
+		}
+	})
+}
+
 // Log writes one line on a decision.
 func (ef *effects) Log(event string, fields ...any) { ef.dm.log.Line(event, fields...) }
 
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -229,7 +229,7 @@
 	}
 	en.PutMember(dispatch.Member{
 		Self:    dispatch.Self{Incarnation: rec.Incarnation, Zone: rec.Zone, PeerAddress: rec.PeerAddress, Size: rec.Size},
-		Leaving: rec.Leaving, Beat: rec.Beat,
+		Leaving: rec.Leaving, Version: ro.Version, Beat: rec.Beat,
 	})
 	dm.keepLinks(en)
 }
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -108,11 +108,15 @@
 	}
 }
 
-// run keeps a session until ctx ends.
+// run keeps a session until ctx ends or the entry is forgotten.
 func (lk *link) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		var address string
-		lk.dm.locked(func(*dispatch.Entry) { address = lk.address })
+		kept := true
+		lk.dm.locked(func(*dispatch.Entry) { address, kept = lk.address, lk.dm.links[lk.to] == lk })
+		if !kept {
+			return
+		}
 		err := lk.session(ctx, address)
 		if ctx.Err() != nil {
 			return
