--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -25,8 +25,8 @@
 	// balancerNotice is how long the balancer may send new connections after
 	// the entry is no longer ready: two probes, one a second, and a margin.
 	balancerNotice = 2500 * time.Millisecond
-	// exitMargin is kept of the grace time for the exit itself. With 250 ms
-	// entries on slow VMs were killed while they closed their connections.
+	// exitMargin is kept of the grace time for the exit itself: removing the row
+	// in the store takes up to 200 ms, and a slowed VM five times as long as usual.
 	exitMargin = 700 * time.Millisecond
 	// settingsPoll is the interval at which the settings file is looked at, since
 	// it may change without a signal.
