dispatch: let the lease run out before an end of a replaced run is forgotten

After the workers were unlisted, the owner started their tasks again; when the cut healed, the holder still kept the ends done of the first runs, and let the worker forget them once the job was over, which makes these ends count.

A row now says which run of a task has ended done. A holder judges each end that it keeps against the row: noted, pending, or void. A void end is forgotten only after the worker's lease has run out, since such an end does not count. Owners wait for the answers of all living holders about the workers that the store says they hold, instead of a fixed time, and for holders that went silent together with their workers. News of a job carry only what is stored. Ends of failed runs are counted once, also after a takeover.

--- /dev/null
+++ b/internal/dispatch/ends.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+)
+
+// unnotedEnd is an end that a worker must keep until it is stored.
+type unnotedEnd struct {
+	ref   TaskRef
+	how   End
+	since time.Time
+}
+
+// keepEnd keeps an end of a stored job's task on the worker's list.
+func (en *Entry) keepEnd(wk *worker, er EndedRun) {
+	wk.unnoted[er.Number] = unnotedEnd{ref: er.Ref, how: er.How, since: en.now()}
+}
+
+// storedHere tells whether a task belongs to a stored job that goes on.
+func (en *Entry) storedHere(ref TaskRef) bool {
+	jid, _, _, ok := splitTask(ref.Task)
+	if !ok {
+		return false
+	}
+	if en.readAt[TableJobs].IsZero() {
+		// Which jobs are stored is not known yet.
+		return true
+	}
+	re := en.records[jid]
+	return re != nil && !re.State.over()
+}
+
+// mayBeStored tells whether a task may belong to a stored job: its row may not
+// have been read yet.
+func (en *Entry) mayBeStored(ref TaskRef) bool {
+	jid, _, _, ok := splitTask(ref.Task)
+	return ok && (en.storedHere(ref) || en.records[jid] == nil)
+}
+
+// verdict tells what a holder may do with an end that it keeps.
+type verdict int
+
+const (
+	verdictPending verdict = iota // the owner has not stored it
+	verdictNoted                  // the worker may forget it
+	// verdictVoid is an end done of a run that another run has replaced. If the
+	// worker forgot it the task would have been started again after an end that
+	// counts. An end whose worker's lease runs out first does not count.
+	verdictVoid
+)
+
+// judge compares an end with the row of its job.
+func (en *Entry) judge(un unnotedEnd) verdict {
+	jid, _, _, _ := splitTask(un.ref.Task)
+	re := en.records[jid]
+	if re == nil {
+		if en.readAt[TableJobs].After(un.since) {
+			// The job is not stored, or its row has been removed long after its end.
+			return verdictNoted
+		}
+		return verdictPending
+	}
+	name := taskName(un.ref.Task)
+	run, done := re.Done[name]
+	switch {
+	case un.how != EndDone:
+		if re.State.over() || slices.Contains(re.Fails[name], un.ref.Run) {
+			return verdictNoted
+		}
+		return verdictPending
+	case done && run == un.ref.Run:
+		return verdictNoted
+	case done:
+		return verdictVoid
+	case !re.State.over():
+		return verdictPending
+	case un.ref.Run >= re.Latest[name]:
+		return verdictNoted
+	}
+	return verdictVoid
+}
+
+// lapseWait is how long a worker whose lease is to run out may end its tasks
+// before.
+const lapseWait = 2 * time.Second
+
+// judgeEnds lets a worker forget the ends that are stored. When one is void the
+// lease of the worker runs out before it is forgotten.
+func (en *Entry) judgeEnds(wk *worker, now time.Time) {
+	void := 0
+	for number, un := range wk.unnoted {
+		switch en.judge(un) {
+		case verdictNoted:
+			delete(wk.unnoted, number)
+		case verdictVoid:
+			void++
+		case verdictPending:
+		}
+	}
+	switch {
+	case void == 0:
+		wk.lapseSince = time.Time{}
+	case wk.lapseSince.IsZero():
+		wk.lapseSince = now
+		// A former holder may have extended the lease just before.
+		wk.extendLease(now, en.lease)
+		en.eff.Log("worker-lapsing", "worker", string(wk.info.ID), "void-ends", void, "slots", len(wk.slots))
+	case wk.lapses(now) && now.After(wk.leaseEnd):
+		for number, un := range wk.unnoted {
+			if en.judge(un) == verdictVoid {
+				delete(wk.unnoted, number)
+			}
+		}
+		wk.lapseSince = time.Time{}
+		en.eff.Log("worker-lapsed", "worker", string(wk.info.ID), "void-ends", void)
+	}
+}
+
+// lapses tells whether the lease of a worker is left to run out.
+func (wk *worker) lapses(now time.Time) bool {
+	return !wk.lapseSince.IsZero() && (len(wk.slots) == 0 || now.Sub(wk.lapseSince) > lapseWait)
+}
+
+// onNoted lets a worker forget ends that are stored.
+func (en *Entry) onNoted(ms Noted) {
+	for _, ref := range ms.Refs {
+		for _, id := range sortedKeys(en.workers) {
+			wk := en.workers[id]
+			for number, un := range wk.unnoted {
+				if un.ref == ref {
+					delete(wk.unnoted, number)
+				}
+			}
+		}
+	}
+}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -93,21 +93,21 @@
 	sessions map[ids.EntryID]*session
 
 	// as owner
-	jobs        map[ids.JobID]*job
-	groups      map[GroupID]*group
-	lastGroup   GroupID
-	learned     map[string]*estimator
-	records     map[ids.JobID]*record
-	recordsRead bool
-	settledAt   time.Time // since when all workers have living holders
-	lookups     map[ids.JobID][]func(failed bool)
-	cancels     map[ids.JobID][]func(out Outcome)
-	beaten      time.Time // when the last beat that is stored was sent
-	fenced      bool      // stored jobs may be taken over by other entries
-	checkTick   time.Time
-	claimTick   time.Time
-	started     time.Time
-	leftAt      time.Time
+	jobs      map[ids.JobID]*job
+	groups    map[GroupID]*group
+	lastGroup GroupID
+	learned   map[string]*estimator
+	records   map[ids.JobID]*record
+	readAt    map[Table]time.Time // when the last whole read was sent
+	needs     needs
+	lookups   map[ids.JobID][]func(failed bool)
+	cancels   map[ids.JobID][]func(out Outcome)
+	beaten    time.Time // when the last beat that is stored was sent
+	fenced    bool      // stored jobs may be taken over by other entries
+	checkTick time.Time
+	claimTick time.Time
+	started   time.Time
+	leftAt    time.Time
 
 	// as holder
 	workers   map[ids.WorkerID]*worker
@@ -163,6 +163,7 @@
 		groups:   map[GroupID]*group{},
 		learned:  map[string]*estimator{},
 		records:  map[ids.JobID]*record{},
+		readAt:   map[Table]time.Time{},
 		lookups:  map[ids.JobID][]func(failed bool){},
 		cancels:  map[ids.JobID][]func(out Outcome){},
 		started:  now(),
@@ -246,6 +247,24 @@
 	return true
 }
 
+// Table is one of the tables of the store that an entry follows.
+type Table int
+
+// The tables that an entry follows.
+const (
+	TableHolders Table = iota // entries and holders of workers
+	TableWorkers
+	TableJobs
+)
+
+// TableRead tells that all rows of a table have been taken that were there when
+// the read was sent.
+func (en *Entry) TableRead(tb Table, sent time.Time) {
+	if sent.After(en.readAt[tb]) {
+		en.readAt[tb] = sent
+	}
+}
+
 // Desired returns the desired state in force, nil before the first one.
 func (en *Entry) Desired() *Desired { return en.desired }
 
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -63,10 +63,12 @@
 	leaseEnd  time.Time            // when all leases that were asked for have surely ended
 	acked     int64                // ends up to it have been taken
 	unnoted   map[int64]unnotedEnd // ends whose owners have not stored them yet
-	clock     WorkerTime           // the worker's clock at clockAt
-	clockAt   time.Time
-	born      int64
-	handingTo ids.Incarnation // set while the worker is passed on
+	// lapseSince is set while the lease is to run out because of a void end.
+	lapseSince time.Time
+	clock      WorkerTime // the worker's clock at clockAt
+	clockAt    time.Time
+	born       int64
+	handingTo  ids.Incarnation // set while the worker is passed on
 
 	awaiting   map[ids.EntryID]bool // entries that have not answered Adopt
 	adoptUntil time.Time
@@ -141,7 +143,7 @@
 // usable tells whether new tasks may be placed on the worker.
 func (wk *worker) usable(now time.Time) bool {
 	return wk.phase == phaseOpen && wk.failing.IsZero() && wk.recheckAt.IsZero() && wk.info.State == WorkerReady &&
-		wk.handingTo == "" && !now.Before(wk.blocked) && !wk.overdue && (wk.streak == 0 || len(wk.slots) == 0)
+		wk.handingTo == "" && !now.Before(wk.blocked) && !wk.overdue && wk.lapseSince.IsZero() && (wk.streak == 0 || len(wk.slots) == 0)
 }
 
 // takeWorker begins to hold a worker under a token.
@@ -183,7 +185,7 @@
 	now := en.now()
 	wk.holding, wk.holdSent = true, now
 	order := HoldOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.ackThrough()}
-	if wk.phase == phaseOpen && wk.failing.IsZero() {
+	if wk.phase == phaseOpen && wk.failing.IsZero() && !wk.lapses(now) {
 		if len(wk.unnoted) == 0 {
 			order.Wait = en.holdWait
 		}
@@ -220,6 +222,7 @@
 	Born    int64
 	Running []TaskRef
 	Ended   []EndedRun
+	More    bool // the worker has more ends than it lists at a time
 	Fenced  bool // the worker has seen a higher token
 	Other   bool // another lifetime of the worker answered
 	Failed  bool // no answer, or none that can be used
@@ -299,7 +302,7 @@
 // reach it.
 func (en *Entry) workerReborn(wk *worker, rep HoldReply) {
 	en.eff.Log("worker-restarted", "worker", string(wk.info.ID), "born", rep.Born, "before", wk.born, "slots", len(wk.slots))
-	wk.acked, wk.unnoted = 0, map[int64]unnotedEnd{}
+	wk.acked, wk.unnoted, wk.lapseSince = 0, map[int64]unnotedEnd{}, time.Time{}
 	listed := map[TaskRef]bool{}
 	for _, ref := range rep.Running {
 		listed[ref] = true
@@ -454,6 +457,10 @@
 		listed[ref] = true
 		en.takeRunning(wk, ref)
 	}
+	if rep.More {
+		// A run that is not listed may have ended.
+		return
+	}
 	for _, sl := range wk.list() {
 		if listed[sl.ref] || sl.state == slotGranted {
 			continue
@@ -522,7 +529,7 @@
 }
 
 func (en *Entry) tickWorker(wk *worker, now time.Time) {
-	en.pruneUnnoted(wk, now)
+	en.judgeEnds(wk, now)
 	if wk.phase == phaseAdopting && now.After(wk.adoptUntil) {
 		en.openWorker(wk)
 	}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -321,7 +321,6 @@
 func (en *Entry) tickMember(now time.Time) {
 	en.forgetMembers(now)
 	en.forgetWorkers(now)
-	en.noteSettled(now)
 	if en.committing || now.Before(en.commitAt) || now.Sub(en.storeLost) < commitPause {
 		return
 	}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -66,6 +66,7 @@
 	placedAt   time.Time
 	lostUntil  time.Time // when a lost task surely runs no more
 	notBefore  time.Time // when runs of a former owner have surely ended
+	sent       bool      // this owner has sent a run of it to a holder
 	checkpoint string
 }
 
@@ -93,8 +94,9 @@
 	claimed   bool // taken over from another owner
 	// heard holds the entries that have told which runs of the job have ended
 	// at their workers, since a task was last lost.
-	heard map[ids.EntryID]bool
-	askAt time.Time
+	heard  map[ids.EntryID]bool
+	askAt  time.Time
+	lostAt time.Time // when a task was last lost
 }
 
 // The limits on jobs at their owner.
@@ -299,7 +301,9 @@
 		gr.job.begun = true
 		en.eff.Observe("job.first-start", en.now().Sub(gr.job.Arrived))
 		if gr.job.stored != nil {
-			en.learnRecord(gr.job.stored.rec, true)
+			if re := en.records[gr.job.Job.ID]; re != nil {
+				re.begun = true
+			}
 			en.tellAll(gr.job)
 		}
 	}
@@ -391,7 +395,7 @@
 
 func (en *Entry) lose(gr *group, ta *task, until time.Time) {
 	gr.job.begun = true
-	gr.job.heard = nil
+	gr.job.heard, gr.job.lostAt = nil, en.now()
 	ta.state, ta.lostUntil = taskLost, until
 }
 
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -116,6 +116,7 @@
 	}
 	for _, ta := range tasks {
 		ta.run++
+		ta.sent = true
 		ta.state, ta.holder, ta.worker, ta.placedAt = taskPlaced, holder, "", now
 		msg.Tasks = append(msg.Tasks, Assignment{
 			TaskRef: TaskRef{Task: ta.id, Run: ta.run}, Checkpoint: ta.checkpoint, Attempt: ta.failed, Stalls: ta.stalls,
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -33,10 +34,21 @@
 	// another entry.
 	Nonce     string
 	Submitted int64 // Unix milliseconds
-	// Done and Fails hold what has been noted of tasks, by their names without
-	// the job.
-	Done  []string
-	Fails map[string]int
+	// Done and Fails hold which runs are known to have ended so, by the names
+	// of the tasks without the job.
+	Done  map[string]Run
+	Fails map[string][]Run
+	// Latest holds the latest runs of tasks that were not done when the job
+	// ended, where they were started more than once.
+	Latest map[string]Run
+}
+
+// clone copies a record, so that later changes of the job don't reach a write
+// on its way.
+func (re JobRecord) clone() JobRecord {
+	re.Done = maps.Clone(re.Done)
+	re.Fails = maps.Clone(re.Fails)
+	return re
 }
 
 // JobWrite changes the row of a job if it has the expected version.
@@ -124,8 +136,6 @@
 	recordTime = 150 * time.Second
 	// storeAwayLimit after the last read that failed the store counts as away.
 	storeAwayLimit = 400 * time.Millisecond
-	// unnotedTime bounds how long ends of a job that no entry knows are kept.
-	unnotedTime = 3 * time.Second
 	// leaveWait is how long a leaving owner lets running tasks end.
 	leaveWait = 2500 * time.Millisecond
 )
@@ -172,8 +182,7 @@
 	}
 	st.writing, st.dirty = true, false
 	st.inWrite, st.unsaved = st.unsaved, nil
-	wr := JobWrite{Record: st.rec, Expected: st.rec.Version}
-	wr.Record.Done = slices.Clone(st.rec.Done)
+	wr := JobWrite{Record: st.rec.clone(), Expected: st.rec.Version}
 	if !st.accepted {
 		wr.Body = &jb.Job
 	}
@@ -271,9 +280,14 @@
 
 // tellAll sends the state of a job to all entries that can be reached.
 func (en *Entry) tellAll(jb *job) {
+	// What the job has beyond its row is not stored yet.
+	re := en.records[jb.Job.ID]
+	if re == nil {
+		return
+	}
 	for _, id := range en.reachable() {
 		if id != en.id {
-			en.eff.Send(id, JobNews{Record: jb.stored.rec, Begun: jb.begun})
+			en.eff.Send(id, JobNews{Record: re.JobRecord, Begun: jb.begun})
 		}
 	}
 }
@@ -356,17 +370,15 @@
 	st := jb.stored
 	name := taskName(ta.id)
 	if how == EndDone {
-		st.rec.Done = append(st.rec.Done, name)
+		if st.rec.Done == nil {
+			st.rec.Done = map[string]Run{}
+		}
+		st.rec.Done[name] = ta.run
 	} else {
 		if st.rec.Fails == nil {
-			st.rec.Fails = map[string]int{}
-		}
-		fails := map[string]int{}
-		for key, val := range st.rec.Fails {
-			fails[key] = val
+			st.rec.Fails = map[string][]Run{}
 		}
-		fails[name] = ta.failed
-		st.rec.Fails = fails
+		st.rec.Fails[name] = append(slices.Clone(st.rec.Fails[name]), ta.run)
 	}
 	st.unsaved = append(st.unsaved, unsavedEnd{holder: holder, ref: TaskRef{Task: ta.id, Run: ta.run}})
 	if !st.dirty {
@@ -381,6 +393,9 @@
 		return
 	}
 	st.rec.State = state
+	if state != JobCompleted {
+		st.rec.Latest = jb.latestRuns()
+	}
 	st.dirty, st.dirtyAt = true, en.now()
 	en.write(jb)
 }
@@ -543,62 +558,3 @@
 	}
 	return Queue{}, false
 }
-
-// unnotedEnd is an end that a worker must keep until it is stored.
-type unnotedEnd struct {
-	ref   TaskRef
-	how   End
-	since time.Time
-}
-
-// keepEnd keeps an end of a stored job's task on the worker's list.
-func (en *Entry) keepEnd(wk *worker, er EndedRun) {
-	wk.unnoted[er.Number] = unnotedEnd{ref: er.Ref, how: er.How, since: en.now()}
-}
-
-// storedHere tells whether a task belongs to a stored job that goes on.
-func (en *Entry) storedHere(ref TaskRef) bool {
-	jid, _, _, ok := splitTask(ref.Task)
-	if !ok {
-		return false
-	}
-	if !en.recordsRead {
-		// Which jobs are stored is not known yet.
-		return true
-	}
-	re := en.records[jid]
-	return re != nil && !re.State.over()
-}
-
-// mayBeStored tells whether a task may belong to a stored job: its row may not
-// have been read yet.
-func (en *Entry) mayBeStored(ref TaskRef) bool {
-	jid, _, _, ok := splitTask(ref.Task)
-	return ok && (en.storedHere(ref) || en.records[jid] == nil)
-}
-
-// RecordsRead tells that all rows of stored jobs have been taken once.
-func (en *Entry) RecordsRead() { en.recordsRead = true }
-
-// pruneUnnoted lets the worker forget ends of jobs that are over.
-func (en *Entry) pruneUnnoted(wk *worker, now time.Time) {
-	for number, un := range wk.unnoted {
-		if !en.storedHere(un.ref) && now.Sub(un.since) > unnotedTime {
-			delete(wk.unnoted, number)
-		}
-	}
-}
-
-// onNoted lets a worker forget ends that are stored.
-func (en *Entry) onNoted(ms Noted) {
-	for _, ref := range ms.Refs {
-		for _, id := range sortedKeys(en.workers) {
-			wk := en.workers[id]
-			for number, un := range wk.unnoted {
-				if un.ref == ref {
-					delete(wk.unnoted, number)
-				}
-			}
-		}
-	}
-}
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -108,7 +108,7 @@
 
 // claimJobs takes over jobs whose owners are gone.
 func (en *Entry) claimJobs(now time.Time) {
-	if en.leaving || en.fenced || !en.recordsRead {
+	if en.leaving || en.fenced || en.readAt[TableJobs].IsZero() {
 		return
 	}
 	list := en.candidates(now)
@@ -150,7 +150,7 @@
 	if !ok {
 		return
 	}
-	rec := re.JobRecord
+	rec := re.clone()
 	before := rec.Owner
 	rec.Owner = en.self.Incarnation
 	rec.Nonce = string(en.self.Incarnation)
@@ -160,6 +160,7 @@
 		begun:      re.begun,
 		stored:     &storedJob{rec: rec, accepted: true},
 		claimed:    true,
+		lostAt:     en.now(),
 	}
 	en.jobs[re.ID] = jb
 	en.eff.Log("job-claimed", "job", string(re.ID), "before", string(before), "epoch", rec.Epoch, "done", len(rec.Done))
@@ -169,8 +170,8 @@
 		for _, ta := range gr.tasks {
 			name := taskName(ta.id)
 			ta.run = Run(rec.Epoch * runStep)
-			ta.failed = rec.Fails[name]
-			if slices.Contains(rec.Done, name) {
+			ta.failed = len(rec.Fails[name])
+			if _, done := rec.Done[name]; done {
 				ta.state = taskDone
 			} else if before != "" {
 				// The tasks of the former owner may take that long to be stopped.
@@ -191,6 +192,8 @@
 type PastEnds struct {
 	Jobs []ids.JobID
 	Ends []Ended
+	// Held holds the workers that the answer is about.
+	Held []HolderRow
 }
 
 // runsAny tells whether a slot of one of the jobs is left on the worker.
@@ -215,7 +218,7 @@
 
 // askAround asks the entries that have not told yet how runs of a job ended.
 func (en *Entry) askAround(jb *job, now time.Time) {
-	if !jb.anyLost() || !en.settled(now) || now.Sub(jb.askAt) < askInterval {
+	if now.Sub(jb.askAt) < askInterval || !jb.anyLost() {
 		return
 	}
 	jb.askAt = now
@@ -246,6 +249,7 @@
 			// More ends may come; the owner asks again.
 			return
 		}
+		reply.Held = append(reply.Held, HolderRow{Worker: id, Version: Version(wk.token)})
 		for _, number := range sortedKeys(wk.unnoted) {
 			un := wk.unnoted[number]
 			if jid, _, _, ok := splitTask(un.ref.Task); ok && slices.Contains(ms.Jobs, jid) {
@@ -262,6 +266,9 @@
 	for _, ed := range ms.Ends {
 		en.pastEnd(from, ed)
 	}
+	if !en.coversAll(from, ms.Held) {
+		return
+	}
 	for _, jid := range ms.Jobs {
 		jb := en.jobs[jid]
 		if jb == nil || jb.stored == nil {
@@ -274,6 +281,27 @@
 	}
 }
 
+// coversAll tells whether a holder has taken all the workers that it holds
+// according to the store. It may not know yet of the latest ones.
+func (en *Entry) coversAll(from ids.EntryID, held []HolderRow) bool {
+	tokens := map[ids.WorkerID]Version{}
+	for _, row := range held {
+		tokens[row.Worker] = row.Version
+	}
+	for id, row := range en.rows {
+		if row.Holder.Entry() == from && en.listed(id) && tokens[id] < row.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// listed tells whether a worker has a row in the store.
+func (en *Entry) listed(id ids.WorkerID) bool {
+	kw := en.known[id]
+	return kw != nil && kw.removed.IsZero()
+}
+
 // pastEnd takes one end that may belong to an earlier run than the latest.
 func (en *Entry) pastEnd(from ids.EntryID, ed Ended) {
 	jid, step, idx, ok := splitTask(ed.Ref.Task)
@@ -281,32 +309,40 @@
 	if !ok || jb == nil || jb.stored == nil || step >= len(jb.groups) || idx >= len(jb.groups[step].tasks) {
 		return
 	}
-	ta := jb.groups[step].tasks[idx]
-	st := jb.stored
-	st.unsaved = append(st.unsaved, unsavedEnd{holder: from, ref: ed.Ref})
-	if !st.dirty {
-		st.dirty, st.dirtyAt = true, en.now()
-	}
+	gr := jb.groups[step]
+	ta := gr.tasks[idx]
 	if ta.state == taskDone || ta.state == taskFailed {
 		return
 	}
-	if ed.How != EndDone {
-		// An earlier run has failed; a later one may have ended otherwise.
-		ta.failed++
-		en.endedStored(jb, ta, from, EndFailed)
-		if ta.failed >= jb.Queue.MaxAttempts {
-			ta.state = taskFailed
-			en.settle(jb, JobFailed)
+	if ed.How == EndDone {
+		if ta.sent && ta.run != ed.Ref.Run {
+			// A later run has been started; its end counts.
+			return
 		}
+		ta.state, ta.run = taskLost, ed.Ref.Run
+		en.onEnded(from, ed)
 		return
 	}
-	if ta.state != taskLost && ta.state != taskQueued {
-		// A later run is on its way: the first end counts, the later run is stopped.
-		en.send(ta.holder, Stop{Refs: []TaskRef{{Task: ta.id, Run: ta.run}}})
+	if slices.Contains(jb.stored.rec.Fails[taskName(ta.id)], ed.Ref.Run) {
+		return
 	}
-	ta.state = taskLost
-	ed.Ref.Run = ta.run
-	en.onEnded(from, ed)
+	latest := ta.run
+	ta.failed++
+	ta.run = ed.Ref.Run
+	en.endedStored(jb, ta, from, EndFailed)
+	ta.run = max(latest, ta.run)
+	if ta.failed >= jb.Queue.MaxAttempts {
+		ta.state = taskFailed
+		en.settle(jb, JobFailed)
+	}
+}
+
+// needs tells whose answers are needed before a lost task of a stored job is
+// started again.
+type needs struct {
+	at      time.Time
+	wait    bool // the holder of some worker is not known
+	holders []ids.EntryID
 }
 
 // mayHaveEnded tells whether a lost task of a stored job may have ended, or may
@@ -316,42 +352,58 @@
 	if jb.stored == nil {
 		return false
 	}
-	en.noteSettled(now)
-	if !en.settled(now) || !jb.heard[en.id] {
+	if en.needs.at != now {
+		en.needs = en.findNeeds(now)
+	}
+	if en.needs.wait || !en.readAt[TableHolders].After(jb.lostAt) {
 		return true
 	}
-	for id, mb := range en.members {
-		if !jb.heard[id] && en.alive(mb.Incarnation, now) {
+	for _, id := range en.needs.holders {
+		if !jb.heard[id] {
 			return true
 		}
 	}
 	return false
 }
 
-// settled tells whether all workers have living holders that have read what the
-// workers list.
-func (en *Entry) settled(now time.Time) bool {
-	return !en.settledAt.IsZero() && now.Sub(en.settledAt) >= settledTime
-}
-
-// noteSettled notes since when all workers have living holders.
-func (en *Entry) noteSettled(now time.Time) {
-	for id, kw := range en.known {
-		row, ok := en.rows[id]
-		if !kw.removed.IsZero() || (ok && en.alive(row.Holder, now)) {
-			continue
+// findNeeds looks at the holders of all workers. The holder of a worker that is
+// no longer listed may be cut off together with it and go on using it.
+func (en *Entry) findNeeds(now time.Time) needs {
+	out := needs{at: now, holders: []ids.EntryID{en.id}, wait: en.readAt[TableWorkers].IsZero()}
+	gone := map[ids.Incarnation]bool{}
+	for id, row := range en.rows {
+		listed := en.listed(id)
+		is, ok := gone[row.Holder]
+		if !ok {
+			is = en.ownerGone(row.Holder, now)
+			gone[row.Holder] = is
+		}
+		if !en.alive(row.Holder, now) && (listed || !is) {
+			out.wait = true
+			return out
 		}
-		en.settledAt = time.Time{}
-		return
 	}
-	if en.settledAt.IsZero() {
-		en.settledAt = now
+	for _, id := range sortedKeys(en.members) {
+		if en.alive(en.members[id].Incarnation, now) {
+			out.holders = append(out.holders, id)
+		}
 	}
+	return out
 }
 
-// settledTime covers the time from the claim of a worker until its new holder
-// has told the owners what the worker lists.
-const settledTime = 700 * time.Millisecond
+// latestRuns returns the latest runs of the tasks that are not done, where they
+// were started more than once.
+func (jb *job) latestRuns() map[string]Run {
+	latest := map[string]Run{}
+	for _, gr := range jb.groups {
+		for _, ta := range gr.tasks {
+			if ta.state != taskDone && ta.sent && ta.run > 1 {
+				latest[taskName(ta.id)] = ta.run
+			}
+		}
+	}
+	return latest
+}
 
 // forgetHeard makes the owner ask again how lost tasks ended, because a worker
 // has changed its holder.
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -25,6 +25,9 @@
 	// times a second, so that each read brings a batch. Reads are priced.
 	workersPause = 400 * time.Millisecond
 	fleetPause   = 300 * time.Millisecond
+	// feedRows is the number of changes from which on an answer of the feed may
+	// not be complete.
+	feedRows = 500
 	// storeRetry is the pause after a read that failed.
 	storeRetry = 150 * time.Millisecond
 	// beatTimeout bounds one write of this entry's row.
@@ -52,6 +55,7 @@
 		var next dispatch.Version
 		var err error
 		whole := version < 0
+		sent := dm.Now()
 		if whole {
 			rows, next, err = dm.readAll(ctx, tb)
 		} else {
@@ -75,8 +79,8 @@
 			rows = append(rows, missingRows(keys, rows, next)...)
 		}
 		dm.apply(tb, rows, keys)
-		if whole && tb.name == TableJobs {
-			dm.locked(func(en *dispatch.Entry) { en.RecordsRead() })
+		if whole || len(rows) < feedRows {
+			dm.tableRead(tb.name, sent)
 		}
 		version = next
 		if tb.pause > 0 {
@@ -85,6 +89,16 @@
 	}
 }
 
+// tableRead tells the entry that it knows a table as it was at a time.
+func (dm *Daemon) tableRead(tb Table, sent time.Time) {
+	names := map[Table]dispatch.Table{
+		TableFleet: dispatch.TableHolders, TableWorkers: dispatch.TableWorkers, TableJobs: dispatch.TableJobs,
+	}
+	if name, ok := names[tb]; ok {
+		dm.locked(func(en *dispatch.Entry) { en.TableRead(name, sent) })
+	}
+}
+
 // readAll reads the parts of a table. The version is that of the first read, so
 // that changes meanwhile come again through the feed.
 func (dm *Daemon) readAll(ctx context.Context, tb table) ([]Row, dispatch.Version, error) {
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -1,9 +1,12 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -54,14 +57,63 @@
 	Epoch     int64             `json:"epoch"`
 	Nonce     string            `json:"nonce"`
 	Submitted int64             `json:"submitted-unix-millis"`
-	Done      []string          `json:"done,omitempty"`
-	Fails     map[string]int    `json:"fails,omitempty"`
+	// Done holds the tasks that are done, as encodeRuns writes them.
+	Done   []string                  `json:"done,omitempty"`
+	Fails  map[string][]dispatch.Run `json:"fails,omitempty"`
+	Latest map[string]dispatch.Run   `json:"latest,omitempty"`
+}
+
+// encodeRuns writes tasks with a run each as step, range of indices and run, as
+// in "0.2-17@1", so that jobs of many tasks fit into a row.
+func encodeRuns(runs map[string]dispatch.Run) []string {
+	type cell struct {
+		step, idx int
+		run       dispatch.Run
+	}
+	cells := make([]cell, 0, len(runs))
+	for name, run := range runs {
+		var ce cell
+		if _, err := fmt.Sscanf(name, "0.%d.%d", &ce.step, &ce.idx); err != nil {
+			continue
+		}
+		ce.run = run
+		cells = append(cells, ce)
+	}
+	slices.SortFunc(cells, func(a, b cell) int { return cmp.Or(cmp.Compare(a.step, b.step), cmp.Compare(a.idx, b.idx)) })
+	var list []string
+	for from := 0; from < len(cells); {
+		to := from
+		for to+1 < len(cells) && cells[to+1] == (cell{cells[from].step, cells[to].idx + 1, cells[from].run}) {
+			to++
+		}
+		list = append(list, fmt.Sprintf("%d.%d-%d@%d", cells[from].step, cells[from].idx, cells[to].idx, cells[from].run))
+		from = to + 1
+	}
+	return list
+}
+
+func decodeRuns(list []string) (map[string]dispatch.Run, error) {
+	if len(list) == 0 {
+		return nil, nil
+	}
+	runs := map[string]dispatch.Run{}
+	for _, text := range list {
+		var step, from, to int
+		var run dispatch.Run
+		if _, err := fmt.Sscanf(text, "%d.%d-%d@%d", &step, &from, &to, &run); err != nil {
+			return nil, fmt.Errorf("tasks that are done: %q: %w", text, err)
+		}
+		for idx := from; idx <= to; idx++ {
+			runs[fmt.Sprintf("0.%d.%d", step, idx)] = run
+		}
+	}
+	return runs, nil
 }
 
 func encodeRecord(rec dispatch.JobRecord) ([]byte, error) {
 	return json.Marshal(jobRecord{
 		Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch, Nonce: rec.Nonce,
-		Submitted: rec.Submitted, Done: rec.Done, Fails: rec.Fails,
+		Submitted: rec.Submitted, Done: encodeRuns(rec.Done), Fails: rec.Fails, Latest: rec.Latest,
 	})
 }
 
@@ -70,9 +122,13 @@
 	if err := json.Unmarshal(ro.Value, &rec); err != nil {
 		return dispatch.JobRecord{}, err
 	}
+	done, err := decodeRuns(rec.Done)
+	if err != nil {
+		return dispatch.JobRecord{}, err
+	}
 	return dispatch.JobRecord{
 		ID: ids.JobID(ro.Key), Version: ro.Version, Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
-		Nonce: rec.Nonce, Submitted: rec.Submitted, Done: rec.Done, Fails: rec.Fails,
+		Nonce: rec.Nonce, Submitted: rec.Submitted, Done: done, Fails: rec.Fails, Latest: rec.Latest,
 	}, nil
 }
 
