--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -300,29 +301,55 @@
 
 // TestEmulatorFindsSeededFaults shows that the checks find what they are for.
 func TestEmulatorFindsSeededFaults(t *testing.T) {
-	rows := map[string]func(ef *emuEffects, order StartOrder){
-		"a task is started on two workers": func(ef *emuEffects, order StartOrder) {
+	// other sends an order to another worker, whatever its holder and its clock.
+	other := func(ef *emuEffects, order StartOrder, id ids.WorkerID) {
+		order.Worker, order.Token = id, 1<<40
+		order.Until += WorkerTime(24 * time.Hour)
+		ef.StartTask(order)
+	}
+	rows := []struct {
+		name  string
+		start func(ef *emuEffects, order StartOrder)
+		found string // part of the message
+	}{
+		{"a task is started on two workers", func(ef *emuEffects, order StartOrder) {
+			ef.StartTask(order)
+			other(ef, order, "w-001")
+		}, "runs twice at a time"},
+		{"a worker is given more than it has room for", func(ef *emuEffects, order StartOrder) {
+			other(ef, order, "w-001")
+		}, "is given"},
+		{"a task is started on a worker of another service", func(ef *emuEffects, order StartOrder) {
+			other(ef, order, "w-100")
+		}, "of service fitdesk starts on worker w-100 of service lab"},
+		{"a task is started on a worker without its label", func(ef *emuEffects, order StartOrder) {
+			other(ef, order, "w-002")
+		}, "has no label small"},
+		{"tasks of a step are started together that must be apart", func(ef *emuEffects, order StartOrder) {
+			other(ef, order, "w-000")
+		}, "at most 1 may run there"},
+		{"a step is started before the one that it waits for", func(ef *emuEffects, order StartOrder) {
 			ef.StartTask(order)
-			other := order
-			other.Worker = ids.WorkerID("w-001")
-			other.Token = 1 << 40
-			ef.StartTask(other)
-		},
-		"a worker is given more than it has room for": func(ef *emuEffects, order StartOrder) {
-			order.Worker, order.Token = "w-001", 1<<40
+			at, _ := splitTask(order.Ref.Task)
+			order.Ref.Task = TaskID(fmt.Sprintf("%s.0.1.%d", at.job, at.idx))
 			ef.StartTask(order)
-		},
+		}, "is done"},
 	}
-	for name, start := range rows {
-		t.Run(name, func(t *testing.T) {
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
 			wo := standardWorld(1, 3, 12)
+			wo.addService("lab", "test", 1)
+			kinds := slices.Clone(standardKinds)
+			for at := range kinds {
+				kinds[at].steps, kinds[at].label, kinds[at].spread = 2, "small", 1
+			}
 			for _, ee := range wo.sortedEntries() {
-				ee.en.eff = &seededFault{emuEffects: &emuEffects{ee: ee, en: ee.en}, start: start}
+				ee.en.eff = &seededFault{emuEffects: &emuEffects{ee: ee, en: ee.en}, start: row.start}
 			}
-			wo.load(standardKinds, 0.2, 5*time.Second)
+			wo.load(kinds, 0.2, 5*time.Second)
 			wo.run(8 * time.Second)
-			if len(wo.faults) == 0 {
-				t.Error("the fault was not found")
+			if !slices.ContainsFunc(wo.faults, func(fa string) bool { return strings.Contains(fa, row.found) }) {
+				t.Errorf("no fault with %q was found among %d", row.found, len(wo.faults))
 			}
 		})
 	}
@@ -403,6 +430,45 @@
 	}
 }
 
+// addService adds workers of another service and a queue that uses them, and
+// leaves the other queues as they are.
+func (wo *world) addService(name ids.ServiceName, queue string, count int) {
+	des := standardDesired(wo.desired.Version + 1)
+	des.Queues = append(slices.Clone(wo.desired.Queues), Queue{
+		Name: queue, Host: "example", Prefix: "/" + queue + "/", Service: name, Priority: 1,
+		MaxAttempts: 3, Stretch: 1.6, Slack: 60 * time.Millisecond,
+	})
+	wo.desired = des
+	for _, ee := range wo.sortedEntries() {
+		ee.en.Apply(des)
+	}
+	for num := range count {
+		wo.addWorker(100+num, "north", 32000, 1).info.Service = name
+	}
+	wo.run(2 * time.Second)
+}
+
+// TestPlaceRules guards tasks against workers of another service, without the
+// label that they need, or with too many tasks of their step.
+func TestPlaceRules(t *testing.T) {
+	wo := standardWorld(510, 7, 48)
+	wo.addService("lab", "test", 6)
+	kinds := slices.Clone(standardKinds)
+	kinds[0].label, kinds[1].spread, kinds[2].label, kinds[2].spread = "small", 1, "large", 2
+	kinds = append(kinds, kind{queue: "test", perS: 10, width: 3, work: 150 * time.Millisecond, steps: 2})
+	wo.load(kinds, 0.4, 15*time.Second)
+	wo.after(5*time.Second, wo.entries["entry-01"].kill)
+	wo.run(20 * time.Second)
+	wo.check(t)
+	const least = 0.75
+	if share := wo.share(); share < least {
+		t.Errorf("%.3f of the jobs were in time, want %.2f or more: %v of %v, %v", share, least, wo.inTime, wo.asked, wo.done)
+	}
+	if wo.inTime["test"] == 0 {
+		t.Error("no job of the other service was in time")
+	}
+}
+
 // TestSeveredZone guards against entries that claim the workers of a zone that
 // they can't reach, and so take them from their living holders when the cut
 // heals.
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -48,6 +49,11 @@
 	lastJob    int
 	starts     int
 	far        int // starts away from the rack of the data
+	gangs      map[string]*emuGang
+	// lastingStops counts stops of lasting tasks on workers that stay.
+	lastingStops int
+	alone        int // tasks that waited in vain for the others of their gang
+	cancelled    map[ids.JobID]bool
 	// stored jobs
 	records   map[ids.JobID]JobRecord
 	bodies    map[ids.JobID]Job
@@ -66,6 +72,10 @@
 const emuPenalty = 3
 
 type emuJob struct {
+	steps   []Step
+	repeat  Repeat
+	service ids.ServiceName
+	done    map[TaskID]bool
 	rack    ids.RackID // of the data
 	stored  bool
 	queue   string
@@ -112,6 +122,8 @@
 		storeUp: true,
 
 		faultKinds: plainFaults,
+		gangs:      map[string]*emuGang{},
+		cancelled:  map[ids.JobID]bool{},
 		gone:       map[ids.EntryID]bool{},
 		severed:    map[ids.AvailabilityZone]bool{},
 		storeCut:   map[ids.EntryID]bool{},
@@ -693,6 +705,7 @@
 		ef.ee.log(event, fields...)
 	}
 }
+func (ef *emuEffects) Wall() time.Time               { return ef.ee.wo.at }
 func (ef *emuEffects) Count(string, string, int64)   {}
 func (ef *emuEffects) Observe(string, time.Duration) {}
 
@@ -722,6 +735,7 @@
 	ref  TaskRef
 	need Resources
 	over bool
+	gang *emuGang
 }
 
 func (wo *world) addWorker(num int, zone ids.AvailabilityZone, cpu Millicores, speed float64) *emuWorker {
@@ -769,8 +783,8 @@
 	if wk.runs[order.Ref] != nil {
 		return rep
 	}
-	jid, _, _, _ := splitTask(order.Ref.Task)
-	jb := wo.jobs[jid]
+	at, _ := splitTask(order.Ref.Task)
+	jb := wo.jobs[at.job]
 	if jb == nil {
 		wo.fault("worker %s starts %v, which nobody has submitted", wk.info.ID, order.Ref)
 		return rep
@@ -786,6 +800,7 @@
 		wo.fault("task %v starts although its end done was noted", order.Ref)
 	}
 	wo.lastStart[order.Ref.Task] = wo.at
+	wk.checkPlace(jb, order)
 	run := &emuRun{ref: order.Ref, need: emuNeed(order.Payload)}
 	wk.runs[order.Ref] = run
 	used := Resources{}
@@ -808,10 +823,112 @@
 	if wk.fails {
 		took, how = 5*time.Millisecond, EndFailed
 	}
-	wo.after(took, func() { wk.end(run, how) })
+	st := jb.steps[at.step]
+	switch {
+	case st.Lasting && how == EndDone:
+	case st.Gang:
+		wo.joinGang(wk, run, st.Count, took, how)
+	default:
+		wo.after(took, func() { wk.end(run, how) })
+	}
 	return rep
 }
 
+// emuGang is one run of a gang.
+type emuGang struct {
+	members map[*emuRun]*emuWorker
+	ended   bool
+}
+
+// joinGang adds a run to its gang, which works once all its tasks are present.
+func (wo *world) joinGang(wk *emuWorker, run *emuRun, count int, took time.Duration, how End) {
+	at, _ := splitTask(run.ref.Task)
+	key := fmt.Sprintf("%s.%d.%d/%d", at.job, at.occ, at.step, run.ref.Run)
+	ga := wo.gangs[key]
+	if ga == nil {
+		ga = &emuGang{members: map[*emuRun]*emuWorker{}}
+		wo.gangs[key] = ga
+	}
+	ga.members[run] = wk
+	run.gang = ga
+	wo.after(emuGangWait, func() {
+		if !run.over && len(ga.members) < count {
+			wo.alone++
+			wk.end(run, EndStopped)
+		}
+	})
+	if how == EndFailed {
+		wo.after(took, func() { wk.end(run, EndFailed) })
+		return
+	}
+	if len(ga.members) == count && !ga.ended {
+		wo.after(took, func() { wk.end(run, EndDone) })
+	}
+}
+
+// emuGangWait is how long the first task of a gang waits for the others.
+const emuGangWait = 3 * time.Second
+
+// end ends the other tasks of a gang together with one of them.
+func (ga *emuGang) end(how End) {
+	if ga.ended {
+		return
+	}
+	ga.ended = true
+	if how != EndDone {
+		how = EndStopped
+	}
+	for _, run := range sortedRuns(ga.members) {
+		ga.members[run].end(run, how)
+	}
+}
+
+func sortedRuns(members map[*emuRun]*emuWorker) []*emuRun {
+	var list []*emuRun
+	for run := range members {
+		list = append(list, run)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].ref.Task < list[b].ref.Task })
+	return list
+}
+
+// checkPlace checks that a task may run on the worker, and that its turn has
+// come.
+func (wk *emuWorker) checkPlace(jb *emuJob, order StartOrder) {
+	wo, id := wk.wo, order.Ref.Task
+	at, _ := splitTask(id)
+	st := jb.steps[at.step]
+	if wk.info.Service != jb.service {
+		wo.fault("task %s of service %s starts on worker %s of service %s", id, jb.service, wk.info.ID, wk.info.Service)
+	}
+	if st.Requirement != "" && !slices.Contains(wk.info.Labels, st.Requirement) {
+		wo.fault("task %s starts on worker %s, which has no label %s", id, wk.info.ID, st.Requirement)
+	}
+	beside := 0
+	for ref := range wk.runs {
+		if other, _ := splitTask(ref.Task); other.job == at.job && other.occ == at.occ && other.step == at.step && ref != order.Ref {
+			beside++
+		}
+	}
+	if st.AntiAffinity > 0 && beside >= st.AntiAffinity {
+		wo.fault("task %s starts on worker %s beside %d of its step, at most %d may run there", id, wk.info.ID, beside, st.AntiAffinity)
+	}
+	if due := jb.repeat.First + int64(at.occ)*jb.repeat.Interval.Milliseconds(); jb.repeat.Count > 0 && wo.at.UnixMilli() < due-emuEarly.Milliseconds() {
+		wo.fault("task %s starts %d ms before its time", id, due-wo.at.UnixMilli())
+	}
+	for _, dep := range st.After {
+		for idx := range jb.steps[dep].Count {
+			if before := TaskID(fmt.Sprintf("%s.%d.%d.%d", at.job, at.occ, dep, idx)); !jb.done[before] {
+				wo.fault("task %s starts before task %s is done", id, before)
+				return
+			}
+		}
+	}
+}
+
+// emuEarly is how early a timed task may start.
+const emuEarly = 250 * time.Millisecond
+
 // emuNeed reads the need of a task from its payload.
 func emuNeed(payload string) Resources {
 	var cpu int64
@@ -854,7 +971,13 @@
 	run.over = true
 	delete(wk.runs, run.ref)
 	wk.wo.running[run.ref.Task]--
+	if at, _ := splitTask(run.ref.Task); how == EndDone {
+		wk.wo.jobs[at.job].done[run.ref.Task] = true
+	}
 	wk.latest[run.ref.Task] = max(wk.latest[run.ref.Task], run.ref.Run)
+	if run.gang != nil {
+		run.gang.end(how)
+	}
 	if !wk.up {
 		return
 	}
@@ -875,6 +998,10 @@
 	wk.token = order.Token
 	wk.latest[order.Ref.Task] = max(wk.latest[order.Ref.Task], order.Ref.Run)
 	if run := wk.runs[order.Ref]; run != nil {
+		at, _ := splitTask(order.Ref.Task)
+		if wk.wo.jobs[at.job].steps[at.step].Lasting && !wk.wo.cancelled[at.job] && wk.info.State == WorkerReady {
+			wk.wo.lastingStops++
+		}
 		wk.wo.after(20*time.Millisecond, func() { wk.end(run, EndStopped) })
 	}
 }
@@ -926,8 +1053,8 @@
 // note records that an end done was acknowledged. It does not count when the
 // worker's lease has run out since.
 func (wo *world) note(wk *emuWorker, er EndedRun) {
-	jid, _, _, _ := splitTask(er.Ref.Task)
-	if !wo.jobs[jid].stored || wk.lapsedAt.After(wk.endedAt[er.Number]) {
+	at, _ := splitTask(er.Ref.Task)
+	if !wo.jobs[at.job].stored || wk.lapsedAt.After(wk.endedAt[er.Number]) {
 		return
 	}
 	if wo.lastStart[er.Ref.Task].After(wk.endedAt[er.Number]) {
@@ -964,6 +1091,14 @@
 
 	stored bool
 	racks  int // number of racks that hold data, 0 for no affinity
+	// label must be on the worker, and spread bounds the tasks of a step there.
+	label  string
+	spread int
+	// repeat is the number of timed runs of the steps, 0 for one at once.
+	repeat    int
+	gang      bool
+	lasting   bool
+	colocated bool
 }
 
 // submit sends one job to an entry.
@@ -984,19 +1119,25 @@
 		longest := time.Duration(0)
 		for idx := range count {
 			length := time.Duration(float64(base) * (0.9 + 0.2*wo.rnd.Float64()))
-			jb.length[TaskID(fmt.Sprintf("%s.0.%d.%d", id, step, idx))] = length
+			for occ := range max(kd.repeat, 1) {
+				jb.length[TaskID(fmt.Sprintf("%s.%d.%d.%d", id, occ, step, idx))] = length
+			}
 			longest = max(longest, length)
 		}
 		jb.work += longest
 		if kd.racks > 0 && jb.rack == "" {
 			jb.rack = ids.RackID(fmt.Sprintf("rack-%d", wo.rnd.IntN(kd.racks)))
 		}
-		st := Step{Affinity: jb.rack, Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared}
+		st := Step{Gang: kd.gang, Lasting: kd.lasting, Colocated: kd.colocated, Requirement: kd.label, AntiAffinity: kd.spread, Affinity: jb.rack, Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared}
 		if step > 0 {
 			st.After = []int{step - 1}
 		}
 		job.Steps = append(job.Steps, st)
 	}
+	if kd.repeat > 0 {
+		job.Repeat = Repeat{Count: kd.repeat, First: wo.at.Add(time.Second).UnixMilli(), Interval: 1500 * time.Millisecond}
+	}
+	jb.steps, jb.service, jb.repeat, jb.done = job.Steps, qu.Service, job.Repeat, map[TaskID]bool{}
 	wo.jobs[id] = jb
 	wo.asked[kd.queue]++
 	jb.stored = kd.stored
@@ -1058,6 +1199,9 @@
 	return Desired{Version: version, Queues: []Queue{qu("peek", 0, 4), qu("fit", 1, 3), qu("pair", 2, 2)}}
 }
 
+// emuLabels are the labels of workers, in turn.
+var emuLabels = []string{"small", "small", "large"}
+
 // standardWorld is the users' deployment: entries and workers in zones, a
 // quarter of the workers slow, a third of them larger.
 func standardWorld(seed uint64, entries, workers int) *world {
@@ -1069,13 +1213,14 @@
 	}
 	for num := range workers {
 		cpu, speed := Millicores(32000), 1.2
+		label := emuLabels[num%len(emuLabels)]
 		if num%3 == 2 {
 			cpu = 48000
 		}
 		if (num/len(zones))%4 == 0 {
 			speed = 0.55
 		}
-		wo.addWorker(num, zones[num%len(zones)], cpu, speed)
+		wo.addWorker(num, zones[num%len(zones)], cpu, speed).info.Labels = []string{label}
 	}
 	wo.run(3 * time.Second)
 	return wo
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -19,7 +19,7 @@
 
 // storedHere tells whether a task belongs to a stored job that goes on.
 func (en *Entry) storedHere(ref TaskRef) bool {
-	jid, _, _, ok := splitTask(ref.Task)
+	at, ok := splitTask(ref.Task)
 	if !ok {
 		return false
 	}
@@ -27,15 +27,15 @@
 		// Which jobs are stored is not known yet.
 		return true
 	}
-	re := en.records[jid]
+	re := en.records[at.job]
 	return re != nil && !re.State.over()
 }
 
 // mayBeStored tells whether a task may belong to a stored job: its row may not
 // have been read yet.
 func (en *Entry) mayBeStored(ref TaskRef) bool {
-	jid, _, _, ok := splitTask(ref.Task)
-	return ok && (en.storedHere(ref) || en.records[jid] == nil)
+	at, ok := splitTask(ref.Task)
+	return ok && (en.storedHere(ref) || en.records[at.job] == nil)
 }
 
 // verdict tells what a holder may do with an end that it keeps.
@@ -52,8 +52,8 @@
 
 // judge compares an end with the row of its job.
 func (en *Entry) judge(un unnotedEnd) verdict {
-	jid, _, _, _ := splitTask(un.ref.Task)
-	re := en.records[jid]
+	at, _ := splitTask(un.ref.Task)
+	re := en.records[at.job]
 	if re == nil {
 		if en.readAt[TableJobs].After(un.since) {
 			// The job is not stored, or its row has been removed long after its end.
@@ -61,6 +61,10 @@
 		}
 		return verdictPending
 	}
+	if re.Lasting {
+		// Its tasks are started again however they end.
+		return verdictNoted
+	}
 	name := taskName(un.ref.Task)
 	run, done := re.Done[name]
 	switch {
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -30,6 +30,8 @@
 	StoreJob(write JobWrite)
 	// LoadJob reads a stored job; Entry.JobLoaded takes the result.
 	LoadJob(id ids.JobID)
+	// Wall returns the time of day, which may jump.
+	Wall() time.Time
 	// Log writes one line on a decision. The fields are key and value in turn.
 	Log(event string, fields ...any)
 	// Count adds to a counter.
@@ -398,6 +400,10 @@
 
 // send passes a message to an entry, also to this one.
 func (en *Entry) send(to ids.EntryID, msg Message) {
+	if to == "" {
+		// A task without an owner.
+		return
+	}
 	if to == en.id {
 		en.Receive(en.id, msg)
 		return
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -37,6 +37,8 @@
 	stalls   int  // earlier runs that were stopped for running too long
 	foreign  bool // found on the worker and not claimed by any owner
 	checked  bool // the worker has listed the run
+	// orphanedAt is when a lasting task lost its owner.
+	orphanedAt time.Time
 }
 
 type workerPhase string
@@ -405,7 +407,7 @@
 			en.send(from, Ended{Ref: kp.Ref, Worker: ms.Worker, How: EndLost})
 			continue
 		}
-		if sl.foreign {
+		if sl.foreign || sl.keeps() {
 			sl.foreign, sl.owner, sl.group, sl.job = false, from, kp.Group, kp.Job
 			wk.resizeSlot(sl, kp.Shape)
 		}
@@ -432,6 +434,11 @@
 	wk.awaiting = nil
 	stopped := 0
 	for _, sl := range wk.list() {
+		if sl.foreign && en.mayLast(sl.ref) {
+			sl.foreign, sl.state = false, slotRunning
+			sl.shape.Lasting, sl.shape.Stored = true, true
+			en.orphan(sl)
+		}
 		if sl.foreign {
 			stopped++
 			en.stopSlot(wk, sl, EndStopped)
@@ -473,7 +480,7 @@
 func (en *Entry) takeEnd(wk *worker, er EndedRun) {
 	wk.acked = er.Number
 	sl := wk.slots[er.Ref]
-	stored := (sl != nil && sl.shape.Stored) || en.storedHere(er.Ref) || (sl == nil && en.mayBeStored(er.Ref))
+	stored := (sl != nil && sl.shape.Stored && !sl.shape.Lasting) || en.storedHere(er.Ref) || (sl == nil && en.mayBeStored(er.Ref))
 	if stored && (er.How == EndDone || er.How == EndFailed) {
 		en.keepEnd(wk, er)
 		if sl == nil || sl.owner == "" {
@@ -537,7 +544,7 @@
 		for _, sl := range wk.list() {
 			// A stored job's task may have ended done; the worker tells when it is
 			// back, and its row goes when it is not.
-			if sl.state != slotGranted && !sl.shape.Stored {
+			if sl.state != slotGranted && (!sl.shape.Stored || sl.shape.Lasting) {
 				en.endSlot(wk, sl, EndLost, "", 0)
 			}
 		}
@@ -557,6 +564,7 @@
 		case slotRunning:
 			en.checkOverdue(wk, sl, now)
 		}
+		en.tickLasting(wk, sl, now)
 	}
 	wk.overdue = wk.anyOverdue(now)
 }
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -367,17 +367,26 @@
 // Load returns what this entry reports to the others.
 func (en *Entry) Load() Load { return en.load() }
 
-// splitTask splits a task id into job, step and index.
-func splitTask(id TaskID) (ids.JobID, int, int, bool) {
+// taskPlace is what the id of a task says.
+type taskPlace struct {
+	job  ids.JobID
+	occ  int // occurrence of the steps, 0 for a job that is not timed
+	step int
+	idx  int
+}
+
+// splitTask splits a task id into job, occurrence, step and index.
+func splitTask(id TaskID) (taskPlace, bool) {
 	const partCount = 4
 	parts := strings.Split(string(id), ".")
 	if len(parts) != partCount {
-		return "", 0, 0, false
+		return taskPlace{}, false
 	}
+	occ, errOcc := strconv.Atoi(parts[1])
 	step, errStep := strconv.Atoi(parts[2])
 	idx, errIdx := strconv.Atoi(parts[3])
-	if errStep != nil || errIdx != nil || step < 0 || idx < 0 {
-		return "", 0, 0, false
+	if errOcc != nil || errStep != nil || errIdx != nil || occ < 0 || step < 0 || idx < 0 {
+		return taskPlace{}, false
 	}
-	return ids.JobID(parts[0]), step, idx, true
+	return taskPlace{job: ids.JobID(parts[0]), occ: occ, step: step, idx: idx}, true
 }
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -59,6 +59,8 @@
 // Stop asks a holder to stop tasks.
 type Stop struct {
 	Refs []TaskRef
+	// Report asks for the ends of the tasks; else the owner forgets them.
+	Report bool
 }
 
 // Check asks a holder whether it has tasks; it answers with Ended for those
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -101,6 +101,22 @@
 	AntiAffinity int
 	// Checkpointing tasks save their progress and can be resumed.
 	Checkpointing bool
+	// Gang tasks work only together: all are started at once, the first end done
+	// counts for all, and any other end breaks the run of all.
+	Gang bool
+	// Colocated tasks are slower on more than one rack.
+	Colocated bool
+	// Lasting tasks run until the job is cancelled, and are started again however
+	// they end.
+	Lasting bool
+}
+
+// Repeat makes the steps of a job run several times. The zero value is one run
+// as soon as possible.
+type Repeat struct {
+	Count    int           // runs of the steps, 0 when they are not timed
+	First    int64         // Unix milliseconds when the first run is due
+	Interval time.Duration // from one run to the next
 }
 
 // Job is a submission: steps of tasks that share a payload.
@@ -108,6 +124,7 @@
 	ID      ids.JobID
 	Payload string
 	Steps   []Step
+	Repeat  Repeat
 	// Stored jobs outlive their caller's connection and their owner.
 	Stored bool
 }
@@ -204,6 +221,8 @@
 	Chain        time.Duration // the same for this step and the longest chain after it
 	Priority     int
 	Stored       bool          // ends must be stored before the worker forgets them
+	Lasting      bool          // runs until it is stopped
+	Gang         bool          // of use only with room for all
 	Started      bool          // a task of the job has been started already
 	Left         float64       // share of the job's tasks that are not done
 	InTime       time.Duration // time left until the objective is missed
--- /dev/null
+++ b/internal/dispatch/model_test.go
@@ -0,0 +1,267 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestGangs guards tasks that work only together: they must be started at the
+// same time or not at all, and be stopped together.
+func TestGangs(t *testing.T) {
+	rows := []struct {
+		name   string
+		stored bool
+		fault  func(wo *world)
+		calm   bool // no task may wait for the others in vain
+		least  float64
+	}{
+		{"calm", false, func(*world) {}, true, 0.7},
+		{"calm, stored", true, func(*world) {}, true, 0.7},
+		{"failing workers break runs, not jobs", false, func(wo *world) {
+			wo.workers["w-003"].fails, wo.workers["w-010"].fails = true, true
+		}, true, 0.5},
+		{"entry killed", false, func(wo *world) { wo.entries["entry-01"].kill() }, false, 0.5},
+		{"entry killed, stored", true, func(wo *world) { wo.entries["entry-01"].kill() }, false, 0.4},
+		{"workers lost", true, func(wo *world) {
+			wo.workers["w-004"].crash(0)
+			wo.workers["w-009"].crash(time.Second)
+		}, false, 0.5},
+	}
+	for num, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(uint64(num)+700, 7, 48)
+			kinds := slices.Clone(standardKinds)
+			for at := range kinds {
+				kinds[at].stored = row.stored
+			}
+			kinds[0].gang, kinds[0].colocated, kinds[2].gang = true, true, true
+			kinds[2].steps = 2
+			wo.load(kinds, 0.3, 12*time.Second)
+			wo.run(4 * time.Second)
+			row.fault(wo)
+			wo.run(30 * time.Second)
+			wo.check(t)
+			if row.stored {
+				wo.checkStored(t)
+			} else if open := wo.open(); open > 0 {
+				t.Errorf("%d jobs have no answer", open)
+			}
+			if row.calm && wo.alone > 0 {
+				t.Errorf("%d tasks waited in vain for the others of their gang", wo.alone)
+			}
+			if share := wo.share(); !row.stored && share < row.least {
+				t.Errorf("%.3f of the jobs were in time, want %.2f or more: %v of %v, %v", share, row.least, wo.inTime, wo.asked, wo.done)
+			}
+		})
+	}
+}
+
+// TestTimedJobs guards the runs of timed jobs: none starts early, none is left
+// out, also when owners die while they wait for the next one.
+func TestTimedJobs(t *testing.T) {
+	rows := []struct {
+		name  string
+		fault func(wo *world)
+	}{
+		{"calm", func(*world) {}},
+		{"owner killed", func(wo *world) { wo.entries["entry-01"].kill() }},
+		{"all entries restart at once", func(wo *world) {
+			for _, ee := range wo.sortedEntries() {
+				ee.kill()
+				wo.after(time.Second, func() { ee.start(0.4) })
+			}
+		}},
+	}
+	for num, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(uint64(num)+720, 7, 48)
+			kinds := storedKinds()
+			for at := range kinds {
+				kinds[at].repeat = 5
+			}
+			wo.load(kinds, 0.04, 6*time.Second)
+			wo.run(5 * time.Second)
+			row.fault(wo)
+			wo.run(30 * time.Second)
+			wo.check(t)
+			wo.checkStored(t)
+			for _, id := range sortedKeys(wo.jobs) {
+				jb := wo.jobs[id]
+				for occ := range jb.repeat.Count {
+					if wo.records[id].Version > 0 && !jb.done[TaskID(fmt.Sprintf("%s.%d.0.0", id, occ))] {
+						t.Errorf("job %s: occurrence %d has not run", id, occ)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestLasting guards tasks that last: they run until their job is cancelled,
+// whatever happens to owners and holders, and are not stopped for that.
+func TestLasting(t *testing.T) {
+	rows := []struct {
+		name  string
+		fault func(wo *world)
+		stops int // stops of tasks on workers that stay
+	}{
+		{"calm", func(*world) {}, 0},
+		{"entry killed: its tasks are kept and taken over", func(wo *world) { wo.entries["entry-01"].kill() }, 0},
+		{"entries leave in turn and come back", func(wo *world) {
+			for num, ee := range wo.sortedEntries() {
+				wo.after(time.Duration(num)*2*time.Second, func() { ee.en.Leave() })
+				wo.after(time.Duration(num)*2*time.Second+1800*time.Millisecond, ee.kill)
+				wo.after(time.Duration(num)*2*time.Second+2200*time.Millisecond, func() { ee.start(0.4) })
+			}
+		}, 0},
+		{"all entries restart at once, within the leases", func(wo *world) {
+			for _, ee := range wo.sortedEntries() {
+				ee.kill()
+				wo.after(300*time.Millisecond, func() { ee.start(0.4) })
+			}
+		}, 0},
+		{"all entries restart after the leases", func(wo *world) {
+			for _, ee := range wo.sortedEntries() {
+				ee.kill()
+				wo.after(2*time.Second, func() { ee.start(0.4) })
+			}
+		}, 0},
+		{"store down", func(wo *world) {
+			wo.storeUp = false
+			wo.after(6*time.Second, func() { wo.storeUp = true })
+		}, 0},
+		{"zone cut off", func(wo *world) { wo.sever("east", 6*time.Second) }, 0},
+		{"workers are lost", func(wo *world) {
+			wo.workers["w-004"].crash(0)
+			wo.workers["w-009"].crash(time.Second)
+		}, 0},
+		{"workers fail their tasks for a while", func(wo *world) {
+			for _, id := range sortedKeys(wo.workers)[:12] {
+				wo.workers[id].fails = true
+				wo.after(3*time.Second, func() { wo.workers[id].fails = false })
+			}
+			wo.workers["w-001"].crash(500 * time.Millisecond)
+		}, 0},
+		{"workers drain and leave", func(wo *world) {
+			for _, id := range sortedKeys(wo.workers)[:6] {
+				wk := wo.workers[id]
+				wk.info.State = WorkerDraining
+				wo.after(4*time.Second, func() { wk.crash(0) })
+			}
+		}, 0},
+	}
+	for num, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(uint64(num)+740, 7, 48)
+			wo.load([]kind{{queue: "pair", perS: 6, width: 3, work: time.Second, lasting: true, stored: true}}, 1, 3*time.Second)
+			wo.load(standardKinds, 0.2, 25*time.Second)
+			wo.run(8 * time.Second)
+			row.fault(wo)
+			wo.run(32 * time.Second)
+			wo.check(t)
+			wo.checkLasting(t)
+			if wo.lastingStops > row.stops {
+				t.Errorf("%d lasting tasks were stopped on workers that stay, want at most %d", wo.lastingStops, row.stops)
+			}
+			if row.name == "calm" {
+				wo.checkLastingCancel(t)
+			}
+		})
+	}
+}
+
+// checkLasting reports lasting tasks that don't run.
+func (wo *world) checkLasting(t *testing.T) {
+	t.Helper()
+	running := wo.runningTasks()
+	total, missing := 0, 0
+	for _, id := range sortedKeys(wo.jobs) {
+		jb := wo.jobs[id]
+		if rec := wo.records[id]; rec.Version == 0 || rec.State.over() || !jb.steps[0].Lasting {
+			continue
+		}
+		for idx := range jb.steps[0].Count {
+			total++
+			name := TaskID(fmt.Sprintf("%s.0.0.%d", id, idx))
+			if running[name] == 0 {
+				if missing++; missing <= 3 {
+					t.Errorf("the lasting task %s does not run; owner %s", name, wo.records[id].Owner)
+				}
+			}
+		}
+	}
+	if total == 0 || missing > 0 {
+		t.Errorf("%d of %d lasting tasks do not run", missing, total)
+	}
+}
+
+// runningTasks counts the runs of each task on workers that are up.
+func (wo *world) runningTasks() map[TaskID]int {
+	running := map[TaskID]int{}
+	for _, wk := range wo.workers {
+		for ref := range wk.runs {
+			if wk.up {
+				running[ref.Task]++
+			}
+		}
+	}
+	return running
+}
+
+// checkLastingCancel cancels all lasting jobs at entries that need not own them.
+func (wo *world) checkLastingCancel(t *testing.T) {
+	t.Helper()
+	for num, id := range sortedKeys(wo.records) {
+		if wo.records[id].Lasting {
+			wo.cancelled[id] = true
+			wo.sortedEntries()[num%3].en.CancelStored(id, func(out Outcome) {
+				if out.Kind != Completed {
+					t.Errorf("the cancelling of job %s ended as %s", id, out.Kind)
+				}
+			})
+		}
+	}
+	wo.run(3 * time.Second)
+	for name := range wo.runningTasks() {
+		if at, _ := splitTask(name); wo.cancelled[at.job] {
+			t.Errorf("the task %s of a cancelled job still runs", name)
+		}
+	}
+}
+
+// mixedKinds are the users' kinds of job in all the forms that the owner treats
+// differently.
+func mixedKinds() []kind {
+	kinds := storedKinds()
+	kinds[0].gang, kinds[0].stored = true, false
+	kinds[1].label = "small"
+	return append(kinds,
+		kind{queue: "fit", perS: 5, width: 2, work: 200 * time.Millisecond, stored: true, repeat: 3},
+		kind{queue: "peek", perS: 5, width: 4, work: 100 * time.Millisecond, stored: true, gang: true, colocated: true},
+		kind{queue: "pair", perS: 1, width: 3, work: time.Second, lasting: true, stored: true},
+	)
+}
+
+// TestRandomFaultsMixed plays random faults with jobs of all forms.
+func TestRandomFaultsMixed(t *testing.T) {
+	for seed := range seeds(t) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(seed+40_000, 7, 48)
+			wo.faultKinds = allFaults
+			wo.load(mixedKinds(), 0.1+0.4*wo.rnd.Float64(), 12*time.Second)
+			for range 6 {
+				wo.after(time.Duration(wo.rnd.Float64()*12)*time.Second, wo.randomFault)
+			}
+			wo.run(60 * time.Second)
+			wo.check(t)
+			wo.checkStored(t)
+			wo.checkLasting(t)
+		})
+	}
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -163,7 +163,11 @@
 	for _, ref := range ms.Refs {
 		for _, id := range sortedKeys(en.workers) {
 			wk := en.workers[id]
-			if sl := wk.slots[ref]; sl != nil && sl.state != slotGranted && sl.state != slotStopping {
+			if sl := wk.slots[ref]; sl != nil && ms.Report && sl.owner == from {
+				if sl.state != slotStopping {
+					en.stopSlot(wk, sl, EndStopped)
+				}
+			} else if sl != nil && sl.state != slotGranted && sl.state != slotStopping {
 				sl.owner = ""
 				en.stopSlot(wk, sl, EndStopped)
 			} else if sl != nil && sl.owner == from {
@@ -186,6 +190,10 @@
 				en.releaseGrant(sl.grant)
 				continue
 			}
+			if sl.keeps() {
+				en.orphan(sl)
+				continue
+			}
 			sl.owner = ""
 			stopped++
 			if sl.state != slotStopping {
@@ -207,6 +215,9 @@
 // checkOverdue stops a task that runs far beyond its estimate, so that its
 // owner can start it elsewhere.
 func (en *Entry) checkOverdue(wk *worker, sl *slot, now time.Time) {
+	if sl.shape.Lasting {
+		return
+	}
 	ran := now.Sub(sl.began)
 	expected := time.Duration(float64(sl.shape.Estimate) / math.Exp(wk.speed.lasting))
 	limit := max(overdueFloor, time.Duration(overdueFactor*float64(expected)))
@@ -245,7 +256,7 @@
 func (wk *worker) anyOverdue(now time.Time) bool {
 	for _, sl := range wk.slots {
 		expected := float64(sl.shape.Estimate) / wk.speed.factor(now) * overdueFactor
-		if sl.state == slotRunning && now.Sub(sl.began) > max(overdueFloor, time.Duration(expected)) {
+		if sl.state == slotRunning && !sl.shape.Lasting && now.Sub(sl.began) > max(overdueFloor, time.Duration(expected)) {
 			return true
 		}
 	}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -53,6 +53,8 @@
 	taskLost    taskState = "lost"    // its holder is gone; it may still run
 	taskDone    taskState = "done"
 	taskFailed  taskState = "failed" // for good
+	// taskResting tasks wait a little before they are queued again.
+	taskResting taskState = "resting"
 )
 
 type task struct {
@@ -64,25 +66,37 @@
 	holder     ids.EntryID
 	worker     ids.WorkerID
 	placedAt   time.Time
-	lostUntil  time.Time // when a lost task surely runs no more
+	lostUntil  time.Time // when a lost task surely runs no more, or has rested
 	notBefore  time.Time // when runs of a former owner have surely ended
 	sent       bool      // this owner has sent a run of it to a holder
 	checkpoint string
 }
 
-// group is one step of a job: tasks that need the same of a worker.
+// occurrence is one run of the steps of a job; a job that is not timed has one.
+type occurrence struct {
+	num    int
+	groups []*group // by step
+	inTime time.Time
+	late   time.Time
+}
+
+// group is one step of an occurrence: tasks that need the same of a worker.
 type group struct {
 	id      GroupID
 	job     *job
+	occ     *occurrence
 	step    int
 	tasks   []*task
 	shape   Shape // without the times, which are filled in when it is sent
 	offered map[ids.EntryID]bool
+	gang    gangState
 }
 
 type job struct {
 	Submission
-	groups    []*group
+	occs      []*occurrence // those that are not done, in order
+	next      int           // the first occurrence that has not become due
+	groups    []*group      // of all occurrences
 	estimate  time.Duration // longest chain at speed 1
 	inTime    time.Time
 	late      time.Time
@@ -92,6 +106,10 @@
 	stored    *storedJob
 	suspended bool // nothing is placed
 	claimed   bool // taken over from another owner
+	runBase   Run  // runs of this owner have higher numbers
+	// claimUntil is when runs of the former owner have surely been stopped.
+	claimUntil time.Time
+	passedOn   bool // another entry goes on with it
 	// heard holds the entries that have told which runs of the job have ended
 	// at their workers, since a task was last lost.
 	heard  map[ids.EntryID]bool
@@ -138,15 +156,83 @@
 
 // prepare builds the tasks of a job and works out when it should end.
 func (en *Entry) prepare(jb *job) {
-	sub := jb.Submission
-	en.buildGroups(jb)
-	jb.estimate = jb.setChains()
-	objective := time.Duration(float64(jb.estimate)*sub.Queue.Stretch) + sub.Queue.Slack
-	jb.inTime = sub.Arrived.Add(objective)
-	jb.late = sub.Arrived.Add(lateFactor * objective)
-	if !sub.Deadline.IsZero() && sub.Deadline.Before(jb.late) {
-		jb.late = sub.Deadline
+	if jb.Job.Repeat.Count > 0 {
+		jb.inTime, jb.late = jb.Arrived, jb.Arrived
+		en.openDue(jb)
+		return
+	}
+	jb.next = 1
+	oc := en.openOccurrence(jb, 0, jb.Arrived)
+	en.takeNoted(jb, oc)
+	jb.inTime, jb.late = oc.inTime, oc.late
+	if sub := jb.Submission; !sub.Deadline.IsZero() && sub.Deadline.Before(jb.late) {
+		jb.late, oc.late = sub.Deadline, sub.Deadline
+	}
+}
+
+// openOccurrence builds the tasks of one run of the steps that is due at a time.
+func (en *Entry) openOccurrence(jb *job, num int, due time.Time) *occurrence {
+	oc := &occurrence{num: num}
+	en.buildGroups(jb, oc)
+	jb.estimate = oc.setChains(jb.Job.Steps)
+	objective := time.Duration(float64(jb.estimate)*jb.Queue.Stretch) + jb.Queue.Slack
+	oc.inTime = due.Add(objective)
+	oc.late = due.Add(lateFactor * objective)
+	jb.occs = append(jb.occs, oc)
+	jb.groups = append(jb.groups, oc.groups...)
+	return oc
+}
+
+// openDue opens the occurrences of a timed job that have become due.
+func (en *Entry) openDue(jb *job) {
+	rp := jb.Job.Repeat
+	wall := en.eff.Wall().UnixMilli()
+	for jb.next < rp.Count {
+		ago := time.Duration(wall-rp.First)*time.Millisecond - time.Duration(jb.next)*rp.Interval
+		if ago < 0 {
+			return
+		}
+		if !jb.doneBefore(jb.next) {
+			oc := en.openOccurrence(jb, jb.next, en.now().Add(-ago))
+			en.eff.Log("occurrence-due", "job", string(jb.Job.ID), "occurrence", oc.num, "late-ms", ago.Milliseconds())
+			en.takeNoted(jb, oc)
+		}
+		jb.next++
+	}
+}
+
+// closeOccurrences forgets the occurrences of a timed job that are done.
+func (en *Entry) closeOccurrences(jb *job) {
+	if jb.Job.Repeat.Count == 0 {
+		return
+	}
+	var occs []*occurrence
+	var groups []*group
+	for _, oc := range jb.occs {
+		if !oc.done() {
+			occs, groups = append(occs, oc), append(groups, oc.groups...)
+			continue
+		}
+		for _, gr := range oc.groups {
+			en.unwant(gr)
+			delete(en.groups, gr.id)
+		}
+	}
+	jb.occs, jb.groups = occs, groups
+}
+
+func (oc *occurrence) done() bool {
+	for _, gr := range oc.groups {
+		if !gr.done() {
+			return false
+		}
 	}
+	return true
+}
+
+// lasting tells whether some tasks of a job run until it is cancelled.
+func (jb Job) lasting() bool {
+	return slices.ContainsFunc(jb.Steps, func(st Step) bool { return st.Lasting })
 }
 
 // retryNoWorker is the time to come back when no worker of the service is
@@ -162,10 +248,10 @@
 	return false
 }
 
-func (en *Entry) buildGroups(jb *job) {
+func (en *Entry) buildGroups(jb *job, oc *occurrence) {
 	for num, st := range jb.Job.Steps {
 		en.lastGroup++
-		gr := &group{id: en.lastGroup, job: jb, step: num, offered: map[ids.EntryID]bool{}}
+		gr := &group{id: en.lastGroup, job: jb, occ: oc, step: num, offered: map[ids.EntryID]bool{}}
 		gr.shape = Shape{
 			Service:      jb.Queue.Service,
 			Need:         st.Need,
@@ -175,26 +261,28 @@
 			Estimate:     en.learned[jb.Queue.Name].estimate(st.Estimate),
 			Priority:     jb.Queue.Priority,
 			Stored:       jb.stored != nil,
+			Lasting:      st.Lasting,
+			Gang:         st.Gang,
 		}
-		prefix := string(jb.Job.ID) + ".0." + strconv.Itoa(num) + "."
+		prefix := string(jb.Job.ID) + "." + strconv.Itoa(oc.num) + "." + strconv.Itoa(num) + "."
 		for idx := range st.Count {
 			gr.tasks = append(gr.tasks, &task{id: TaskID(prefix + strconv.Itoa(idx)), state: taskBlocked})
 		}
-		jb.groups = append(jb.groups, gr)
+		oc.groups = append(oc.groups, gr)
 		en.groups[gr.id] = gr
 	}
 }
 
 // setChains notes at each step the longest chain of estimated work from it to
-// the end of the job, and returns the longest of all.
-func (jb *job) setChains() time.Duration {
+// the end of the steps, and returns the longest of all.
+func (oc *occurrence) setChains(steps []Step) time.Duration {
 	longest := time.Duration(0)
-	for num := len(jb.groups) - 1; num >= 0; num-- {
-		sh := &jb.groups[num].shape
+	for num := len(oc.groups) - 1; num >= 0; num-- {
+		sh := &oc.groups[num].shape
 		sh.Chain += sh.Estimate
 		longest = max(longest, sh.Chain)
-		for _, dep := range jb.Job.Steps[num].After {
-			before := &jb.groups[dep].shape
+		for _, dep := range steps[num].After {
+			before := &oc.groups[dep].shape
 			before.Chain = max(before.Chain, sh.Chain)
 		}
 	}
@@ -203,29 +291,13 @@
 
 // advance makes steps ready whose earlier steps are done, and ends the job.
 func (en *Entry) advance(jb *job) {
-	finished := true
-	for num, gr := range jb.groups {
-		if !gr.done() {
-			finished = false
-		}
-		if !gr.blocked() {
-			continue
-		}
-		if en.ready(jb, num) {
-			for _, ta := range gr.tasks {
-				switch {
-				case ta.state != taskBlocked:
-				case jb.claimed:
-					// A former owner may have started it.
-					ta.state, ta.lostUntil = taskLost, ta.notBefore
-				default:
-					ta.state = taskQueued
-				}
-			}
-			en.place(gr)
+	for _, gr := range jb.groups {
+		if gr.blocked() && gr.ready() {
+			en.unblock(gr)
 		}
 	}
-	if !finished {
+	en.closeOccurrences(jb)
+	if jb.next < max(1, jb.Job.Repeat.Count) || slices.ContainsFunc(jb.groups, func(gr *group) bool { return !gr.done() }) {
 		return
 	}
 	if jb.stored != nil {
@@ -235,10 +307,26 @@
 	en.finish(jb, Outcome{Kind: Completed})
 }
 
+// unblock lets the tasks of a step run.
+func (en *Entry) unblock(gr *group) {
+	for _, ta := range gr.tasks {
+		switch {
+		case ta.state != taskBlocked:
+		case !ta.notBefore.IsZero():
+			// A former owner may have started it.
+			ta.state, ta.lostUntil = taskLost, ta.notBefore
+		default:
+			ta.state = taskQueued
+		}
+	}
+	en.colocate(gr)
+	en.place(gr)
+}
+
 // ready tells whether all steps before a step are done.
-func (en *Entry) ready(jb *job, num int) bool {
-	for _, dep := range jb.Job.Steps[num].After {
-		if !jb.groups[dep].done() {
+func (gr *group) ready() bool {
+	for _, dep := range gr.job.Job.Steps[gr.step].After {
+		if !gr.occ.groups[dep].done() {
 			return false
 		}
 	}
@@ -273,22 +361,34 @@
 	return list
 }
 
-// find returns the task of a reference if that run of it is the latest one.
-func (en *Entry) find(ref TaskRef) (*group, *task) {
-	jid, step, idx, ok := splitTask(ref.Task)
-	if !ok {
+// task returns a task of a job that this entry owns, nil if there is none.
+func (en *Entry) task(id TaskID) (*group, *task) {
+	at, ok := splitTask(id)
+	jb := en.jobs[at.job]
+	if !ok || jb == nil {
 		return nil, nil
 	}
-	jb := en.jobs[jid]
-	if jb == nil || step >= len(jb.groups) || idx >= len(jb.groups[step].tasks) {
+	for _, oc := range jb.occs {
+		if oc.num == at.occ && at.step < len(oc.groups) && at.idx < len(oc.groups[at.step].tasks) {
+			gr := oc.groups[at.step]
+			return gr, gr.tasks[at.idx]
+		}
+	}
+	return nil, nil
+}
+
+// find returns the task of a reference if that run of it is the latest one.
+func (en *Entry) find(ref TaskRef) (*group, *task) {
+	gr, ta := en.task(ref.Task)
+	if ta == nil || ta.run != ref.Run {
 		return nil, nil
 	}
-	gr := jb.groups[step]
-	ta := gr.tasks[idx]
-	if ta.run != ref.Run || ta.state == taskDone || ta.state == taskQueued || ta.state == taskFailed {
+	switch ta.state {
+	case taskDone, taskQueued, taskFailed, taskResting:
 		return nil, nil
+	default:
+		return gr, ta
 	}
-	return gr, ta
 }
 
 func (en *Entry) onRunning(from ids.EntryID, ms Running) {
@@ -317,53 +417,121 @@
 	}
 	jb := gr.job
 	if ms.Checkpoint != "" {
-		ta.checkpoint = ms.Checkpoint
+		gr.saved(ta, ms.Checkpoint)
 	}
-	switch ms.How {
-	case EndDone:
-		ta.state = taskDone
+	if ms.How != EndNoRoom && ms.How != EndOldRun {
 		jb.begun = true
-		en.learn(jb, gr, ms.Work)
-		if jb.stored != nil {
-			en.endedStored(jb, ta, from, EndDone)
-		}
-		en.advance(jb)
+	}
+	switch {
+	case gr.shape.Lasting && ms.How != EndNoRoom && ms.How != EndOldRun:
+		en.logAgain(jb, ta, ms, from)
+		en.rest(ta, ms.How)
 		return
-	case EndFailed:
-		jb.begun = true
-		ta.failed++
-		en.eff.Log("task-failed", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
-			"worker", string(ms.Worker), "holder", string(from), "failed", ta.failed, "attempts", jb.Queue.MaxAttempts)
-		if jb.stored != nil {
-			en.endedStored(jb, ta, from, EndFailed)
-		}
-		if ta.failed >= jb.Queue.MaxAttempts && jb.stored != nil {
-			ta.state = taskFailed
-			en.settle(jb, JobFailed)
-			return
-		}
-		if ta.failed >= jb.Queue.MaxAttempts {
-			en.finish(jb, Outcome{Kind: Failed, Reason: "attempts"})
+	case ms.How == EndDone:
+		en.doneTask(gr, ta, from, ms.Work)
+		return
+	case ms.How == EndFailed:
+		if en.failTask(gr, ta, from, ms) {
 			return
 		}
-	case EndOldRun:
+	case ms.How == EndOldRun:
 		ta.run += runStep
-	case EndNoRoom:
+	case ms.How == EndNoRoom:
 	default:
 		if ms.How == EndStalled {
 			ta.stalls++
 		}
-		jb.begun = true
-		en.eff.Count("retry", string(ms.How), 1)
-		en.eff.Log("task-again", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
-			"worker", string(ms.Worker), "holder", string(from), "reason", string(ms.How))
+		en.logAgain(jb, ta, ms, from)
 	}
 	en.requeue(gr, ta, ms.How == EndNoRoom)
 }
 
+func (en *Entry) logAgain(jb *job, ta *task, ms Ended, from ids.EntryID) {
+	en.eff.Count("retry", string(ms.How), 1)
+	en.eff.Log("task-again", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
+		"worker", string(ms.Worker), "holder", string(from), "reason", string(ms.How))
+}
+
+// doneTask notes that a task is done, and with it all of its gang.
+func (en *Entry) doneTask(gr *group, ta *task, from ids.EntryID, work time.Duration) {
+	en.learn(gr.job, gr, work)
+	together := []*task{ta}
+	if gr.shape.Gang {
+		together = gr.tasks
+	}
+	for _, other := range together {
+		if other.state == taskDone {
+			continue
+		}
+		holder := from
+		if other != ta {
+			other.run, holder = ta.run, other.holder
+		}
+		other.state = taskDone
+		if gr.job.stored != nil {
+			en.endedStored(gr.job, other, holder, EndDone)
+		}
+	}
+	en.advance(gr.job)
+}
+
+// failTask notes that a run of a task has failed, and tells whether the job has
+// ended with it.
+func (en *Entry) failTask(gr *group, ta *task, from ids.EntryID, ms Ended) bool {
+	jb := gr.job
+	ta.failed++
+	failed := ta.failed
+	if gr.shape.Gang {
+		failed = gr.gangFailed(ta.run)
+	}
+	en.eff.Log("task-failed", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
+		"worker", string(ms.Worker), "holder", string(from), "failed", failed, "attempts", jb.Queue.MaxAttempts)
+	if jb.stored != nil {
+		en.endedStored(jb, ta, from, EndFailed)
+	}
+	if failed < jb.Queue.MaxAttempts {
+		return false
+	}
+	if jb.stored != nil {
+		ta.state = taskFailed
+		en.settle(jb, JobFailed)
+		return true
+	}
+	en.finish(jb, Outcome{Kind: Failed, Reason: "attempts"})
+	return true
+}
+
+// restTime is the pause before a lasting task that has ended by itself is
+// started again. A task that fails at once would else be started without pause.
+const restTime = 300 * time.Millisecond
+
+// rest lets a lasting task wait for room again after a pause.
+func (en *Entry) rest(ta *task, how End) {
+	ta.state, ta.holder, ta.worker, ta.lostUntil = taskResting, "", "", en.now()
+	if how == EndDone || how == EndFailed {
+		ta.lostUntil = en.now().Add(restTime)
+	}
+}
+
+// saved notes the progress that a run has saved. That of any task of a gang is
+// valid for all of them.
+func (gr *group) saved(ta *task, checkpoint string) {
+	if !gr.shape.Gang {
+		ta.checkpoint = checkpoint
+		return
+	}
+	for _, other := range gr.tasks {
+		other.checkpoint = checkpoint
+	}
+}
+
 // requeue lets a task wait for room again.
 func (en *Entry) requeue(gr *group, ta *task, noRoom bool) {
 	ta.state, ta.holder, ta.worker = taskQueued, "", ""
+	if gr.shape.Gang {
+		en.breakGang(gr)
+		return
+	}
 	if noRoom {
 		en.want(gr)
 		return
@@ -467,6 +635,9 @@
 		delete(en.groups, gr.id)
 		en.unwant(gr)
 		for _, ta := range gr.tasks {
+			if jb.passedOn && gr.shape.Lasting {
+				continue
+			}
 			if ta.state == taskPlaced || ta.state == taskRunning || ta.state == taskLost {
 				stops[ta.holder] = append(stops[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
 			}
@@ -507,7 +678,7 @@
 		}
 	}
 	var text []string
-	for _, st := range []taskState{taskBlocked, taskQueued, taskPlaced, taskRunning, taskLost, taskDone, taskFailed} {
+	for _, st := range []taskState{taskBlocked, taskQueued, taskPlaced, taskRunning, taskLost, taskResting, taskDone, taskFailed} {
 		if counts[st] > 0 {
 			text = append(text, string(st)+":"+strconv.Itoa(counts[st]))
 		}
@@ -547,6 +718,14 @@
 	for _, id := range sortedKeys(en.jobs) {
 		jb := en.jobs[id]
 		en.recoverLost(jb, now)
+		if jb.next < jb.Job.Repeat.Count && (jb.stored == nil || jb.stored.accepted) && !jb.suspended {
+			en.openDue(jb)
+			en.advance(jb)
+			if en.jobs[id] != jb {
+				continue
+			}
+		}
+		en.tickGangs(jb, now)
 		if jb.stored != nil {
 			continue
 		}
@@ -575,7 +754,7 @@
 // hopeless tells whether a job of which nothing has begun can no longer be of
 // use to its caller.
 func (en *Entry) hopeless(jb *job, now time.Time) bool {
-	return jb.untouched() && now.Add(jb.estimate).After(jb.late)
+	return jb.Job.Repeat.Count == 0 && jb.untouched() && now.Add(jb.estimate).After(jb.late)
 }
 
 // untouched tells whether no worker can have begun a task of the job.
@@ -593,11 +772,18 @@
 	return true
 }
 
-// recoverLost lets lost tasks wait for room once they surely run no more.
+// recoverLost lets lost tasks wait for room once they surely run no more, and
+// resting ones once they have rested.
 func (en *Entry) recoverLost(jb *job, now time.Time) {
+	if jb.suspended {
+		return
+	}
 	for _, gr := range jb.groups {
 		for _, ta := range gr.tasks {
-			if ta.state == taskLost && now.After(ta.lostUntil) && !jb.suspended && !en.mayHaveEnded(jb, now) {
+			switch {
+			case ta.state == taskResting && !now.Before(ta.lostUntil):
+				en.requeue(gr, ta, false)
+			case ta.state == taskLost && now.After(ta.lostUntil) && !en.mayHaveEnded(gr, now):
 				en.eff.Count("retry", "holder-lost", 1)
 				en.eff.Log("task-again", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
 					"worker", string(ta.worker), "holder", string(ta.holder), "reason", "holder-lost")
@@ -612,12 +798,12 @@
 func (en *Entry) Pending(queue string) int {
 	count := 0
 	for _, jb := range en.jobs {
-		if jb.Queue.Name == queue && !jb.begun && jb.stored == nil {
+		if jb.Queue.Name == queue && !jb.begun && jb.stored == nil && jb.Job.Repeat.Count == 0 {
 			count++
 		}
 	}
 	for _, re := range en.records {
-		if re.Queue == queue && !re.begun && !re.State.over() {
+		if re.Queue == queue && !re.begun && !re.Timed && !re.State.over() {
 			count++
 		}
 	}
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -12,8 +12,11 @@
 	sh := gr.shape
 	sh.Started = gr.job.begun
 	sh.Left = gr.job.left()
-	sh.InTime = gr.job.inTime.Sub(now)
-	sh.Late = gr.job.late.Sub(now)
+	sh.InTime = gr.occ.inTime.Sub(now)
+	sh.Late = gr.occ.late.Sub(now)
+	if sh.Lasting {
+		sh.InTime, sh.Late = lastingTime, lastingTime
+	}
 	return sh
 }
 
@@ -28,7 +31,7 @@
 			}
 		}
 	}
-	return float64(left) / float64(all)
+	return float64(left) / float64(max(all, 1))
 }
 
 // place sends the queued tasks of a group to holders with free room and leaves
@@ -37,6 +40,10 @@
 	if gr.job.suspended {
 		return
 	}
+	if gr.shape.Gang {
+		en.placeGang(gr)
+		return
+	}
 	waiting := gr.queued()
 	for _, fr := range en.freeRoom(gr.shape) {
 		if len(waiting) == 0 {
@@ -115,7 +122,7 @@
 		Group: gr.id, Job: gr.job.Job.ID, Shape: gr.current(now), Payload: gr.job.Job.Payload, Grant: grant,
 	}
 	for _, ta := range tasks {
-		ta.run++
+		ta.run = max(ta.run, gr.job.runBase) + 1
 		ta.sent = true
 		ta.state, ta.holder, ta.worker, ta.placedAt = taskPlaced, holder, "", now
 		msg.Tasks = append(msg.Tasks, Assignment{
@@ -191,7 +198,7 @@
 func (en *Entry) offerWants(id ids.EntryID) {
 	for _, gid := range sortedKeys(en.groups) {
 		gr := en.groups[gid]
-		if count := len(gr.queued()); count > 0 && !gr.job.suspended {
+		if count := len(gr.queued()); count > 0 && !gr.job.suspended && !gr.shape.Gang {
 			en.sendWant(gr, id, count)
 		}
 	}
@@ -204,6 +211,10 @@
 		en.send(from, Start{Group: ms.Group, Grant: ms.ID})
 		return
 	}
+	if gr.shape.Gang {
+		en.offerGang(gr, from, ms)
+		return
+	}
 	waiting := gr.queued()
 	en.sendTasks(gr, from, waiting[:min(ms.Count, len(waiting))], ms.ID)
 	if len(waiting) <= ms.Count {
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -34,6 +34,8 @@
 	// another entry.
 	Nonce     string
 	Submitted int64 // Unix milliseconds
+	Timed     bool  // the steps have times when they are due
+	Lasting   bool  // some tasks run until the job is cancelled
 	// Done and Fails hold which runs are known to have ended so, by the names
 	// of the tasks without the job.
 	Done  map[string]Run
@@ -158,6 +160,7 @@
 	jb := &job{Submission: sub, waiters: 1, stored: &storedJob{rec: JobRecord{
 		ID: id, Queue: sub.Queue.Name, State: JobAccepted, Owner: en.self.Incarnation, Epoch: 1,
 		Nonce: string(en.self.Incarnation), Submitted: en.now().UnixMilli(),
+		Timed: sub.Job.Repeat.Count > 0, Lasting: sub.Job.lasting(),
 	}}}
 	en.jobs[id] = jb
 	en.write(jb)
@@ -264,6 +267,7 @@
 		return
 	}
 	if st.rec.Owner == "" {
+		jb.passedOn = true
 		en.finish(jb, Outcome{Kind: Abandoned, Reason: "released"})
 		return
 	}
@@ -313,6 +317,7 @@
 	en.eff.Log("job-lost", "job", string(jb.Job.ID), "accepted", jb.stored.accepted)
 	if present != nil {
 		en.learnRecord(*present, false)
+		jb.passedOn = !present.State.over()
 	}
 	for _, fn := range jb.stored.cancels {
 		fn(Outcome{Kind: Abandoned, Reason: "owner changed"})
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -9,8 +10,12 @@
 
 // replaceable tells whether other entries may take over this one's jobs: it
 // has not beaten for long, and some member can't see that it lives.
-func (en *Entry) replaceable(now time.Time) bool {
-	if en.beaten.IsZero() || now.Sub(en.beaten) < beatFence {
+func (en *Entry) replaceable(now time.Time) bool { return en.cutOff(now, beatFence) }
+
+// cutOff tells whether this entry has not beaten for a time and some member
+// can't see that it lives.
+func (en *Entry) cutOff(now time.Time, silence time.Duration) bool {
+	if en.beaten.IsZero() || now.Sub(en.beaten) < silence {
 		return false
 	}
 	for id := range en.members {
@@ -35,7 +40,9 @@
 		en.unwant(gr)
 		for _, ta := range gr.tasks {
 			if ta.state == taskPlaced || ta.state == taskRunning {
-				stops[ta.holder] = append(stops[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
+				if !gr.shape.Lasting {
+					stops[ta.holder] = append(stops[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
+				}
 				en.lose(gr, ta, now.Add(loseAfter))
 			}
 		}
@@ -76,7 +83,7 @@
 func (jb *job) active() bool {
 	for _, gr := range jb.groups {
 		for _, ta := range gr.tasks {
-			if ta.state == taskPlaced || ta.state == taskRunning || ta.state == taskLost {
+			if !gr.shape.Lasting && (ta.state == taskPlaced || ta.state == taskRunning || ta.state == taskLost) {
 				return true
 			}
 		}
@@ -86,6 +93,12 @@
 
 // ownerGone tells whether the owner of a job surely no longer starts tasks.
 func (en *Entry) ownerGone(inc ids.Incarnation, now time.Time) bool {
+	return en.silentFor(inc, now, ownerSilence)
+}
+
+// silentFor tells whether an incarnation is dead or has not been heard of, by
+// itself or through the store, for a time.
+func (en *Entry) silentFor(inc ids.Incarnation, now time.Time, silence time.Duration) bool {
 	if inc == en.self.Incarnation {
 		return false
 	}
@@ -98,12 +111,12 @@
 		return se.incarnation != inc
 	}
 	if mb == nil {
-		return now.Sub(en.started) > ownerSilence
+		return now.Sub(en.started) > silence
 	}
 	if mb.Incarnation != inc {
 		return true
 	}
-	return !se.up && now.Sub(mb.beatAt) > ownerSilence && now.Sub(en.storeLost) > ownerSilence
+	return !se.up && now.Sub(mb.beatAt) > silence && now.Sub(en.storeLost) > silence
 }
 
 // claimJobs takes over jobs whose owners are gone.
@@ -161,26 +174,58 @@
 		stored:     &storedJob{rec: rec, accepted: true},
 		claimed:    true,
 		lostAt:     en.now(),
+		runBase:    Run(rec.Epoch * runStep),
+		claimUntil: en.now(),
+	}
+	if before != "" {
+		// The tasks of the former owner may take that long to be stopped.
+		jb.claimUntil = en.now().Add(loseAfter)
 	}
 	en.jobs[re.ID] = jb
 	en.eff.Log("job-claimed", "job", string(re.ID), "before", string(before), "epoch", rec.Epoch, "done", len(rec.Done))
 	en.prepare(jb)
-	until := en.now().Add(loseAfter)
-	for _, gr := range jb.groups {
+	en.write(jb)
+	en.advance(jb)
+}
+
+// takeNoted takes what the row of a job that was taken over says of the tasks of
+// an occurrence.
+func (en *Entry) takeNoted(jb *job, oc *occurrence) {
+	if !jb.claimed {
+		return
+	}
+	rec := &jb.stored.rec
+	for _, gr := range oc.groups {
 		for _, ta := range gr.tasks {
 			name := taskName(ta.id)
-			ta.run = Run(rec.Epoch * runStep)
-			ta.failed = len(rec.Fails[name])
-			if _, done := rec.Done[name]; done {
-				ta.state = taskDone
-			} else if before != "" {
-				// The tasks of the former owner may take that long to be stopped.
-				ta.notBefore = until
+			ta.run, ta.failed = jb.runBase, len(rec.Fails[name])
+			if gr.shape.Gang {
+				for _, run := range rec.Fails[name] {
+					gr.gangFailed(run)
+				}
+			}
+			if run, done := rec.Done[name]; done {
+				ta.state, ta.run = taskDone, run
+			} else if !en.now().After(jb.claimUntil) {
+				ta.notBefore = jb.claimUntil
 			}
 		}
 	}
-	en.write(jb)
-	en.advance(jb)
+}
+
+// doneBefore tells whether the row of a job says that an occurrence is done.
+func (jb *job) doneBefore(num int) bool {
+	if jb.stored == nil {
+		return false
+	}
+	for step, st := range jb.Job.Steps {
+		for idx := range st.Count {
+			if _, done := jb.stored.rec.Done[fmt.Sprintf("%d.%d.%d", num, step, idx)]; !done {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // Claimed asks holders for ends of the jobs' tasks that are not stored yet.
@@ -192,6 +237,8 @@
 type PastEnds struct {
 	Jobs []ids.JobID
 	Ends []Ended
+	// Running holds the tasks that last.
+	Running []Running
 	// Held holds the workers that the answer is about.
 	Held []HolderRow
 }
@@ -199,7 +246,8 @@
 // runsAny tells whether a slot of one of the jobs is left on the worker.
 func (wk *worker) runsAny(jobs []ids.JobID) bool {
 	for ref, sl := range wk.slots {
-		if jid, _, _, ok := splitTask(ref.Task); ok && sl.state != slotGranted && slices.Contains(jobs, jid) {
+		at, ok := splitTask(ref.Task)
+		if ok && sl.state != slotGranted && !sl.shape.Lasting && slices.Contains(jobs, at.job) {
 			return true
 		}
 	}
@@ -218,7 +266,7 @@
 
 // askAround asks the entries that have not told yet how runs of a job ended.
 func (en *Entry) askAround(jb *job, now time.Time) {
-	if now.Sub(jb.askAt) < askInterval || !jb.anyLost() {
+	if jb.suspended || now.Sub(jb.askAt) < askInterval || !jb.anyLost() {
 		return
 	}
 	jb.askAt = now
@@ -243,16 +291,25 @@
 // onClaimed answers with the ends that workers here still list.
 func (en *Entry) onClaimed(from ids.EntryID, ms Claimed) {
 	reply := PastEnds{Jobs: ms.Jobs}
+	jobs := map[ids.JobID]bool{}
+	for _, id := range ms.Jobs {
+		jobs[id] = true
+	}
 	for _, id := range sortedKeys(en.workers) {
 		wk := en.workers[id]
 		if wk.phase != phaseOpen || wk.runsAny(ms.Jobs) {
 			// More ends may come; the owner asks again.
 			return
 		}
+		running, ok := en.lastingRuns(from, wk, jobs)
+		if !ok {
+			return
+		}
+		reply.Running = append(reply.Running, running...)
 		reply.Held = append(reply.Held, HolderRow{Worker: id, Version: Version(wk.token)})
 		for _, number := range sortedKeys(wk.unnoted) {
 			un := wk.unnoted[number]
-			if jid, _, _, ok := splitTask(un.ref.Task); ok && slices.Contains(ms.Jobs, jid) {
+			if at, ok := splitTask(un.ref.Task); ok && slices.Contains(ms.Jobs, at.job) {
 				reply.Ends = append(reply.Ends, Ended{Ref: un.ref, Worker: id, How: un.how})
 			}
 		}
@@ -266,12 +323,15 @@
 	for _, ed := range ms.Ends {
 		en.pastEnd(from, ed)
 	}
+	for _, ru := range ms.Running {
+		en.adoptRunning(from, ru)
+	}
 	if !en.coversAll(from, ms.Held) {
 		return
 	}
 	for _, jid := range ms.Jobs {
 		jb := en.jobs[jid]
-		if jb == nil || jb.stored == nil {
+		if jb == nil || jb.stored == nil || jb.suspended {
 			continue
 		}
 		if jb.heard == nil {
@@ -304,13 +364,11 @@
 
 // pastEnd takes one end that may belong to an earlier run than the latest.
 func (en *Entry) pastEnd(from ids.EntryID, ed Ended) {
-	jid, step, idx, ok := splitTask(ed.Ref.Task)
-	jb := en.jobs[jid]
-	if !ok || jb == nil || jb.stored == nil || step >= len(jb.groups) || idx >= len(jb.groups[step].tasks) {
+	gr, ta := en.task(ed.Ref.Task)
+	if ta == nil || gr.job.stored == nil || gr.shape.Lasting {
 		return
 	}
-	gr := jb.groups[step]
-	ta := gr.tasks[idx]
+	jb := gr.job
 	if ta.state == taskDone || ta.state == taskFailed {
 		return
 	}
@@ -340,22 +398,27 @@
 // needs tells whose answers are needed before a lost task of a stored job is
 // started again.
 type needs struct {
-	at      time.Time
-	wait    bool // the holder of some worker is not known
-	holders []ids.EntryID
+	at   time.Time
+	wait bool // the holder of some worker is not known
+	// waitLong is the same for tasks that last, which a holder that is cut off
+	// keeps longer.
+	waitLong bool
+	holders  []ids.EntryID
 }
 
 // mayHaveEnded tells whether a lost task of a stored job may have ended, or may
 // still run, at an entry that has not told. It is not started again meanwhile:
 // its end may be noted there at any moment.
-func (en *Entry) mayHaveEnded(jb *job, now time.Time) bool {
+func (en *Entry) mayHaveEnded(gr *group, now time.Time) bool {
+	jb := gr.job
 	if jb.stored == nil {
 		return false
 	}
 	if en.needs.at != now {
 		en.needs = en.findNeeds(now)
 	}
-	if en.needs.wait || !en.readAt[TableHolders].After(jb.lostAt) {
+	wait := en.needs.wait || (gr.shape.Lasting && en.needs.waitLong)
+	if wait || !en.readAt[TableHolders].After(jb.lostAt) {
 		return true
 	}
 	for _, id := range en.needs.holders {
@@ -370,18 +433,23 @@
 // no longer listed may be cut off together with it and go on using it.
 func (en *Entry) findNeeds(now time.Time) needs {
 	out := needs{at: now, holders: []ids.EntryID{en.id}, wait: en.readAt[TableWorkers].IsZero()}
-	gone := map[ids.Incarnation]bool{}
+	type silence struct{ alive, gone, goneLong bool }
+	holders := map[ids.Incarnation]silence{}
 	for id, row := range en.rows {
-		listed := en.listed(id)
-		is, ok := gone[row.Holder]
+		si, ok := holders[row.Holder]
 		if !ok {
-			is = en.ownerGone(row.Holder, now)
-			gone[row.Holder] = is
+			si = silence{
+				alive: en.alive(row.Holder, now), gone: en.ownerGone(row.Holder, now),
+				goneLong: en.silentFor(row.Holder, now, lastingSilence),
+			}
+			holders[row.Holder] = si
 		}
-		if !en.alive(row.Holder, now) && (listed || !is) {
-			out.wait = true
-			return out
+		if si.alive {
+			continue
 		}
+		listed := en.listed(id)
+		out.wait = out.wait || listed || !si.gone
+		out.waitLong = out.waitLong || !si.goneLong
 	}
 	for _, id := range sortedKeys(en.members) {
 		if en.alive(en.members[id].Incarnation, now) {
@@ -417,8 +485,8 @@
 
 // tellEnd tells the owner of a stored job of an end that no slot stands for.
 func (en *Entry) tellEnd(wk *worker, er EndedRun) {
-	jid, _, _, ok := splitTask(er.Ref.Task)
-	if re := en.records[jid]; ok && re != nil && re.Owner != "" {
+	at, ok := splitTask(er.Ref.Task)
+	if re := en.records[at.job]; ok && re != nil && re.Owner != "" {
 		en.send(re.Owner.Entry(), PastEnds{Ends: []Ended{{Ref: er.Ref, Worker: wk.info.ID, How: er.How}}})
 	}
 }
--- a/internal/fleet/effects.go
+++ b/internal/fleet/effects.go
@@ -108,6 +108,9 @@
 	})
 }
 
+// Wall returns the time of day.
+func (ef *effects) Wall() time.Time { return time.Now() }
+
 // Log writes one line on a decision.
 func (ef *effects) Log(event string, fields ...any) { ef.dm.log.Line(event, fields...) }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -154,6 +154,8 @@
 	lastSess uint64
 	storeBad map[Table]bool
 	writers  map[Part]*jobWriter
+	// nextJobWrite is when the next transaction of jobs may begin.
+	nextJobWrite time.Time
 }
 
 // New returns an entry that is not started yet.
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -20,12 +20,17 @@
 // The storing of jobs.
 const (
 	// jobParts is the number of shards of the tables of jobs. One shard takes
-	// 200 transactions a second; the store takes 600 and more in all.
-	jobParts = 8
-	// writeGather is the least time between two transactions of a writer, for
-	// each entry of the fleet, so that the whole fleet stays within the rate of
-	// the store however many entries there are. Writes meanwhile go together.
+	// 200 transactions a second; writeGather allows 500 in all.
+	jobParts = 4
+	// writeGather is the least time between two transactions of an entry, for
+	// each entry of the fleet, so that the whole fleet stays within the 600
+	// writes a second of the store however many entries there are. Writes
+	// meanwhile go together.
 	writeGather = 2 * time.Millisecond
+	// commitPause is the pause of a shard after a transaction that failed; it
+	// doubles up to commitPauseMost. Writes meanwhile go together.
+	commitPause     = 50 * time.Millisecond
+	commitPauseMost = 800 * time.Millisecond
 	// writesAtOnce bounds the jobs of one transaction. Each takes up to three
 	// entries of the hundred that the store accepts, and 10 KB of its 1 MB.
 	writesAtOnce = 30
@@ -57,36 +62,40 @@
 	Epoch     int64             `json:"epoch"`
 	Nonce     string            `json:"nonce"`
 	Submitted int64             `json:"submitted-unix-millis"`
+	Timed     bool              `json:"timed,omitempty"`
+	Lasting   bool              `json:"lasting,omitempty"`
 	// Done holds the tasks that are done, as encodeRuns writes them.
 	Done   []string                  `json:"done,omitempty"`
 	Fails  map[string][]dispatch.Run `json:"fails,omitempty"`
 	Latest map[string]dispatch.Run   `json:"latest,omitempty"`
 }
 
-// encodeRuns writes tasks with a run each as step, range of indices and run, as
-// in "0.2-17@1", so that jobs of many tasks fit into a row.
+// encodeRuns writes tasks with a run each as occurrence, step, range of indices
+// and run, as in "0.0.2-17@1", so that jobs of many tasks fit into a row.
 func encodeRuns(runs map[string]dispatch.Run) []string {
 	type cell struct {
-		step, idx int
-		run       dispatch.Run
+		occ, step, idx int
+		run            dispatch.Run
 	}
 	cells := make([]cell, 0, len(runs))
 	for name, run := range runs {
 		var ce cell
-		if _, err := fmt.Sscanf(name, "0.%d.%d", &ce.step, &ce.idx); err != nil {
+		if _, err := fmt.Sscanf(name, "%d.%d.%d", &ce.occ, &ce.step, &ce.idx); err != nil {
 			continue
 		}
 		ce.run = run
 		cells = append(cells, ce)
 	}
-	slices.SortFunc(cells, func(a, b cell) int { return cmp.Or(cmp.Compare(a.step, b.step), cmp.Compare(a.idx, b.idx)) })
+	slices.SortFunc(cells, func(a, b cell) int {
+		return cmp.Or(cmp.Compare(a.occ, b.occ), cmp.Compare(a.step, b.step), cmp.Compare(a.idx, b.idx))
+	})
 	var list []string
 	for from := 0; from < len(cells); {
 		to := from
-		for to+1 < len(cells) && cells[to+1] == (cell{cells[from].step, cells[to].idx + 1, cells[from].run}) {
+		for to+1 < len(cells) && cells[to+1] == (cell{cells[from].occ, cells[from].step, cells[to].idx + 1, cells[from].run}) {
 			to++
 		}
-		list = append(list, fmt.Sprintf("%d.%d-%d@%d", cells[from].step, cells[from].idx, cells[to].idx, cells[from].run))
+		list = append(list, fmt.Sprintf("%d.%d.%d-%d@%d", cells[from].occ, cells[from].step, cells[from].idx, cells[to].idx, cells[from].run))
 		from = to + 1
 	}
 	return list
@@ -98,13 +107,13 @@
 	}
 	runs := map[string]dispatch.Run{}
 	for _, text := range list {
-		var step, from, to int
+		var occ, step, from, to int
 		var run dispatch.Run
-		if _, err := fmt.Sscanf(text, "%d.%d-%d@%d", &step, &from, &to, &run); err != nil {
+		if _, err := fmt.Sscanf(text, "%d.%d.%d-%d@%d", &occ, &step, &from, &to, &run); err != nil {
 			return nil, fmt.Errorf("tasks that are done: %q: %w", text, err)
 		}
 		for idx := from; idx <= to; idx++ {
-			runs[fmt.Sprintf("0.%d.%d", step, idx)] = run
+			runs[fmt.Sprintf("%d.%d.%d", occ, step, idx)] = run
 		}
 	}
 	return runs, nil
@@ -114,6 +123,7 @@
 	return json.Marshal(jobRecord{
 		Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch, Nonce: rec.Nonce,
 		Submitted: rec.Submitted, Done: encodeRuns(rec.Done), Fails: rec.Fails, Latest: rec.Latest,
+		Timed: rec.Timed, Lasting: rec.Lasting,
 	})
 }
 
@@ -129,6 +139,7 @@
 	return dispatch.JobRecord{
 		ID: ids.JobID(ro.Key), Version: ro.Version, Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
 		Nonce: rec.Nonce, Submitted: rec.Submitted, Done: done, Fails: rec.Fails, Latest: rec.Latest,
+		Timed: rec.Timed, Lasting: rec.Lasting,
 	}, nil
 }
 
@@ -138,7 +149,7 @@
 	part  Part
 	queue []dispatch.JobWrite // guarded by the lock of the daemon
 	busy  bool
-	last  time.Time // when the last transaction began
+	pause time.Duration // after a transaction that failed
 }
 
 // StoreJob queues a change of a job's row.
@@ -159,14 +170,7 @@
 // run writes until the queue is empty.
 func (wr *jobWriter) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		var pause time.Duration
-		wr.dm.locked(func(en *dispatch.Entry) {
-			pause = time.Duration(1+len(en.Members()))*writeGather - wr.dm.at.Sub(wr.last)
-			wr.last = wr.dm.at.Add(max(pause, 0))
-		})
-		if pause > 0 {
-			group.Sleep(ctx, pause)
-		}
+		group.Sleep(ctx, wr.turn())
 		var batch []dispatch.JobWrite
 		wr.dm.locked(func(*dispatch.Entry) {
 			count := min(len(wr.queue), writesAtOnce)
@@ -180,6 +184,28 @@
 	}
 }
 
+// turn takes the next transaction of this entry and returns the time until then.
+func (wr *jobWriter) turn() time.Duration {
+	if wr.pause > 0 {
+		return wr.pause
+	}
+	var wait time.Duration
+	wr.dm.locked(func(en *dispatch.Entry) {
+		wait = max(0, wr.dm.nextJobWrite.Sub(wr.dm.at))
+		wr.dm.nextJobWrite = wr.dm.at.Add(wait + time.Duration(1+len(en.Members()))*writeGather)
+	})
+	return wait
+}
+
+// settle notes whether the store took a transaction.
+func (wr *jobWriter) settle(err error) {
+	if err == nil {
+		wr.pause = 0
+		return
+	}
+	wr.pause = min(commitPauseMost, max(commitPause, 2*wr.pause))
+}
+
 // commit writes a batch. When the check of one row fails the others are tried
 // again without it.
 func (wr *jobWriter) commit(ctx context.Context, batch []dispatch.JobWrite) {
@@ -190,6 +216,7 @@
 		}
 		wr.dm.cnt.Add("store", "job-commits", 1)
 		rep, err := wr.dm.store.Commit(ctx, tx)
+		wr.settle(err)
 		if err != nil || rep.OK {
 			wr.reply(batch, func(dispatch.JobWrite) dispatch.JobWriteReply { return jobReply(rep, err) })
 			return
