dispatch: keep ends of unclaimed runs, confirm ownership after a cut, steal no workers

- An end of a run that no owner had claimed was forgotten at once, though its job was stored: the row had not been read yet.
The holder now asks for the row before it lets the worker forget such an end.
- Just after a cut healed, an entry took the workers of entries whose beats it had not read yet (TestSeveredZone failed for workers outside the zone).

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -10,6 +10,9 @@
 	ref   TaskRef
 	how   End
 	since time.Time
+	// absent tells that the store has no row of the job.
+	absent  bool
+	askedAt time.Time // when the row was asked for
 }
 
 // keepEnd keeps an end of a stored job's task on the worker's list.
@@ -43,6 +46,7 @@
 
 const (
 	verdictPending verdict = iota // the owner has not stored it
+	verdictUnknown                // the row of the job has not been read
 	verdictNoted                  // the worker may forget it
 	// verdictVoid is an end done of a run that another run has replaced. If the
 	// worker forgot it the task would have been started again after an end that
@@ -55,11 +59,11 @@
 	at, _ := splitTask(un.ref.Task)
 	re := en.records[at.job]
 	if re == nil {
-		if en.readAt[TableJobs].After(un.since) {
+		if un.absent || (len(en.records) == 0 && en.readAt[TableJobs].After(un.since)) {
 			// The job is not stored, or its row has been removed long after its end.
 			return verdictNoted
 		}
-		return verdictPending
+		return verdictUnknown
 	}
 	if re.Lasting {
 		// Its tasks are started again however they end.
@@ -99,6 +103,8 @@
 			delete(wk.unnoted, number)
 		case verdictVoid:
 			void++
+		case verdictUnknown:
+			en.askRow(wk, number, now)
 		case verdictPending:
 		}
 	}
@@ -121,6 +127,26 @@
 	}
 }
 
+// askRowAgain is the pause before the row of a job is asked for again.
+const askRowAgain = 300 * time.Millisecond
+
+// askRow reads the row of the job to which a kept end belongs.
+func (en *Entry) askRow(wk *worker, number int64, now time.Time) {
+	un := wk.unnoted[number]
+	at, ok := splitTask(un.ref.Task)
+	if !ok || now.Sub(un.askedAt) < askRowAgain {
+		return
+	}
+	un.askedAt = now
+	wk.unnoted[number] = un
+	en.lookUp(at.job, func(failed bool) {
+		if un, kept := wk.unnoted[number]; kept && !failed && en.records[at.job] == nil {
+			un.absent = true
+			wk.unnoted[number] = un
+		}
+	})
+}
+
 // lapses tells whether the lease of a worker is left to run out.
 func (wk *worker) lapses(now time.Time) bool {
 	return !wk.lapseSince.IsZero() && (len(wk.slots) == 0 || now.Sub(wk.lapseSince) > lapseWait)
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -95,21 +95,22 @@
 	sessions map[ids.EntryID]*session
 
 	// as owner
-	jobs      map[ids.JobID]*job
-	groups    map[GroupID]*group
-	lastGroup GroupID
-	learned   map[string]*estimator
-	records   map[ids.JobID]*record
-	readAt    map[Table]time.Time // when the last whole read was sent
-	needs     needs
-	lookups   map[ids.JobID][]func(failed bool)
-	cancels   map[ids.JobID][]func(out Outcome)
-	beaten    time.Time // when the last beat that is stored was sent
-	fenced    bool      // stored jobs may be taken over by other entries
-	checkTick time.Time
-	claimTick time.Time
-	started   time.Time
-	leftAt    time.Time
+	jobs       map[ids.JobID]*job
+	groups     map[GroupID]*group
+	lastGroup  GroupID
+	learned    map[string]*estimator
+	records    map[ids.JobID]*record
+	readAt     map[Table]time.Time // when the last whole read was sent
+	needs      needs
+	lookups    map[ids.JobID][]func(failed bool)
+	cancels    map[ids.JobID][]func(out Outcome)
+	beaten     time.Time // when the last beat that is stored was sent
+	fenced     bool      // stored jobs may be taken over by other entries
+	unfencedAt time.Time // when that last ended
+	checkTick  time.Time
+	claimTick  time.Time
+	started    time.Time
+	leftAt     time.Time
 
 	// as holder
 	workers   map[ids.WorkerID]*worker
@@ -117,6 +118,10 @@
 	grants    map[GrantID]*grant
 	lastGrant GrantID
 	suspects  suspectJobs
+	// unfenced holds the workers that this entry holds by their rows and has not
+	// reached yet, with the time when it became their holder. The holder before
+	// may go on using them.
+	unfenced map[ids.WorkerID]time.Time
 
 	// as member
 	members    map[ids.EntryID]*member
@@ -172,6 +177,7 @@
 		workers:  map[ids.WorkerID]*worker{},
 		wants:    map[wantKey]*want{},
 		grants:   map[GrantID]*grant{},
+		unfenced: map[ids.WorkerID]time.Time{},
 		suspects: suspectJobs{},
 		members:  map[ids.EntryID]*member{},
 		rows:     map[ids.WorkerID]HolderRow{},
@@ -320,7 +326,7 @@
 	if se.inbound != 0 && se.inbound != number {
 		en.dropOwner(id, "new session")
 		if se.up {
-			en.loseHolder(id)
+			en.giveUpAt(id)
 		}
 	}
 	se.inbound = number
@@ -340,7 +346,7 @@
 	en.dropOwner(id, why)
 	if se.up {
 		// What that entry has to tell does not arrive.
-		en.loseHolder(id)
+		en.giveUpAt(id)
 		en.endAdoptions(id)
 	}
 }
@@ -414,6 +420,12 @@
 // mutual tells whether messages go in both directions.
 func (se *session) mutual() bool { return se.up && se.inbound != 0 }
 
+// canTell tells whether messages can be sent to an entry.
+func (en *Entry) canTell(id ids.EntryID) bool {
+	se := en.sessions[id]
+	return id == en.id || (se != nil && se.up)
+}
+
 // reachable lists the entries that messages can be exchanged with, this one
 // included.
 func (en *Entry) reachable() []ids.EntryID {
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
@@ -45,6 +46,11 @@
 	if gr.job.suspended || !ga.since.IsZero() || now.Before(ga.notBefore) || !gr.allQueued() {
 		return
 	}
+	if gr.job.Job.Steps[gr.step].Colocated {
+		// The rack that was chosen before may have less room now.
+		gr.shape.Affinity = gr.job.Job.Steps[gr.step].Affinity
+		en.colocate(gr)
+	}
 	free := 0
 	for _, ro := range en.freeRoom(gr.shape) {
 		free += ro.count
@@ -71,6 +77,8 @@
 		en.send(from, Start{Group: gr.id, Grant: ms.ID})
 		return
 	}
+	// Offers of holders that have become unreachable are void.
+	ga.offers = slices.DeleteFunc(ga.offers, func(of gangOffer) bool { return !en.canTell(of.from) })
 	ga.offers = append(ga.offers, gangOffer{from: from, grant: ms.ID, count: ms.Count, at: en.now()})
 	total := 0
 	for _, of := range ga.offers {
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -155,6 +155,7 @@
 		unnoted: map[int64]unnotedEnd{},
 	}
 	en.workers[info.ID] = wk
+	en.unfenced[info.ID] = en.now()
 	en.eff.Log("worker-taken", "worker", string(info.ID), "token", int64(token), "zone", string(info.Zone))
 	en.hold(wk)
 }
@@ -275,6 +276,7 @@
 	}
 	wk.clock, wk.clockAt = rep.Clock, now
 	if wk.phase == phaseFencing {
+		delete(en.unfenced, id)
 		en.beginAdopting(wk, rep)
 	} else {
 		en.reconcile(wk, rep, sent)
@@ -480,7 +482,9 @@
 func (en *Entry) takeEnd(wk *worker, er EndedRun) {
 	wk.acked = er.Number
 	sl := wk.slots[er.Ref]
-	stored := (sl != nil && sl.shape.Stored && !sl.shape.Lasting) || en.storedHere(er.Ref) || (sl == nil && en.mayBeStored(er.Ref))
+	// Without an owner the shape of a slot may not be known.
+	unknown := sl == nil || sl.owner == ""
+	stored := (sl != nil && sl.shape.Stored && !sl.shape.Lasting) || en.storedHere(er.Ref) || (unknown && en.mayBeStored(er.Ref))
 	if stored && (er.How == EndDone || er.How == EndFailed) {
 		en.keepEnd(wk, er)
 		if sl == nil || sl.owner == "" {
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -138,6 +138,7 @@
 	}
 	wk := en.workers[row.Worker]
 	if row.Holder != en.self.Incarnation {
+		delete(en.unfenced, row.Worker)
 		if wk != nil && row.Version > Version(wk.token) {
 			en.dropWorker(wk, "held by "+string(row.Holder))
 		}
@@ -202,11 +203,12 @@
 	if se.refused {
 		limit = beatSilenceRefused
 	}
-	if now.Sub(en.storeLost) < limit {
-		// No beat could have been seen.
-		return now.Sub(se.downSince) < limit+storeRecovery
+	if now.Sub(mb.beatAt) < limit {
+		return true
 	}
-	return now.Sub(mb.beatAt) < limit
+	// Just after the store was away no beat could have been seen. Only a process
+	// that refuses connections is known to be gone.
+	return now.Sub(en.storeLost) < limit && (!se.refused || now.Sub(se.downSince) < limit+storeRecovery)
 }
 
 // candidates lists the entries that may hold workers.
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -548,17 +548,33 @@
 	es.learn(jb.Job.Steps[gr.step].Estimate, work)
 }
 
-// loseHolder marks the tasks at an entry as lost after its session has ended.
-func (en *Entry) loseHolder(id ids.EntryID) {
+// loseHolder marks the tasks at an entry as lost after its session has ended,
+// and returns those that do not last.
+func (en *Entry) loseHolder(id ids.EntryID) []TaskRef {
 	until := en.now().Add(loseAfter)
-	for _, gr := range en.groups {
+	var lost []TaskRef
+	for _, gid := range sortedKeys(en.groups) {
+		gr := en.groups[gid]
 		delete(gr.offered, id)
 		for _, ta := range gr.tasks {
-			if ta.holder == id && (ta.state == taskPlaced || ta.state == taskRunning) {
-				en.lose(gr, ta, until)
+			if ta.holder != id || (ta.state != taskPlaced && ta.state != taskRunning) {
+				continue
+			}
+			if !gr.shape.Lasting {
+				lost = append(lost, TaskRef{Task: ta.id, Run: ta.run})
 			}
+			en.lose(gr, ta, until)
 		}
 	}
+	return lost
+}
+
+// giveUpAt marks the tasks at an entry as lost that can be told but does not
+// tell. It may not know that its messages are lost, so it is asked to stop.
+func (en *Entry) giveUpAt(id ids.EntryID) {
+	if lost := en.loseHolder(id); len(lost) > 0 {
+		en.send(id, Stop{Refs: lost})
+	}
 }
 
 func (en *Entry) lose(gr *group, ta *task, until time.Time) {
@@ -702,7 +718,12 @@
 	refs := map[ids.EntryID][]TaskRef{}
 	for _, gid := range sortedKeys(en.groups) {
 		for _, ta := range en.groups[gid].tasks {
-			if (ta.state == taskPlaced || ta.state == taskRunning) && now.Sub(ta.placedAt) > checkInterval {
+			switch {
+			case ta.state != taskPlaced && ta.state != taskRunning:
+			case !en.canTell(ta.holder):
+				// The session ended while the task was being sent.
+				en.lose(en.groups[gid], ta, now.Add(loseAfter))
+			case now.Sub(ta.placedAt) > checkInterval:
 				refs[ta.holder] = append(refs[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
 			}
 		}
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -206,6 +206,10 @@
 
 // onGrant answers reserved room with queued tasks.
 func (en *Entry) onGrant(from ids.EntryID, ms Grant) {
+	if !en.canTell(from) {
+		// The answer would not arrive; the holder takes the room back by itself.
+		return
+	}
 	gr := en.groups[ms.Group]
 	if gr == nil || gr.job.suspended {
 		en.send(from, Start{Group: ms.Group, Grant: ms.ID})
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -103,7 +103,8 @@
 type storedJob struct {
 	rec      JobRecord
 	writing  bool
-	dirty    bool // something of the job is not stored yet
+	wroteAt  time.Time // when the last write was begun
+	dirty    bool      // something of the job is not stored yet
 	dirtyAt  time.Time
 	retryAt  time.Time
 	unsaved  []unsavedEnd // ends that a write is to store
@@ -183,7 +184,7 @@
 	if st.writing {
 		return
 	}
-	st.writing, st.dirty = true, false
+	st.writing, st.dirty, st.wroteAt = true, false, en.now()
 	st.inWrite, st.unsaved = st.unsaved, nil
 	wr := JobWrite{Record: st.rec.clone(), Expected: st.rec.Version}
 	if !st.accepted {
@@ -271,6 +272,9 @@
 		en.finish(jb, Outcome{Kind: Abandoned, Reason: "released"})
 		return
 	}
+	if jb.suspended && !en.fenced && !en.leaving && st.wroteAt.After(en.unfencedAt) {
+		en.resume(jb)
+	}
 	if st.dirty && st.rec.State.over() {
 		en.write(jb)
 	}
@@ -412,13 +416,19 @@
 		tell(re.State, re.begun, true, false)
 		return
 	}
-	en.lookups[id] = append(en.lookups[id], func(failed bool) {
+	en.lookUp(id, func(failed bool) {
 		if re := en.records[id]; re != nil {
 			tell(re.State, re.begun, true, false)
 			return
 		}
 		tell("", false, false, failed)
 	})
+}
+
+// lookUp reads the row of a job. The function is called once the row has been
+// taken, there is none, or the read has failed.
+func (en *Entry) lookUp(id ids.JobID, fn func(failed bool)) {
+	en.lookups[id] = append(en.lookups[id], fn)
 	if len(en.lookups[id]) == 1 {
 		en.eff.LoadJob(id)
 	}
@@ -522,6 +532,9 @@
 	fenced := en.replaceable(now)
 	if fenced != en.fenced {
 		en.fenced = fenced
+		if !fenced {
+			en.unfencedAt = now
+		}
 		en.eff.Log("jobs-fenced", "fenced", fenced, "beat-age-ms", now.Sub(en.beaten).Milliseconds())
 	}
 	for _, id := range sortedKeys(en.jobs) {
@@ -531,8 +544,9 @@
 		}
 		if fenced {
 			en.suspend(jb, now)
-		} else if jb.suspended {
-			en.resume(jb)
+		} else if jb.suspended && !en.leaving && !jb.stored.dirty && !jb.stored.writing {
+			// The job may have been taken over; a write shows that it has not.
+			jb.stored.dirty, jb.stored.dirtyAt = true, time.Time{}
 		}
 		en.askAround(jb, now)
 		st := jb.stored
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -241,6 +241,9 @@
 	Running []Running
 	// Held holds the workers that the answer is about.
 	Held []HolderRow
+	// Unreached tells that the holder before may go on using some worker, and
+	// keep tasks there that last.
+	Unreached bool
 }
 
 // runsAny tells whether a slot of one of the jobs is left on the worker.
@@ -291,6 +294,15 @@
 // onClaimed answers with the ends that workers here still list.
 func (en *Entry) onClaimed(from ids.EntryID, ms Claimed) {
 	reply := PastEnds{Jobs: ms.Jobs}
+	for id, since := range en.unfenced {
+		if age := en.now().Sub(since); age < ownerSilence {
+			return
+		} else if age > lastingSilence && en.workers[id] == nil {
+			delete(en.unfenced, id)
+		} else {
+			reply.Unreached = true
+		}
+	}
 	jobs := map[ids.JobID]bool{}
 	for _, id := range ms.Jobs {
 		jobs[id] = true
@@ -331,7 +343,7 @@
 	}
 	for _, jid := range ms.Jobs {
 		jb := en.jobs[jid]
-		if jb == nil || jb.stored == nil || jb.suspended {
+		if jb == nil || jb.stored == nil || jb.suspended || (ms.Unreached && jb.Job.lasting()) {
 			continue
 		}
 		if jb.heard == nil {
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -79,11 +79,12 @@
 			rows = append(rows, missingRows(keys, rows, next)...)
 		}
 		dm.apply(tb, rows, keys)
-		if whole || len(rows) < feedRows {
+		complete := whole || len(rows) < feedRows
+		if complete {
 			dm.tableRead(tb.name, sent)
 		}
 		version = next
-		if tb.pause > 0 {
+		if tb.pause > 0 && complete {
 			group.Sleep(ctx, tb.pause)
 		}
 	}
