dispatch: find out about starts and holds that get no answer

Cause: a start without an answer held its task and its room for the 0.8 s of its lease; a hold without an answer made its worker silent for 0.7 s and hid the ends of tasks, which were then stopped as stalled (292 task-stalled, 197 worker-silent in 7 s).

A start without an answer is now looked for on the lists of the worker, and recalled by a stop when it is not there, so that the task starts elsewhere after some 30 to 100 ms. A worker is silent after two holds without an answer. While single calls get lost, holds are short and ends that are due are looked for.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -258,7 +258,7 @@
 		wo.storeUp = false
 		wo.after(span, func() { wo.storeUp = true })
 	case 8:
-		wk.lateShare = 0.3
+		wk.lateShare, wk.lateHolds = 0.3, span > 2*time.Second
 		wo.after(span, func() { wk.lateShare = 0 })
 	case 9:
 		wo.storeCut[ee.id] = true
@@ -371,6 +371,16 @@
 		{"workers whose tasks stand still are left alone", func(wo *world) {
 			wo.workers["w-003"].hangs, wo.workers["w-010"].hangs = true, true
 		}, 0.8},
+		{"a tenth of the orders gets no answer and is carried out seconds later", func(wo *world) {
+			for _, wk := range wo.sortedWorkers() {
+				wk.lateShare = 0.1
+			}
+		}, 0.8},
+		{"a tenth of the orders and holds gets no answer and is carried out seconds later", func(wo *world) {
+			for _, wk := range wo.sortedWorkers() {
+				wk.lateShare, wk.lateHolds = 0.1, true
+			}
+		}, 0.75},
 		{"workers that turn slow get no urgent work", func(wo *world) {
 			for _, id := range []ids.WorkerID{"w-003", "w-010", "w-017", "w-022"} {
 				wo.after(5*time.Second, func() { wo.workers[id].speed /= 6 })
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -591,20 +591,35 @@
 func (ef *emuEffects) StopTask(order StopOrder) {
 	ef.order(order.Worker, func(wk *emuWorker) StartReply {
 		wk.stop(order)
-		return StartReply{}
-	}, func(*Entry, StartReply) {})
+		return StartReply{Started: true}
+	}, func(en *Entry, rep StartReply) { en.StopReplied(order.Worker, order.Token, order.Ref, rep.Started) })
 }
 
 func (ef *emuEffects) Hold(order HoldOrder) {
 	wo, from := ef.ee.wo, ef.ee
 	wk := wo.workers[order.Worker]
+	replied := func(en *Entry, rep HoldReply) {
+		if order.Look != 0 {
+			en.Looked(order.Worker, order.Token, order.Look, rep)
+			return
+		}
+		en.HoldReplied(order.Worker, order.Token, rep)
+	}
 	reply := func(rep HoldReply) {
-		ef.back(emuHop, func(en *Entry) { en.HoldReplied(order.Worker, order.Token, rep) })
+		ef.back(emuHop, func(en *Entry) { replied(en, rep) })
+	}
+	if order.Margin <= 0 {
+		wo.fault("a hold has no time for the answer")
+	}
+	if wk.lateHolds && wo.rnd.Float64() < wk.lateShare {
+		wo.after(time.Duration(2+wo.rnd.Float64()*8)*time.Second, func() { wk.hold(order, func(HoldReply) {}) })
+		ef.back(order.Wait+order.Margin, func(en *Entry) { replied(en, HoldReply{Failed: true, Reason: "silent"}) })
+		return
 	}
 	wo.after(emuHop, func() {
 		if !wk.up || wo.isCut(string(from.id), string(order.Worker)) {
-			ef.back(order.Wait+300*time.Millisecond, func(en *Entry) {
-				en.HoldReplied(order.Worker, order.Token, HoldReply{Failed: true, Reason: "silent"})
+			ef.back(order.Wait+order.Margin, func(en *Entry) {
+				replied(en, HoldReply{Failed: true, Reason: "silent"})
 			})
 			return
 		}
@@ -748,6 +763,7 @@
 	waiting   func()
 	fails     bool    // fails all that it starts
 	hangs     bool    // its tasks stand still
+	lateHolds bool    // holds are late like other orders
 	lateShare float64 // share of the orders that are carried out late
 }
 
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -68,6 +68,10 @@
 	Until   WorkerTime // the new end of all leases on the worker
 	Acked   int64      // ends up to this number may be forgotten
 	Wait    time.Duration
+	Margin  time.Duration // how much later than Wait the answer may come
+	// Look is set on a hold beside the one in flight; Entry.Looked takes the
+	// result together with this number.
+	Look int64
 }
 
 // RowChange sets the holder of a worker if the row has the expected version.
@@ -133,6 +137,7 @@
 	lastWake   time.Time
 	memberTick time.Time
 	staleUntil time.Time // run times are not judged before
+	lossyUntil time.Time // calls of workers get lost one by one
 }
 
 // session is the state of the messages between this entry and another one.
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -39,6 +39,8 @@
 	checked  bool // the worker has listed the run
 	// orphanedAt is when a lasting task lost its owner.
 	orphanedAt time.Time
+	doubt      doubtStep // search for a run whose start got no answer
+	doubtAt    time.Time // when the present step was begun
 }
 
 type workerPhase string
@@ -57,11 +59,15 @@
 	slots map[TaskRef]*slot
 	taken Resources // sum of the slots
 
+	looking   bool // a look is in flight
+	lookSent  time.Time
 	holding   bool // a Hold is in flight
 	holdSent  time.Time
 	nextHold  time.Time
 	recheckAt time.Time            // no new tasks until a hold sent after it is answered
 	failing   time.Time            // since when holds fail, zero while they succeed
+	fails     int                  // holds without an answer in a row
+	heardAt   time.Time            // when the worker last answered
 	leaseEnd  time.Time            // when all leases that were asked for have surely ended
 	acked     int64                // ends up to it have been taken
 	unnoted   map[int64]unnotedEnd // ends whose owners have not stored them yet
@@ -85,6 +91,17 @@
 const (
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 100 * time.Millisecond
+	// holdMargin is the time for the answer to a hold beyond its wait, and
+	// lossyMargin the same while single calls get lost.
+	holdMargin  = 300 * time.Millisecond
+	lossyMargin = 80 * time.Millisecond
+	// lossyWait bounds the wait of holds while single calls get lost, because the
+	// ends of tasks show only with the next hold that is answered.
+	lossyWait = 60 * time.Millisecond
+	// lossyTime after the last call that got lost, calls count as safe again.
+	lossyTime = 3 * time.Second
+	// failsMost holds without an answer in a row make a worker silent.
+	failsMost = 2
 	// clockError bounds how much slower a worker's clock may run.
 	clockError = 1.03
 	// lateOrderMargin covers the uncertainty of a worker's clock reading.
@@ -187,9 +204,16 @@
 func (en *Entry) hold(wk *worker) {
 	now := en.now()
 	wk.holding, wk.holdSent = true, now
-	order := HoldOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.ackThrough()}
+	order := HoldOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.ackThrough(), Margin: holdMargin}
+	lossy := now.Before(en.lossyUntil)
 	if wk.phase == phaseOpen && wk.failing.IsZero() && !wk.lapses(now) {
-		if len(wk.unnoted) == 0 {
+		switch {
+		case wk.fails > 0:
+			order.Margin = lossyMargin
+		case len(wk.unnoted) > 0:
+		case lossy:
+			order.Wait, order.Margin = min(lossyWait, en.holdWait), lossyMargin
+		default:
 			order.Wait = en.holdWait
 		}
 		order.Extend = true
@@ -253,6 +277,11 @@
 	case rep.Fenced:
 		en.dropWorker(wk, "fenced")
 		return
+	case rep.Failed && wk.phase == phaseOpen && wk.failing.IsZero() && wk.fails+1 < failsMost:
+		// A single call may get lost.
+		wk.fails++
+		en.hold(wk)
+		return
 	case rep.Failed || rep.Other:
 		if wk.failing.IsZero() {
 			wk.failing = now
@@ -261,6 +290,10 @@
 		wk.nextHold = now.Add(holdRetry)
 		return
 	}
+	if wk.fails > 0 && wk.failing.IsZero() {
+		en.loseCall(wk, "hold")
+	}
+	wk.fails, wk.heardAt = 0, now
 	if !wk.failing.IsZero() {
 		en.eff.Log("worker-back", "worker", string(id), "after-ms", now.Sub(wk.failing).Milliseconds())
 		wk.failing = time.Time{}
@@ -292,6 +325,16 @@
 	en.match()
 }
 
+// loseCall notes that a single call of a worker got lost, which answers others.
+func (en *Entry) loseCall(wk *worker, what string) {
+	now := en.now()
+	if !now.Before(en.lossyUntil) {
+		en.eff.Log("calls-lossy", "worker", string(wk.info.ID), "call", what)
+	}
+	en.lossyUntil = now.Add(lossyTime)
+	en.eff.Count("retry", "lost-"+what, 1)
+}
+
 // unnotedPause separates two holds while ends wait to be stored.
 const unnotedPause = 30 * time.Millisecond
 
@@ -566,7 +609,10 @@
 				en.stopSlot(wk, sl, sl.why)
 			}
 		case slotRunning:
+			en.tickDue(wk, sl, now)
 			en.checkOverdue(wk, sl, now)
+		case slotOrdered, slotUnknown:
+			en.tickDoubt(wk, sl, now)
 		}
 		en.tickLasting(wk, sl, now)
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -219,6 +219,10 @@
 		return
 	}
 	ran := now.Sub(sl.began)
+	if now.Before(en.lossyUntil) {
+		// The answer that tells of the end may be lost.
+		ran = wk.heardAt.Sub(sl.began)
+	}
 	expected := time.Duration(float64(sl.shape.Estimate) / math.Exp(wk.speed.lasting))
 	limit := max(overdueFloor, time.Duration(overdueFactor*float64(expected)))
 	if ran < limit || now.Before(en.staleUntil) {
--- a/internal/fleet/effects.go
+++ b/internal/fleet/effects.go
@@ -34,10 +34,12 @@
 // without effect is sent again.
 func (ef *effects) StopTask(order dispatch.StopOrder) {
 	ef.dm.grp.Go(func(ctx context.Context) {
-		if err := ef.dm.workers.StopTask(ctx, order); err != nil && ctx.Err() == nil {
+		err := ef.dm.workers.StopTask(ctx, order)
+		if err != nil && ctx.Err() == nil {
 			ef.dm.log.Line("stop-unanswered", "worker", string(order.Worker), "task", string(order.Ref.Task),
 				"run", int64(order.Ref.Run), "error", err.Error())
 		}
+		ef.dm.locked(func(en *dispatch.Entry) { en.StopReplied(order.Worker, order.Token, order.Ref, err == nil) })
 	})
 }
 
@@ -49,7 +51,13 @@
 		if ctx.Err() != nil {
 			return
 		}
-		ef.dm.locked(func(en *dispatch.Entry) { en.HoldReplied(order.Worker, order.Token, rep) })
+		ef.dm.locked(func(en *dispatch.Entry) {
+			if order.Look != 0 {
+				en.Looked(order.Worker, order.Token, order.Look, rep)
+				return
+			}
+			en.HoldReplied(order.Worker, order.Token, rep)
+		})
 	})
 }
 
