--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -277,27 +277,11 @@
 	case rep.Fenced:
 		en.dropWorker(wk, "fenced")
 		return
-	case rep.Failed && wk.phase == phaseOpen && wk.failing.IsZero() && wk.fails+1 < failsMost:
-		// A single call may get lost.
-		wk.fails++
-		en.hold(wk)
-		return
 	case rep.Failed || rep.Other:
-		if wk.failing.IsZero() {
-			wk.failing = now
-			en.eff.Log("worker-silent", "worker", string(id), "reason", rep.Reason, "slots", len(wk.slots))
-		}
-		wk.nextHold = now.Add(holdRetry)
+		en.holdFailed(wk, rep)
 		return
 	}
-	if wk.fails > 0 && wk.failing.IsZero() {
-		en.loseCall(wk, "hold")
-	}
-	wk.fails, wk.heardAt = 0, now
-	if !wk.failing.IsZero() {
-		en.eff.Log("worker-back", "worker", string(id), "after-ms", now.Sub(wk.failing).Milliseconds())
-		wk.failing = time.Time{}
-	}
+	en.holdAnswered(wk)
 	if !sent.Before(wk.recheckAt) {
 		wk.recheckAt = time.Time{}
 	}
@@ -325,6 +309,35 @@
 	en.match()
 }
 
+// holdFailed acts on a hold without an answer that can be used.
+func (en *Entry) holdFailed(wk *worker, rep HoldReply) {
+	if rep.Failed && wk.phase == phaseOpen && wk.failing.IsZero() && wk.fails+1 < failsMost {
+		// A single call may get lost.
+		wk.fails++
+		en.hold(wk)
+		return
+	}
+	now := en.now()
+	if wk.failing.IsZero() {
+		wk.failing = now
+		en.eff.Log("worker-silent", "worker", string(wk.info.ID), "reason", rep.Reason, "slots", len(wk.slots))
+	}
+	wk.nextHold = now.Add(holdRetry)
+}
+
+// holdAnswered notes that a worker answers.
+func (en *Entry) holdAnswered(wk *worker) {
+	now := en.now()
+	if wk.fails > 0 && wk.failing.IsZero() {
+		en.loseCall(wk, "hold")
+	}
+	wk.fails, wk.heardAt = 0, now
+	if !wk.failing.IsZero() {
+		en.eff.Log("worker-back", "worker", string(wk.info.ID), "after-ms", now.Sub(wk.failing).Milliseconds())
+		wk.failing = time.Time{}
+	}
+}
+
 // loseCall notes that a single call of a worker got lost, which answers others.
 func (en *Entry) loseCall(wk *worker, what string) {
 	now := en.now()
