--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -99,11 +99,15 @@
 	sessions map[ids.EntryID]*session
 
 	// as owner
-	jobs       map[ids.JobID]*job
-	groups     map[GroupID]*group
-	lastGroup  GroupID
-	learned    map[string]*estimator
-	records    map[ids.JobID]*record
+	jobs      map[ids.JobID]*job
+	groups    map[GroupID]*group
+	lastGroup GroupID
+	learned   map[string]*estimator
+	records   map[ids.JobID]*record
+	// open holds the records of jobs that go on, and ended the others, those that
+	// ended first in front.
+	open       map[ids.JobID]*record
+	ended      []*record
 	readAt     map[Table]time.Time // when the last whole read was sent
 	needs      needs
 	lookups    map[ids.JobID][]func(failed bool)
@@ -175,6 +179,7 @@
 		groups:   map[GroupID]*group{},
 		learned:  map[string]*estimator{},
 		records:  map[ids.JobID]*record{},
+		open:     map[ids.JobID]*record{},
 		readAt:   map[Table]time.Time{},
 		lookups:  map[ids.JobID][]func(failed bool){},
 		cancels:  map[ids.JobID][]func(out Outcome){},
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -140,6 +140,7 @@
 	MaxAttempts int // runs of a task that may fail
 	Stretch     float64
 	Slack       time.Duration // added to the stretched run time to give the objective
+	Advised     bool          // a service outside tells which workers may run its tasks
 }
 
 // CallerLimits bound what callers may send.
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -250,9 +251,34 @@
 	)
 }
 
+// mixedRegressions are mixed schedules that once broke a rule.
+var mixedRegressions = []uint64{
+	// An owner that was cut off placed tasks again before it knew that its jobs
+	// had been taken over.
+	9,
+	// A holder that had not reached a worker yet vouched for it.
+	166,
+	// Tasks sent in the moment when a session ended stayed placed for ever.
+	50, 76,
+}
+
+// mixedSeeds returns the seeds of mixed schedules, ten of them in CI besides
+// those that once failed: the schedules take long.
+func mixedSeeds(t *testing.T) []uint64 {
+	t.Helper()
+	const count = 10
+	list := slices.Clone(mixedRegressions)
+	for seed := range seeds(t) {
+		if !slices.Contains(list, seed) && (os.Getenv("SEEDS") != "" || seed < count) {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
 // TestRandomFaultsMixed plays random faults with jobs of all forms.
 func TestRandomFaultsMixed(t *testing.T) {
-	for seed := range seeds(t) {
+	for _, seed := range mixedSeeds(t) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
 			wo := standardWorld(seed+schedules["mixed"].offset, 7, 48)
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -823,8 +823,8 @@
 			count++
 		}
 	}
-	for _, re := range en.records {
-		if re.Queue == queue && !re.begun && !re.Timed && !re.State.over() {
+	for _, re := range en.open {
+		if re.Queue == queue && !re.begun && !re.Timed {
 			count++
 		}
 	}
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -342,8 +342,13 @@
 	}
 	re.JobRecord = rec
 	re.begun = re.begun || begun
-	if rec.State.over() && re.endedAt.IsZero() {
+	switch {
+	case !rec.State.over():
+		en.open[rec.ID] = re
+	case re.endedAt.IsZero():
 		re.endedAt = en.now()
+		delete(en.open, rec.ID)
+		en.ended = append(en.ended, re)
 	}
 }
 
@@ -363,6 +368,7 @@
 func (en *Entry) DropRecord(id ids.JobID, version Version) {
 	if re := en.records[id]; re != nil && re.Version <= version {
 		delete(en.records, id)
+		delete(en.open, id)
 	}
 }
 
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -124,16 +124,19 @@
 	if en.leaving || en.fenced || en.readAt[TableJobs].IsZero() {
 		return
 	}
+	for len(en.ended) > 0 && now.Sub(en.ended[0].endedAt) > recordTime {
+		re := en.ended[0]
+		en.ended = en.ended[1:]
+		if en.records[re.ID] == re && !en.forgetRecord(re) {
+			// Its owner lives and does so; if it dies, it is this entry's turn.
+			re.endedAt = now
+			en.ended = append(en.ended, re)
+		}
+	}
 	list := en.candidates(now)
 	count := 0
-	for _, id := range sortedKeys(en.records) {
-		re := en.records[id]
-		if re.State.over() {
-			if now.Sub(re.endedAt) > recordTime {
-				en.forgetRecord(re)
-			}
-			continue
-		}
+	for _, id := range sortedKeys(en.open) {
+		re := en.open[id]
 		if re.loading || en.jobs[id] != nil || !en.ownerGone(re.Owner, now) || count >= claimsAtOnce {
 			continue
 		}
@@ -147,11 +150,13 @@
 
 // forgetRecord removes the row of a job that ended long ago. Its last owner
 // does so, or any entry once that owner is gone.
-func (en *Entry) forgetRecord(re *record) {
-	if re.Owner == en.self.Incarnation || en.ownerGone(re.Owner, en.now()) {
-		delete(en.records, re.ID)
-		en.eff.StoreJob(JobWrite{Record: re.JobRecord, Expected: re.Version, Remove: true})
+func (en *Entry) forgetRecord(re *record) bool {
+	if re.Owner != en.self.Incarnation && !en.ownerGone(re.Owner, en.now()) {
+		return false
 	}
+	delete(en.records, re.ID)
+	en.eff.StoreJob(JobWrite{Record: re.JobRecord, Expected: re.Version, Remove: true})
+	return true
 }
 
 // claimJob makes this entry the owner of a job.
