--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
@@ -52,6 +53,7 @@
 	gangs      map[string]*emuGang
 	// lastingStops counts stops of lasting tasks on workers that stay.
 	lastingStops int
+	resumed      int // starts that went on from saved progress
 	alone        int // tasks that waited in vain for the others of their gang
 	cancelled    map[ids.JobID]bool
 	// trace takes the log lines of the entries and what happens at workers.
@@ -775,6 +777,41 @@
 	need Resources
 	over bool
 	gang *emuGang
+	// began is when the run was started, and resumed the work that earlier runs
+	// had done.
+	began   time.Time
+	resumed time.Duration
+}
+
+// resume reads the progress that a start carries.
+func (wk *emuWorker) resume(jb *emuJob, order StartOrder) time.Duration {
+	if order.Checkpoint == "" {
+		return 0
+	}
+	var done int64
+	name, text, _ := strings.Cut(order.Checkpoint, "|")
+	if _, err := fmt.Sscan(text, &done); err != nil || name != string(order.Ref.Task) {
+		wk.wo.fault("task %s is started with the progress %q", order.Ref.Task, order.Checkpoint)
+	}
+	wk.wo.resumed++
+	return min(time.Duration(done), jb.length[order.Ref.Task])
+}
+
+// emuSave is the work after which a task saves its progress.
+const emuSave = time.Second
+
+// saved returns the progress of a run, which is saved now and then and when it
+// is stopped.
+func (wk *emuWorker) saved(run *emuRun, how End) string {
+	at, _ := splitTask(run.ref.Task)
+	if !wk.wo.jobs[at.job].steps[at.step].Checkpointing {
+		return ""
+	}
+	done := run.resumed + time.Duration(float64(wk.wo.at.Sub(run.began))*wk.speed)
+	if how != EndStopped {
+		done = done.Truncate(emuSave)
+	}
+	return fmt.Sprintf("%s|%d", run.ref.Task, int64(done))
 }
 
 func (wo *world) addWorker(num int, zone ids.AvailabilityZone, cpu Millicores, speed float64) *emuWorker {
@@ -854,7 +891,8 @@
 	if wk.hangs {
 		return rep
 	}
-	took, how := time.Duration(float64(jb.length[order.Ref.Task])/wk.speed), EndDone
+	run.began, run.resumed = wo.at, wk.resume(jb, order)
+	took, how := time.Duration(float64(jb.length[order.Ref.Task]-run.resumed)/wk.speed), EndDone
 	if jb.rack != "" && jb.rack != wk.info.Rack {
 		took = time.Duration(float64(took) * emuPenalty)
 		wo.far++
@@ -1030,7 +1068,11 @@
 	}
 	wk.number++
 	wk.endedAt[wk.number] = wk.wo.at
-	wk.ends = append(wk.ends, EndedRun{Number: wk.number, Ref: run.ref, How: how})
+	er := EndedRun{Number: wk.number, Ref: run.ref, How: how}
+	if how == EndStopped || how == EndLapsed {
+		er.Checkpoint = wk.saved(run, how)
+	}
+	wk.ends = append(wk.ends, er)
 	if wk.waiting != nil {
 		fn := wk.waiting
 		wk.waiting = nil
@@ -1146,6 +1188,7 @@
 	repeat    int
 	gang      bool
 	lasting   bool
+	saves     bool // tasks save their progress when they are stopped
 	colocated bool
 }
 
@@ -1176,7 +1219,7 @@
 		if kd.racks > 0 && jb.rack == "" {
 			jb.rack = ids.RackID(fmt.Sprintf("rack-%d", wo.rnd.IntN(kd.racks)))
 		}
-		st := Step{Gang: kd.gang, Lasting: kd.lasting, Colocated: kd.colocated, Requirement: kd.label, AntiAffinity: kd.spread, Affinity: jb.rack, Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared}
+		st := Step{Checkpointing: kd.saves, Gang: kd.gang, Lasting: kd.lasting, Colocated: kd.colocated, Requirement: kd.label, AntiAffinity: kd.spread, Affinity: jb.rack, Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared}
 		if step > 0 {
 			st.After = []int{step - 1}
 		}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -126,6 +126,7 @@
 	grants    map[GrantID]*grant
 	lastGrant GrantID
 	suspects  suspectJobs
+	progress  map[ids.JobID]map[TaskID]SavedRun
 	// unfenced holds the workers that this entry holds by their rows and has not
 	// reached yet, with the time when it became their holder. The holder before
 	// may go on using them.
@@ -189,6 +190,7 @@
 		grants:   map[GrantID]*grant{},
 		unfenced: map[ids.WorkerID]time.Time{},
 		suspects: suspectJobs{},
+		progress: map[ids.JobID]map[TaskID]SavedRun{},
 		members:  map[ids.EntryID]*member{},
 		rows:     map[ids.WorkerID]HolderRow{},
 		known:    map[ids.WorkerID]*knownWorker{},
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -33,10 +33,11 @@
 	stopSent time.Time
 	why      End // how to report a stop that this holder has decided
 	grant    GrantID
-	far      bool // runs away from the rack of its data
-	stalls   int  // earlier runs that were stopped for running too long
-	foreign  bool // found on the worker and not claimed by any owner
-	checked  bool // the worker has listed the run
+	far      bool   // runs away from the rack of its data
+	stalls   int    // earlier runs that were stopped for running too long
+	foreign  bool   // found on the worker and not claimed by any owner
+	checked  bool   // the worker has listed the run
+	saved    string // the last progress that the worker has listed
 	// orphanedAt is when a lasting task lost its owner.
 	orphanedAt time.Time
 	doubt      doubtStep // search for a run whose start got no answer
@@ -248,6 +249,7 @@
 	Clock   WorkerTime
 	Born    int64
 	Running []TaskRef
+	Saved   map[TaskRef]string // the progress that running tasks have saved
 	Ended   []EndedRun
 	More    bool // the worker has more ends than it lists at a time
 	Fenced  bool // the worker has seen a higher token
@@ -400,6 +402,7 @@
 	for _, er := range rep.Ended {
 		ended = append(ended, Ended{Ref: er.Ref, Worker: wk.info.ID, How: er.How, Checkpoint: er.Checkpoint})
 		wk.acked = max(wk.acked, er.Number)
+		en.keepProgressOf(er)
 		if en.mayBeStored(er.Ref) && (er.How == EndDone || er.How == EndFailed) {
 			en.keepEnd(wk, er)
 		}
@@ -521,6 +524,9 @@
 	for _, ref := range rep.Running {
 		listed[ref] = true
 		en.takeRunning(wk, ref)
+		if sl := wk.slots[ref]; sl != nil && rep.Saved[ref] != "" {
+			sl.saved = rep.Saved[ref]
+		}
 	}
 	if rep.More {
 		// A run that is not listed may have ended.
@@ -537,6 +543,7 @@
 // takeEnd takes an end that the worker lists for the first time.
 func (en *Entry) takeEnd(wk *worker, er EndedRun) {
 	wk.acked = er.Number
+	en.keepProgressOf(er)
 	sl := wk.slots[er.Ref]
 	// Without an owner the shape of a slot may not be known.
 	unknown := sl == nil || sl.owner == ""
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -178,6 +178,37 @@
 	}
 }
 
+// TestSavedProgress guards the work of tasks that save it: it is not done again
+// when the owner dies or a worker leaves.
+func TestSavedProgress(t *testing.T) {
+	rows := []struct {
+		name  string
+		fault func(wo *world)
+		least int // starts that went on from saved progress
+	}{
+		{"owner killed", func(wo *world) { wo.entries["entry-01"].kill() }, 5},
+		{"owner leaves", func(wo *world) {
+			wo.entries["entry-01"].en.Leave()
+			wo.after(5*time.Second, wo.entries["entry-01"].kill)
+		}, 5},
+	}
+	for num, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(uint64(num)+780, 7, 48)
+			wo.load([]kind{{queue: "pair", perS: 5, width: 3, work: 5 * time.Second, saves: true, stored: true}}, 1, 6*time.Second)
+			wo.run(7 * time.Second)
+			row.fault(wo)
+			wo.run(40 * time.Second)
+			wo.check(t)
+			wo.checkStored(t)
+			if wo.resumed < row.least {
+				t.Errorf("%d starts went on from saved progress, want %d or more", wo.resumed, row.least)
+			}
+		})
+	}
+}
+
 // checkLasting reports lasting tasks that don't run, and returns how many should.
 func (wo *world) checkLasting(t *testing.T) int {
 	t.Helper()
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -16,6 +16,13 @@
 // endSlot frees the room of a run and tells its owner.
 func (en *Entry) endSlot(wk *worker, sl *slot, how End, checkpoint string, took time.Duration) {
 	wk.removeSlot(sl.ref)
+	if checkpoint == "" {
+		checkpoint = sl.saved
+	}
+	if sl.shape.Stored && how != EndDone && checkpoint != "" && checkpoint == sl.saved {
+		// The worker did not tell of the end.
+		en.keepProgress(sl.ref, checkpoint)
+	}
 	if sl.owner == "" {
 		return
 	}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -70,6 +70,7 @@
 	notBefore  time.Time // when runs of a former owner have surely ended
 	sent       bool      // this owner has sent a run of it to a holder
 	checkpoint string
+	savedRun   Run // the run that saved it
 }
 
 // occurrence is one run of the steps of a job; a job that is not timed has one.
@@ -417,6 +418,7 @@
 	}
 	jb := gr.job
 	if ms.Checkpoint != "" {
+		ta.savedRun = ms.Ref.Run
 		gr.saved(ta, ms.Checkpoint)
 	}
 	if ms.How != EndNoRoom && ms.How != EndOldRun {
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -348,6 +348,7 @@
 	case re.endedAt.IsZero():
 		re.endedAt = en.now()
 		delete(en.open, rec.ID)
+		delete(en.progress, rec.ID)
 		en.ended = append(en.ended, re)
 	}
 }
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -244,6 +244,8 @@
 	Ends []Ended
 	// Running holds the tasks that last.
 	Running []Running
+	// Saved holds the progress of tasks that have ended.
+	Saved []SavedRun
 	// Held holds the workers that the answer is about.
 	Held []HolderRow
 	// Unreached tells that the holder before may go on using some worker, and
@@ -311,6 +313,7 @@
 	jobs := map[ids.JobID]bool{}
 	for _, id := range ms.Jobs {
 		jobs[id] = true
+		reply.Saved = append(reply.Saved, en.progressOf(id)...)
 	}
 	for _, id := range sortedKeys(en.workers) {
 		wk := en.workers[id]
@@ -343,6 +346,9 @@
 	for _, ru := range ms.Running {
 		en.adoptRunning(from, ru)
 	}
+	for _, sv := range ms.Saved {
+		en.takeProgress(sv)
+	}
 	if !en.coversAll(from, ms.Held) {
 		return
 	}
