--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -56,7 +56,7 @@
 	cnt := counter.New()
 	log := fleet.NewJournal(st.Out, cnt)
 	defer log.Close()
-	cl := platform.NewClient(set.Store)
+	cl := platform.NewClient(set.Store, set.Advice)
 	defer cl.Close()
 	dm := fleet.New(set.Options(), cl, cl, log, cnt)
 	if err := dm.Start(); err != nil {
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -53,6 +54,9 @@
 	gangs      map[string]*emuGang
 	// lastingStops counts stops of lasting tasks on workers that stay.
 	lastingStops int
+	advised      int // calls for advice
+	badTickets   int // starts that were refused for their ticket
+	adviceLost   float64
 	resumed      int // starts that went on from saved progress
 	alone        int // tasks that waited in vain for the others of their gang
 	cancelled    map[ids.JobID]bool
@@ -79,6 +83,7 @@
 type emuJob struct {
 	steps   []Step
 	repeat  Repeat
+	advised bool
 	service ids.ServiceName
 	done    map[TaskID]bool
 	rack    ids.RackID // of the data
@@ -745,6 +750,49 @@
 		ef.ee.wo.trace(fmt.Sprint(ef.ee.id, " ", event, " ", fields))
 	}
 }
+
+// Advise answers for a third of the workers.
+func (ef *emuEffects) Advise(order AdviceOrder) {
+	wo := ef.ee.wo
+	wo.advised++
+	if wo.rnd.Float64() < wo.adviceLost {
+		ef.back(emuReadTimeout, func(en *Entry) { en.Advised(order, AdviceReply{Failed: true}) })
+		return
+	}
+	took := emuDecision + time.Duration(len(order.Workers))*time.Millisecond
+	rep := AdviceReply{Tickets: map[ids.WorkerID]string{}, Validity: emuValidity}
+	for _, id := range order.Workers {
+		if emuAllows(order.Step, id) {
+			rep.Tickets[id] = fmt.Sprintf("%s|%s|%d|%d", order.Step, id, wo.workers[id].info.Born, wo.at.Add(took+emuValidity).UnixMilli())
+		}
+	}
+	ef.back(took, func(en *Entry) { en.Advised(order, rep) })
+}
+
+// The emulated service that advises.
+const (
+	emuDecision = 10 * time.Millisecond
+	emuValidity = 2 * time.Second
+)
+
+func emuAllows(step string, id ids.WorkerID) bool {
+	const share = 1.0 / 3
+	return rendezvous(string(id), step) < share
+}
+
+// ticketOK tells whether a start on a queue with advice carries a ticket that
+// holds.
+func (wk *emuWorker) ticketOK(order StartOrder) bool {
+	at, _ := splitTask(order.Ref.Task)
+	step := fmt.Sprintf("%s.%d.%d", at.job, at.occ, at.step)
+	parts := strings.Split(order.Ticket, "|")
+	if len(parts) != 4 || parts[0] != step || parts[1] != string(wk.info.ID) || parts[2] != fmt.Sprint(wk.info.Born) {
+		return false
+	}
+	until, err := strconv.ParseInt(parts[3], 10, 64)
+	return err == nil && wk.wo.at.UnixMilli() <= until
+}
+
 func (ef *emuEffects) Wall() time.Time               { return ef.ee.wo.at }
 func (ef *emuEffects) Count(string, string, int64)   {}
 func (ef *emuEffects) Observe(string, time.Duration) {}
@@ -851,6 +899,10 @@
 	case order.Until <= wk.clock():
 		rep.Reason = RefusedLate
 	}
+	if jb := wo.jobOf(order.Ref.Task); rep.Reason == "" && jb != nil && jb.advised && !wk.ticketOK(order) {
+		wo.badTickets++
+		rep.Reason = RefusedTicket
+	}
 	if rep.Reason != "" {
 		return rep
 	}
@@ -912,6 +964,12 @@
 	return rep
 }
 
+// jobOf returns the job of a task.
+func (wo *world) jobOf(id TaskID) *emuJob {
+	at, _ := splitTask(id)
+	return wo.jobs[at.job]
+}
+
 // emuGang is one run of a gang.
 type emuGang struct {
 	members map[*emuRun]*emuWorker
@@ -1228,6 +1286,7 @@
 	if kd.repeat > 0 {
 		job.Repeat = Repeat{Count: kd.repeat, First: wo.at.Add(time.Second).UnixMilli(), Interval: 1500 * time.Millisecond}
 	}
+	jb.advised = qu.Advised
 	jb.steps, jb.service, jb.repeat, jb.done = job.Steps, qu.Service, job.Repeat, map[TaskID]bool{}
 	wo.jobs[id] = jb
 	wo.asked[kd.queue]++
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -30,6 +30,8 @@
 	StoreJob(write JobWrite)
 	// LoadJob reads a stored job; Entry.JobLoaded takes the result.
 	LoadJob(id ids.JobID)
+	// Advise asks which workers may run a step; Entry.Advised takes the result.
+	Advise(order AdviceOrder)
 	// Wall returns the time of day, which may jump.
 	Wall() time.Time
 	// Log writes one line on a decision. The fields are key and value in turn.
@@ -48,6 +50,7 @@
 	Ref        TaskRef
 	Payload    string
 	Checkpoint string
+	Ticket     string     // "" where none is needed
 	Until      WorkerTime // lease of the run
 }
 
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -43,6 +43,10 @@
 func (en *Entry) placeGang(gr *group) {
 	now := en.now()
 	ga := &gr.gang
+	if gr.shape.Advised && now.Add(adviceMargin).After(gr.advice.until) {
+		en.placeAdvised(gr)
+		return
+	}
 	if gr.job.suspended || !ga.since.IsZero() || now.Before(ga.notBefore) || !gr.allQueued() {
 		return
 	}
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -243,7 +243,7 @@
 	wk.extendLease(now, en.startLease)
 	en.eff.StartTask(StartOrder{
 		Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: as.TaskRef,
-		Payload: ms.Payload, Checkpoint: as.Checkpoint, Until: until,
+		Payload: ms.Payload, Checkpoint: as.Checkpoint, Ticket: ms.Shape.Tickets[wk.info.ID], Until: until,
 	})
 }
 
@@ -252,6 +252,9 @@
 	if wk.info.Service != sh.Service || !wk.usable(now) {
 		return false
 	}
+	if sh.Advised && sh.Tickets[wk.info.ID] == "" {
+		return false
+	}
 	if sh.Requirement != "" && !slices.Contains(wk.info.Labels, sh.Requirement) {
 		return false
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -221,9 +221,11 @@
 	Estimate     time.Duration // expected run time on a worker of speed 1
 	Chain        time.Duration // the same for this step and the longest chain after it
 	Priority     int
-	Stored       bool          // ends must be stored before the worker forgets them
-	Lasting      bool          // runs until it is stopped
-	Gang         bool          // of use only with room for all
+	Stored       bool // ends must be stored before the worker forgets them
+	Lasting      bool // runs until it is stopped
+	Gang         bool // of use only with room for all
+	Advised      bool // only workers with a ticket may run it
+	Tickets      map[ids.WorkerID]string
 	Started      bool          // a task of the job has been started already
 	Left         float64       // share of the job's tasks that are not done
 	InTime       time.Duration // time left until the objective is missed
@@ -257,6 +259,7 @@
 	EndLost    End = "lost"    // the worker is gone or the start never took effect
 	EndStalled End = "stalled" // stopped because it ran far beyond its estimate
 	EndNoRoom  End = "no-room" // never sent to a worker
+	EndTicket  End = "ticket"  // the worker has refused the ticket
 	EndOldRun  End = "old-run" // the worker has seen a later run
 )
 
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -209,6 +209,68 @@
 	}
 }
 
+// TestAdvice guards queues for which a service outside names the workers: starts
+// carry tickets that hold, a step takes few calls, and lost calls and restarted
+// workers are overcome.
+func TestAdvice(t *testing.T) {
+	rows := []struct {
+		name  string
+		gang  bool
+		fault func(wo *world)
+		bad   int // starts that may be refused for their ticket
+		least float64
+	}{
+		{"calm", false, func(*world) {}, 0, 0.75},
+		{"gangs", true, func(*world) {}, 0, 0.5},
+		{"a third of the calls is lost", false, func(wo *world) { wo.adviceLost = 0.3 }, 0, 0.4},
+		{"workers restart: their tickets no longer hold", false, func(wo *world) {
+			for _, id := range sortedKeys(wo.workers)[:8] {
+				wo.workers[id].crash(100 * time.Millisecond)
+			}
+		}, 40, 0.6},
+		{"owner killed", false, func(wo *world) { wo.entries["entry-01"].kill() }, 0, 0.6},
+	}
+	for num, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(uint64(num)+800, 7, 48)
+			des := standardDesired(2)
+			for at := range des.Queues {
+				des.Queues[at].Advised, des.Queues[at].Slack = true, 200*time.Millisecond
+			}
+			wo.desired = des
+			for _, ee := range wo.sortedEntries() {
+				ee.en.Apply(des)
+			}
+			kinds := slices.Clone(standardKinds)
+			kinds[1].stored, kinds[1].steps, kinds[0].gang = true, 2, row.gang
+			wo.load(kinds, 0.3, 12*time.Second)
+			wo.run(4 * time.Second)
+			row.fault(wo)
+			wo.run(30 * time.Second)
+			wo.check(t)
+			wo.checkStored(t)
+			steps := 0
+			for _, jb := range wo.jobs {
+				steps += len(jb.steps)
+			}
+			if wo.advised == 0 {
+				t.Error("the service was not asked")
+			}
+			if wo.adviceLost == 0 && !row.gang && wo.advised > 2*steps {
+				t.Errorf("%d calls for advice on %d steps", wo.advised, steps)
+			}
+			if wo.badTickets > row.bad {
+				t.Errorf("%d starts were refused for their ticket, want at most %d", wo.badTickets, row.bad)
+			}
+			loose := float64(wo.inTime["peek"]+wo.inTime["pair"]) / float64(wo.asked["peek"]+wo.asked["pair"])
+			if loose < row.least {
+				t.Errorf("%.3f of the jobs were in time, want %.2f or more: %v of %v, %v", loose, row.least, wo.inTime, wo.asked, wo.done)
+			}
+		})
+	}
+}
+
 // checkLasting reports lasting tasks that don't run, and returns how many should.
 func (wo *world) checkLasting(t *testing.T) int {
 	t.Helper()
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -75,6 +75,7 @@
 	RefusedUnhealthy StartRefusal = "unhealthy"
 	RefusedLifetime  StartRefusal = "lifetime"
 	RefusedInvalid   StartRefusal = "invalid"
+	RefusedTicket    StartRefusal = "ticket"
 )
 
 // StartReplied takes the answer to a start order.
@@ -120,6 +121,8 @@
 		how = EndOldRun
 	case RefusedInvalid:
 		how = EndFailed
+	case RefusedTicket:
+		how = EndTicket
 	case RefusedUnhealthy, RefusedRoom, RefusedLifetime:
 		wk.blocked = en.now().Add(blockFirst)
 		wk.recheck(en.now())
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -91,6 +91,7 @@
 	shape   Shape // without the times, which are filled in when it is sent
 	offered map[ids.EntryID]bool
 	gang    gangState
+	advice  adviceState
 }
 
 type job struct {
@@ -264,6 +265,7 @@
 			Stored:       jb.stored != nil,
 			Lasting:      st.Lasting,
 			Gang:         st.Gang,
+			Advised:      jb.Queue.Advised,
 		}
 		prefix := string(jb.Job.ID) + "." + strconv.Itoa(oc.num) + "." + strconv.Itoa(num) + "."
 		for idx := range st.Count {
@@ -421,6 +423,10 @@
 		ta.savedRun = ms.Ref.Run
 		gr.saved(ta, ms.Checkpoint)
 	}
+	if ms.How == EndTicket {
+		gr.dropTicket(ms.Worker)
+		ms.How = EndNoRoom
+	}
 	if ms.How != EndNoRoom && ms.How != EndOldRun {
 		jb.begun = true
 	}
@@ -534,7 +540,7 @@
 		en.breakGang(gr)
 		return
 	}
-	if noRoom {
+	if noRoom && !gr.shape.Advised {
 		en.want(gr)
 		return
 	}
@@ -749,6 +755,7 @@
 			}
 		}
 		en.tickGangs(jb, now)
+		en.tickAdvice(jb, now)
 		if jb.stored != nil {
 			continue
 		}
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -44,6 +44,10 @@
 		en.placeGang(gr)
 		return
 	}
+	if gr.shape.Advised {
+		en.placeAdvised(gr)
+		return
+	}
 	waiting := gr.queued()
 	for _, fr := range en.freeRoom(gr.shape) {
 		if len(waiting) == 0 {
@@ -65,7 +69,8 @@
 }
 
 // freeRoom lists the holders whose last report shows room for the shape, on the
-// rack of its data if one is named, the best first: those of this entry, then those with the fastest free workers.
+// rack of its data if one is named, the best first: those with fast free
+// workers, then those of this zone.
 func (en *Entry) freeRoom(sh Shape) []room {
 	var list []room
 	if count, best := countFree(en.load().Free, sh); count > 0 {
@@ -198,7 +203,7 @@
 func (en *Entry) offerWants(id ids.EntryID) {
 	for _, gid := range sortedKeys(en.groups) {
 		gr := en.groups[gid]
-		if count := len(gr.queued()); count > 0 && !gr.job.suspended && !gr.shape.Gang {
+		if count := len(gr.queued()); count > 0 && !gr.job.suspended && !gr.shape.Gang && (!gr.shape.Advised || len(gr.shape.Tickets) > 0) {
 			en.sendWant(gr, id, count)
 		}
 	}
--- a/internal/fleet/effects.go
+++ b/internal/fleet/effects.go
@@ -116,6 +116,44 @@
 	})
 }
 
+// adviceTimeout bounds a call for advice. The service takes some milliseconds
+// for each worker and answers one call of this VM at a time.
+const adviceTimeout = 3 * time.Second
+
+// Advise queues a call for advice: the service handles one at a time for each
+// VM, so more at once would only wait there.
+func (ef *effects) Advise(order dispatch.AdviceOrder) {
+	dm := ef.dm
+	dm.advice = append(dm.advice, order)
+	if len(dm.advice) == 1 {
+		dm.grp.Go(dm.advise)
+	}
+}
+
+// advise makes the calls for advice that wait.
+func (dm *Daemon) advise(ctx context.Context) {
+	for ctx.Err() == nil {
+		var order dispatch.AdviceOrder
+		dm.locked(func(*dispatch.Entry) { order = dm.advice[0] })
+		began := time.Now()
+		callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
+		rep := dm.workers.Advise(callCtx, order)
+		cancel()
+		dm.cnt.Observe("advice", time.Since(began))
+		more := false
+		dm.locked(func(en *dispatch.Entry) {
+			dm.advice = dm.advice[1:]
+			more = len(dm.advice) > 0
+			en.Advised(order, rep)
+			// The answer may have led to the next call, which found the list empty.
+			more = more && len(dm.advice) > 0
+		})
+		if !more {
+			return
+		}
+	}
+}
+
 // Wall returns the time of day.
 func (ef *effects) Wall() time.Time { return time.Now() }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -121,6 +121,8 @@
 	StartTask(ctx context.Context, order dispatch.StartOrder) dispatch.StartReply
 	StopTask(ctx context.Context, order dispatch.StopOrder) error
 	Hold(ctx context.Context, order dispatch.HoldOrder) dispatch.HoldReply
+	// Advise asks the service outside that knows which workers may run a step.
+	Advise(ctx context.Context, order dispatch.AdviceOrder) dispatch.AdviceReply
 }
 
 // Options describe an entry.
@@ -154,6 +156,8 @@
 	lastSess uint64
 	storeBad map[Table]bool
 	writers  map[Part]*jobWriter
+	// advice holds the calls for advice that wait, the first one in flight.
+	advice []dispatch.AdviceOrder
 	// nextJobWrite is when the next transaction of jobs may begin.
 	nextJobWrite time.Time
 }
--- a/internal/fleet/stand_in_test.go
+++ b/internal/fleet/stand_in_test.go
@@ -204,6 +204,15 @@
 	return nil
 }
 
+// Advise allows all workers.
+func (mw *memWorkers) Advise(_ context.Context, order dispatch.AdviceOrder) dispatch.AdviceReply {
+	rep := dispatch.AdviceReply{Tickets: map[ids.WorkerID]string{}, Validity: time.Second}
+	for _, id := range order.Workers {
+		rep.Tickets[id] = "t"
+	}
+	return rep
+}
+
 func (mw *memWorkers) Hold(ctx context.Context, order dispatch.HoldOrder) dispatch.HoldReply {
 	end := time.Now().Add(order.Wait)
 	for {
