fleet: end both directions of a session at once

The end of one direction ends the other, but its sender learned of that only with its next batch, up to 0.2 s later, when the first direction was back after 0.15 s; and ended it again.

An entry now says in its batches whether it hears the other one. When a new session begins whose sender does not hear this entry, the session towards it is known to have ended, and ends before the new one counts. TestSessionsSettle fails before. A task that is lost for over 2 s now logs what it waits for.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -372,6 +372,9 @@
 	return en.session(id).inbound == number
 }
 
+// Hears tells whether an entry has a session towards this one.
+func (en *Entry) Hears(id ids.EntryID) bool { return en.session(id).inbound != 0 }
+
 // Heard takes the load that an entry has reported.
 func (en *Entry) Heard(id ids.EntryID, load Load) {
 	en.session(id).load = load
@@ -453,6 +456,10 @@
 	return list
 }
 
+// Reachable counts the entries that messages can be exchanged with, this one
+// included.
+func (en *Entry) Reachable() int { return len(en.reachable()) }
+
 // sortedKeys returns the keys of a map in order. Decisions that send messages
 // walk maps in this order, so that a run on the same input repeats.
 func sortedKeys[K cmp.Ordered, V any](mp map[K]V) []K {
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -117,6 +117,8 @@
 	heard  map[ids.EntryID]bool
 	askAt  time.Time
 	lostAt time.Time // when a task was last lost
+	// waitLogged is when it was last logged why a lost task is not started.
+	waitLogged time.Time
 }
 
 // The limits on jobs at their owner.
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
@@ -441,17 +442,28 @@
 		en.needs = en.findNeeds(now)
 	}
 	wait := en.needs.wait || (gr.shape.Lasting && en.needs.waitLong)
-	if wait || !en.readAt[TableHolders].After(jb.lostAt) {
-		return true
-	}
+	old := !en.readAt[TableHolders].After(jb.lostAt)
+	var silent []string
 	for _, id := range en.needs.holders {
 		if !jb.heard[id] {
-			return true
+			silent = append(silent, string(id))
 		}
 	}
-	return false
+	if !wait && !old && len(silent) == 0 {
+		return false
+	}
+	if now.Sub(jb.lostAt) > waitLog && now.Sub(jb.waitLogged) > waitLog {
+		jb.waitLogged = now
+		en.eff.Log("task-waits", "job", string(jb.Job.ID), "step", gr.step, "lost-ms", now.Sub(jb.lostAt).Milliseconds(),
+			"holder-unknown", wait, "holders-age-ms", now.Sub(en.readAt[TableHolders]).Milliseconds(), "silent", strings.Join(silent, ","))
+	}
+	return true
 }
 
+// waitLog is the time after which it is logged, again and again, why a lost task
+// is not started.
+const waitLog = 2 * time.Second
+
 // findNeeds looks at the holders of all workers. The holder of a worker that is
 // no longer listed may be cut off together with it and go on using it.
 func (en *Entry) findNeeds(now time.Time) needs {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -228,3 +228,54 @@
 	<-bw.until
 	return len(raw), nil
 }
+
+// TestSessionsSettle guards against sessions that keep ending each other: the
+// end of one direction ends the other, whose sender may learn of it only when
+// the first direction is back.
+func TestSessionsSettle(t *testing.T) {
+	const clusters, resets = 6, 4
+	for num := range clusters {
+		t.Run(fmt.Sprint(num), func(t *testing.T) {
+			t.Parallel()
+			cl := startCluster(t, 2, 4, 10*time.Millisecond)
+			cl.eventually("the sessions are up", cl.mutual)
+			for reset := range resets {
+				// The moment within a beat decides who learns when.
+				time.Sleep(time.Duration(num*33+reset*7) * time.Millisecond)
+				cl.reset(cl.entries[reset%2])
+				time.Sleep(time.Second)
+				before := strings.Count(cl.log.String(), "session-up")
+				if !cl.mutual() {
+					t.Error("the sessions are not up a second after a reset")
+				}
+				time.Sleep(500 * time.Millisecond)
+				if after := strings.Count(cl.log.String(), "session-up"); after != before {
+					t.Errorf("%d sessions came up in half a second without a fault", after-before)
+				}
+			}
+		})
+	}
+}
+
+// mutual tells whether all entries can exchange messages.
+func (cl *cluster) mutual() bool {
+	for _, dm := range cl.entries {
+		count := 0
+		dm.locked(func(en *dispatch.Entry) { count = en.Reachable() })
+		if count != len(cl.entries) {
+			return false
+		}
+	}
+	return true
+}
+
+// reset closes the connections of the sessions towards an entry.
+func (cl *cluster) reset(dm *Daemon) {
+	dm.locked(func(*dispatch.Entry) {
+		for in := range dm.inbound {
+			if err := in.conn.Close(); err != nil {
+				cl.t.Error(err)
+			}
+		}
+	})
+}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -26,6 +26,10 @@
 	// inboundSilence without a batch ends the session at the receiver.
 	inboundSilence = 900 * time.Millisecond
 	silenceCheck   = 100 * time.Millisecond
+	// linkYoung is the age below which a session may be newer than what the other
+	// entry says of it. It is below linkRetry, the least age of one that the
+	// other entry has ended before it began a new one.
+	linkYoung = 100 * time.Millisecond
 	// linkRetry is the pause before an entry is dialled again.
 	linkRetry   = 150 * time.Millisecond
 	dialTimeout = 300 * time.Millisecond
@@ -33,8 +37,10 @@
 
 // Batch is what one entry sends to another in one call.
 type Batch struct {
-	From           ids.Incarnation
-	Session        uint64
+	From    ids.Incarnation
+	Session uint64
+	// Hears tells that the sender has a session in the other direction.
+	Hears          bool
 	Load           dispatch.Load
 	DesiredVersion int64
 	Messages       []dispatch.Message
@@ -78,6 +84,8 @@
 	to      ids.EntryID
 	address string
 	up      bool
+	upAt    time.Time
+	broken  bool // the receiver no longer knows the session in progress
 	queue   []dispatch.Message
 	kick    chan struct{}
 }
@@ -143,6 +151,7 @@
 	defer cl.Close()
 	var number uint64
 	lk.dm.locked(func(*dispatch.Entry) {
+		lk.broken = false
 		// Numbers of one incarnation rise; another incarnation differs in From.
 		lk.dm.lastSess++
 		number = lk.dm.lastSess
@@ -151,6 +160,7 @@
 		batch := Batch{From: lk.dm.opt.Self.Incarnation, Session: number}
 		lk.dm.locked(func(en *dispatch.Entry) {
 			batch.Load = en.Load()
+			batch.Hears = en.Hears(lk.to)
 			if des := en.Desired(); des != nil {
 				batch.DesiredVersion = des.Version
 			}
@@ -160,7 +170,9 @@
 		if err != nil {
 			return err
 		}
-		lk.acked(ack)
+		if !lk.acked(ack) {
+			return errSessionEnded
+		}
 		lk.wait(ctx)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -197,16 +209,37 @@
 	}
 }
 
-// acked takes the answer to a batch.
-func (lk *link) acked(ack Ack) {
+// acked takes the answer to a batch, and tells whether the session goes on.
+func (lk *link) acked(ack Ack) bool {
+	goesOn := true
 	lk.dm.locked(func(en *dispatch.Entry) {
+		if lk.broken {
+			goesOn = false
+			return
+		}
 		if !lk.up {
-			lk.up = true
+			lk.up, lk.upAt = true, lk.dm.at
 			en.SessionUp(lk.to, ack.Incarnation)
 		}
 		en.Heard(lk.to, ack.Load)
 		lk.dm.shareDesired(en, lk.to, ack.DesiredVersion)
 	})
+	return goesOn
+}
+
+// breakOff ends a session that its receiver has ended: it has begun a new one
+// in the other direction and does not hear this one. Found out later, the end
+// would end the new one too, and so on without end.
+func (lk *link) breakOff(en *dispatch.Entry) {
+	if !lk.up || lk.dm.at.Sub(lk.upAt) < linkYoung {
+		return
+	}
+	lk.up, lk.broken, lk.queue = false, true, nil
+	en.SessionDown(lk.to, "ended by the receiver")
+	select {
+	case lk.kick <- struct{}{}:
+	default:
+	}
 }
 
 // shareDesired sends the desired state to an entry that has an older one, which
@@ -316,6 +349,9 @@
 		in.heard = in.dm.at
 		from := batch.From.Entry()
 		if in.from == "" {
+			if lk := in.dm.links[from]; lk != nil && !batch.Hears {
+				lk.breakOff(en)
+			}
 			in.from, in.number = from, in.dm.nextInbound()
 			en.InboundUp(from, in.number)
 		}
