--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -786,7 +786,7 @@
 	at, _ := splitTask(order.Ref.Task)
 	step := fmt.Sprintf("%s.%d.%d", at.job, at.occ, at.step)
 	parts := strings.Split(order.Ticket, "|")
-	if len(parts) != 4 || parts[0] != step || parts[1] != string(wk.info.ID) || parts[2] != fmt.Sprint(wk.info.Born) {
+	if len(parts) != 4 || parts[0] != step || parts[1] != string(wk.info.ID) || parts[2] != strconv.FormatInt(wk.info.Born, 10) {
 		return false
 	}
 	until, err := strconv.ParseInt(parts[3], 10, 64)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -235,7 +236,7 @@
 func TestSessionsSettle(t *testing.T) {
 	const clusters, resets = 6, 4
 	for num := range clusters {
-		t.Run(fmt.Sprint(num), func(t *testing.T) {
+		t.Run(strconv.Itoa(num), func(t *testing.T) {
 			t.Parallel()
 			cl := startCluster(t, 2, 4, 10*time.Millisecond)
 			cl.eventually("the sessions are up", cl.mutual)
