--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -418,6 +418,20 @@
 	}
 }
 
+// TestVanishedWorker guards against holders' rows of workers that are gone for
+// good, which would fill the store.
+func TestVanishedWorker(t *testing.T) {
+	wo := standardWorld(610, 4, 12)
+	wo.workers["w-003"].crash(0)
+	wo.run(memberTime + 15*time.Second)
+	if row, ok := wo.rows["w-003"]; ok {
+		t.Errorf("the row of the worker is still there: %+v", row)
+	}
+	if len(wo.rows) != 11 {
+		t.Errorf("%d rows, want 11", len(wo.rows))
+	}
+}
+
 // TestAffinity guards tasks against starts away from the rack of their data,
 // where they take three times as long, while there is room near it.
 func TestAffinity(t *testing.T) {
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -315,6 +315,7 @@
 		}
 	}
 	var rows []HolderRow
+	version := wo.version
 	for _, wk := range wo.sortedWorkers() {
 		if row, ok := wo.rows[wk.info.ID]; ok {
 			rows = append(rows, row)
@@ -324,9 +325,16 @@
 		for _, mb := range members {
 			ee.en.PutMember(mb)
 		}
+		present := map[ids.WorkerID]bool{}
 		for _, row := range rows {
+			present[row.Worker] = true
 			ee.en.PutRow(row)
 		}
+		for _, id := range sortedKeys(ee.en.rows) {
+			if !present[id] {
+				ee.en.DropRow(id, version)
+			}
+		}
 	}
 }
 
@@ -684,6 +692,10 @@
 	}
 	wo.version++
 	for _, ch := range changes {
+		if ch.Holder == "" {
+			delete(wo.rows, ch.Worker)
+			continue
+		}
 		wo.rows[ch.Worker] = HolderRow{Worker: ch.Worker, Holder: ch.Holder, Version: wo.version}
 	}
 	return CommitReply{OK: true, Version: wo.version}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -80,8 +80,8 @@
 // RowChange sets the holder of a worker if the row has the expected version.
 type RowChange struct {
 	Worker   ids.WorkerID
-	Expected Version // 0 when there must be no row
-	Holder   ids.Incarnation
+	Expected Version         // 0 when there must be no row
+	Holder   ids.Incarnation // "" removes the row
 }
 
 // Entry is the state of one entry. It is not safe for concurrent use.
@@ -134,6 +134,9 @@
 	// reached yet, with the time when it became their holder. The holder before
 	// may go on using them.
 	unfenced map[ids.WorkerID]time.Time
+	// vanished holds the workers with a holder's row and no report, with the time
+	// when that was first seen.
+	vanished map[ids.WorkerID]time.Time
 
 	// as member
 	members    map[ids.EntryID]*member
@@ -192,6 +195,7 @@
 		wants:    map[wantKey]*want{},
 		grants:   map[GrantID]*grant{},
 		unfenced: map[ids.WorkerID]time.Time{},
+		vanished: map[ids.WorkerID]time.Time{},
 		suspects: suspectJobs{},
 		progress: map[ids.JobID]map[TaskID]SavedRun{},
 		members:  map[ids.EntryID]*member{},
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -331,6 +331,9 @@
 	if len(changes) == 0 {
 		changes = en.moves(list, now)
 	}
+	if len(changes) == 0 {
+		changes = en.removals(list, now)
+	}
 	if len(changes) == 0 {
 		return
 	}
@@ -361,6 +364,30 @@
 	return limitChanges(changes, commitRows)
 }
 
+// removals lists the rows of workers that have been gone for long.
+func (en *Entry) removals(list []Member, now time.Time) []RowChange {
+	if en.leaving || en.readAt[TableWorkers].IsZero() {
+		return nil
+	}
+	var changes []RowChange
+	for id, row := range en.rows {
+		if en.known[id] != nil {
+			delete(en.vanished, id)
+			continue
+		}
+		since, ok := en.vanished[id]
+		if !ok {
+			en.vanished[id] = now
+			continue
+		}
+		old := now.Sub(since) > memberTime && now.Sub(en.storeLost) > memberTime
+		if old && assigned(WorkerInfo{ID: id}, list) == en.self.Incarnation {
+			changes = append(changes, RowChange{Worker: id, Expected: row.Version})
+		}
+	}
+	return limitChanges(changes, commitRows)
+}
+
 // moves lists the workers held here that are to be held by another entry.
 func (en *Entry) moves(list []Member, now time.Time) []RowChange {
 	most := moveRows
@@ -443,6 +470,11 @@
 	}
 	moved := map[ids.EntryID][]HolderRow{}
 	for _, ch := range changes {
+		if ch.Holder == "" {
+			delete(en.rows, ch.Worker)
+			delete(en.vanished, ch.Worker)
+			continue
+		}
 		row := HolderRow{Worker: ch.Worker, Holder: ch.Holder, Version: rep.Version}
 		en.PutRow(row)
 		if id := ch.Holder.Entry(); id != en.id {
--- a/internal/fleet/effects.go
+++ b/internal/fleet/effects.go
@@ -77,12 +77,16 @@
 func (dm *Daemon) commitHolders(ctx context.Context, changes []dispatch.RowChange) dispatch.CommitReply {
 	tx := Transaction{}
 	for _, ch := range changes {
+		key := holderPrefix + string(ch.Worker)
+		tx.Checks = append(tx.Checks, Check{Table: TableFleet, Key: key, Version: ch.Expected})
+		if ch.Holder == "" {
+			tx.Removes = append(tx.Removes, Remove{Table: TableFleet, Key: key})
+			continue
+		}
 		raw, err := json.Marshal(holderRecord{Holder: ch.Holder})
 		if err != nil {
 			return dispatch.CommitReply{Reason: err.Error()}
 		}
-		key := holderPrefix + string(ch.Worker)
-		tx.Checks = append(tx.Checks, Check{Table: TableFleet, Key: key, Version: ch.Expected})
 		tx.Puts = append(tx.Puts, Put{Table: TableFleet, Key: key, Value: raw})
 	}
 	dm.cnt.Add("store", "commits", 1)
