--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -201,7 +201,18 @@
 // some entries are cut off from it, its answers are lost, it is slow, all
 // entries die at once, a zone is severed, an entry is replaced.
 func TestRandomFaultsStore(t *testing.T) {
+	list := []uint64{
+		// An owner lost tasks to a holder whose messages did not arrive, and which
+		// went on with them.
+		33,
+	}
 	for seed := range seeds(t) {
+		const count = 12 // in CI
+		if !slices.Contains(list, seed) && (os.Getenv("SEEDS") != "" || seed < count) {
+			list = append(list, seed)
+		}
+	}
+	for _, seed := range list {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
 			wo := standardWorld(seed+20_000, 7, 48)
