--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -302,9 +302,7 @@
 
 // endStored ends a stored job here.
 func (en *Entry) endStored(jb *job, state JobState) {
-	for _, fn := range jb.stored.cancels {
-		fn(Outcome{Kind: Completed, Reason: string(state)})
-	}
+	answer(jb.stored.cancels, Outcome{Kind: Completed, Reason: string(state)})
 	kind := Completed
 	switch state {
 	case JobFailed:
@@ -323,9 +321,7 @@
 		en.learnRecord(*present, false)
 		jb.passedOn = !present.State.over()
 	}
-	for _, fn := range jb.stored.cancels {
-		fn(Outcome{Kind: Abandoned, Reason: "owner changed"})
-	}
+	answer(jb.stored.cancels, Outcome{Kind: Abandoned, Reason: "owner changed"})
 	// An insertion that meets a row means that the job is stored already.
 	en.finish(jb, Outcome{Kind: Accepted})
 }
@@ -518,6 +514,11 @@
 	if re != nil && re.State.over() {
 		out = Outcome{Kind: Completed, Reason: string(re.State)}
 	}
+	answer(calls, out)
+}
+
+// answer tells all who asked for a cancelling what has become of it.
+func answer(calls []func(out Outcome), out Outcome) {
 	for _, fn := range calls {
 		fn(out)
 	}
