--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -139,16 +139,17 @@
 	vanished map[ids.WorkerID]time.Time
 
 	// as member
-	members    map[ids.EntryID]*member
-	rows       map[ids.WorkerID]HolderRow
-	known      map[ids.WorkerID]*knownWorker
-	committing bool
-	commitAt   time.Time
-	storeLost  time.Time // last time the store was seen to be away
-	lastWake   time.Time
-	memberTick time.Time
-	staleUntil time.Time // run times are not judged before
-	lossyUntil time.Time // calls of workers get lost one by one
+	members     map[ids.EntryID]*member
+	rows        map[ids.WorkerID]HolderRow
+	known       map[ids.WorkerID]*knownWorker
+	committing  bool
+	commitAt    time.Time
+	storeLost   time.Time // last time the store was seen to be away
+	lastWake    time.Time
+	memberTick  time.Time
+	removalTick time.Time
+	staleUntil  time.Time // run times are not judged before
+	lossyUntil  time.Time // calls of workers get lost one by one
 }
 
 // session is the state of the messages between this entry and another one.
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -45,6 +45,8 @@
 	settleTime = 700 * time.Millisecond
 	// memberInterval separates two looks at who should hold which worker.
 	memberInterval = 60 * time.Millisecond
+	// removalInterval separates two looks for rows of workers that are gone.
+	removalInterval = 2 * time.Second
 	// memberTime without a beat or a session an entry counts as removed for good.
 	memberTime = time.Minute
 	// commitPause separates two changes of rows after one that failed.
@@ -331,7 +333,8 @@
 	if len(changes) == 0 {
 		changes = en.moves(list, now)
 	}
-	if len(changes) == 0 {
+	if len(changes) == 0 && now.Sub(en.removalTick) >= removalInterval {
+		en.removalTick = now
 		changes = en.removals(list, now)
 	}
 	if len(changes) == 0 {
