dispatch: take a worker again that is listed again

When they were listed again their holders' rows had not changed, and the feed tells only changes, so nobody took them: they were lost to the fleet, also for jobs that are not stored. The emulator hid this by reading all rows each time; it now reads changes. TestWorkerListedAgain fails before.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -429,6 +429,25 @@
 	}
 }
 
+// TestWorkerListedAgain guards against workers that are lost to the fleet: their
+// rows were away for a while, and their holders had let go of them.
+func TestWorkerListedAgain(t *testing.T) {
+	wo := standardWorld(620, 4, 12)
+	for _, id := range []ids.WorkerID{"w-003", "w-006"} {
+		wk := wo.workers[id]
+		wk.unlisted, wk.downAt = true, wo.at.Add(-10*time.Second)
+		wo.after(6*time.Second, func() { wk.unlisted = false })
+	}
+	wo.run(10 * time.Second)
+	held := 0
+	for _, ee := range wo.sortedEntries() {
+		held += ee.en.Held()
+	}
+	if held != 12 {
+		t.Errorf("%d of 12 workers are held", held)
+	}
+}
+
 // TestVanishedWorker guards against holders' rows of workers that are gone for
 // good, which would fill the store.
 func TestVanishedWorker(t *testing.T) {
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -195,7 +195,9 @@
 	number uint64
 	seen   Version // of the rows of jobs
 	dials  map[ids.EntryID]time.Time
-	held   []func() // what arrives while the process is frozen
+	// seenRows is the version of the holders' rows that were read.
+	seenRows Version
+	held     []func() // what arrives while the process is frozen
 }
 
 func (wo *world) addEntry(name string, zone ids.AvailabilityZone, size float64) *emuEntry {
@@ -209,7 +211,7 @@
 	wo := ee.wo
 	ee.gen++
 	ee.size = size
-	ee.alive, ee.seen = true, 0
+	ee.alive, ee.seen, ee.seenRows = true, 0, 0
 	ee.inc = ids.Incarnation(fmt.Sprintf("%s/%d", ee.id, ee.gen))
 	ee.en = New(Self{Incarnation: ee.inc, Zone: ee.zone, Size: size}, Limits{RemotePenalty: emuPenalty}, &emuEffects{ee: ee, en: nil}, func() time.Time { return wo.at })
 	ee.en.eff = &emuEffects{ee: ee, en: ee.en}
@@ -328,13 +330,17 @@
 		present := map[ids.WorkerID]bool{}
 		for _, row := range rows {
 			present[row.Worker] = true
-			ee.en.PutRow(row)
+			if row.Version > ee.seenRows {
+				// The feed tells only what has changed.
+				ee.en.PutRow(row)
+			}
 		}
 		for _, id := range sortedKeys(ee.en.rows) {
 			if !present[id] {
 				ee.en.DropRow(id, version)
 			}
 		}
+		ee.seenRows = version
 	}
 }
 
@@ -348,7 +354,7 @@
 		if away {
 			wk.downAt = wo.severedAt
 		}
-		if wk.up && !away {
+		if wk.up && !away && !wk.unlisted {
 			info := wk.info
 			info.Sequence = wo.at.UnixNano()
 			infos = append(infos, info)
@@ -828,6 +834,7 @@
 	waiting   func()
 	fails     bool    // fails all that it starts
 	hangs     bool    // its tasks stand still
+	unlisted  bool    // its row in the store is away
 	lateHolds bool    // holds are late like other orders
 	lateShare float64 // share of the orders that are carried out late
 }
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -106,6 +106,10 @@
 	kw.info, kw.removed, kw.reported = info, time.Time{}, now
 	wk := en.workers[info.ID]
 	if wk == nil {
+		if row, ok := en.rows[info.ID]; ok && row.Holder == en.self.Incarnation && !en.leaving {
+			// This entry let go of it while it was not listed.
+			en.takeWorker(info, Token(row.Version))
+		}
 		return
 	}
 	if wk.info.Address != info.Address || (wk.born != 0 && info.Born > wk.born) {
