--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,7 +52,7 @@
 	co      *Controller
 	board   *blackboard.Board
 	used    []ids.TargetID
-	stopped bool
+	stopped atomic.Bool // read by calls of other entries in flight
 	waiting int
 	runs    int
 }
@@ -85,7 +86,9 @@
 	doc := configuration.Document{Services: map[ids.ServiceName]configuration.Service{"fitdesk": {Slots: 8, Connections: 64}}}
 	en.board.Configuration.Publish(&configuration.Version{Number: 1, Document: doc})
 	en.board.VMs.Publish(&wo.vms)
+	wo.mu.Lock()
 	wo.entries = append(wo.entries, en)
+	wo.mu.Unlock()
 	wo.tb.Cleanup(en.co.Close)
 	for _, other := range wo.entries {
 		other.sees(wo.entries...)
@@ -108,7 +111,7 @@
 
 // gone publishes proof to every other entry that this one has ended.
 func (en *testEntry) gone() {
-	en.stopped = true
+	en.stopped.Store(true)
 	en.release()
 	for _, gate := range en.board.Gates.Load().ByTarget {
 		gate.SetAllowance(0)
@@ -128,7 +131,7 @@
 	for end := wo.now + dur; wo.now < end; {
 		wo.now += lendingTick
 		for _, en := range wo.entries {
-			if en.stopped {
+			if en.stopped.Load() {
 				continue
 			}
 			if wo.now%claimTick == 0 {
@@ -226,12 +229,13 @@
 	if _, ok := args.(*HintArgs); !ok {
 		wo.bytes += size(args)
 	}
+	entries := wo.entries
 	wo.mu.Unlock()
 	i := 0
-	if n, err := fmt.Sscanf(addr, "entry-%d", &i); n != 1 || err != nil || cut || wo.entries[i].stopped {
+	if n, err := fmt.Sscanf(addr, "entry-%d", &i); n != 1 || err != nil || cut || entries[i].stopped.Load() {
 		return peer.ErrUnreachable
 	}
-	rc := wo.entries[i].co.Receiver()
+	rc := entries[i].co.Receiver()
 	var err error
 	switch method {
 	case hintMethod:
--- a/internal/home/sharing_test.go
+++ b/internal/home/sharing_test.go
@@ -72,13 +72,13 @@
 	bo.waiting = 20
 	wo.run(time.Second)
 	gm.Expect(bo.total()).To(Equal(7))
-	bo.stopped = true
+	bo.stopped.Store(true)
 	ho.waiting = 20
 	wo.run(DefaultTerms.Outstanding() + lendingTick)
 	gm.Expect(ho.total()).To(Equal(8))
 	bo.take()
 	gm.Expect(bo.used).To(BeEmpty())
-	bo.stopped = false
+	bo.stopped.Store(false)
 	wo.run(time.Second)
 }
 
@@ -107,7 +107,7 @@
 func TestTakeOver(t *testing.T) {
 	gm := NewWithT(t)
 	wo, ho, bo := pair(t)
-	ho.stopped = true
+	ho.stopped.Store(true)
 	bo.sees(bo)
 	wo.run(10 * time.Second)
 	gm.Expect(bo.co.targets["target-0"].home).To(BeNil(), "there is no proof yet")
@@ -140,7 +140,7 @@
 	wo := newWorld(t, 12, zone)
 	one, two := wo.add(zone), wo.add(zone)
 	wo.run(time.Second)
-	one.stopped = true
+	one.stopped.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	one.co.Leave(ctx)
