dispatch: one piece of code for what was written several times

- Runs of tasks by holder, and the message to each holder, were built in five places (heldTasks, tellEach); news of a job went to the others in two; the loop over the free room that others report stood in three (reported).
- The lists in a worker's answer are read by one function for holds and looks, a stop order is sent by one.
- Whether a former owner may have started a task is kept once for an occurrence, not for each task; it and the claimed flag follow from the time until which the former owner's tasks may run.
- place decides on tickets and gangs; placing a gang and placing with advice no longer call each other.
- Removed, because nothing read it or it followed from something else: the nonce of a job's row (the owner's incarnation says the same), Stored of a submission (the job says it), the time of a gang's offer, Nothing of a write's answer, two wrappers.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -50,30 +50,28 @@
 	adviceMore  = 400 * time.Millisecond
 )
 
-// placeAdvised lets a step wait for room at the workers that may run it.
-func (en *Entry) placeAdvised(gr *group) {
+// expired tells whether the tickets no longer hold for new starts.
+func (ad *adviceState) expired(now time.Time) bool { return now.Add(adviceMargin).After(ad.until) }
+
+// advised tells whether a step has tasks to place and tickets for them. It asks
+// for tickets when they have run out.
+func (en *Entry) advised(gr *group) bool {
 	now := en.now()
-	ad := &gr.advice
-	count := len(gr.queued())
-	if count == 0 {
-		return
+	if len(gr.queued()) == 0 {
+		return false
 	}
-	if now.Add(adviceMargin).After(ad.until) {
-		// All tickets have run out. The workers that may run the step stay the same.
-		known := sortedKeys(gr.shape.Tickets)
-		gr.shape.Tickets = nil
-		en.unwant(gr)
-		if len(known) == 0 {
-			clear(ad.asked)
-		}
-		en.askAdvice(gr, known, now)
-		return
+	if !gr.advice.expired(now) {
+		return true
 	}
-	if gr.shape.Gang {
-		en.placeGang(gr)
-		return
+	// The workers that may run the step stay the same.
+	known := sortedKeys(gr.shape.Tickets)
+	gr.shape.Tickets = nil
+	en.unwant(gr)
+	if len(known) == 0 {
+		clear(gr.advice.asked)
 	}
-	en.want(gr)
+	en.askAdvice(gr, known, now)
+	return false
 }
 
 // tickAdvice renews tickets, and asks about more workers when tasks wait for
@@ -84,14 +82,9 @@
 	}
 	for _, gr := range jb.groups {
 		ad := &gr.advice
-		if len(gr.queued()) == 0 || ad.asking || now.Before(ad.notBefore) {
-			continue
-		}
-		if now.Add(adviceMargin).After(ad.until) {
-			en.placeAdvised(gr)
-			continue
+		if !ad.asking && !now.Before(ad.notBefore) && en.advised(gr) {
+			en.askAdvice(gr, nil, now)
 		}
-		en.askAdvice(gr, nil, now)
 	}
 }
 
--- a/internal/dispatch/doubt.go
+++ b/internal/dispatch/doubt.go
@@ -51,7 +51,7 @@
 		en.look(wk, now)
 	case doubtStop:
 		if now.Sub(sl.stopSent) > stopAgain {
-			en.recall(wk, sl, now)
+			en.sendStop(wk, sl)
 		}
 	}
 }
@@ -87,12 +87,6 @@
 	})
 }
 
-// recall has a worker refuse a start that has not arrived.
-func (en *Entry) recall(wk *worker, sl *slot, now time.Time) {
-	sl.doubt, sl.stopSent = doubtStop, now
-	en.eff.StopTask(StopOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: sl.ref})
-}
-
 // Looked takes the answer to a hold with a number in Look.
 func (en *Entry) Looked(id ids.WorkerID, token Token, look int64, rep HoldReply) {
 	wk := en.workers[id]
@@ -107,15 +101,8 @@
 		// The hold in flight finds out more.
 		return
 	}
-	listed := map[TaskRef]bool{}
-	for _, ref := range rep.Running {
-		listed[ref] = true
-	}
-	for _, er := range rep.Ended {
-		if er.Number > wk.acked {
-			en.takeEnd(wk, er)
-		}
-	}
+	en.takeEnds(wk, rep)
+	listed := rep.listed()
 	for _, sl := range wk.list() {
 		if (sl.state != slotOrdered && sl.state != slotUnknown) || sl.doubt == doubtNone || sl.doubtAt.After(wk.lookSent) {
 			continue
@@ -138,7 +125,9 @@
 	case more || sl.doubt == doubtStop:
 		// The run may have ended beyond the list, or the stop is on its way.
 	case sl.doubt == doubtLook:
-		en.recall(wk, sl, now)
+		// The worker refuses the start from the stop on.
+		sl.doubt = doubtStop
+		en.sendStop(wk, sl)
 	case sl.doubt == doubtGone:
 		en.loseCall(wk, "start")
 		en.eff.Log("start-recalled", "job", string(sl.job), "task", string(sl.ref.Task), "run", int64(sl.ref.Run),
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -1312,7 +1312,7 @@
 	jb.stored = kd.stored
 	job.Stored = kd.stored
 	ee.en.Submit(Submission{
-		Stored: kd.stored, Job: job, Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(4 * time.Second),
+		Job: job, Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(4 * time.Second),
 		Done: func(out Outcome) {
 			wo.done[out.Kind]++
 			if out.Kind == Accepted {
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -20,25 +21,30 @@
 	wk.unnoted[er.Number] = unnotedEnd{ref: er.Ref, how: er.How, since: en.now()}
 }
 
+// recordOf returns what is known of the stored job of a task, nil if nothing is.
+func (en *Entry) recordOf(id TaskID) *record {
+	at, _ := splitTask(id)
+	return en.records[at.job]
+}
+
 // storedHere tells whether a task belongs to a stored job that goes on.
 func (en *Entry) storedHere(ref TaskRef) bool {
-	at, ok := splitTask(ref.Task)
-	if !ok {
+	if _, ok := splitTask(ref.Task); !ok {
 		return false
 	}
 	if en.readAt[TableJobs].IsZero() {
 		// Which jobs are stored is not known yet.
 		return true
 	}
-	re := en.records[at.job]
+	re := en.recordOf(ref.Task)
 	return re != nil && !re.State.over()
 }
 
 // mayBeStored tells whether a task may belong to a stored job: its row may not
 // have been read yet.
 func (en *Entry) mayBeStored(ref TaskRef) bool {
-	at, ok := splitTask(ref.Task)
-	return ok && (en.storedHere(ref) || en.records[at.job] == nil)
+	_, ok := splitTask(ref.Task)
+	return ok && (en.storedHere(ref) || en.recordOf(ref.Task) == nil)
 }
 
 // verdict tells what a holder may do with an end that it keeps.
@@ -56,8 +62,7 @@
 
 // judge compares an end with the row of its job.
 func (en *Entry) judge(un unnotedEnd) verdict {
-	at, _ := splitTask(un.ref.Task)
-	re := en.records[at.job]
+	re := en.recordOf(un.ref.Task)
 	if re == nil {
 		if un.absent || (len(en.records) == 0 && en.readAt[TableJobs].After(un.since)) {
 			// The job is not stored, or its row has been removed long after its end.
@@ -117,11 +122,7 @@
 		wk.extendLease(now, en.lease)
 		en.eff.Log("worker-lapsing", "worker", string(wk.info.ID), "void-ends", void, "slots", len(wk.slots))
 	case wk.lapses(now) && now.After(wk.leaseEnd):
-		for number, un := range wk.unnoted {
-			if en.judge(un) == verdictVoid {
-				delete(wk.unnoted, number)
-			}
-		}
+		maps.DeleteFunc(wk.unnoted, func(_ int64, un unnotedEnd) bool { return en.judge(un) == verdictVoid })
 		wk.lapseSince = time.Time{}
 		en.eff.Log("worker-lapsed", "worker", string(wk.info.ID), "void-ends", void)
 	}
@@ -154,14 +155,7 @@
 
 // onNoted lets a worker forget ends that are stored.
 func (en *Entry) onNoted(ms Noted) {
-	for _, ref := range ms.Refs {
-		for _, id := range sortedKeys(en.workers) {
-			wk := en.workers[id]
-			for number, un := range wk.unnoted {
-				if un.ref == ref {
-					delete(wk.unnoted, number)
-				}
-			}
-		}
+	for _, wk := range en.workers {
+		maps.DeleteFunc(wk.unnoted, func(_ int64, un unnotedEnd) bool { return slices.Contains(ms.Refs, un.ref) })
 	}
 }
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -21,7 +21,6 @@
 	from  ids.EntryID
 	grant GrantID
 	count int
-	at    time.Time
 }
 
 // The limits on gathering room for a gang.
@@ -43,11 +42,7 @@
 func (en *Entry) placeGang(gr *group) {
 	now := en.now()
 	ga := &gr.gang
-	if gr.shape.Advised && now.Add(adviceMargin).After(gr.advice.until) {
-		en.placeAdvised(gr)
-		return
-	}
-	if gr.job.suspended || !ga.since.IsZero() || now.Before(ga.notBefore) || !gr.allQueued() {
+	if !ga.since.IsZero() || now.Before(ga.notBefore) || !gr.allQueued() {
 		return
 	}
 	if gr.job.Job.Steps[gr.step].Colocated {
@@ -83,7 +78,7 @@
 	}
 	// Offers of holders that have become unreachable are void.
 	ga.offers = slices.DeleteFunc(ga.offers, func(of gangOffer) bool { return !en.canTell(of.from) })
-	ga.offers = append(ga.offers, gangOffer{from: from, grant: ms.ID, count: ms.Count, at: en.now()})
+	ga.offers = append(ga.offers, gangOffer{from: from, grant: ms.ID, count: ms.Count})
 	total := 0
 	for _, of := range ga.offers {
 		total += of.count
@@ -131,23 +126,21 @@
 			en.eff.Log("gang-without-room", "job", string(jb.Job.ID), "step", gr.step, "tasks", len(gr.tasks),
 				"offers", len(offers), "pause-ms", ga.notBefore.Sub(now).Milliseconds())
 		}
-		en.placeGang(gr)
+		en.place(gr)
 	}
 }
 
 // breakGang stops what still runs of a gang after one of its runs has ended
 // otherwise than done. The gang is started again when all have ended.
 func (en *Entry) breakGang(gr *group) {
-	stops := map[ids.EntryID][]TaskRef{}
+	stops := heldTasks{}
 	for _, ta := range gr.tasks {
-		if ta.state == taskPlaced || ta.state == taskRunning {
-			stops[ta.holder] = append(stops[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
+		if ta.atHolder() {
+			stops.add(ta)
 		}
 	}
-	for _, holder := range sortedKeys(stops) {
-		en.send(holder, Stop{Refs: stops[holder], Report: true})
-	}
-	en.placeGang(gr)
+	en.tellEach(stops, func(refs []TaskRef) Message { return Stop{Refs: refs, Report: true} })
+	en.place(gr)
 }
 
 // gangFailed counts the runs of a gang that have failed.
@@ -173,11 +166,9 @@
 			}
 		}
 	}
-	add(en.load().Free)
-	for _, se := range en.sessions {
-		if se.mutual() && !se.load.Leaving {
-			add(se.load.Free)
-		}
+	add(en.Load().Free)
+	for _, free := range en.reported() {
+		add(free)
 	}
 	best := ids.RackID("")
 	for _, rack := range sortedKeys(room) {
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -258,6 +258,15 @@
 	Reason  string
 }
 
+// listed returns the runs that the worker lists as running.
+func (rep HoldReply) listed() map[TaskRef]bool {
+	listed := map[TaskRef]bool{}
+	for _, ref := range rep.Running {
+		listed[ref] = true
+	}
+	return listed
+}
+
 // EndedRun is an end that a worker lists until it is acknowledged.
 type EndedRun struct {
 	Number     int64
@@ -365,10 +374,7 @@
 func (en *Entry) workerReborn(wk *worker, rep HoldReply) {
 	en.eff.Log("worker-restarted", "worker", string(wk.info.ID), "born", rep.Born, "before", wk.born, "slots", len(wk.slots))
 	wk.acked, wk.unnoted, wk.lapseSince = 0, map[int64]unnotedEnd{}, time.Time{}
-	listed := map[TaskRef]bool{}
-	for _, ref := range rep.Running {
-		listed[ref] = true
-	}
+	listed := rep.listed()
 	for _, sl := range wk.list() {
 		switch {
 		case sl.state == slotGranted || listed[sl.ref]:
@@ -515,14 +521,8 @@
 // reconcile compares the worker's lists with the slots. A run that was started
 // after the hold was sent may be missing in its answer.
 func (en *Entry) reconcile(wk *worker, rep HoldReply, sent time.Time) {
-	for _, er := range rep.Ended {
-		if er.Number > wk.acked {
-			en.takeEnd(wk, er)
-		}
-	}
-	listed := map[TaskRef]bool{}
+	en.takeEnds(wk, rep)
 	for _, ref := range rep.Running {
-		listed[ref] = true
 		en.takeRunning(wk, ref)
 		if sl := wk.slots[ref]; sl != nil && rep.Saved[ref] != "" {
 			sl.saved = rep.Saved[ref]
@@ -532,6 +532,7 @@
 		// A run that is not listed may have ended.
 		return
 	}
+	listed := rep.listed()
 	for _, sl := range wk.list() {
 		if listed[sl.ref] || sl.state == slotGranted {
 			continue
@@ -540,6 +541,15 @@
 	}
 }
 
+// takeEnds takes the ends that have not been taken before.
+func (en *Entry) takeEnds(wk *worker, rep HoldReply) {
+	for _, er := range rep.Ended {
+		if er.Number > wk.acked {
+			en.takeEnd(wk, er)
+		}
+	}
+}
+
 // takeEnd takes an end that the worker lists for the first time.
 func (en *Entry) takeEnd(wk *worker, er EndedRun) {
 	wk.acked = er.Number
@@ -550,7 +560,7 @@
 	stored := (sl != nil && sl.shape.Stored && !sl.shape.Lasting) || en.storedHere(er.Ref) || (unknown && en.mayBeStored(er.Ref))
 	if stored && (er.How == EndDone || er.How == EndFailed) {
 		en.keepEnd(wk, er)
-		if sl == nil || sl.owner == "" {
+		if unknown {
 			en.tellEnd(wk, er)
 		}
 	}
--- a/internal/dispatch/lasting.go
+++ b/internal/dispatch/lasting.go
@@ -37,8 +37,7 @@
 	if !sl.keeps() {
 		return
 	}
-	at, _ := splitTask(sl.ref.Task)
-	re := en.records[at.job]
+	re := en.recordOf(sl.ref.Task)
 	reason := ""
 	switch {
 	case sl.owner != "":
@@ -64,11 +63,10 @@
 
 // mayLast tells whether a run that no owner has claimed may be a lasting task.
 func (en *Entry) mayLast(ref TaskRef) bool {
-	at, ok := splitTask(ref.Task)
-	if !ok {
+	if _, ok := splitTask(ref.Task); !ok {
 		return false
 	}
-	re := en.records[at.job]
+	re := en.recordOf(ref.Task)
 	return (re != nil && re.Lasting && !re.State.over()) || (re == nil && en.readAt[TableJobs].IsZero())
 }
 
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -345,8 +345,8 @@
 	return wk.info.ID < otherWorker.info.ID
 }
 
-// load reports the free room of the workers that this entry holds.
-func (en *Entry) load() Load {
+// Load reports the free room of the workers that this entry holds.
+func (en *Entry) Load() Load {
 	now := en.now()
 	ld := Load{Leaving: en.leaving}
 	if en.leaving {
@@ -367,9 +367,6 @@
 	return ld
 }
 
-// Load returns what this entry reports to the others.
-func (en *Entry) Load() Load { return en.load() }
-
 // taskPlace is what the id of a task says.
 type taskPlace struct {
 	job  ids.JobID
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -125,7 +125,8 @@
 	Payload string
 	Steps   []Step
 	Repeat  Repeat
-	// Stored jobs outlive their caller's connection and their owner.
+	// Stored jobs are accepted once they are stored, and outlive their caller's
+	// connection and their owner.
 	Stored bool
 }
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -138,7 +138,12 @@
 	if sl.state == slotGranted {
 		return
 	}
-	sl.state, sl.why, sl.stopSent = slotStopping, why, en.now()
+	sl.state, sl.why = slotStopping, why
+	en.sendStop(wk, sl)
+}
+
+func (en *Entry) sendStop(wk *worker, sl *slot) {
+	sl.stopSent = en.now()
 	en.eff.StopTask(StopOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: sl.ref})
 }
 
@@ -256,11 +261,8 @@
 			return true
 		}
 	}
-	for _, se := range en.sessions {
-		if !se.mutual() || se.load.Leaving {
-			continue
-		}
-		if count, best := countFree(se.load.Free, sh); count > 0 && best >= fastSpeed {
+	for _, free := range en.reported() {
+		if count, best := countFree(free, sh); count > 0 && best >= fastSpeed {
 			return true
 		}
 	}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -15,8 +15,6 @@
 	Queue    Queue
 	Arrived  time.Time
 	Deadline time.Time // when the caller gives up, zero when unknown
-	// Stored jobs are accepted once they are stored, and run without a caller.
-	Stored bool
 	// Done takes the final answer, once.
 	Done func(out Outcome)
 }
@@ -67,18 +65,39 @@
 	worker     ids.WorkerID
 	placedAt   time.Time
 	lostUntil  time.Time // when a lost task surely runs no more, or has rested
-	notBefore  time.Time // when runs of a former owner have surely ended
 	sent       bool      // this owner has sent a run of it to a holder
 	checkpoint string
 	savedRun   Run // the run that saved it
 }
 
+func (ta *task) ref() TaskRef { return TaskRef{Task: ta.id, Run: ta.run} }
+
+// atHolder tells whether the task is with a holder, as far as this owner knows.
+func (ta *task) atHolder() bool { return ta.state == taskPlaced || ta.state == taskRunning }
+
+// heldTasks are runs of tasks by the holders that they are with.
+type heldTasks map[ids.EntryID][]TaskRef
+
+func (ht heldTasks) add(ta *task) { ht[ta.holder] = append(ht[ta.holder], ta.ref()) }
+
+// tellEach sends each holder a message on its tasks.
+func (en *Entry) tellEach(ht heldTasks, message func(refs []TaskRef) Message) {
+	for _, holder := range sortedKeys(ht) {
+		en.send(holder, message(ht[holder]))
+	}
+}
+
+func stopMessage(refs []TaskRef) Message { return Stop{Refs: refs} }
+
 // occurrence is one run of the steps of a job; a job that is not timed has one.
 type occurrence struct {
 	num    int
 	groups []*group // by step
-	inTime time.Time
-	late   time.Time
+	// inherited tells that a former owner may have started tasks, which have
+	// surely been stopped at the claimUntil of the job.
+	inherited bool
+	inTime    time.Time
+	late      time.Time
 }
 
 // group is one step of an occurrence: tasks that need the same of a worker.
@@ -107,9 +126,9 @@
 	waiters   int // connections that wait for the answer
 	stored    *storedJob
 	suspended bool // nothing is placed
-	claimed   bool // taken over from another owner
 	runBase   Run  // runs of this owner have higher numbers
-	// claimUntil is when runs of the former owner have surely been stopped.
+	// claimUntil is when runs of the former owner have surely been stopped, zero
+	// for a job that was not taken over.
 	claimUntil time.Time
 	passedOn   bool // another entry goes on with it
 	// heard holds the entries that have told which runs of the job have ended
@@ -139,7 +158,7 @@
 
 // Submit takes a job. Its Done is called once, possibly before Submit returns.
 func (en *Entry) Submit(sub Submission) {
-	if sub.Stored {
+	if sub.Job.Stored {
 		en.submitStored(sub)
 		return
 	}
@@ -167,7 +186,6 @@
 	}
 	jb.next = 1
 	oc := en.openOccurrence(jb, 0, jb.Arrived)
-	en.takeNoted(jb, oc)
 	jb.inTime, jb.late = oc.inTime, oc.late
 	if sub := jb.Submission; !sub.Deadline.IsZero() && sub.Deadline.Before(jb.late) {
 		jb.late, oc.late = sub.Deadline, sub.Deadline
@@ -184,6 +202,9 @@
 	oc.late = due.Add(lateFactor * objective)
 	jb.occs = append(jb.occs, oc)
 	jb.groups = append(jb.groups, oc.groups...)
+	if !jb.claimUntil.IsZero() {
+		en.takeNoted(jb, oc)
+	}
 	return oc
 }
 
@@ -199,7 +220,6 @@
 		if !jb.doneBefore(jb.next) {
 			oc := en.openOccurrence(jb, jb.next, en.now().Add(-ago))
 			en.eff.Log("occurrence-due", "job", string(jb.Job.ID), "occurrence", oc.num, "late-ms", ago.Milliseconds())
-			en.takeNoted(jb, oc)
 		}
 		jb.next++
 	}
@@ -317,9 +337,8 @@
 	for _, ta := range gr.tasks {
 		switch {
 		case ta.state != taskBlocked:
-		case !ta.notBefore.IsZero():
-			// A former owner may have started it.
-			ta.state, ta.lostUntil = taskLost, ta.notBefore
+		case gr.occ.inherited:
+			ta.state, ta.lostUntil = taskLost, gr.job.claimUntil
 		default:
 			ta.state = taskQueued
 		}
@@ -567,11 +586,11 @@
 		gr := en.groups[gid]
 		delete(gr.offered, id)
 		for _, ta := range gr.tasks {
-			if ta.holder != id || (ta.state != taskPlaced && ta.state != taskRunning) {
+			if ta.holder != id || !ta.atHolder() {
 				continue
 			}
 			if !gr.shape.Lasting {
-				lost = append(lost, TaskRef{Task: ta.id, Run: ta.run})
+				lost = append(lost, ta.ref())
 			}
 			en.lose(gr, ta, until)
 		}
@@ -656,7 +675,7 @@
 // finish answers a job and stops what is left of it.
 func (en *Entry) finish(jb *job, out Outcome) {
 	delete(en.jobs, jb.Job.ID)
-	stops := map[ids.EntryID][]TaskRef{}
+	stops := heldTasks{}
 	for _, gr := range jb.groups {
 		delete(en.groups, gr.id)
 		en.unwant(gr)
@@ -664,14 +683,12 @@
 			if jb.passedOn && gr.shape.Lasting {
 				continue
 			}
-			if ta.state == taskPlaced || ta.state == taskRunning || ta.state == taskLost {
-				stops[ta.holder] = append(stops[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
+			if ta.atHolder() || ta.state == taskLost {
+				stops.add(ta)
 			}
 		}
 	}
-	for _, holder := range sortedKeys(stops) {
-		en.send(holder, Stop{Refs: stops[holder]})
-	}
+	en.tellEach(stops, stopMessage)
 	took := en.now().Sub(jb.Arrived)
 	en.eff.Observe("job."+string(out.Kind), took)
 	en.eff.Count("job", string(out.Kind), 1)
@@ -725,22 +742,20 @@
 		return
 	}
 	en.checkTick = now
-	refs := map[ids.EntryID][]TaskRef{}
+	checks := heldTasks{}
 	for _, gid := range sortedKeys(en.groups) {
 		for _, ta := range en.groups[gid].tasks {
 			switch {
-			case ta.state != taskPlaced && ta.state != taskRunning:
+			case !ta.atHolder():
 			case !en.canTell(ta.holder):
 				// The session ended while the task was being sent.
 				en.lose(en.groups[gid], ta, now.Add(loseAfter))
 			case now.Sub(ta.placedAt) > checkInterval:
-				refs[ta.holder] = append(refs[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
+				checks.add(ta)
 			}
 		}
 	}
-	for _, id := range sortedKeys(refs) {
-		en.send(id, Check{Refs: refs[id]})
-	}
+	en.tellEach(checks, func(refs []TaskRef) Message { return Check{Refs: refs} })
 }
 
 func (en *Entry) tickOwner(now time.Time) {
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"iter"
 	"sort"
 	"time"
 
@@ -40,12 +41,16 @@
 	if gr.job.suspended {
 		return
 	}
+	if gr.shape.Advised && !en.advised(gr) {
+		return
+	}
 	if gr.shape.Gang {
 		en.placeGang(gr)
 		return
 	}
 	if gr.shape.Advised {
-		en.placeAdvised(gr)
+		// The reports of free room do not name the workers.
+		en.want(gr)
 		return
 	}
 	waiting := gr.queued()
@@ -73,14 +78,11 @@
 // workers, then those of this zone.
 func (en *Entry) freeRoom(sh Shape) []room {
 	var list []room
-	if count, best := countFree(en.load().Free, sh); count > 0 {
+	if count, best := countFree(en.Load().Free, sh); count > 0 {
 		list = append(list, room{holder: en.id, count: count, speed: best, near: true})
 	}
-	for id, se := range en.sessions {
-		if !se.mutual() || se.load.Leaving {
-			continue
-		}
-		if count, best := countFree(se.load.Free, sh); count > 0 {
+	for id, free := range en.reported() {
+		if count, best := countFree(free, sh); count > 0 {
 			list = append(list, room{holder: id, count: count, speed: best, near: en.zoneOf(id) == en.self.Zone})
 		}
 	}
@@ -100,6 +102,17 @@
 	return list
 }
 
+// reported returns the free room that the entries in reach have reported.
+func (en *Entry) reported() iter.Seq2[ids.EntryID, []Free] {
+	return func(yield func(ids.EntryID, []Free) bool) {
+		for id, se := range en.sessions {
+			if se.mutual() && !se.load.Leaving && !yield(id, se.load.Free) {
+				return
+			}
+		}
+	}
+}
+
 // fastSpeed divides workers into fast and slow ones; 1 is the mean.
 const fastSpeed = 0.8
 
@@ -131,7 +144,7 @@
 		ta.sent = true
 		ta.state, ta.holder, ta.worker, ta.placedAt = taskPlaced, holder, "", now
 		msg.Tasks = append(msg.Tasks, Assignment{
-			TaskRef: TaskRef{Task: ta.id, Run: ta.run}, Checkpoint: ta.checkpoint, Attempt: ta.failed, Stalls: ta.stalls,
+			TaskRef: ta.ref(), Checkpoint: ta.checkpoint, Attempt: ta.failed, Stalls: ta.stalls,
 		})
 	}
 	if len(tasks) > 0 {
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -24,18 +24,15 @@
 // JobRecord is the row of a stored job. A change of the row is conditional on
 // its version, so an owner that has been replaced can't change it any more.
 type JobRecord struct {
-	ID      ids.JobID
-	Version Version
-	Queue   string
-	State   JobState
-	Owner   ids.Incarnation // "" when the last owner has released it
-	Epoch   int64           // rises with each owner; run numbers begin with it
-	// Nonce tells an owner's own insertion, after a lost answer, from that of
-	// another entry.
-	Nonce     string
-	Submitted int64 // Unix milliseconds
-	Timed     bool  // the steps have times when they are due
-	Lasting   bool  // some tasks run until the job is cancelled
+	ID        ids.JobID
+	Version   Version
+	Queue     string
+	State     JobState
+	Owner     ids.Incarnation // "" when the last owner has released it
+	Epoch     int64           // rises with each owner; run numbers begin with it
+	Submitted int64           // Unix milliseconds
+	Timed     bool            // the steps have times when they are due
+	Lasting   bool            // some tasks run until the job is cancelled
 	// Done and Fails hold which runs are known to have ended so, by the names
 	// of the tasks without the job.
 	Done  map[string]Run
@@ -67,7 +64,6 @@
 	Version  Version
 	Conflict bool
 	Present  *JobRecord // the row as it is, after a conflict
-	Nothing  bool       // the store has surely done nothing
 	Reason   string
 }
 
@@ -160,8 +156,8 @@
 	}
 	jb := &job{Submission: sub, waiters: 1, stored: &storedJob{rec: JobRecord{
 		ID: id, Queue: sub.Queue.Name, State: JobAccepted, Owner: en.self.Incarnation, Epoch: 1,
-		Nonce: string(en.self.Incarnation), Submitted: en.now().UnixMilli(),
-		Timed: sub.Job.Repeat.Count > 0, Lasting: sub.Job.lasting(),
+		Submitted: en.now().UnixMilli(),
+		Timed:     sub.Job.Repeat.Count > 0, Lasting: sub.Job.lasting(),
 	}}}
 	en.jobs[id] = jb
 	en.write(jb)
@@ -228,7 +224,7 @@
 
 // mine tells whether a row is the one that this owner wrote.
 func (en *Entry) mine(st *storedJob, present *JobRecord) bool {
-	return present.Nonce == st.rec.Nonce && present.Owner == en.self.Incarnation && present.Epoch == st.rec.Epoch && !present.State.over()
+	return present.Owner == en.self.Incarnation && present.Epoch == st.rec.Epoch && !present.State.over()
 }
 
 // again writes a job once more after a pause.
@@ -243,14 +239,12 @@
 // stored acts on a write that has succeeded.
 func (en *Entry) stored(jb *job, rec JobRecord) {
 	st := jb.stored
-	notes := map[ids.EntryID][]TaskRef{}
+	notes := heldTasks{}
 	for _, ue := range st.inWrite {
 		notes[ue.holder] = append(notes[ue.holder], ue.ref)
 	}
 	st.inWrite = nil
-	for _, holder := range sortedKeys(notes) {
-		en.send(holder, Noted{Refs: notes[holder]})
-	}
+	en.tellEach(notes, func(refs []TaskRef) Message { return Noted{Refs: refs} })
 	en.learnRecord(rec, jb.begun)
 	if !st.accepted {
 		st.accepted = true
@@ -293,9 +287,13 @@
 	if re == nil {
 		return
 	}
+	en.tellOthers(JobNews{Record: re.JobRecord, Begun: jb.begun})
+}
+
+func (en *Entry) tellOthers(news JobNews) {
 	for _, id := range en.reachable() {
 		if id != en.id {
-			en.eff.Send(id, JobNews{Record: re.JobRecord, Begun: jb.begun})
+			en.eff.Send(id, news)
 		}
 	}
 }
@@ -392,7 +390,7 @@
 		}
 		st.rec.Fails[name] = append(slices.Clone(st.rec.Fails[name]), ta.run)
 	}
-	st.unsaved = append(st.unsaved, unsavedEnd{holder: holder, ref: TaskRef{Task: ta.id, Run: ta.run}})
+	st.unsaved = append(st.unsaved, unsavedEnd{holder: holder, ref: ta.ref()})
 	if !st.dirty {
 		st.dirty, st.dirtyAt = true, en.now()
 	}
@@ -498,11 +496,7 @@
 	case rep.OK:
 		wr.Record.Version = rep.Version
 		en.learnRecord(wr.Record, false)
-		for _, other := range en.reachable() {
-			if other != en.id {
-				en.eff.Send(other, JobNews{Record: wr.Record})
-			}
-		}
+		en.tellOthers(JobNews{Record: wr.Record})
 	case re != nil && !re.State.over() && len(calls) < cancelTries:
 		// The owner has changed the row meanwhile, or the answer was lost.
 		en.cancels[id] = append(calls, func(Outcome) {})
@@ -537,7 +531,7 @@
 // tickStored writes what waits, stops what may be taken over, and takes over
 // the jobs of dead owners.
 func (en *Entry) tickStored(now time.Time) {
-	fenced := en.replaceable(now)
+	fenced := en.cutOff(now, beatFence)
 	if fenced != en.fenced {
 		en.fenced = fenced
 		if !fenced {
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -9,10 +9,6 @@
 	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
-// replaceable tells whether other entries may take over this one's jobs: it
-// has not beaten for long, and some member can't see that it lives.
-func (en *Entry) replaceable(now time.Time) bool { return en.cutOff(now, beatFence) }
-
 // cutOff tells whether this entry has not beaten for a time and some member
 // can't see that it lives.
 func (en *Entry) cutOff(now time.Time, silence time.Duration) bool {
@@ -36,21 +32,20 @@
 		return
 	}
 	jb.suspended = true
-	stops := map[ids.EntryID][]TaskRef{}
+	stops := heldTasks{}
 	for _, gr := range jb.groups {
 		en.unwant(gr)
 		for _, ta := range gr.tasks {
-			if ta.state == taskPlaced || ta.state == taskRunning {
-				if !gr.shape.Lasting {
-					stops[ta.holder] = append(stops[ta.holder], TaskRef{Task: ta.id, Run: ta.run})
-				}
-				en.lose(gr, ta, now.Add(loseAfter))
+			if !ta.atHolder() {
+				continue
+			}
+			if !gr.shape.Lasting {
+				stops.add(ta)
 			}
+			en.lose(gr, ta, now.Add(loseAfter))
 		}
 	}
-	for _, holder := range sortedKeys(stops) {
-		en.send(holder, Stop{Refs: stops[holder]})
-	}
+	en.tellEach(stops, stopMessage)
 }
 
 func (en *Entry) resume(jb *job) {
@@ -84,7 +79,7 @@
 func (jb *job) active() bool {
 	for _, gr := range jb.groups {
 		for _, ta := range gr.tasks {
-			if !gr.shape.Lasting && (ta.state == taskPlaced || ta.state == taskRunning || ta.state == taskLost) {
+			if !gr.shape.Lasting && (ta.atHolder() || ta.state == taskLost) {
 				return true
 			}
 		}
@@ -117,7 +112,7 @@
 	if mb.Incarnation != inc {
 		return true
 	}
-	return !se.up && now.Sub(mb.beatAt) > silence && now.Sub(en.storeLost) > silence
+	return now.Sub(mb.beatAt) > silence && now.Sub(en.storeLost) > silence
 }
 
 // claimJobs takes over jobs whose owners are gone.
@@ -172,13 +167,11 @@
 	rec := re.clone()
 	before := rec.Owner
 	rec.Owner = en.self.Incarnation
-	rec.Nonce = string(en.self.Incarnation)
 	rec.Epoch++
 	jb := &job{
 		Submission: Submission{Job: body, Queue: qu, Arrived: en.now(), Done: func(Outcome) {}},
 		begun:      re.begun,
 		stored:     &storedJob{rec: rec, accepted: true},
-		claimed:    true,
 		lostAt:     en.now(),
 		runBase:    Run(rec.Epoch * runStep),
 		claimUntil: en.now(),
@@ -197,10 +190,8 @@
 // takeNoted takes what the row of a job that was taken over says of the tasks of
 // an occurrence.
 func (en *Entry) takeNoted(jb *job, oc *occurrence) {
-	if !jb.claimed {
-		return
-	}
 	rec := &jb.stored.rec
+	oc.inherited = !en.now().After(jb.claimUntil)
 	for _, gr := range oc.groups {
 		for _, ta := range gr.tasks {
 			name := taskName(ta.id)
@@ -212,8 +203,6 @@
 			}
 			if run, done := rec.Done[name]; done {
 				ta.state, ta.run = taskDone, run
-			} else if !en.now().After(jb.claimUntil) {
-				ta.notBefore = jb.claimUntil
 			}
 		}
 	}
@@ -254,24 +243,18 @@
 	Unreached bool
 }
 
-// runsAny tells whether a slot of one of the jobs is left on the worker.
-func (wk *worker) runsAny(jobs []ids.JobID) bool {
+// runsAny tells whether a slot of one of the jobs is left on the worker, of a
+// task that does not last.
+func (wk *worker) runsAny(jobs map[ids.JobID]bool) bool {
 	for ref, sl := range wk.slots {
 		at, ok := splitTask(ref.Task)
-		if ok && sl.state != slotGranted && !sl.shape.Lasting && slices.Contains(jobs, at.job) {
+		if ok && sl.state != slotGranted && !sl.shape.Lasting && jobs[at.job] {
 			return true
 		}
 	}
 	return false
 }
 
-// askEnds asks an entry for the ends of stored jobs' tasks that it may know.
-func (en *Entry) askEnds(to ids.EntryID, jobs []ids.JobID) {
-	if len(jobs) > 0 {
-		en.send(to, Claimed{Jobs: jobs})
-	}
-}
-
 // askInterval separates two questions about the ends of a job's tasks.
 const askInterval = 200 * time.Millisecond
 
@@ -283,7 +266,7 @@
 	jb.askAt = now
 	for _, id := range en.reachable() {
 		if !jb.heard[id] {
-			en.askEnds(id, []ids.JobID{jb.Job.ID})
+			en.send(id, Claimed{Jobs: []ids.JobID{jb.Job.ID}})
 		}
 	}
 }
@@ -318,7 +301,7 @@
 	}
 	for _, id := range sortedKeys(en.workers) {
 		wk := en.workers[id]
-		if wk.phase != phaseOpen || wk.runsAny(ms.Jobs) {
+		if wk.phase != phaseOpen || wk.runsAny(jobs) {
 			// More ends may come; the owner asks again.
 			return
 		}
@@ -330,7 +313,7 @@
 		reply.Held = append(reply.Held, HolderRow{Worker: id, Version: Version(wk.token)})
 		for _, number := range sortedKeys(wk.unnoted) {
 			un := wk.unnoted[number]
-			if at, ok := splitTask(un.ref.Task); ok && slices.Contains(ms.Jobs, at.job) {
+			if at, ok := splitTask(un.ref.Task); ok && jobs[at.job] {
 				reply.Ends = append(reply.Ends, Ended{Ref: un.ref, Worker: id, How: un.how})
 			}
 		}
@@ -520,8 +503,7 @@
 
 // tellEnd tells the owner of a stored job of an end that no slot stands for.
 func (en *Entry) tellEnd(wk *worker, er EndedRun) {
-	at, ok := splitTask(er.Ref.Task)
-	if re := en.records[at.job]; ok && re != nil && re.Owner != "" {
+	if re := en.recordOf(er.Ref.Task); re != nil && re.Owner != "" {
 		en.send(re.Owner.Entry(), PastEnds{Ends: []Ended{{Ref: er.Ref, Worker: wk.info.ID, How: er.How}}})
 	}
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -124,7 +124,7 @@
 		Job: dispatch.Job{ID: ids.JobID(id), Stored: stored, Steps: []dispatch.Step{{
 			Count: tasks, Need: dispatch.Resources{CPU: 1000, Memory: 64}, Estimate: 200 * time.Millisecond,
 		}}},
-		Queue: qu, Arrived: dm.Now(), Stored: stored, Done: func(oc dispatch.Outcome) { out <- oc },
+		Queue: qu, Arrived: dm.Now(), Done: func(oc dispatch.Outcome) { out <- oc },
 	})
 	return out
 }
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -60,7 +59,6 @@
 	State     dispatch.JobState `json:"state"`
 	Owner     ids.Incarnation   `json:"owner,omitempty"`
 	Epoch     int64             `json:"epoch"`
-	Nonce     string            `json:"nonce"`
 	Submitted int64             `json:"submitted-unix-millis"`
 	Timed     bool              `json:"timed,omitempty"`
 	Lasting   bool              `json:"lasting,omitempty"`
@@ -121,7 +119,7 @@
 
 func encodeRecord(rec dispatch.JobRecord) ([]byte, error) {
 	return json.Marshal(jobRecord{
-		Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch, Nonce: rec.Nonce,
+		Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
 		Submitted: rec.Submitted, Done: encodeRuns(rec.Done), Fails: rec.Fails, Latest: rec.Latest,
 		Timed: rec.Timed, Lasting: rec.Lasting,
 	})
@@ -138,7 +136,7 @@
 	}
 	return dispatch.JobRecord{
 		ID: ids.JobID(ro.Key), Version: ro.Version, Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
-		Nonce: rec.Nonce, Submitted: rec.Submitted, Done: done, Fails: rec.Fails, Latest: rec.Latest,
+		Submitted: rec.Submitted, Done: done, Fails: rec.Fails, Latest: rec.Latest,
 		Timed: rec.Timed, Lasting: rec.Lasting,
 	}, nil
 }
@@ -246,7 +244,7 @@
 
 func jobReply(rep TransactionReply, err error) dispatch.JobWriteReply {
 	if err != nil {
-		return dispatch.JobWriteReply{Reason: err.Error(), Nothing: errors.Is(err, ErrNothingDone)}
+		return dispatch.JobWriteReply{Reason: err.Error()}
 	}
 	return dispatch.JobWriteReply{OK: true, Version: rep.Version}
 }
