dispatch: keep progress only of stored jobs that go on

Holders also kept the progress of jobs that are not stored, when their ends came without a slot, and never let go of it. One check in keepProgress now decides for all ends; TestProgressForgotten fails before. A holder that has not read the row of a job yet no longer keeps its progress: the work is done again then.

--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -408,7 +408,9 @@
 	for _, er := range rep.Ended {
 		ended = append(ended, Ended{Ref: er.Ref, Worker: wk.info.ID, How: er.How, Checkpoint: er.Checkpoint})
 		wk.acked = max(wk.acked, er.Number)
-		en.keepProgressOf(er)
+		if er.How != EndDone {
+			en.keepProgress(er.Ref, er.Checkpoint)
+		}
 		if en.mayBeStored(er.Ref) && (er.How == EndDone || er.How == EndFailed) {
 			en.keepEnd(wk, er)
 		}
@@ -553,7 +555,6 @@
 // takeEnd takes an end that the worker lists for the first time.
 func (en *Entry) takeEnd(wk *worker, er EndedRun) {
 	wk.acked = er.Number
-	en.keepProgressOf(er)
 	sl := wk.slots[er.Ref]
 	// Without an owner the shape of a slot may not be known.
 	unknown := sl == nil || sl.owner == ""
@@ -566,6 +567,8 @@
 	}
 	if sl != nil && sl.state != slotGranted {
 		en.endSlot(wk, sl, er.How, er.Checkpoint, en.now().Sub(sl.began))
+	} else if er.How != EndDone {
+		en.keepProgress(er.Ref, er.Checkpoint)
 	}
 }
 
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -209,6 +209,25 @@
 	}
 }
 
+// TestProgressForgotten guards against progress that holders keep for ever: that
+// of jobs that are not stored or are over.
+func TestProgressForgotten(t *testing.T) {
+	wo := standardWorld(790, 7, 48)
+	kinds := slices.Clone(standardKinds)
+	for at := range kinds {
+		kinds[at].saves, kinds[at].stored = true, at == 0
+	}
+	wo.load(kinds, 0.5, 8*time.Second)
+	wo.after(5*time.Second, wo.entries["entry-01"].kill)
+	wo.run(30 * time.Second)
+	wo.check(t)
+	for _, ee := range wo.sortedEntries() {
+		if count := len(ee.en.progress); ee.alive && count > 0 {
+			t.Errorf("%s keeps the progress of %d jobs", ee.id, count)
+		}
+	}
+}
+
 // TestAdvice guards queues for which a service outside names the workers: starts
 // carry tickets that hold, a step takes few calls, and lost calls and restarted
 // workers are overcome.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -19,8 +19,7 @@
 	if checkpoint == "" {
 		checkpoint = sl.saved
 	}
-	if sl.shape.Stored && how != EndDone && checkpoint != "" && checkpoint == sl.saved {
-		// The worker did not tell of the end.
+	if how != EndDone {
 		en.keepProgress(sl.ref, checkpoint)
 	}
 	if sl.owner == "" {
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -11,13 +11,10 @@
 // keepProgress keeps the progress of a stored job's task that has ended here,
 // for an owner that takes over the job. The latest run has come furthest.
 func (en *Entry) keepProgress(ref TaskRef, checkpoint string) {
-	at, ok := splitTask(ref.Task)
-	if !ok {
-		return
-	}
-	if re := en.records[at.job]; re != nil && re.State.over() {
+	if checkpoint == "" || !en.storedHere(ref) {
 		return
 	}
+	at, _ := splitTask(ref.Task)
 	kept := en.progress[at.job]
 	if kept == nil {
 		kept = map[TaskID]SavedRun{}
@@ -28,13 +25,6 @@
 	}
 }
 
-// keepProgressOf keeps the progress that comes with an end.
-func (en *Entry) keepProgressOf(er EndedRun) {
-	if er.How != EndDone && er.Checkpoint != "" && en.mayBeStored(er.Ref) {
-		en.keepProgress(er.Ref, er.Checkpoint)
-	}
-}
-
 // progressOf lists the progress that is kept of a job's tasks.
 func (en *Entry) progressOf(id ids.JobID) []SavedRun {
 	var list []SavedRun
