dispatch: one way to play random schedules in tests, and one of each fault

Restarting all entries and leaving in turn were written in up to five places, listing in order in four.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -44,15 +43,18 @@
 	return float64(inTime) / float64(max(asked, 1))
 }
 
-// open returns the jobs that no entry has answered, on entries that live.
-func (wo *world) open() int {
+// checkAnswered reports jobs that no entry has answered, on entries that live.
+func (wo *world) checkAnswered(t *testing.T) {
+	t.Helper()
 	count := 0
 	for _, ee := range wo.entries {
 		if ee.alive {
 			count += ee.en.Jobs()
 		}
 	}
-	return count
+	if count > 0 {
+		t.Errorf("%d jobs have no answer", count)
+	}
 }
 
 // TestFaults brings about one fault at a time under load and checks the rules
@@ -115,19 +117,8 @@
 			wo.entries["entry-03"].kill()
 			wo.after(4*time.Second, func() { wo.storeUp = true })
 		}, 0.6},
-		{"all entries restart at once", func(wo *world) {
-			for _, ee := range wo.sortedEntries() {
-				ee.kill()
-				wo.after(time.Second, func() { ee.start(0.4) })
-			}
-		}, 0.6},
-		{"entries leave in turn and come back", func(wo *world) {
-			for num, ee := range wo.sortedEntries() {
-				wo.after(time.Duration(num)*2*time.Second, func() { ee.en.Leave() })
-				wo.after(time.Duration(num)*2*time.Second+1800*time.Millisecond, ee.kill)
-				wo.after(time.Duration(num)*2*time.Second+2200*time.Millisecond, func() { ee.start(0.4) })
-			}
-		}, 0.6},
+		{"all entries restart at once", func(wo *world) { wo.restartAll(time.Second) }, 0.6},
+		{"entries leave in turn and come back", (*world).leaveInTurn, 0.6},
 	}
 	for num, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -141,90 +132,19 @@
 			if share := wo.share(); share < row.least {
 				t.Errorf("%.3f of the jobs were in time, want %.2f or more: %v of %v, %v", share, row.least, wo.inTime, wo.asked, wo.done)
 			}
-			if open := wo.open(); open > 0 {
-				t.Errorf("%d jobs have no answer", open)
-			}
+			wo.checkAnswered(t)
 		})
 	}
 }
 
-// randomSeeds is the number of random schedules in CI. The variable SEEDS asks
-// for more by hand.
-const randomSeeds = 40
-
-func seeds(t *testing.T) uint64 {
-	t.Helper()
-	text := os.Getenv("SEEDS")
-	if text == "" {
-		return randomSeeds
-	}
-	var count uint64
-	if _, err := fmt.Sscan(text, &count); err != nil {
-		t.Fatal(err)
-	}
-	return count
-}
-
-// regressionSeeds are schedules that once broke a rule.
-var regressionSeeds = []uint64{
-	// An entry that was frozen started tasks from messages that had waited in
-	// its connections; their owners had started the same tasks elsewhere.
-	19, 229, 463, 617, 749, 1158,
-	// An order reached a new lifetime of its worker before the holder knew of
-	// the restart, and was taken for lost when it learned of it.
-	293,
-}
-
 // TestRandomFaults plays random series of overlapping faults. It guards against
 // faults in combination that no single test names.
-func TestRandomFaults(t *testing.T) {
-	list := regressionSeeds
-	for seed := range seeds(t) {
-		if !slices.Contains(list, seed) {
-			list = append(list, seed)
-		}
-	}
-	for _, seed := range list {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			wo := standardWorld(seed+100, 7, 48)
-			randomSchedule(wo)
-			wo.check(t)
-			if open := wo.open(); open > 0 {
-				t.Errorf("%d jobs have no answer", open)
-			}
-		})
-	}
-}
+func TestRandomFaults(t *testing.T) { playSchedules(t, "plain", (*world).checkAnswered) }
 
 // TestRandomFaultsStore plays random faults among which are those of the store:
 // some entries are cut off from it, its answers are lost, it is slow, all
 // entries die at once, a zone is severed, an entry is replaced.
-func TestRandomFaultsStore(t *testing.T) {
-	list := []uint64{
-		// An owner lost tasks to a holder whose messages did not arrive, and which
-		// went on with them.
-		33,
-	}
-	for seed := range seeds(t) {
-		const count = 12 // in CI
-		if !slices.Contains(list, seed) && (os.Getenv("SEEDS") != "" || seed < count) {
-			list = append(list, seed)
-		}
-	}
-	for _, seed := range list {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			wo := standardWorld(seed+20_000, 7, 48)
-			wo.faultKinds = allFaults
-			randomSchedule(wo)
-			wo.check(t)
-			if open := wo.open(); open > 0 {
-				t.Errorf("%d jobs have no answer", open)
-			}
-		})
-	}
-}
+func TestRandomFaultsStore(t *testing.T) { playSchedules(t, "store", (*world).checkAnswered) }
 
 // randomFault brings about one fault.
 func (wo *world) randomFault() {
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"iter"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -393,22 +396,36 @@
 	}
 }
 
+// sortedBy returns values in the order of their keys.
+func sortedBy[V any, K cmp.Ordered](values iter.Seq[V], key func(V) K) []V {
+	return slices.SortedFunc(values, func(a, b V) int { return cmp.Compare(key(a), key(b)) })
+}
+
 func (wo *world) sortedEntries() []*emuEntry {
-	var list []*emuEntry
-	for _, ee := range wo.entries {
-		list = append(list, ee)
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].id < list[b].id })
-	return list
+	return sortedBy(maps.Values(wo.entries), func(ee *emuEntry) ids.EntryID { return ee.id })
 }
 
 func (wo *world) sortedWorkers() []*emuWorker {
-	var list []*emuWorker
-	for _, wk := range wo.workers {
-		list = append(list, wk)
+	return sortedBy(maps.Values(wo.workers), func(wk *emuWorker) ids.WorkerID { return wk.info.ID })
+}
+
+func (run *emuRun) task() TaskID { return run.ref.Task }
+
+// restartAll kills all entries and starts them again after a pause.
+func (wo *world) restartAll(pause time.Duration) {
+	for _, ee := range wo.sortedEntries() {
+		ee.kill()
+		wo.after(pause, func() { ee.start(0.4) })
+	}
+}
+
+// leaveInTurn shuts down one entry after the other, and starts each again.
+func (wo *world) leaveInTurn() {
+	for num, ee := range wo.sortedEntries() {
+		wo.after(time.Duration(num)*2*time.Second, func() { ee.en.Leave() })
+		wo.after(time.Duration(num)*2*time.Second+1800*time.Millisecond, ee.kill)
+		wo.after(time.Duration(num)*2*time.Second+2200*time.Millisecond, func() { ee.start(0.4) })
 	}
-	sort.Slice(list, func(a, b int) bool { return list[a].info.ID < list[b].info.ID })
-	return list
 }
 
 // link beats the sessions: loads are exchanged, and sessions come and go with
@@ -1033,20 +1050,11 @@
 	if how != EndDone {
 		how = EndStopped
 	}
-	for _, run := range sortedRuns(ga.members) {
+	for _, run := range sortedBy(maps.Keys(ga.members), (*emuRun).task) {
 		ga.members[run].end(run, how)
 	}
 }
 
-func sortedRuns(members map[*emuRun]*emuWorker) []*emuRun {
-	var list []*emuRun
-	for run := range members {
-		list = append(list, run)
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].ref.Task < list[b].ref.Task })
-	return list
-}
-
 func (wk *emuWorker) tell(words ...any) {
 	if wk.wo.trace != nil {
 		wk.wo.trace(fmt.Sprint(wk.info.ID, " ", fmt.Sprintln(words...)))
@@ -1116,14 +1124,7 @@
 	})
 }
 
-func (wk *emuWorker) sortedRuns() []*emuRun {
-	var list []*emuRun
-	for _, run := range wk.runs {
-		list = append(list, run)
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].ref.Task < list[b].ref.Task })
-	return list
-}
+func (wk *emuWorker) sortedRuns() []*emuRun { return sortedBy(maps.Values(wk.runs), (*emuRun).task) }
 
 func (wk *emuWorker) end(run *emuRun, how End) {
 	if run.over {
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -47,8 +46,8 @@
 			wo.check(t)
 			if row.stored {
 				wo.checkStored(t)
-			} else if open := wo.open(); open > 0 {
-				t.Errorf("%d jobs have no answer", open)
+			} else {
+				wo.checkAnswered(t)
 			}
 			if row.calm && wo.alone > 0 {
 				t.Errorf("%d tasks waited in vain for the others of their gang", wo.alone)
@@ -69,12 +68,7 @@
 	}{
 		{"calm", func(*world) {}},
 		{"owner killed", func(wo *world) { wo.entries["entry-01"].kill() }},
-		{"all entries restart at once", func(wo *world) {
-			for _, ee := range wo.sortedEntries() {
-				ee.kill()
-				wo.after(time.Second, func() { ee.start(0.4) })
-			}
-		}},
+		{"all entries restart at once", func(wo *world) { wo.restartAll(time.Second) }},
 	}
 	for num, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -112,25 +106,9 @@
 	}{
 		{"calm", func(*world) {}, 0},
 		{"entry killed: its tasks are kept and taken over", func(wo *world) { wo.entries["entry-01"].kill() }, 0},
-		{"entries leave in turn and come back", func(wo *world) {
-			for num, ee := range wo.sortedEntries() {
-				wo.after(time.Duration(num)*2*time.Second, func() { ee.en.Leave() })
-				wo.after(time.Duration(num)*2*time.Second+1800*time.Millisecond, ee.kill)
-				wo.after(time.Duration(num)*2*time.Second+2200*time.Millisecond, func() { ee.start(0.4) })
-			}
-		}, 0},
-		{"all entries restart at once, within the leases", func(wo *world) {
-			for _, ee := range wo.sortedEntries() {
-				ee.kill()
-				wo.after(300*time.Millisecond, func() { ee.start(0.4) })
-			}
-		}, 0},
-		{"all entries restart after the leases", func(wo *world) {
-			for _, ee := range wo.sortedEntries() {
-				ee.kill()
-				wo.after(2*time.Second, func() { ee.start(0.4) })
-			}
-		}, 0},
+		{"entries leave in turn and come back", (*world).leaveInTurn, 0},
+		{"all entries restart at once, within the leases", func(wo *world) { wo.restartAll(300 * time.Millisecond) }, 0},
+		{"all entries restart after the leases", func(wo *world) { wo.restartAll(2 * time.Second) }, 0},
 		{"store down", func(wo *world) {
 			wo.storeUp = false
 			wo.after(6*time.Second, func() { wo.storeUp = true })
@@ -363,44 +341,12 @@
 	)
 }
 
-// mixedRegressions are mixed schedules that once broke a rule.
-var mixedRegressions = []uint64{
-	// An owner that was cut off placed tasks again before it knew that its jobs
-	// had been taken over.
-	9,
-	// A holder that had not reached a worker yet vouched for it.
-	166,
-	// Tasks sent in the moment when a session ended stayed placed for ever.
-	50, 76,
-}
-
-// mixedSeeds returns the seeds of mixed schedules, ten of them in CI besides
-// those that once failed: the schedules take long.
-func mixedSeeds(t *testing.T) []uint64 {
-	t.Helper()
-	const count = 10
-	list := slices.Clone(mixedRegressions)
-	for seed := range seeds(t) {
-		if !slices.Contains(list, seed) && (os.Getenv("SEEDS") != "" || seed < count) {
-			list = append(list, seed)
-		}
-	}
-	return list
-}
-
 // TestRandomFaultsMixed plays random faults with jobs of all forms.
 func TestRandomFaultsMixed(t *testing.T) {
-	for _, seed := range mixedSeeds(t) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			wo := standardWorld(seed+schedules["mixed"].offset, 7, 48)
-			wo.faultKinds = allFaults
-			mixedSchedule(wo)
-			wo.check(t)
-			wo.checkStored(t)
-			wo.checkLasting(t)
-		})
-	}
+	playSchedules(t, "mixed", func(wo *world, t *testing.T) {
+		wo.checkStored(t)
+		wo.checkLasting(t)
+	})
 }
 
 // mixedSchedule plays the load and the faults of one random schedule.
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"fmt"
 	"testing"
 	"time"
 )
@@ -48,21 +47,11 @@
 			wo.entries["entry-01"].kill()
 			wo.after(500*time.Millisecond, func() { wo.entries["entry-01"].start(0.4) })
 		}, 0.2},
-		{"all entries restart at once", func(wo *world) {
-			for _, ee := range wo.sortedEntries() {
-				ee.kill()
-				wo.after(time.Second, func() { ee.start(0.4) })
-			}
-		}, 0.2},
+		{"all entries restart at once", func(wo *world) { wo.restartAll(time.Second) }, 0.2},
 		{"store down, then all entries restart", func(wo *world) {
 			wo.storeUp = false
 			wo.after(2*time.Second, func() { wo.storeUp = true })
-			for _, ee := range wo.sortedEntries() {
-				wo.after(time.Second, func() {
-					ee.kill()
-					wo.after(700*time.Millisecond, func() { ee.start(0.4) })
-				})
-			}
+			wo.after(time.Second, func() { wo.restartAll(700 * time.Millisecond) })
 		}, 0.2},
 		{"entry cut off from the others for long", func(wo *world) {
 			for _, other := range wo.sortedEntries() {
@@ -73,18 +62,9 @@
 		{"zone cut off until its workers are unlisted", func(wo *world) { wo.sever("east", 6*time.Second) }, 0.6},
 		{"zone cut off, then all entries restart", func(wo *world) {
 			wo.sever("east", 5*time.Second)
-			for _, ee := range wo.sortedEntries() {
-				wo.after(5500*time.Millisecond, ee.kill)
-				wo.after(6200*time.Millisecond, func() { ee.start(0.4) })
-			}
+			wo.after(5500*time.Millisecond, func() { wo.restartAll(700 * time.Millisecond) })
 		}, 0.6},
-		{"entries leave in turn and come back", func(wo *world) {
-			for num, ee := range wo.sortedEntries() {
-				wo.after(time.Duration(num)*2*time.Second, func() { ee.en.Leave() })
-				wo.after(time.Duration(num)*2*time.Second+1800*time.Millisecond, ee.kill)
-				wo.after(time.Duration(num)*2*time.Second+2200*time.Millisecond, func() { ee.start(0.4) })
-			}
-		}, 0.2},
+		{"entries leave in turn and come back", (*world).leaveInTurn, 0.2},
 	}
 	for num, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -101,18 +81,7 @@
 }
 
 // TestRandomFaultsStored plays random series of faults with stored jobs.
-func TestRandomFaultsStored(t *testing.T) {
-	for seed := range seeds(t) {
-		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			t.Parallel()
-			wo := standardWorld(seed+5000, 7, 48)
-			wo.faultKinds = allFaults
-			storedSchedule(wo)
-			wo.check(t)
-			wo.checkStored(t)
-		})
-	}
-}
+func TestRandomFaultsStored(t *testing.T) { playSchedules(t, "stored", (*world).checkStored) }
 
 // storedSchedule plays the load and the faults of one random schedule.
 func storedSchedule(wo *world) {
