--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/rendezvous"
 )
 
 // For some queues a service outside tells which workers may run a step. The
@@ -122,7 +123,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b ids.WorkerID) int {
-		if rendezvous(step, string(a)) < rendezvous(step, string(b)) {
+		if rendezvous.Uniform(step, string(a)) < rendezvous.Uniform(step, string(b)) {
 			return -1
 		}
 		return 1
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/rendezvous"
 )
 
 // world emulates entries, workers and the store on a virtual clock. It checks
@@ -812,7 +813,7 @@
 
 func emuAllows(step string, id ids.WorkerID) bool {
 	const share = 1.0 / 3
-	return rendezvous(string(id), step) < share
+	return rendezvous.Uniform(string(id), step) < share
 }
 
 // ticketOK tells whether a start on a queue with advice carries a ticket that
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/rendezvous"
 )
 
 // gangState is what the owner of a gang knows of the room for it. The tasks of
@@ -117,7 +118,7 @@
 			ga.offers, ga.since = nil, time.Time{}
 			pause := min(gangRetryMost, gangRetry<<min(ga.attempts, 4))
 			ga.attempts++
-			spread := rendezvous(string(jb.Job.ID), now.String())
+			spread := rendezvous.Uniform(string(jb.Job.ID), now.String())
 			ga.notBefore = now.Add(pause/2 + time.Duration(spread*float64(pause)))
 			en.unwant(gr)
 			for _, of := range offers {
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -6,9 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/rendezvous"
 )
 
 // member is what this entry knows of another one from the store.
@@ -247,7 +246,7 @@
 			continue
 		}
 		size := max(mb.Size, minSize)
-		score := -size / math.Log(rendezvous(string(info.ID), string(mb.Incarnation.Entry())))
+		score := rendezvous.Score(string(info.ID), string(mb.Incarnation.Entry()), size)
 		if score > bestScore || (near && !bestNear) {
 			best, bestScore, bestNear = mb.Incarnation, score, near
 		}
@@ -258,12 +257,6 @@
 // minSize keeps an entry without a known size from getting no share.
 const minSize = 0.05
 
-// rendezvous returns a number in (0, 1) for a pair of names.
-func rendezvous(a, b string) float64 {
-	const scale = 1 << 53
-	return (float64(xxhash.Sum64String(a+"\x00"+b)>>11) + 0.5) / scale
-}
-
 // Leave makes this entry pass its workers on and take no more.
 func (en *Entry) Leave() {
 	if en.leaving {
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/rendezvous"
 )
 
 // current returns the shape with the times that are left now.
@@ -199,7 +200,7 @@
 		if nearA, nearB := en.zoneOf(list[a]) == en.self.Zone, en.zoneOf(list[b]) == en.self.Zone; nearA != nearB {
 			return nearA
 		}
-		return rendezvous(string(en.id), string(list[a])) > rendezvous(string(en.id), string(list[b]))
+		return rendezvous.Uniform(string(en.id), string(list[a])) > rendezvous.Uniform(string(en.id), string(list[b]))
 	})
 	return list[:wantSpread]
 }
--- a/internal/home/rendezvous.go
+++ b/internal/home/rendezvous.go
@@ -1,12 +1,10 @@
 package home
 
 import (
-	"math"
 	"sort"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/rendezvous"
 )
 
 // rank returns the candidates for the home of a target, the best first.
@@ -16,7 +14,7 @@
 	out := append([]entryView(nil), candidates...)
 	scores := make(map[ids.EntryID]float64, len(out))
 	for _, en := range out {
-		scores[en.id] = score(id, en)
+		scores[en.id] = rendezvous.Score(string(id), string(en.id), float64(max(1, en.size)))
 	}
 	sort.Slice(out, func(i, j int) bool {
 		if si, sj := scores[out[i].id], scores[out[j].id]; si != sj {
@@ -27,13 +25,6 @@
 	return out
 }
 
-func score(id ids.TargetID, en entryView) float64 {
-	const mantissaBits = 53
-	sum := xxhash.Sum64String(string(id) + "\x00" + string(en.id))
-	uniform := (float64(sum>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
-	return -float64(max(1, en.size)) / math.Log(uniform)
-}
-
 // candidates returns the entries that may be the home of a target in the zone:
 // those of the zone, or, when the zone has no entry at all, those of its region
 // or of everywhere.
