--- a/internal/fleet/effects.go
+++ b/internal/fleet/effects.go
@@ -148,9 +148,8 @@
 		dm.locked(func(en *dispatch.Entry) {
 			dm.advice = dm.advice[1:]
 			more = len(dm.advice) > 0
+			// With an empty list the next call begins anew.
 			en.Advised(order, rep)
-			// The answer may have led to the next call, which found the list empty.
-			more = more && len(dm.advice) > 0
 		})
 		if !more {
 			return
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -90,12 +90,14 @@
 	}
 }
 
+// tableNames holds the tables whose age decisions depend on.
+var tableNames = map[Table]dispatch.Table{
+	TableFleet: dispatch.TableHolders, TableWorkers: dispatch.TableWorkers, TableJobs: dispatch.TableJobs,
+}
+
 // tableRead tells the entry that it knows a table as it was at a time.
 func (dm *Daemon) tableRead(tb Table, sent time.Time) {
-	names := map[Table]dispatch.Table{
-		TableFleet: dispatch.TableHolders, TableWorkers: dispatch.TableWorkers, TableJobs: dispatch.TableJobs,
-	}
-	if name, ok := names[tb]; ok {
+	if name, ok := tableNames[tb]; ok {
 		dm.locked(func(en *dispatch.Entry) { en.TableRead(name, sent) })
 	}
 }
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -58,37 +58,59 @@
 // None is the type of an absent message body.
 type None struct{}
 
-// Call sends req as JSON and decodes the answer. A request of type None has no
-// body.
-func Call[Req, Rep any](ctx context.Context, hc *http.Client, method, url string, req Req) (Rep, error) {
-	var rep Rep
+// Request is one call of a server.
+type Request struct {
+	Method, URL string
+	Header      http.Header
+	Message     any   // sent as JSON, nil for none
+	MaxReply    int64 // bounds the answer, in bytes
+}
+
+// Exchange sends a request and returns the status and the body of the answer,
+// whatever the status is.
+func Exchange(ctx context.Context, hc *http.Client, re Request) (int, []byte, error) {
 	var body io.Reader
-	if _, none := any(req).(None); !none {
-		raw, err := json.Marshal(req)
+	if re.Message != nil {
+		raw, err := json.Marshal(re.Message)
 		if err != nil {
-			return rep, fmt.Errorf("encode the request to %s: %w", url, err)
+			return 0, nil, fmt.Errorf("encode the request to %s: %w", re.URL, err)
 		}
 		body = bytes.NewReader(raw)
 	}
-	hreq, err := http.NewRequestWithContext(ctx, method, url, body)
+	hreq, err := http.NewRequestWithContext(ctx, re.Method, re.URL, body)
 	if err != nil {
-		return rep, fmt.Errorf("build the request to %s: %w", url, err)
+		return 0, nil, fmt.Errorf("build the request to %s: %w", re.URL, err)
 	}
-	hreq.Header.Set("Content-Type", "application/json")
+	hreq.Header = re.Header
 	hrep, err := hc.Do(hreq)
 	if err != nil {
-		return rep, err
+		return 0, nil, err
 	}
 	defer hrep.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(hrep.Body, MaxBody+1))
+	raw, err := io.ReadAll(io.LimitReader(hrep.Body, re.MaxReply+1))
 	if err != nil {
-		return rep, fmt.Errorf("read the answer of %s: %w", url, err)
+		return 0, nil, fmt.Errorf("read the answer of %s: %w", re.URL, err)
 	}
-	if len(raw) > MaxBody {
-		return rep, fmt.Errorf("the answer of %s is larger than %d bytes", url, MaxBody)
+	if int64(len(raw)) > re.MaxReply {
+		return 0, nil, fmt.Errorf("the answer of %s is larger than %d bytes", re.URL, re.MaxReply)
+	}
+	return hrep.StatusCode, raw, nil
+}
+
+// Call sends req as JSON and decodes the answer. A request of type None has no
+// body.
+func Call[Req, Rep any](ctx context.Context, hc *http.Client, method, url string, req Req) (Rep, error) {
+	var rep Rep
+	re := Request{Method: method, URL: url, Header: http.Header{"Content-Type": {"application/json"}}, MaxReply: MaxBody}
+	if _, none := any(req).(None); !none {
+		re.Message = req
+	}
+	status, raw, err := Exchange(ctx, hc, re)
+	if err != nil {
+		return rep, err
 	}
-	if hrep.StatusCode < 200 || hrep.StatusCode > 299 {
-		return rep, &StatusError{Status: hrep.StatusCode, Body: raw}
+	if status < 200 || status > 299 {
+		return rep, &StatusError{Status: status, Body: raw}
 	}
 	if len(raw) == 0 {
 		return rep, nil
@@ -144,15 +166,30 @@
 
 // Write sends rep as JSON.
 func Write(wr http.ResponseWriter, status int, rep any) {
+	_ = Deliver(wr, status, rep)
+}
+
+// Deliver sends rep as JSON, and returns an error when it did not go out.
+func Deliver(wr http.ResponseWriter, status int, rep any) error {
 	raw, err := json.Marshal(rep)
 	if err != nil {
-		WriteError(wr, fmt.Errorf("encode the answer: %w", err))
-		return
+		err = fmt.Errorf("encode the answer: %w", err)
+		WriteError(wr, err)
+		return err
 	}
 	wr.Header().Set("Content-Type", "application/json")
 	wr.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	wr.WriteHeader(status)
-	_, _ = wr.Write(raw)
+	_, err = wr.Write(raw)
+	return err
+}
+
+// SetRetryAfter tells the client when to come back, in whole seconds rounded
+// up. A time of 0 tells nothing.
+func SetRetryAfter(header http.Header, after time.Duration) {
+	if after > 0 {
+		header.Set("Retry-After", strconv.FormatInt(int64((after+time.Second-1)/time.Second), 10))
+	}
 }
 
 // ErrorBody is the JSON form of an *outcome.Error.
@@ -168,10 +205,7 @@
 func WriteError(wr http.ResponseWriter, err error) {
 	oe := outcome.From(err)
 	wr.Header().Set(outcome.Header, string(oe.Outcome))
-	if oe.RetryAfter > 0 {
-		secs := int64((oe.RetryAfter + time.Second - 1) / time.Second)
-		wr.Header().Set("Retry-After", strconv.FormatInt(secs, 10))
-	}
+	SetRetryAfter(wr.Header(), oe.RetryAfter)
 	Write(wr, oe.Status, ErrorBody{
 		Outcome:          oe.Outcome,
 		Reason:           oe.Reason,
