--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -31,6 +33,10 @@
 	// settingsPoll is the interval at which the settings file is looked at, since
 	// it may change without a signal.
 	settingsPoll = time.Second
+	// gcPercent lets the heap grow to three times what is in use, a few megabytes.
+	// On a VM with a tenth of a core one collection delays answers by tens of
+	// milliseconds.
+	gcPercent = 200
 	// headerTimeout and idleTimeout bound connections of callers until the
 	// desired state names its own limits.
 	headerTimeout = 3 * time.Second
@@ -41,6 +47,7 @@
 func runFleet(ctx context.Context, args []string, st Streams) error {
 	fs := flags("fleet", st)
 	file := fs.String("settings", os.Getenv(platform.SettingsVariable), "settings file of the platform")
+	profile := fs.Bool("profile", false, "serve profiles of the process at /debug/pprof/ of the metrics address")
 	if err := parse(fs, args); err != nil {
 		return err
 	}
@@ -51,6 +58,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	cnt := counter.New()
@@ -63,7 +71,7 @@
 		return err
 	}
 	defer dm.Close()
-	servers, err := startServers(ctx, set, dm, cnt, log)
+	servers, err := startServers(ctx, set, dm, cnt, log, *profile)
 	if err != nil {
 		return err
 	}
@@ -115,7 +123,7 @@
 	log     *fleet.Journal
 }
 
-func startServers(ctx context.Context, set platform.Settings, dm *fleet.Daemon, cnt *counter.Set, log *fleet.Journal) (*fleetServers, error) {
+func startServers(ctx context.Context, set platform.Settings, dm *fleet.Daemon, cnt *counter.Set, log *fleet.Journal, profile bool) (*fleetServers, error) {
 	ca := platform.NewCallers(dm, cnt)
 	rt := chi.NewRouter()
 	rt.Get("/metrics", func(wr http.ResponseWriter, _ *http.Request) {
@@ -123,6 +131,10 @@
 			log.Line("metrics-failed", "error", err.Error())
 		}
 	})
+	if profile {
+		rt.HandleFunc("/debug/pprof/*", pprof.Index)
+		rt.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	}
 	fl := &fleetServers{
 		callers: &http.Server{Handler: ca.Routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 		ready:   &http.Server{Handler: ca.ReadyRoutes(), ReadHeaderTimeout: headerTimeout},
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -63,6 +63,7 @@
 	adviceLost   float64
 	resumed      int // starts that went on from saved progress
 	alone        int // tasks that waited in vain for the others of their gang
+	connects     int // sessions that were begun
 	cancelled    map[ids.JobID]bool
 	// trace takes the log lines of the entries and what happens at workers.
 	trace func(line string)
@@ -372,7 +373,7 @@
 		}
 		for _, id := range gone {
 			if ee.en.known[id] != nil {
-				ee.en.DropWorker(id)
+				ee.en.DropWorker(id, 0)
 			}
 		}
 	}
@@ -433,10 +434,15 @@
 // the network.
 func (ee *emuEntry) link() {
 	wo := ee.wo
+	links := map[ids.EntryID]Link{}
+	for _, lk := range ee.en.Links() {
+		links[lk.Incarnation.Entry()] = lk
+	}
 	for _, other := range wo.sortedEntries() {
 		if other == ee || wo.gone[other.id] {
 			continue
 		}
+		lk, wanted := links[other.id]
 		reach := other.alive && !other.frozen && !wo.isCut(string(ee.id), string(other.id))
 		se := ee.en.session(other.id)
 		if number := se.inbound; !reach && number != 0 {
@@ -448,12 +454,19 @@
 			})
 		}
 		switch {
+		case !wanted && !se.up:
+		case !wanted && reach:
+			ee.en.SessionDown(other.id, "not needed")
+			other.en.InboundDown(ee.id, other.en.session(ee.id).inbound, "connection closed")
 		case reach && !se.up && wo.at.Before(ee.dialAt(other.id)):
 		case reach && !se.up:
 			delete(ee.dials, other.id)
 			ee.number++
+			wo.connects++
 			number := uint64(ee.gen)<<32 | ee.number
+			other.en.Meet(ee.en.self)
 			other.en.InboundUp(ee.id, number)
+			other.en.HeardSpare(ee.id, lk.Spare)
 			ee.en.SessionUp(other.id, other.inc)
 		case reach && other.en.session(ee.id).inbound == 0:
 			// The receiver has ended the session; the sender learns it at once.
@@ -474,6 +487,7 @@
 			})
 		case reach:
 			ee.en.Heard(other.id, other.en.Load())
+			other.en.HeardSpare(ee.id, lk.Spare)
 		}
 	}
 }
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -148,8 +148,22 @@
 	lastWake    time.Time
 	memberTick  time.Time
 	removalTick time.Time
-	staleUntil  time.Time // run times are not judged before
-	lossyUntil  time.Time // calls of workers get lost one by one
+	topology    topology
+	// linksChanged tells that Links may list others than at linksAt.
+	linksChanged bool
+	linksAt      time.Time
+	news         WorkerNews // not passed on yet
+	// doubtful holds the workers that fall to this entry if their reports turn
+	// out to be recent.
+	doubtful []ids.WorkerID
+	// claimsChanged tells that claims may find others than at claimsAt.
+	claimsChanged bool
+	claimsAt      time.Time
+	forgetTick    time.Time
+	// handed holds the owners of the tasks on workers that are being handed over.
+	handed     map[ids.WorkerID][]ids.EntryID
+	staleUntil time.Time // run times are not judged before
+	lossyUntil time.Time // calls of workers get lost one by one
 }
 
 // session is the state of the messages between this entry and another one.
@@ -160,6 +174,14 @@
 	downSince   time.Time
 	refused     bool // the last attempt to connect was refused
 	load        Load
+	// wantedUntil keeps a session that was asked for, and usedAt is when the last
+	// message about tasks went over it.
+	wantedUntil time.Time
+	usedAt      time.Time
+	probedAt    time.Time // when it was last dialled to find out whether it lives
+	// spareInbound tells that the other entry keeps its session towards this one
+	// only because of the one in this direction.
+	spareInbound bool
 	// inbound is the number of the session in the other direction, 0 when
 	// there is none.
 	inbound uint64
@@ -259,10 +281,11 @@
 	en.tickOwner(now)
 	en.tickStored(now)
 	en.tickHolder(now)
-	if now.Sub(en.memberTick) >= memberInterval {
+	if now.Sub(en.memberTick) >= memberInterval+time.Duration(en.topology.size)*memberSpacing {
 		en.memberTick = now
 		en.tickMember(now)
 	}
+	en.tellNews()
 }
 
 // Apply puts a version of the desired state in force, unless a newer one is.
@@ -310,9 +333,11 @@
 func (en *Entry) SessionUp(id ids.EntryID, inc ids.Incarnation) {
 	se := en.session(id)
 	se.up, se.refused, se.incarnation, se.upSince = true, false, inc, en.now()
+	en.claimsChanged = true
 	en.eff.Log("session-up", "entry", string(id), "incarnation", string(inc))
 	if se.inbound != 0 {
 		en.offerWants(id)
+		en.askOwner(id)
 	}
 }
 
@@ -324,6 +349,7 @@
 		return
 	}
 	se.up, se.downSince, se.load = false, en.now(), Load{}
+	en.claimsChanged = true
 	en.eff.Log("session-down", "entry", string(id), "incarnation", string(se.incarnation), "reason", why)
 	en.eff.Count("peer", "session-down", 1)
 	en.loseHolder(id)
@@ -350,8 +376,10 @@
 		}
 	}
 	se.inbound = number
+	en.linksChanged = true
 	if se.up {
 		en.offerWants(id)
+		en.askOwner(id)
 	}
 }
 
@@ -363,6 +391,7 @@
 		return
 	}
 	se.inbound = 0
+	en.linksChanged = true
 	en.dropOwner(id, why)
 	if se.up {
 		// What that entry has to tell does not arrive.
@@ -382,11 +411,23 @@
 
 // Heard takes the load that an entry has reported.
 func (en *Entry) Heard(id ids.EntryID, load Load) {
-	en.session(id).load = load
+	se := en.session(id)
+	if load.Number > 0 && load.Number < se.load.Number {
+		// The answer to a batch was overtaken by a batch.
+		return
+	}
+	se.load = load
+}
+
+// HeardSpare takes whether an entry keeps its session towards this one only
+// because of the one in the other direction.
+func (en *Entry) HeardSpare(id ids.EntryID, spare bool) {
+	en.noteSpare(en.session(id), spare)
 }
 
 // Receive takes a message of another entry.
 func (en *Entry) Receive(from ids.EntryID, msg Message) {
+	en.use(from, msg)
 	switch ms := msg.(type) {
 	case Start:
 		en.onStart(from, ms)
@@ -422,6 +463,8 @@
 		en.onJobNews(ms)
 	case NewDesired:
 		en.Apply(ms.Desired)
+	case WorkerNews:
+		en.onWorkerNews(ms)
 	default:
 		en.eff.Log("unknown-message", "entry", string(from))
 	}
@@ -437,6 +480,11 @@
 		en.Receive(en.id, msg)
 		return
 	}
+	if !en.canTell(to) {
+		// This message is lost; those that repeat it will arrive.
+		en.wantLink(to)
+	}
+	en.use(to, msg)
 	en.eff.Send(to, msg)
 }
 
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -80,7 +80,9 @@
 	handingTo  ids.Incarnation // set while the worker is passed on
 
 	awaiting   map[ids.EntryID]bool // entries that have not answered Adopt
+	adopt      Adopt                // what they are asked
 	adoptUntil time.Time
+	taskOwners []ids.EntryID // named by the holder before
 
 	speed   speed
 	streak  int       // failed runs in a row, of different jobs
@@ -170,7 +172,12 @@
 func (en *Entry) takeWorker(info WorkerInfo, token Token) {
 	wk := &worker{
 		info: info, token: token, phase: phaseFencing, slots: map[TaskRef]*slot{}, born: info.Born,
-		unnoted: map[int64]unnotedEnd{},
+		unnoted: map[int64]unnotedEnd{}, taskOwners: en.handed[info.ID],
+	}
+	for _, id := range wk.taskOwners {
+		if !en.canTell(id) {
+			en.wantLink(id)
+		}
 	}
 	en.workers[info.ID] = wk
 	en.unfenced[info.ID] = en.now()
@@ -438,8 +445,25 @@
 	for _, id := range list {
 		wk.awaiting[id] = true
 	}
+	for _, id := range wk.taskOwners {
+		if en.members[id] != nil {
+			// askOwner asks it once there is a session.
+			wk.awaiting[id] = true
+		}
+	}
+	wk.adopt = Adopt{Worker: wk.info.ID, Running: rep.Running, Ended: ended}
 	for _, id := range list {
-		en.send(id, Adopt{Worker: wk.info.ID, Running: rep.Running, Ended: ended})
+		en.send(id, wk.adopt)
+	}
+}
+
+// askOwner asks an entry that has become reachable for its tasks on workers that
+// this entry has taken.
+func (en *Entry) askOwner(id ids.EntryID) {
+	for _, wid := range sortedKeys(en.workers) {
+		if wk := en.workers[wid]; wk.phase == phaseAdopting && wk.awaiting[id] {
+			en.send(id, wk.adopt)
+		}
 	}
 }
 
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -345,6 +346,10 @@
 	return wk.info.ID < otherWorker.info.ID
 }
 
+// speedSteps is the number of steps in which speeds up to 1 are reported. The
+// speed of a worker fades all the time; a report is sent only when it changes.
+const speedSteps = 20
+
 // Load reports the free room of the workers that this entry holds.
 func (en *Entry) Load() Load {
 	now := en.now()
@@ -360,7 +365,8 @@
 		room := wk.free()
 		if room.CPU > 0 {
 			ld.Free = append(ld.Free, Free{
-				Service: wk.info.Service, CPU: room.CPU, Speed: float32(wk.speed.factor(now)), Rack: wk.info.Rack,
+				Service: wk.info.Service, CPU: room.CPU, Rack: wk.info.Rack,
+				Speed: float32(math.Round(wk.speed.factor(now)*speedSteps) / speedSteps),
 			})
 		}
 	}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
-	"github.com/oleanderwall/oleanderwall/pkg/rendezvous"
 )
 
 // member is what this entry knows of another one from the store.
@@ -20,15 +19,16 @@
 type knownWorker struct {
 	info     WorkerInfo
 	removed  time.Time // since when its row is gone, zero while it is there
-	reported time.Time // when its report last changed
+	reported time.Time // a time since which its report has changed
+	readAt   time.Time // when this entry last read its report itself
 }
 
 // The limits on membership.
 const (
-	// BeatInterval is the interval at which an entry rewrites its row.
+	// BeatInterval is the least interval at which an entry rewrites its row.
 	BeatInterval = time.Second
-	// beatSilence without a beat, and without a session, makes an entry dead.
-	// It covers two beats that are missed.
+	// beatSilence without a beat, and without a session, makes an entry dead, if
+	// it beats once a second. It covers two beats that are missed.
 	beatSilence = 2200 * time.Millisecond
 	// beatSilenceRefused is the silence that suffices when the entry's VM also
 	// refuses connections, which means that no process listens there.
@@ -42,12 +42,27 @@
 	// settleTime is how long an entry must have been reachable before workers
 	// are passed to it, so that restarts in turn do not move workers twice.
 	settleTime = 700 * time.Millisecond
-	// memberInterval separates two looks at who should hold which worker.
-	memberInterval = 60 * time.Millisecond
+	// memberInterval separates two looks at who should hold which worker, and
+	// memberSpacing is added for each entry of the fleet, because a look costs as
+	// much as there are entries and workers.
+	memberInterval = 100 * time.Millisecond
+	memberSpacing  = time.Millisecond
+	// observedLag is how old a read of the members' rows may be for silence to
+	// count up to now: the longest wait of a read and the least pause after it.
+	observedLag = 1500 * time.Millisecond
+	// probeTime is how long an entry without a session is dialled before its
+	// silence in the store makes it dead.
+	probeTime = 700 * time.Millisecond
 	// removalInterval separates two looks for rows of workers that are gone.
 	removalInterval = 2 * time.Second
 	// memberTime without a beat or a session an entry counts as removed for good.
 	memberTime = time.Minute
+	// forgetInterval separates two looks for entries that are gone for good.
+	forgetInterval = time.Second
+	// claimReview is the interval at which the workers without a living holder are
+	// looked for although nothing is known to have changed: a holder that is
+	// leaving may die.
+	claimReview = time.Second
 	// commitPause separates two changes of rows after one that failed.
 	commitPause = 150 * time.Millisecond
 	// commitRows bounds the rows of one change; the store takes 100 entries.
@@ -69,6 +84,7 @@
 	}
 	if old == nil || old.Incarnation != mb.Incarnation {
 		en.eff.Log("member", "entry", string(id), "incarnation", string(mb.Incarnation), "address", mb.PeerAddress, "leaving", mb.Leaving)
+		en.linksChanged = true
 	}
 	en.members[id] = &member{Member: mb, beatAt: en.now()}
 }
@@ -91,41 +107,78 @@
 	return list
 }
 
-// PutWorker takes a worker's report from the store.
+// PutWorker takes a worker's report from the store as soon as it has changed.
 func (en *Entry) PutWorker(info WorkerInfo) {
 	now := en.now()
+	kw := en.takeReport(info, true)
+	kw.reported, kw.readAt = now, now
+}
+
+// SeeWorker takes a worker's report that was read again after some time. A
+// change may have come at any moment since the last time.
+func (en *Entry) SeeWorker(info WorkerInfo) {
+	now := en.now()
+	reported := now
+	if kw := en.known[info.ID]; kw != nil {
+		reported = kw.reported
+		if kw.info.Version != info.Version && kw.readAt.After(reported) {
+			reported = kw.readAt
+		}
+	}
+	kw := en.takeReport(info, true)
+	kw.reported, kw.readAt = reported, now
+}
+
+// takeReport takes what a report says of a worker. One that another entry
+// passed on may be older than what is known.
+func (en *Entry) takeReport(info WorkerInfo, own bool) *knownWorker {
 	kw := en.known[info.ID]
-	if kw == nil {
-		kw = &knownWorker{}
+	switch {
+	case kw == nil:
+		kw = &knownWorker{reported: en.now()}
 		en.known[info.ID] = kw
 		en.eff.Log("worker-listed", "worker", string(info.ID), "service", string(info.Service), "zone", string(info.Zone))
-	} else if kw.info.State != info.State {
-		en.eff.Log("worker-state", "worker", string(info.ID), "state", string(info.State), "sequence", info.Sequence)
+	case info.Version < kw.info.Version || (!own && info.Version == kw.info.Version):
+		return kw
+	case kw.info.State != info.State:
+		en.eff.Log("worker-state", "worker", string(info.ID), "state", string(info.State), "sequence", info.Sequence, "own-read", own)
+	}
+	changed := info.differs(kw.info) || !kw.removed.IsZero()
+	en.claimsChanged = en.claimsChanged || changed
+	kw.info, kw.removed = info, time.Time{}
+	if own && changed {
+		en.spread(func(news *WorkerNews) { news.Workers = append(news.Workers, info) })
 	}
-	kw.info, kw.removed, kw.reported = info, time.Time{}, now
 	wk := en.workers[info.ID]
 	if wk == nil {
 		if row, ok := en.rows[info.ID]; ok && row.Holder == en.self.Incarnation && !en.leaving {
 			// This entry let go of it while it was not listed.
 			en.takeWorker(info, Token(row.Version))
 		}
-		return
+		return kw
 	}
 	if wk.info.Address != info.Address || (wk.born != 0 && info.Born > wk.born) {
 		// The next answer to a hold tells what runs in the new lifetime.
-		wk.recheck(now)
+		wk.recheck(en.now())
 	}
 	wk.info = info
-	en.match()
+	if changed {
+		en.match()
+	}
+	return kw
 }
 
-// DropWorker takes the removal of a worker's row. It may come back shortly
-// after an outage of the store, if the worker lives.
-func (en *Entry) DropWorker(id ids.WorkerID) {
-	if kw := en.known[id]; kw != nil && kw.removed.IsZero() {
-		kw.removed = en.now()
-		en.eff.Log("worker-unlisted", "worker", string(id))
+// DropWorker takes the removal of a worker's row at a version, 0 when that is
+// not known. It may come back shortly after an outage of the store, if the
+// worker lives.
+func (en *Entry) DropWorker(id ids.WorkerID, version Version) {
+	kw := en.known[id]
+	if kw == nil || !kw.removed.IsZero() || (version > 0 && version < kw.info.Version) {
+		return
 	}
+	kw.removed = en.now()
+	en.eff.Log("worker-unlisted", "worker", string(id), "version", int64(version))
+	en.spread(func(news *WorkerNews) { news.Gone = append(news.Gone, GoneWorker{Worker: id, Version: version}) })
 }
 
 // StoreAway notes that the store did not answer.
@@ -138,6 +191,7 @@
 		return
 	}
 	en.rows[row.Worker] = row
+	en.claimsChanged = true
 	if !ok || row.Version != old.Version {
 		en.forgetHeard()
 	}
@@ -166,12 +220,15 @@
 		return
 	}
 	delete(en.rows, id)
+	en.claimsChanged = true
 }
 
 func (en *Entry) onHandover(ms Handover) {
+	en.handed = ms.Owners
 	for _, row := range ms.Rows {
 		en.PutRow(row)
 	}
+	en.handed = nil
 }
 
 func (en *Entry) zoneOf(id ids.EntryID) ids.AvailabilityZone {
@@ -208,7 +265,8 @@
 	if se.refused {
 		limit = beatSilenceRefused
 	}
-	if now.Sub(mb.beatAt) < limit {
+	limit = time.Duration(float64(limit) * max(1, mb.BeatEvery.Seconds()/BeatInterval.Seconds()))
+	if en.observed(now).Sub(mb.beatAt) < limit {
 		return true
 	}
 	// Just after the store was away no beat could have been seen. Only a process
@@ -216,6 +274,42 @@
 	return now.Sub(en.storeLost) < limit && (!se.refused || now.Sub(se.downSince) < limit+storeRecovery)
 }
 
+// observed returns the time up to which a beat would have been seen.
+func (en *Entry) observed(now time.Time) time.Time {
+	read := en.readAt[TableHolders]
+	if seen := read.Add(observedLag); !read.IsZero() && seen.Before(now) {
+		return seen
+	}
+	return now
+}
+
+// probed tells whether a silent entry, with which there is no session, has been
+// dialled for long enough. One that is merely cut off from the store answers,
+// and keeps its workers.
+func (en *Entry) probed(id ids.EntryID, now time.Time) bool {
+	mb := en.members[id]
+	if mb == nil || en.topology.neighbours[id] || len(en.members) < fullMesh {
+		return true
+	}
+	se := en.session(id)
+	if !se.probedAt.After(mb.beatAt) {
+		se.probedAt = now
+		en.wantLink(id)
+	}
+	return se.refused || now.Sub(se.probedAt) >= probeTime
+}
+
+// replaced tells whether an incarnation has surely ended, because its entry has
+// begun another one.
+func (en *Entry) replaced(inc ids.Incarnation) bool {
+	id := inc.Entry()
+	if id == en.id {
+		return inc != en.self.Incarnation
+	}
+	mb, se := en.members[id], en.sessions[id]
+	return (mb != nil && mb.Incarnation != inc) || (se != nil && se.up && se.incarnation != inc)
+}
+
 // candidates lists the entries that may hold workers.
 func (en *Entry) candidates(now time.Time) []Member {
 	var list []Member
@@ -234,26 +328,6 @@
 	return list
 }
 
-// assigned returns the entry that is to hold a worker: one of the worker's zone
-// where there is any, chosen by weighted rendezvous hashing, so that a change
-// of the members moves only the workers that it must.
-func assigned(info WorkerInfo, list []Member) ids.Incarnation {
-	var best ids.Incarnation
-	bestScore, bestNear := math.Inf(-1), false
-	for _, mb := range list {
-		near := mb.Zone == info.Zone
-		if bestNear && !near {
-			continue
-		}
-		size := max(mb.Size, minSize)
-		score := rendezvous.Score(string(info.ID), string(mb.Incarnation.Entry()), size)
-		if score > bestScore || (near && !bestNear) {
-			best, bestScore, bestNear = mb.Incarnation, score, near
-		}
-	}
-	return best
-}
-
 // minSize keeps an entry without a known size from getting no share.
 const minSize = 0.05
 
@@ -278,11 +352,14 @@
 // still answers, or whose row went with an outage of the store, has some time
 // to come back.
 func (en *Entry) forgetWorkers(now time.Time) {
-	for _, id := range sortedKeys(en.known) {
-		kw := en.known[id]
-		if kw.removed.IsZero() {
-			continue
+	removed := map[ids.WorkerID]bool{}
+	for id, kw := range en.known {
+		if !kw.removed.IsZero() {
+			removed[id] = true
 		}
+	}
+	for _, id := range sortedKeys(removed) {
+		kw := en.known[id]
 		wk := en.workers[id]
 		answers := wk != nil && wk.failing.IsZero()
 		if now.Sub(kw.removed) < storeRecovery && (answers || now.Sub(en.storeLost) < storeRecovery) {
@@ -307,9 +384,13 @@
 
 // forgetMembers drops the entries that have been silent for long.
 func (en *Entry) forgetMembers(now time.Time) {
+	if now.Sub(en.forgetTick) < forgetInterval {
+		return
+	}
+	en.forgetTick = now
 	for _, id := range sortedKeys(en.members) {
 		mb := en.members[id]
-		if en.session(id).up || now.Sub(mb.beatAt) < memberTime || now.Sub(en.storeLost) < memberTime {
+		if en.session(id).up || en.observed(now).Sub(mb.beatAt) < memberTime || now.Sub(en.storeLost) < memberTime {
 			continue
 		}
 		en.eff.Log("member-forgotten", "entry", string(id), "beat-age-ms", now.Sub(mb.beatAt).Milliseconds())
@@ -322,17 +403,17 @@
 func (en *Entry) tickMember(now time.Time) {
 	en.forgetMembers(now)
 	en.forgetWorkers(now)
+	ro := en.arrange(en.candidates(now))
 	if en.committing || now.Before(en.commitAt) || now.Sub(en.storeLost) < commitPause {
 		return
 	}
-	list := en.candidates(now)
-	changes := en.claims(list, now)
+	changes := en.claims(ro, now)
 	if len(changes) == 0 {
-		changes = en.moves(list, now)
+		changes = en.moves(ro, now)
 	}
 	if len(changes) == 0 && now.Sub(en.removalTick) >= removalInterval {
 		en.removalTick = now
-		changes = en.removals(list, now)
+		changes = en.removals(ro, now)
 	}
 	if len(changes) == 0 {
 		return
@@ -342,30 +423,61 @@
 }
 
 // claims lists the workers without a living holder that fall to this entry.
-func (en *Entry) claims(list []Member, now time.Time) []RowChange {
-	var changes []RowChange
-	if en.leaving {
+func (en *Entry) claims(ro roster, now time.Time) []RowChange {
+	if en.leaving || (!en.claimsChanged && now.Sub(en.claimsAt) < claimReview) {
 		return nil
 	}
+	en.doubtful, en.claimsAt, en.claimsChanged = nil, now, false
+	var changes []RowChange
+	alive := map[ids.Incarnation]bool{}
 	for id, kw := range en.known {
 		row, ok := en.rows[id]
-		if !kw.removed.IsZero() || (ok && en.alive(row.Holder, now)) {
+		if !kw.removed.IsZero() || (ok && en.aliveOnce(alive, row.Holder, now)) {
 			continue
 		}
-		if ok && now.Sub(kw.reported) > reportAge {
-			// It is as silent as its holder: both may be cut off from here, and the
-			// holder may go on using it.
+		if ro.assigned(string(id), kw.info.Zone) != en.self.Incarnation {
 			continue
 		}
-		if assigned(kw.info, list) == en.self.Incarnation {
-			changes = append(changes, RowChange{Worker: id, Expected: row.Version, Holder: en.self.Incarnation})
+		if ok && !en.free(id, row.Holder, now) {
+			en.claimsChanged = true
+			continue
 		}
+		changes = append(changes, RowChange{Worker: id, Expected: row.Version, Holder: en.self.Incarnation})
 	}
+	slices.Sort(en.doubtful)
+	en.claimsChanged = en.claimsChanged || len(changes) > 0
 	return limitChanges(changes, commitRows)
 }
 
+// aliveOnce is alive with the answers of one look kept.
+func (en *Entry) aliveOnce(answers map[ids.Incarnation]bool, inc ids.Incarnation, now time.Time) bool {
+	living, ok := answers[inc]
+	if !ok {
+		living = en.alive(inc, now)
+		answers[inc] = living
+	}
+	return living
+}
+
+// free tells whether a worker whose holder is silent may be taken over. One that
+// is as silent as its holder may be cut off from here together with it, and the
+// holder may go on using it.
+func (en *Entry) free(id ids.WorkerID, holder ids.Incarnation, now time.Time) bool {
+	if en.replaced(holder) {
+		return true
+	}
+	if !en.probed(holder.Entry(), now) {
+		return false
+	}
+	if now.Sub(en.known[id].reported) <= reportAge {
+		return true
+	}
+	en.doubtful = append(en.doubtful, id)
+	return false
+}
+
 // removals lists the rows of workers that have been gone for long.
-func (en *Entry) removals(list []Member, now time.Time) []RowChange {
+func (en *Entry) removals(ro roster, now time.Time) []RowChange {
 	if en.leaving || en.readAt[TableWorkers].IsZero() {
 		return nil
 	}
@@ -381,7 +493,7 @@
 			continue
 		}
 		old := now.Sub(since) > memberTime && now.Sub(en.storeLost) > memberTime
-		if old && assigned(WorkerInfo{ID: id}, list) == en.self.Incarnation {
+		if old && ro.assigned(string(id), "") == en.self.Incarnation {
 			changes = append(changes, RowChange{Worker: id, Expected: row.Version})
 		}
 	}
@@ -389,26 +501,33 @@
 }
 
 // moves lists the workers held here that are to be held by another entry.
-func (en *Entry) moves(list []Member, now time.Time) []RowChange {
+func (en *Entry) moves(ro roster, now time.Time) []RowChange {
 	most := moveRows
-	var settled []Member
-	for _, mb := range list {
-		id := mb.Incarnation.Entry()
+	settled := map[ids.EntryID]bool{en.id: true}
+	var list []Member
+	for _, st := range ro.all {
+		id := st.Incarnation.Entry()
 		se := en.sessions[id]
 		if id == en.id || (se != nil && se.up && now.Sub(se.upSince) > settleTime) {
-			settled = append(settled, mb)
+			settled[id] = true
+			list = append(list, st.Member)
 		}
 	}
 	if en.leaving {
-		most = commitRows
+		// There is no time to wait for sessions with others.
+		most, ro = commitRows, newRoster(list)
 	}
 	var changes []RowChange
 	for id, wk := range en.workers {
-		to := assigned(wk.info, settled)
+		to := ro.assigned(string(id), wk.info.Zone)
 		row := en.rows[id]
 		if to == "" || to == en.self.Incarnation || row.Holder != en.self.Incarnation || wk.phase != phaseOpen {
 			continue
 		}
+		if !settled[to.Entry()] {
+			en.wantLink(to.Entry())
+			continue
+		}
 		if wk.busyOrders() {
 			if en.leaving {
 				wk.handingTo = to
@@ -457,18 +576,11 @@
 		}
 	}
 	if !rep.OK {
-		en.commitAt = en.now().Add(commitPause)
-		en.eff.Log("holders-unchanged", "rows", len(changes), "conflict", rep.Conflict, "reason", rep.Reason)
-		for _, row := range rep.Present {
-			if row.Version == 0 {
-				delete(en.rows, row.Worker)
-				continue
-			}
-			en.PutRow(row)
-		}
+		en.notCommitted(changes, rep)
 		return
 	}
 	moved := map[ids.EntryID][]HolderRow{}
+	owners := map[ids.WorkerID][]ids.EntryID{}
 	for _, ch := range changes {
 		if ch.Holder == "" {
 			delete(en.rows, ch.Worker)
@@ -476,13 +588,57 @@
 			continue
 		}
 		row := HolderRow{Worker: ch.Worker, Holder: ch.Holder, Version: rep.Version}
+		id := ch.Holder.Entry()
+		if wk := en.workers[ch.Worker]; wk != nil && id != en.id {
+			owners[ch.Worker] = wk.owners()
+		}
 		en.PutRow(row)
-		if id := ch.Holder.Entry(); id != en.id {
+		if id != en.id {
 			moved[id] = append(moved[id], row)
 		}
 	}
 	en.eff.Log("holders-changed", "rows", len(changes), "version", int64(rep.Version), "passed-on", len(changes) > 0 && len(moved) > 0)
 	for _, id := range sortedKeys(moved) {
-		en.send(id, Handover{Rows: moved[id]})
+		msg := Handover{Rows: moved[id], Owners: map[ids.WorkerID][]ids.EntryID{}}
+		for _, row := range moved[id] {
+			msg.Owners[row.Worker] = owners[row.Worker]
+		}
+		en.send(id, msg)
+	}
+}
+
+// notCommitted takes the rows as they are.
+func (en *Entry) notCommitted(changes []RowChange, rep CommitReply) {
+	en.commitAt = en.now().Add(commitPause)
+	en.eff.Log("holders-unchanged", "rows", len(changes), "conflict", rep.Conflict, "reason", rep.Reason)
+	for _, row := range rep.Present {
+		if row.Version == 0 {
+			en.DropRow(row.Worker, math.MaxInt64)
+			continue
+		}
+		en.PutRow(row)
+	}
+}
+
+// owners lists the entries whose tasks a worker runs.
+func (wk *worker) owners() []ids.EntryID {
+	set := map[ids.EntryID]bool{}
+	for _, sl := range wk.slots {
+		if sl.owner != "" && sl.state != slotGranted {
+			set[sl.owner] = true
+		}
+	}
+	return sortedKeys(set)
+}
+
+// Meet takes what an entry says of itself when it begins a session. Its row may
+// not have been read yet.
+func (en *Entry) Meet(self Self) {
+	id := self.Incarnation.Entry()
+	if id == en.id || en.members[id] != nil {
+		return
 	}
+	en.eff.Log("member-met", "entry", string(id), "incarnation", string(self.Incarnation), "address", self.PeerAddress)
+	en.members[id] = &member{Member: Member{Self: self}, beatAt: en.now()}
+	en.linksChanged = true
 }
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
@@ -96,9 +97,11 @@
 	Worker ids.WorkerID
 }
 
-// Handover tells the new holder of workers that their rows have changed.
+// Handover tells the new holder of workers that their rows have changed, and
+// which entries own the tasks that run there.
 type Handover struct {
-	Rows []HolderRow
+	Rows   []HolderRow
+	Owners map[ids.WorkerID][]ids.EntryID
 }
 
 // NewDesired passes on a version of the desired state to an entry that has an
@@ -117,10 +120,18 @@
 
 // Load is what an entry reports of the workers that it holds.
 type Load struct {
+	// Number rises with each change, so that an older report that arrives later
+	// can be told; 0 where it is not known.
+	Number  uint64
 	Free    []Free
 	Leaving bool
 }
 
+// Same tells whether two reports say the same, whatever their numbers.
+func (ld Load) Same(other Load) bool {
+	return ld.Leaving == other.Leaving && slices.Equal(ld.Free, other.Free)
+}
+
 // HolderRow records in the store which entry holds a worker. The version of
 // the row is the holder's fencing token.
 type HolderRow struct {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -178,6 +178,7 @@
 	Room     Resources // the whole room of the worker, free or not
 	Born     int64     // start of this lifetime, in Unix milliseconds
 	Sequence int64     // rises with each report of this lifetime
+	Version  Version   // of the row in the store
 }
 
 // Limits are properties of the workers that the platform's settings tell.
@@ -203,6 +204,8 @@
 	Leaving bool
 	Version Version // of its row
 	Beat    int64   // rises while the entry lives and reaches the store
+	// BeatEvery is the interval at which the entry beats, 0 for BeatInterval.
+	BeatEvery time.Duration
 }
 
 // TaskRef names one run of a task.
--- /dev/null
+++ b/internal/dispatch/neighbours.go
@@ -0,0 +1,275 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/rendezvous"
+)
+
+// Each entry and each worker has a position on a circle. The entries of a zone
+// form a ring in the order of their positions. A worker is held by one of the
+// entries that follow its position, and an entry keeps sessions with those next
+// to it, so that the entries that may hold a worker after one another know each
+// other and the cost of an entry does not grow with the fleet.
+
+// The bounds on the neighbours of an entry.
+const (
+	// fullMesh is the largest fleet in which every entry is a neighbour of every
+	// other. A beat to 15 others takes about a hundredth of a core.
+	fullMesh = 16
+	// nearSide is the number of neighbours on each side of the ring of the zone.
+	// With both sides an owner reaches the room of thirteen entries.
+	nearSide = 6
+	// holderWindow is the number of entries that may hold a worker. It is at most
+	// nearSide, so that all of them are neighbours.
+	holderWindow = 6
+	// farLinks is the number of neighbours in other zones, at least one in each.
+	farLinks = 4
+	// watchersPerZone entries of a zone follow all reports of workers and pass on
+	// changes; the second covers for the first.
+	watchersPerZone = 2
+	// linkWanted is how long a session that was asked for stays without use.
+	linkWanted = 5 * time.Second
+	// linkIdle is how long a session that is not with a neighbour stays after its
+	// last message about tasks. Owners ask for running tasks once a second.
+	linkIdle = 10 * time.Second
+)
+
+// position returns the place of an entry or a worker on the circle.
+func position(name string) float64 { return rendezvous.Uniform(name, "position") }
+
+// seat is an entry on a ring.
+type seat struct {
+	Member
+	at float64
+}
+
+// roster is the entries that may hold workers, by their rings.
+type roster struct {
+	all   []seat
+	zones map[ids.AvailabilityZone][]seat
+}
+
+func newRoster(list []Member) roster {
+	ro := roster{zones: map[ids.AvailabilityZone][]seat{}}
+	for _, mb := range list {
+		ro.all = append(ro.all, seat{Member: mb, at: position(string(mb.Incarnation.Entry()))})
+	}
+	slices.SortFunc(ro.all, func(a, b seat) int {
+		if byPlace := cmp.Compare(a.at, b.at); byPlace != 0 {
+			return byPlace
+		}
+		return cmp.Compare(a.Incarnation, b.Incarnation)
+	})
+	for _, st := range ro.all {
+		ro.zones[st.Zone] = append(ro.zones[st.Zone], st)
+	}
+	return ro
+}
+
+// after returns the index of the first seat at or after a position.
+func after(ring []seat, at float64) int {
+	num, _ := slices.BinarySearchFunc(ring, at, func(st seat, at float64) int { return cmp.Compare(st.at, at) })
+	return num % max(1, len(ring))
+}
+
+// assigned returns the entry that is to hold a worker, or to take over a job
+// when no zone is given: one of the few that follow its position on the ring of
+// the zone, or on that of all entries when the zone has none. Weighted
+// rendezvous hashing chooses among them, so that a change of the members moves
+// only the workers that it must.
+func (ro roster) assigned(name string, zone ids.AvailabilityZone) ids.Incarnation {
+	ring := ro.zones[zone]
+	if len(ring) == 0 {
+		ring = ro.all
+	}
+	first := after(ring, position(name))
+	var best ids.Incarnation
+	bestScore := math.Inf(-1)
+	for num := range min(holderWindow, len(ring)) {
+		st := ring[(first+num)%len(ring)]
+		score := rendezvous.Score(name, string(st.Incarnation.Entry()), max(st.Size, minSize))
+		if score > bestScore {
+			best, bestScore = st.Incarnation, score
+		}
+	}
+	return best
+}
+
+// neighbours returns the entries that an entry is to keep sessions with.
+func (ro roster) neighbours(id ids.EntryID, zone ids.AvailabilityZone) map[ids.EntryID]bool {
+	set := map[ids.EntryID]bool{}
+	if len(ro.all) <= fullMesh {
+		for _, st := range ro.all {
+			set[st.Incarnation.Entry()] = true
+		}
+		delete(set, id)
+		return set
+	}
+	at := position(string(id))
+	far := max(1, farLinks/max(1, len(ro.zones)-1))
+	for name, ring := range ro.zones {
+		back, count := 0, far
+		if name == zone {
+			back, count = nearSide, 2*nearSide+1
+		}
+		first := after(ring, at) - back
+		for num := range min(count, len(ring)) {
+			set[ring[(first+num+len(ring)*nearSide)%len(ring)].Incarnation.Entry()] = true
+		}
+	}
+	for _, watcher := range ro.watchers(zone) {
+		set[watcher] = true
+	}
+	delete(set, id)
+	return set
+}
+
+// watchers returns the entries of a zone that follow the reports of workers for
+// the others: the largest ones, because that takes a few percent of a core.
+func (ro roster) watchers(zone ids.AvailabilityZone) []ids.EntryID {
+	ring := slices.Clone(ro.zones[zone])
+	slices.SortStableFunc(ring, func(a, b seat) int { return cmp.Compare(b.Size, a.Size) })
+	var list []ids.EntryID
+	for _, st := range ring[:min(watchersPerZone, len(ring))] {
+		list = append(list, st.Incarnation.Entry())
+	}
+	return list
+}
+
+// topology is what follows from the entries that are alive.
+type topology struct {
+	list       []Member // that it was made from
+	roster     roster
+	neighbours map[ids.EntryID]bool
+	watcher    bool
+	size       int // entries, this one included
+}
+
+// sameSeat tells whether an entry has the same place on the rings and the same
+// share of the workers as before.
+func sameSeat(a, b Member) bool {
+	return a.Incarnation == b.Incarnation && a.Zone == b.Zone && a.Size == b.Size
+}
+
+// arrange works out the rings and the neighbours of the entries that are alive,
+// unless they are the same as before.
+func (en *Entry) arrange(list []Member) roster {
+	old := &en.topology
+	if old.size > 0 && slices.EqualFunc(list, old.list, sameSeat) {
+		return old.roster
+	}
+	ro := newRoster(list)
+	en.linksChanged, en.claimsChanged = true, true
+	en.topology = topology{
+		list:       list,
+		roster:     ro,
+		neighbours: ro.neighbours(en.id, en.self.Zone),
+		watcher:    slices.Contains(ro.watchers(en.self.Zone), en.id),
+		size:       max(1, len(list)),
+	}
+	return ro
+}
+
+// LinksChanged tells whether Links may list others than before, and takes that
+// as known.
+func (en *Entry) LinksChanged() bool {
+	changed := en.linksChanged || en.now().Sub(en.linksAt) >= linkReview
+	if changed {
+		en.linksChanged, en.linksAt = false, en.now()
+	}
+	return changed
+}
+
+// linkReview is the interval at which sessions that are idle are looked for.
+const linkReview = time.Second
+
+// Link is a session that this entry is to keep towards another one.
+type Link struct {
+	Member
+	// Spare links are kept only because the other entry keeps one towards here.
+	Spare bool
+}
+
+// Links lists the sessions that this entry is to keep: those with its
+// neighbours, those that are in use or asked for, and the other direction of
+// those that others keep.
+func (en *Entry) Links() []Link {
+	now := en.now()
+	list := make([]Link, 0, len(en.topology.neighbours))
+	for id, mb := range en.members {
+		se := en.sessions[id]
+		switch {
+		case en.topology.neighbours[id], len(en.members) < fullMesh, se != nil && se.inUse(now):
+			list = append(list, Link{Member: mb.Member})
+		case se != nil && se.inbound != 0 && !se.spareInbound:
+			list = append(list, Link{Member: mb.Member, Spare: true})
+		}
+	}
+	return list
+}
+
+// noteSpare takes whether an entry keeps its session towards this one only
+// because of the one in the other direction.
+func (en *Entry) noteSpare(se *session, spare bool) {
+	if se.spareInbound != spare {
+		se.spareInbound, en.linksChanged = spare, true
+	}
+}
+
+// inUse tells whether a session serves tasks, or was asked for.
+func (se *session) inUse(now time.Time) bool {
+	return now.Before(se.wantedUntil) || ((se.up || se.inbound != 0) && !se.usedAt.IsZero() && now.Sub(se.usedAt) < linkIdle)
+}
+
+// wantLink asks for a session with an entry that is not a neighbour.
+func (en *Entry) wantLink(id ids.EntryID) {
+	if id == en.id || en.members[id] == nil {
+		return
+	}
+	se := en.session(id)
+	if se.wantedUntil.Before(en.now()) {
+		en.linksChanged = true
+	}
+	se.wantedUntil = en.now().Add(linkWanted)
+}
+
+// use notes a message that concerns tasks.
+func (en *Entry) use(id ids.EntryID, msg Message) {
+	if id == en.id {
+		return
+	}
+	switch msg.(type) {
+	case WorkerNews, NewDesired, JobNews, Unwant:
+	default:
+		en.session(id).usedAt = en.now()
+	}
+}
+
+// Size returns the number of entries that are alive, this one included.
+func (en *Entry) Size() int { return en.topology.size }
+
+// The growth of the intervals of the store with the fleet.
+const (
+	// beatSpacing keeps the beats of a fleet below 75 writes a second. A part of
+	// the store takes 200, and changes of holders share it with the beats.
+	beatSpacing = time.Second / 75
+	// readSpacing keeps the rows of entries that each entry reads below 50 a
+	// second.
+	readSpacing = time.Second / 50
+)
+
+// BeatEvery returns the interval at which this entry is to rewrite its row.
+func (en *Entry) BeatEvery() time.Duration {
+	return max(BeatInterval, time.Duration(en.topology.size)*beatSpacing)
+}
+
+// HoldersPause returns the pause between two reads of the rows of entries and
+// holders, at least the given one.
+func (en *Entry) HoldersPause(least time.Duration) time.Duration {
+	return max(least, time.Duration(en.topology.size)*readSpacing)
+}
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -298,6 +298,9 @@
 	}
 }
 
+// Records returns the number of stored jobs that are known.
+func (en *Entry) Records() int { return len(en.records) }
+
 // endStored ends a stored job here.
 func (en *Entry) endStored(jb *job, state JobState) {
 	answer(jb.stored.cancels, Outcome{Kind: Completed, Reason: string(state)})
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -129,14 +129,14 @@
 			en.ended = append(en.ended, re)
 		}
 	}
-	list := en.candidates(now)
+	ro := en.topology.roster
 	count := 0
 	for _, id := range sortedKeys(en.open) {
 		re := en.open[id]
 		if re.loading || en.jobs[id] != nil || !en.ownerGone(re.Owner, now) || count >= claimsAtOnce {
 			continue
 		}
-		if assigned(WorkerInfo{ID: ids.WorkerID(id)}, list) == en.self.Incarnation {
+		if ro.assigned(string(id), "") == en.self.Incarnation {
 			count++
 			re.loading = true
 			en.eff.LoadJob(id)
@@ -430,6 +430,9 @@
 	for _, id := range en.needs.holders {
 		if !jb.heard[id] {
 			silent = append(silent, string(id))
+			if !en.canTell(id) {
+				en.wantLink(id)
+			}
 		}
 	}
 	if !wait && !old && len(silent) == 0 {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,6 +58,15 @@
 	Deleted bool
 }
 
+// Page is some of the rows of a part, in the order of their keys.
+type Page struct {
+	Rows []Row
+	// Next is the key from which the next page begins, "" after the last one.
+	Next string
+	// Version of the store when the page was read.
+	Version dispatch.Version
+}
+
 // Part is a shard of a table. A transaction stays within one part.
 type Part string
 
@@ -106,6 +115,8 @@
 // Store is the platform's store. An error leaves open whether a transaction
 // was carried out, or will be.
 type Store interface {
+	// Page returns the first rows of a part of a table from a key on.
+	Page(ctx context.Context, tb Table, part Part, from string, most int) (Page, error)
 	// Read returns the rows of a part, or the one with a key when it is not "".
 	Read(ctx context.Context, tb Table, part Part, key string) ([]Row, dispatch.Version, error)
 	Follow(ctx context.Context, tb Table, after dispatch.Version, wait time.Duration) ([]Row, dispatch.Version, error)
@@ -148,14 +159,19 @@
 	// rowVersion is the version of this entry's row in TableFleet.
 	rowVersion atomic.Int64
 
-	mu       sync.Mutex
-	at       time.Time // the clock when the lock was taken
-	en       *dispatch.Entry
-	links    map[ids.EntryID]*link
+	mu    sync.Mutex
+	at    time.Time // the clock when the lock was taken
+	en    *dispatch.Entry
+	links map[ids.EntryID]*link
+	// load was last reported to others, and sentLoad has its number for each.
+	load     dispatch.Load
+	sentLoad map[ids.EntryID]uint64
 	inbound  map[*inbound]bool
 	lastSess uint64
-	storeBad map[Table]bool
-	writers  map[Part]*jobWriter
+	// silenceAt is when silent sessions were last looked for.
+	silenceAt time.Time
+	storeBad  map[Table]bool
+	writers   map[Part]*jobWriter
 	// advice holds the calls for advice that wait, the first one in flight.
 	advice []dispatch.AdviceOrder
 	// nextJobWrite is when the next transaction of jobs may begin.
@@ -168,6 +184,8 @@
 		opt: opt, store: store, workers: workers, log: log, cnt: cnt,
 		grp:      group.New(context.Background()),
 		links:    map[ids.EntryID]*link{},
+		load:     dispatch.Load{Number: 1},
+		sentLoad: map[ids.EntryID]uint64{},
 		inbound:  map[*inbound]bool{},
 		storeBad: map[Table]bool{},
 		writers:  map[Part]*jobWriter{},
@@ -194,9 +212,14 @@
 	dm.grp.Go(dm.followFleet)
 	dm.grp.Go(dm.followJobs)
 	dm.grp.Every(dispatch.TickInterval, func(context.Context) {
-		dm.locked(func(en *dispatch.Entry) { en.Tick() })
+		dm.locked(func(en *dispatch.Entry) {
+			en.Tick()
+			if en.LinksChanged() {
+				dm.keepLinks(en)
+			}
+			dm.checkSilence(en)
+		})
 	})
-	dm.grp.Every(silenceCheck, func(context.Context) { dm.checkSilence() })
 	return nil
 }
 
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -16,15 +17,29 @@
 const (
 	// desiredWait is how long a read of the desired state stays open. With a
 	// connection that goes silent it bounds the delay, together with the margin
-	// of the client, below the 2 s in which a version must be in force.
-	desiredWait = 700 * time.Millisecond
+	// of the client, below the 2 s in which a version must be in force. Where
+	// other entries tell of a version too, the wait is drawn up to
+	// desiredWaitMost, so that not all connections that went silent at once are
+	// found out at the same late moment.
+	desiredWait     = 700 * time.Millisecond
+	desiredWaitMost = 2 * time.Second
+	// desiredTellers is the number of entries, this one included, from which on
+	// the long wait is used.
+	desiredTellers = 4
 	// workersWait and fleetWait bound the reads of tables that change often.
 	workersWait = time.Second
 	fleetWait   = time.Second
-	// workersPause and fleetPause separate reads of tables that change many
+	// workersPause and fleetPauseLeast separate reads of tables that change many
 	// times a second, so that each read brings a batch. Reads are priced.
-	workersPause = 400 * time.Millisecond
-	fleetPause   = 300 * time.Millisecond
+	workersPause    = 500 * time.Millisecond
+	fleetPauseLeast = 500 * time.Millisecond
+	// scanRows of the reports of workers are read every scanPause by an entry that
+	// does not follow them: 64 a second, 30 KB.
+	scanRows  = 96
+	scanPause = 1500 * time.Millisecond
+	// reportsAtOnce bounds the single reports that are read at a time because a
+	// decision depends on them.
+	reportsAtOnce = 8
 	// feedRows is the number of changes from which on an answer of the feed may
 	// not be complete.
 	feedRows = 500
@@ -38,10 +53,16 @@
 type table struct {
 	name  Table
 	parts []Part // read one by one; "" where the table has no shards
-	wait  time.Duration
-	pause time.Duration
-	// put takes a row that is new or has changed.
-	put func(en *dispatch.Entry, ro Row)
+	wait  func() time.Duration
+	// pause returns the pause after a read, nil for none.
+	pause func() time.Duration
+	// keys are those of the present rows, nil for none yet.
+	keys map[string]bool
+	// until ends the following, nil for never.
+	until func() bool
+	// put takes a row that is new or has changed; whole tells that all rows were
+	// read, whether they have changed or not.
+	put func(en *dispatch.Entry, ro Row, whole bool)
 	// drop takes the removal of a row.
 	drop func(en *dispatch.Entry, key string, version dispatch.Version)
 }
@@ -49,8 +70,11 @@
 // follow keeps the state up to date with a table until ctx ends.
 func (dm *Daemon) follow(ctx context.Context, tb table) {
 	version := dispatch.Version(-1)
-	keys := map[string]bool{}
-	for ctx.Err() == nil {
+	if tb.keys == nil {
+		tb.keys = map[string]bool{}
+	}
+	keys := tb.keys
+	for ctx.Err() == nil && (tb.until == nil || !tb.until()) {
 		var rows []Row
 		var next dispatch.Version
 		var err error
@@ -59,37 +83,43 @@
 		if whole {
 			rows, next, err = dm.readAll(ctx, tb)
 		} else {
-			rows, next, err = dm.store.Follow(ctx, tb.name, version, tb.wait)
+			rows, next, err = dm.store.Follow(ctx, tb.name, version, tb.wait())
 		}
 		dm.cnt.Add("store", "reads", 1)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			dm.storeFault(tb.name, err)
-			if errors.Is(err, ErrHistoryGone) {
-				version = -1
-				continue
-			}
-			group.Sleep(ctx, storeRetry)
+			version = dm.readFailed(ctx, tb.name, version, err)
 			continue
 		}
 		dm.storeBack(tb.name)
 		if whole {
 			rows = append(rows, missingRows(keys, rows, next)...)
 		}
-		dm.apply(tb, rows, keys)
+		dm.apply(tb, rows, keys, whole)
 		complete := whole || len(rows) < feedRows
 		if complete {
 			dm.tableRead(tb.name, sent)
 		}
 		version = next
-		if tb.pause > 0 && complete {
-			group.Sleep(ctx, tb.pause)
+		if tb.pause != nil && complete {
+			group.Sleep(ctx, tb.pause())
 		}
 	}
 }
 
+// readFailed acts on a read without an answer that can be used. It returns the
+// version to go on from.
+func (dm *Daemon) readFailed(ctx context.Context, tb Table, version dispatch.Version, err error) dispatch.Version {
+	dm.storeFault(tb, err)
+	if errors.Is(err, ErrHistoryGone) {
+		return -1
+	}
+	group.Sleep(ctx, storeRetry)
+	return version
+}
+
 // tableNames holds the tables whose age decisions depend on.
 var tableNames = map[Table]dispatch.Table{
 	TableFleet: dispatch.TableHolders, TableWorkers: dispatch.TableWorkers, TableJobs: dispatch.TableJobs,
@@ -135,7 +165,7 @@
 	return gone
 }
 
-func (dm *Daemon) apply(tb table, rows []Row, keys map[string]bool) {
+func (dm *Daemon) apply(tb table, rows []Row, keys map[string]bool, whole bool) {
 	if len(rows) == 0 {
 		return
 	}
@@ -147,7 +177,7 @@
 				continue
 			}
 			keys[ro.Key] = true
-			tb.put(en, ro)
+			tb.put(en, ro, whole)
 		}
 	})
 }
@@ -175,10 +205,20 @@
 	})
 }
 
+// waitDesired returns how long the next read of the desired state stays open.
+func (dm *Daemon) waitDesired() time.Duration {
+	tellers := 0
+	dm.locked(func(en *dispatch.Entry) { tellers = en.Reachable() })
+	if tellers < desiredTellers {
+		return desiredWait
+	}
+	return desiredWait + rand.N(desiredWaitMost-desiredWait)
+}
+
 func (dm *Daemon) followDesired(ctx context.Context) {
 	dm.follow(ctx, table{
-		name: TableDesired, parts: []Part{""}, wait: desiredWait,
-		put: func(en *dispatch.Entry, ro Row) {
+		name: TableDesired, parts: []Part{""}, wait: dm.waitDesired,
+		put: func(en *dispatch.Entry, ro Row, _ bool) {
 			des, ok, err := dm.store.DecodeDesired(ro.Key, ro.Value)
 			if err != nil {
 				dm.log.Line("desired-state-unreadable", "key", ro.Key, "version", int64(ro.Version), "error", err.Error())
@@ -192,20 +232,113 @@
 	})
 }
 
+// followWorkers keeps up with the reports of workers until ctx ends: through the
+// feed, or slowly through the whole table where others pass on what changes.
 func (dm *Daemon) followWorkers(ctx context.Context) {
-	dm.follow(ctx, table{
-		name: TableWorkers, parts: []Part{""}, wait: workersWait, pause: workersPause,
-		put: func(en *dispatch.Entry, ro Row) {
-			info, err := dm.store.DecodeWorker(ro.Key, ro.Value)
-			if err != nil {
-				dm.log.Line("worker-unreadable", "key", ro.Key, "version", int64(ro.Version), "error", err.Error())
-				en.DropWorker(ids.WorkerID(ro.Key))
-				return
+	keys := map[string]bool{}
+	for ctx.Err() == nil {
+		dm.follow(ctx, table{
+			name: TableWorkers, parts: []Part{""}, wait: fixed(workersWait), pause: fixed(workersPause), keys: keys,
+			until: func() bool { return len(keys) > 0 && !dm.followsWorkers() },
+			put:   dm.putWorker, drop: dropWorker,
+		})
+		dm.scanWorkers(ctx, keys)
+	}
+}
+
+func fixed(pause time.Duration) func() time.Duration {
+	return func() time.Duration { return pause }
+}
+
+func (dm *Daemon) followsWorkers() bool {
+	follows := false
+	dm.locked(func(en *dispatch.Entry) { follows = en.FollowsWorkers() })
+	return follows
+}
+
+// putWorker takes the report of a worker. One that is read again may have
+// changed long ago.
+func (dm *Daemon) putWorker(en *dispatch.Entry, ro Row, again bool) {
+	info, err := dm.store.DecodeWorker(ro.Key, ro.Value)
+	if err != nil {
+		dm.log.Line("worker-unreadable", "key", ro.Key, "version", int64(ro.Version), "error", err.Error())
+		en.DropWorker(ids.WorkerID(ro.Key), ro.Version)
+		return
+	}
+	info.Version = ro.Version
+	if again {
+		en.SeeWorker(info)
+		return
+	}
+	en.PutWorker(info)
+}
+
+func dropWorker(en *dispatch.Entry, key string, version dispatch.Version) {
+	en.DropWorker(ids.WorkerID(key), version)
+}
+
+// scanWorkers reads the reports of workers page by page, and at once those that
+// a decision depends on, until this entry is to follow all of them.
+func (dm *Daemon) scanWorkers(ctx context.Context, keys map[string]bool) {
+	from := firstPage(keys)
+	var nextPage time.Time
+	for ctx.Err() == nil && !dm.followsWorkers() {
+		dm.readWanted(ctx, keys)
+		if now := dm.clock(); !now.Before(nextPage) {
+			nextPage = now.Add(scanPause)
+			from = dm.scanPage(ctx, from, keys)
+		}
+		group.Sleep(ctx, workersPause)
+	}
+}
+
+// firstPage returns a key to begin with, a different one for each entry, because
+// the order of a map differs.
+func firstPage(keys map[string]bool) string {
+	for key := range keys {
+		return key
+	}
+	return ""
+}
+
+// scanPage reads one page of reports and returns the key of the next one.
+func (dm *Daemon) scanPage(ctx context.Context, from string, keys map[string]bool) string {
+	page, err := dm.store.Page(ctx, TableWorkers, "", from, scanRows)
+	dm.cnt.Add("store", "reads", 1)
+	if err != nil {
+		if ctx.Err() == nil {
+			dm.storeFault(TableWorkers, err)
+		}
+		return from
+	}
+	dm.storeBack(TableWorkers)
+	covered := map[string]bool{}
+	for key := range keys {
+		if key >= from && (page.Next == "" || key < page.Next) {
+			covered[key] = true
+		}
+	}
+	dm.apply(table{put: dm.putWorker, drop: dropWorker}, append(page.Rows, missingRows(covered, page.Rows, page.Version)...), keys, true)
+	return page.Next
+}
+
+// readWanted reads the reports that a decision depends on.
+func (dm *Daemon) readWanted(ctx context.Context, keys map[string]bool) {
+	var wanted []ids.WorkerID
+	dm.locked(func(en *dispatch.Entry) { wanted = en.ReportsWanted(reportsAtOnce) })
+	for _, id := range wanted {
+		key := string(id)
+		rows, version, err := dm.store.Read(ctx, TableWorkers, "", key)
+		dm.cnt.Add("store", "reads", 1)
+		if err != nil {
+			if ctx.Err() == nil {
+				dm.storeFault(TableWorkers, err)
 			}
-			en.PutWorker(info)
-		},
-		drop: func(en *dispatch.Entry, key string, _ dispatch.Version) { en.DropWorker(ids.WorkerID(key)) },
-	})
+			return
+		}
+		rows = append(rows, missingRows(map[string]bool{key: true}, rows, version)...)
+		dm.apply(table{put: dm.putWorker, drop: dropWorker}, rows, keys, true)
+	}
 }
 
 // The prefixes of the keys of TableFleet.
@@ -222,6 +355,9 @@
 	Size        float64              `json:"size"` // processor share, in cores
 	Leaving     bool                 `json:"leaving,omitempty"`
 	Beat        int64                `json:"beat"`
+	// BeatEvery is the interval of the beats in milliseconds. Rows of older
+	// versions lack it; they beat once a second.
+	BeatEvery int64 `json:"beat-every-millis,omitempty"`
 }
 
 func (dm *Daemon) entryKey() string {
@@ -229,10 +365,18 @@
 }
 
 func (dm *Daemon) followFleet(ctx context.Context) {
-	dm.follow(ctx, table{name: TableFleet, parts: []Part{""}, wait: fleetWait, pause: fleetPause, put: dm.putFleet, drop: dropFleet})
+	dm.follow(ctx, table{name: TableFleet, parts: []Part{""}, wait: fixed(fleetWait), pause: dm.fleetPause, put: dm.putFleet, drop: dropFleet})
 }
 
-func (dm *Daemon) putFleet(en *dispatch.Entry, ro Row) {
+// fleetPause is the pause between two reads of the rows of entries and holders,
+// which grows with the fleet.
+func (dm *Daemon) fleetPause() time.Duration {
+	pause := fleetPauseLeast
+	dm.locked(func(en *dispatch.Entry) { pause = en.HoldersPause(fleetPauseLeast) })
+	return pause
+}
+
+func (dm *Daemon) putFleet(en *dispatch.Entry, ro Row, _ bool) {
 	if strings.HasPrefix(ro.Key, holderPrefix) {
 		if row, ok := dm.decodeHolder(ro); ok {
 			en.PutRow(row)
@@ -246,9 +390,8 @@
 	}
 	en.PutMember(dispatch.Member{
 		Self:    dispatch.Self{Incarnation: rec.Incarnation, Zone: rec.Zone, PeerAddress: rec.PeerAddress, Size: rec.Size},
-		Leaving: rec.Leaving, Version: ro.Version, Beat: rec.Beat,
+		Leaving: rec.Leaving, Version: ro.Version, Beat: rec.Beat, BeatEvery: time.Duration(rec.BeatEvery) * time.Millisecond,
 	})
-	dm.keepLinks(en)
 }
 
 func dropFleet(en *dispatch.Entry, key string, version dispatch.Version) {
@@ -284,10 +427,16 @@
 func (dm *Daemon) beat(ctx context.Context) {
 	for ctx.Err() == nil {
 		dm.writeBeat(ctx)
-		group.Sleep(ctx, dispatch.BeatInterval)
+		group.Sleep(ctx, dm.beatEvery())
 	}
 }
 
+func (dm *Daemon) beatEvery() time.Duration {
+	every := dispatch.BeatInterval
+	dm.locked(func(en *dispatch.Entry) { every = en.BeatEvery() })
+	return every
+}
+
 func (dm *Daemon) writeBeat(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
@@ -295,7 +444,7 @@
 	sent := dm.clock()
 	raw, err := json.Marshal(entryRecord{
 		Incarnation: self.Incarnation, Zone: self.Zone, PeerAddress: self.PeerAddress, Size: self.Size,
-		Leaving: dm.draining.Load(), Beat: time.Now().UnixMilli(),
+		Leaving: dm.draining.Load(), Beat: time.Now().UnixMilli(), BeatEvery: dm.beatEvery().Milliseconds(),
 	})
 	if err == nil {
 		var rep TransactionReply
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -33,7 +33,13 @@
 	// writesAtOnce bounds the jobs of one transaction. Each takes up to three
 	// entries of the hundred that the store accepts, and 10 KB of its 1 MB.
 	writesAtOnce = 30
-	jobsWait     = time.Second
+	// mostTasks bounds the tasks that one cell of a row may name, so that a
+	// malformed row costs no memory. Stored jobs have fewer.
+	mostTasks = 1 << 16
+	jobsWait  = time.Second
+	// jobsWaitNone keeps a silent connection from hiding a job for longer than the
+	// 5 s after which a queue's count must show it.
+	jobsWaitNone = 3 * time.Second
 	jobsPause    = 500 * time.Millisecond
 	// jobLoadTimeout bounds the read of one job.
 	jobLoadTimeout = 700 * time.Millisecond
@@ -110,6 +116,9 @@
 		if _, err := fmt.Sscanf(text, "%d.%d.%d-%d@%d", &occ, &step, &from, &to, &run); err != nil {
 			return nil, fmt.Errorf("tasks that are done: %q: %w", text, err)
 		}
+		if from < 0 || to-from >= mostTasks {
+			return nil, fmt.Errorf("tasks that are done: %q names more than %d", text, mostTasks)
+		}
 		for idx := from; idx <= to; idx++ {
 			runs[fmt.Sprintf("%d.%d.%d", occ, step, idx)] = run
 		}
@@ -336,11 +345,23 @@
 	return ld
 }
 
+// waitJobs returns how long the next read of the jobs stays open. Without any
+// stored job a connection that went silent hides less.
+func (dm *Daemon) waitJobs() time.Duration {
+	wait := jobsWait
+	dm.locked(func(en *dispatch.Entry) {
+		if en.Records() == 0 {
+			wait = jobsWaitNone
+		}
+	})
+	return wait
+}
+
 // followJobs follows the states of stored jobs.
 func (dm *Daemon) followJobs(ctx context.Context) {
 	dm.follow(ctx, table{
-		name: TableJobs, parts: allParts(), wait: jobsWait, pause: jobsPause,
-		put: func(en *dispatch.Entry, ro Row) {
+		name: TableJobs, parts: allParts(), wait: dm.waitJobs, pause: fixed(jobsPause),
+		put: func(en *dispatch.Entry, ro Row, _ bool) {
 			rec, err := decodeRecord(ro)
 			if err != nil {
 				dm.log.Line("job-row-unreadable", "job", ro.Key, "error", err.Error())
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -18,8 +18,12 @@
 // The timing of sessions between entries. An owner may count on a session that
 // it has ended to be noticed by the holder within inboundSilence.
 const (
-	// linkBeat is the longest pause between two batches of a session.
+	// linkBeat is the longest pause between two batches of a session in at least
+	// one of the two directions between entries.
 	linkBeat = 200 * time.Millisecond
+	// linkSlowBeat is the same for the other direction while the first one proves
+	// that both entries keep both sessions. It finds connections that went silent.
+	linkSlowBeat = 800 * time.Millisecond
 	// linkTimeout without an answer ends a session. Round trips take 1 ms; an
 	// entry that is slowed down five times still answers in time.
 	linkTimeout = 600 * time.Millisecond
@@ -35,12 +39,25 @@
 	dialTimeout = 300 * time.Millisecond
 )
 
+// peerProtocol is the version of the messages between entries. Version 0 knows
+// no loads that are left out and no sessions that beat slowly.
+const peerProtocol = 1
+
 // Batch is what one entry sends to another in one call.
 type Batch struct {
 	From    ids.Incarnation
 	Session uint64
+	// Protocol is the peerProtocol of the sender.
+	Protocol int
+	// Self comes with the first batch of a session.
+	Self *dispatch.Self
 	// Hears tells that the sender has a session in the other direction.
-	Hears          bool
+	Hears bool
+	// Spare tells that the sender keeps the session only because the receiver
+	// keeps the one in the other direction.
+	Spare bool
+	// SameLoad tells that the load is the one that was sent last.
+	SameLoad       bool
 	Load           dispatch.Load
 	DesiredVersion int64
 	Messages       []dispatch.Message
@@ -48,7 +65,11 @@
 
 // Ack answers a batch.
 type Ack struct {
-	Incarnation    ids.Incarnation
+	Incarnation ids.Incarnation
+	Protocol    int
+	// Linked tells that the receiver keeps its session towards the sender.
+	Linked         bool
+	SameLoad       bool // as in Batch
 	Load           dispatch.Load
 	DesiredVersion int64
 }
@@ -72,6 +93,7 @@
 		dispatch.Noted{},
 		dispatch.Claimed{},
 		dispatch.PastEnds{},
+		dispatch.WorkerNews{},
 	} {
 		gob.Register(msg)
 	}
@@ -80,30 +102,56 @@
 // link keeps the session towards one entry. Its fields are guarded by the lock
 // of the daemon.
 type link struct {
-	dm      *Daemon
-	to      ids.EntryID
-	address string
-	up      bool
-	upAt    time.Time
-	broken  bool // the receiver no longer knows the session in progress
-	queue   []dispatch.Message
-	kick    chan struct{}
+	dm       *Daemon
+	to       ids.EntryID
+	address  string
+	up       bool
+	upAt     time.Time
+	broken   bool // the receiver no longer knows the session in progress
+	spare    bool
+	needless bool // no session is needed any more
+	protocol int  // of the receiver
+	queue    []dispatch.Message
+	kick     chan struct{}
 }
 
-// keepLinks starts and ends links as members come and go.
+// keepLinks begins and ends links as they are needed.
 func (dm *Daemon) keepLinks(en *dispatch.Entry) {
-	for _, mb := range en.Members() {
-		id := mb.Incarnation.Entry()
-		if lk := dm.links[id]; lk != nil {
-			lk.address = mb.PeerAddress
-			continue
+	list := en.Links()
+	needed := make(map[ids.EntryID]bool, len(list))
+	for _, want := range list {
+		id := want.Incarnation.Entry()
+		needed[id] = true
+		lk := dm.links[id]
+		if lk == nil {
+			lk = &link{dm: dm, to: id, kick: make(chan struct{}, 1)}
+			dm.links[id] = lk
+			dm.grp.Go(lk.run)
+		}
+		lk.address, lk.spare, lk.needless = want.PeerAddress, want.Spare, false
+	}
+	for id, lk := range dm.links {
+		if !needed[id] {
+			lk.needless = true
 		}
-		lk := &link{dm: dm, to: id, address: mb.PeerAddress, kick: make(chan struct{}, 1)}
-		dm.links[id] = lk
-		dm.grp.Go(lk.run)
 	}
 }
 
+// loadFor returns the load to send to an entry, and whether it is the one that
+// was sent last. Entries of protocol 0 need it every time.
+func (dm *Daemon) loadFor(en *dispatch.Entry, to ids.EntryID, protocol int, always bool) (dispatch.Load, bool) {
+	load := en.Load()
+	if !load.Same(dm.load) {
+		load.Number = dm.load.Number + 1
+		dm.load = load
+	}
+	if protocol > 0 && !always && dm.sentLoad[to] == dm.load.Number {
+		return dispatch.Load{}, true
+	}
+	dm.sentLoad[to] = dm.load.Number
+	return dm.load, false
+}
+
 // push queues a message; without a session it is dropped.
 func (lk *link) push(msg dispatch.Message) {
 	if !lk.up {
@@ -121,7 +169,12 @@
 	for ctx.Err() == nil {
 		var address string
 		kept := true
-		lk.dm.locked(func(*dispatch.Entry) { address, kept = lk.address, lk.dm.links[lk.to] == lk })
+		lk.dm.locked(func(*dispatch.Entry) {
+			address, kept = lk.address, lk.dm.links[lk.to] == lk && !lk.needless
+			if !kept && lk.dm.links[lk.to] == lk {
+				delete(lk.dm.links, lk.to)
+			}
+		})
 		if !kept {
 			return
 		}
@@ -136,10 +189,15 @@
 				en.Refused(lk.to)
 			}
 		})
-		group.Sleep(ctx, linkRetry)
+		if !errors.Is(err, errNeedless) {
+			group.Sleep(ctx, linkRetry)
+		}
 	}
 }
 
+// errNeedless ends a session that is not needed any more.
+var errNeedless = errors.New("the session is not needed")
+
 // session runs one session until it fails.
 func (lk *link) session(ctx context.Context, address string) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
@@ -151,21 +209,29 @@
 	defer cl.Close()
 	var number uint64
 	lk.dm.locked(func(*dispatch.Entry) {
-		lk.broken = false
+		lk.broken, lk.protocol = false, 0
+		delete(lk.dm.sentLoad, lk.to)
 		// Numbers of one incarnation rise; another incarnation differs in From.
 		lk.dm.lastSess++
 		number = lk.dm.lastSess
 	})
+	self := &lk.dm.opt.Self
 	for {
-		batch := Batch{From: lk.dm.opt.Self.Incarnation, Session: number}
+		batch := Batch{From: lk.dm.opt.Self.Incarnation, Session: number, Protocol: peerProtocol, Self: self}
+		needless := false
 		lk.dm.locked(func(en *dispatch.Entry) {
-			batch.Load = en.Load()
-			batch.Hears = en.Hears(lk.to)
+			needless = lk.needless && len(lk.queue) == 0
+			batch.Load, batch.SameLoad = lk.dm.loadFor(en, lk.to, lk.protocol, len(lk.queue) > 0)
+			batch.Hears, batch.Spare = en.Hears(lk.to), lk.spare
 			if des := en.Desired(); des != nil {
 				batch.DesiredVersion = des.Version
 			}
 			batch.Messages, lk.queue = lk.queue, nil
 		})
+		if needless {
+			return errNeedless
+		}
+		self = nil
 		ack, err := lk.deliver(ctx, conn, cl, batch)
 		if err != nil {
 			return err
@@ -173,16 +239,29 @@
 		if !lk.acked(ack) {
 			return errSessionEnded
 		}
-		lk.wait(ctx)
+		lk.wait(ctx, lk.pause())
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
 }
 
-// wait returns when there is something to send or a beat is due.
-func (lk *link) wait(ctx context.Context) {
-	timer := time.NewTimer(linkBeat)
+// pause returns the longest pause before the next batch. Of two entries that
+// hear each other the one with the lower id beats; its batches and their answers
+// prove the sessions of both directions.
+func (lk *link) pause() time.Duration {
+	pause := linkBeat
+	lk.dm.locked(func(en *dispatch.Entry) {
+		if lk.protocol > 0 && lk.to < lk.dm.opt.Self.Incarnation.Entry() && en.Hears(lk.to) {
+			pause = linkSlowBeat
+		}
+	})
+	return pause
+}
+
+// wait returns when there is something to send or a pause is over.
+func (lk *link) wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -192,7 +271,7 @@
 }
 
 func (lk *link) deliver(ctx context.Context, conn net.Conn, cl *rpc.Client, batch Batch) (Ack, error) {
-	if err := conn.SetDeadline(time.Now().Add(linkTimeout + linkBeat)); err != nil {
+	if err := conn.SetDeadline(time.Now().Add(linkTimeout + linkSlowBeat)); err != nil {
 		return Ack{}, err
 	}
 	var ack Ack
@@ -221,7 +300,13 @@
 			lk.up, lk.upAt = true, lk.dm.at
 			en.SessionUp(lk.to, ack.Incarnation)
 		}
-		en.Heard(lk.to, ack.Load)
+		lk.protocol = ack.Protocol
+		if ack.Linked {
+			lk.dm.hear(en, lk.to)
+		}
+		if !ack.SameLoad {
+			en.Heard(lk.to, ack.Load)
+		}
 		lk.dm.shareDesired(en, lk.to, ack.DesiredVersion)
 	})
 	return goesOn
@@ -317,18 +402,20 @@
 }
 
 // checkSilence ends the sessions that have been silent for too long.
-func (dm *Daemon) checkSilence() {
-	dm.locked(func(en *dispatch.Entry) {
-		now := dm.at
-		for in := range dm.inbound {
-			if now.Sub(in.heard) > inboundSilence {
-				in.end(en, "silent")
-				if err := in.conn.Close(); err != nil {
-					dm.log.Line("session-close", "error", err.Error())
-				}
+func (dm *Daemon) checkSilence(en *dispatch.Entry) {
+	now := dm.at
+	if now.Sub(dm.silenceAt) < silenceCheck {
+		return
+	}
+	dm.silenceAt = now
+	for in := range dm.inbound {
+		if now.Sub(in.heard) > inboundSilence {
+			in.end(en, "silent")
+			if err := in.conn.Close(); err != nil {
+				dm.log.Line("session-close", "error", err.Error())
 			}
 		}
-	})
+	}
 }
 
 // Peer is the net/rpc service that entries call.
@@ -349,18 +436,21 @@
 		in.heard = in.dm.at
 		from := batch.From.Entry()
 		if in.from == "" {
-			if lk := in.dm.links[from]; lk != nil && !batch.Hears {
-				lk.breakOff(en)
-			}
-			in.from, in.number = from, in.dm.nextInbound()
-			en.InboundUp(from, in.number)
+			in.begin(en, from, batch)
+		}
+		en.HeardSpare(from, batch.Spare)
+		if !batch.SameLoad {
+			en.Heard(from, batch.Load)
 		}
-		en.Heard(from, batch.Load)
 		for _, msg := range batch.Messages {
 			en.Receive(from, msg)
 		}
 		ack.Incarnation = in.dm.opt.Self.Incarnation
-		ack.Load = en.Load()
+		ack.Protocol = peerProtocol
+		if lk := in.dm.links[from]; lk != nil && en.Hears(from) {
+			ack.Linked = lk.up
+		}
+		ack.Load, ack.SameLoad = in.dm.loadFor(en, from, batch.Protocol, len(batch.Messages) > 0)
 		if des := en.Desired(); des != nil {
 			ack.DesiredVersion = des.Version
 		}
@@ -369,6 +459,33 @@
 	return err
 }
 
+// begin takes the first batch of a session.
+func (in *inbound) begin(en *dispatch.Entry, from ids.EntryID, batch Batch) {
+	dm := in.dm
+	if lk := dm.links[from]; lk != nil && !batch.Hears {
+		lk.breakOff(en)
+	}
+	in.from, in.number = from, dm.nextInbound()
+	if batch.Self != nil {
+		en.Meet(*batch.Self)
+	}
+	delete(dm.sentLoad, from)
+	en.InboundUp(from, in.number)
+	en.HeardSpare(from, batch.Spare)
+	if en.LinksChanged() {
+		dm.keepLinks(en)
+	}
+}
+
+// hear notes that an entry keeps its session towards this one.
+func (dm *Daemon) hear(en *dispatch.Entry, id ids.EntryID) {
+	for in := range dm.inbound {
+		if in.from == id && !in.ended && en.InboundIs(id, in.number) {
+			in.heard = dm.at
+		}
+	}
+}
+
 // nextInbound numbers the sessions towards this entry.
 func (dm *Daemon) nextInbound() uint64 {
 	dm.lastSess++
--- a/internal/fleet/stand_in_test.go
+++ b/internal/fleet/stand_in_test.go
@@ -1,10 +1,12 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +48,21 @@
 	return rows, ms.version, nil
 }
 
+func (ms *memStore) Page(ctx context.Context, tb Table, part Part, from string, most int) (Page, error) {
+	rows, version, err := ms.Read(ctx, tb, part, "")
+	if err != nil {
+		return Page{}, err
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+	first, _ := slices.BinarySearchFunc(rows, from, func(ro Row, key string) int { return cmp.Compare(ro.Key, key) })
+	rows = rows[first:]
+	page := Page{Rows: rows, Version: version}
+	if len(rows) > most {
+		page.Rows, page.Next = rows[:most], rows[most].Key
+	}
+	return page, nil
+}
+
 func (ms *memStore) Follow(ctx context.Context, tb Table, after dispatch.Version, wait time.Duration) ([]Row, dispatch.Version, error) {
 	end := time.Now().Add(wait)
 	for {
