dispatch: watchers list the workers to entries that start; tests of a large fleet

A watcher lists the workers of the zone when a session begins, and an entry of a large fleet waits for that before it reads the table itself. Pages of the slow reading are smaller, since 48 KB hold up other messages for 190 ms on a link of 2 Mbit/s. Beats of 147 entries come every 3.7 s.

Tests: TestLargeAtRest, TestLargeServes, TestLargeFaults, TestNewsOfWorkers at 7 to 120 entries.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -64,6 +64,8 @@
 	resumed      int // starts that went on from saved progress
 	alone        int // tasks that waited in vain for the others of their gang
 	connects     int // sessions that were begun
+	rowsRead     int // reports of workers that were read
+	messages     int // between entries
 	cancelled    map[ids.JobID]bool
 	// trace takes the log lines of the entries and what happens at workers.
 	trace func(line string)
@@ -200,6 +202,9 @@
 	number uint64
 	seen   Version // of the rows of jobs
 	dials  map[ids.EntryID]time.Time
+	// scanned is the next worker of a scan of the reports.
+	scanned   int
+	scannedAt time.Time
 	// seenRows is the version of the holders' rows that were read.
 	seenRows Version
 	held     []func() // what arrives while the process is frozen
@@ -248,7 +253,7 @@
 				}
 			})
 		}
-		wo.after(BeatInterval, beat)
+		wo.after(ee.en.BeatEvery(), beat)
 	}
 	link = func() {
 		if ee.gen != gen || !ee.alive {
@@ -301,11 +306,14 @@
 		return
 	}
 	apply := read()
+	whole := table != TableWorkers || ee.readsAll()
 	wo.after(wo.storeTime(), func() {
 		if ee.gen == gen && ee.alive {
 			ee.deliver(func() {
 				apply()
-				ee.en.TableRead(table, sent)
+				if whole {
+					ee.en.TableRead(table, sent)
+				}
 			})
 		}
 		again()
@@ -318,7 +326,7 @@
 	var members []Member
 	for _, other := range wo.sortedEntries() {
 		if other.id != ee.id && other.gen > 0 && !wo.gone[other.id] {
-			members = append(members, Member{Self: Self{Incarnation: other.inc, Zone: other.zone, Size: other.size}, Beat: other.beat, Leaving: other.en.leaving})
+			members = append(members, Member{Self: Self{Incarnation: other.inc, Zone: other.zone, Size: other.size}, Beat: other.beat, BeatEvery: other.en.BeatEvery(), Leaving: other.en.leaving})
 		}
 	}
 	var rows []HolderRow
@@ -349,19 +357,67 @@
 	}
 }
 
-// readWorkers reads the rows of the workers.
+// The reading of reports by an entry that does not follow them.
+const (
+	emuReport   = 1500 * time.Millisecond // interval of the reports
+	emuScanRows = 24
+	emuScanWait = 1500 * time.Millisecond
+)
+
+// report returns the row of a worker and whether it is in the store. Its version
+// is the time of the last report.
+func (wk *emuWorker) report() (WorkerInfo, bool) {
+	wo := wk.wo
+	away := wo.severed[wk.info.Zone]
+	if away {
+		wk.downAt = wo.severedAt
+	}
+	if !wk.up || away || wk.unlisted {
+		return wk.info, false
+	}
+	info := wk.info
+	info.Sequence = wo.at.UnixNano()
+	info.Version = Version(wo.at.Add(-wk.offset % emuReport).Truncate(emuReport).UnixNano())
+	return info, true
+}
+
+// readsAll tells whether an entry reads the reports of all workers.
+func (ee *emuEntry) readsAll() bool { return ee.en.FollowsWorkers() || ee.en.NeedsAllWorkers() }
+
+// readWorkers reads the rows of the workers: all of them, or a page and those
+// that the entry wants to know of.
 func (ee *emuEntry) readWorkers() func() {
 	wo := ee.wo
+	follows := ee.readsAll()
+	list := wo.sortedWorkers()
+	page := func(*emuWorker) bool { return true }
+	if !follows {
+		wanted := ee.en.ReportsWanted(8)
+		from, to := ee.scanned, ee.scanned+emuScanRows
+		if wo.at.Sub(ee.scannedAt) < emuScanWait {
+			to = from
+		} else {
+			ee.scannedAt, ee.scanned = wo.at, to
+			if to >= len(list) {
+				ee.scanned = 0
+			}
+		}
+		nums := map[*emuWorker]int{}
+		for num, wk := range list {
+			nums[wk] = num
+		}
+		page = func(wk *emuWorker) bool {
+			return slices.Contains(wanted, wk.info.ID) || (nums[wk] >= from && nums[wk] < to)
+		}
+	}
 	var infos []WorkerInfo
 	var gone []ids.WorkerID
-	for _, wk := range wo.sortedWorkers() {
-		away := wo.severed[wk.info.Zone]
-		if away {
-			wk.downAt = wo.severedAt
+	for _, wk := range list {
+		if !page(wk) {
+			continue
 		}
-		if wk.up && !away && !wk.unlisted {
-			info := wk.info
-			info.Sequence = wo.at.UnixNano()
+		wo.rowsRead++
+		if info, ok := wk.report(); ok {
 			infos = append(infos, info)
 		} else if wo.at.Sub(wk.downAt) > 4*time.Second {
 			gone = append(gone, wk.info.ID)
@@ -369,13 +425,22 @@
 	}
 	return func() {
 		for _, info := range infos {
-			ee.en.PutWorker(info)
+			kw := ee.en.known[info.ID]
+			switch {
+			case !follows:
+				ee.en.SeeWorker(info)
+			case kw == nil || kw.info.Version != info.Version || !kw.removed.IsZero():
+				ee.en.PutWorker(info)
+			}
 		}
 		for _, id := range gone {
 			if ee.en.known[id] != nil {
 				ee.en.DropWorker(id, 0)
 			}
 		}
+		if follows {
+			ee.en.WorkersFollowed(Version(wo.at.UnixNano()))
+		}
 	}
 }
 
@@ -603,6 +668,7 @@
 	if other == nil || !se.up {
 		return
 	}
+	wo.messages++
 	ogen, number := other.gen, other.en.session(from.id).inbound
 	wo.after(emuHop, func() {
 		if other.gen != ogen || !other.alive || wo.isCut(string(from.id), string(to)) {
@@ -1390,9 +1456,13 @@
 // standardWorld is the users' deployment: entries and workers in zones, a
 // quarter of the workers slow, a third of them larger.
 func standardWorld(seed uint64, entries, workers int) *world {
+	return zonedWorld(seed, entries, workers, []ids.AvailabilityZone{"north", "east", "south", "west"})
+}
+
+// zonedWorld is like standardWorld, over some zones.
+func zonedWorld(seed uint64, entries, workers int, zones []ids.AvailabilityZone) *world {
 	wo := newWorld(seed)
 	wo.desired = standardDesired(1)
-	zones := []ids.AvailabilityZone{"north", "east", "south", "west"}
 	for num := range entries {
 		wo.addEntry(fmt.Sprintf("entry-%02d", num), zones[num%len(zones)], 0.4)
 	}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -160,6 +160,11 @@
 	claimsChanged bool
 	claimsAt      time.Time
 	forgetTick    time.Time
+	// newsTaken tells that a watcher has listed the workers of this zone, and
+	// workersAt is the version of the store up to which this entry has followed
+	// their reports itself.
+	newsTaken bool
+	workersAt Version
 	// handed holds the owners of the tasks on workers that are being handed over.
 	handed     map[ids.WorkerID][]ids.EntryID
 	staleUntil time.Time // run times are not judged before
@@ -311,11 +316,21 @@
 // TableRead tells that all rows of a table have been taken that were there when
 // the read was sent.
 func (en *Entry) TableRead(tb Table, sent time.Time) {
+	first := en.readAt[tb].IsZero()
 	if sent.After(en.readAt[tb]) {
 		en.readAt[tb] = sent
 	}
+	if tb == TableWorkers && first {
+		for _, id := range sortedKeys(en.sessions) {
+			en.tellWhole(id)
+		}
+	}
 }
 
+// WorkersFollowed takes the version of the store up to which this entry has
+// taken all changes of the reports of workers.
+func (en *Entry) WorkersFollowed(version Version) { en.workersAt = version }
+
 // Desired returns the desired state in force, nil before the first one.
 func (en *Entry) Desired() *Desired { return en.desired }
 
@@ -338,6 +353,7 @@
 	if se.inbound != 0 {
 		en.offerWants(id)
 		en.askOwner(id)
+		en.tellWhole(id)
 	}
 }
 
@@ -380,6 +396,7 @@
 	if se.up {
 		en.offerWants(id)
 		en.askOwner(id)
+		en.tellWhole(id)
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/large_test.go
@@ -0,0 +1,195 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// largeWorld is a fleet of five zones with seven workers for each entry.
+func largeWorld(seed uint64, entries int) *world {
+	return zonedWorld(seed, entries, 7*entries, emuZones)
+}
+
+// loadPerWorker is the load of standardKinds for one worker.
+const loadPerWorker = 1.0 / 48
+
+// held counts the workers that have a holder which lives and uses them.
+func (wo *world) held() int {
+	count := 0
+	for _, ee := range wo.sortedEntries() {
+		if ee.alive {
+			count += ee.en.Held()
+		}
+	}
+	return count
+}
+
+// untilHeld runs the world until all workers have a holder, at most for a time.
+func (wo *world) untilHeld(t *testing.T, workers int, most time.Duration) {
+	t.Helper()
+	begin := wo.at
+	for wo.held() < workers {
+		if wo.at.Sub(begin) > most {
+			t.Fatalf("after %s %d of %d workers have a holder", most, wo.held(), workers)
+		}
+		wo.run(100 * time.Millisecond)
+	}
+	t.Logf("all %d workers have a holder after %s", workers, wo.at.Sub(begin))
+}
+
+// TestLargeAtRest guards against a cost of control that grows with the fleet:
+// sessions and reports read for one entry stay the same from 30 entries on, and
+// no message is needed while nothing happens.
+func TestLargeAtRest(t *testing.T) {
+	// The bound on sessions of both directions is that of the design: neighbours
+	// on both sides, far links and watchers, and as many again that others keep.
+	const mostSessions = 2 * (2*nearSide + 2*farLinks + 2*watchersPerZone)
+	// Two watchers of each of five zones follow all reports, seven workers an
+	// entry every 0.2 s in this world; the others read a page every 1.5 s.
+	const secs = 4
+	for _, entries := range []int{30, 120} {
+		wo := largeWorld(uint64(entries), entries)
+		wo.run(8 * time.Second)
+		if held := wo.held(); held != 7*entries {
+			t.Errorf("%d entries: %d of %d workers have a holder", entries, held, 7*entries)
+		}
+		sessions, pages := 0, 0
+		for _, ee := range wo.sortedEntries() {
+			for _, se := range ee.en.sessions {
+				if se.mutual() {
+					sessions++
+				}
+			}
+			if !ee.en.FollowsWorkers() {
+				pages++
+			}
+		}
+		if watchers := entries - pages; watchers != 5*watchersPerZone {
+			t.Errorf("%d entries: %d follow all reports, want two in each of five zones", entries, watchers)
+		}
+		if per := float64(sessions) / float64(entries); per > mostSessions/2 {
+			t.Errorf("%d entries: %.1f sessions an entry, want at most %d", entries, per, mostSessions/2)
+		}
+		messages, connects := wo.messages, wo.connects
+		wo.run(secs * time.Second)
+		if sent := wo.messages - messages; sent > 0 {
+			t.Errorf("%d entries: %d messages while nothing happens", entries, sent)
+		}
+		if begun := wo.connects - connects; begun > 0 {
+			t.Errorf("%d entries: %d sessions are begun while nothing happens", entries, begun)
+		}
+		wo.check(t)
+	}
+}
+
+// TestLargeServes guards against a large fleet that serves worse than a small
+// one at the same load for each worker.
+func TestLargeServes(t *testing.T) {
+	share := map[int]float64{}
+	for _, entries := range []int{7, 60} {
+		wo := largeWorld(9, entries)
+		wo.run(9 * time.Second)
+		wo.load(standardKinds, float64(7*entries)*loadPerWorker, 6*time.Second)
+		wo.run(10 * time.Second)
+		wo.check(t)
+		share[entries] = wo.share()
+	}
+	t.Log(share)
+	if share[60] < share[7]-0.02 {
+		t.Errorf("60 entries serve %.3f of the jobs in time, 7 entries %.3f", share[60], share[7])
+	}
+}
+
+// TestLargeFaults guards the fleet with bounded neighbours against the faults
+// that every entry could see when all had sessions with all.
+func TestLargeFaults(t *testing.T) {
+	const entries, workers = 60, 420
+	rows := []struct {
+		name  string
+		fault func(wo *world)
+		// back is the time after the fault in which all workers have holders that
+		// are left: beats of 1.5 s, two reports of a worker, and a margin.
+		back time.Duration
+	}{
+		{"a third of the entries killed at once", func(wo *world) {
+			for num, ee := range wo.sortedEntries() {
+				if num%3 == 0 {
+					ee.kill()
+					wo.after(3*time.Second, func() { ee.start(0.4) })
+				}
+			}
+		}, 8 * time.Second},
+		{"all entries without power", func(wo *world) { wo.restartAll(1300 * time.Millisecond) }, 8 * time.Second},
+		{"a zone cut off", func(wo *world) { wo.sever("north", 5*time.Second) }, 12 * time.Second},
+		{"all entries of a zone killed for good", func(wo *world) {
+			for _, ee := range wo.sortedEntries() {
+				if ee.zone == "east" {
+					ee.kill()
+				}
+			}
+		}, 40 * time.Second},
+		{"watchers killed", func(wo *world) {
+			for _, id := range wo.sortedEntries()[0].en.topology.roster.watchers("north") {
+				ee := wo.entries[id]
+				ee.kill()
+				wo.after(3*time.Second, func() { ee.start(0.4) })
+			}
+		}, 8 * time.Second},
+		{"a fifth of the entries frozen", func(wo *world) {
+			for num, ee := range wo.sortedEntries() {
+				if num%5 == 0 {
+					ee.freeze(4 * time.Second)
+				}
+			}
+		}, 10 * time.Second},
+		{"a fifth of the entries cut off from the store", func(wo *world) {
+			for num, ee := range wo.sortedEntries() {
+				if num%5 == 0 {
+					wo.storeCut[ee.id] = true
+					wo.after(6*time.Second, func() { delete(wo.storeCut, ee.id) })
+				}
+			}
+		}, 8 * time.Second},
+	}
+	for num, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			wo := zonedWorld(uint64(num)+40, entries, workers, emuZones)
+			wo.run(6 * time.Second)
+			wo.load(standardKinds, workers*loadPerWorker*0.5, 8*time.Second)
+			wo.run(2 * time.Second)
+			row.fault(wo)
+			wo.run(3 * time.Second)
+			wo.untilHeld(t, workers, row.back)
+			wo.run(10 * time.Second)
+			wo.check(t)
+		})
+	}
+}
+
+// TestNewsOfWorkers guards against changes of workers that reach their holders
+// late: entries that do not follow the reports hear of draining, removed and new
+// workers from a watcher.
+func TestNewsOfWorkers(t *testing.T) {
+	const entries, workers = 60, 420
+	wo := zonedWorld(5, entries, workers, emuZones)
+	wo.run(8 * time.Second)
+	drained := map[ids.WorkerID]bool{}
+	for num, wk := range wo.sortedWorkers() {
+		if num%4 == 0 {
+			wk.info.State = WorkerDraining
+			drained[wk.info.ID] = true
+		}
+	}
+	// A report comes every 1.5 s and is read 0.2 s later.
+	wo.run(2 * time.Second)
+	for _, ee := range wo.sortedEntries() {
+		for id, wk := range ee.en.workers {
+			if drained[id] && wk.info.State != WorkerDraining {
+				t.Errorf("%s does not know that its worker %s drains", ee.id, id)
+			}
+		}
+	}
+}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -265,7 +265,8 @@
 	if se.refused {
 		limit = beatSilenceRefused
 	}
-	limit = time.Duration(float64(limit) * max(1, mb.BeatEvery.Seconds()/BeatInterval.Seconds()))
+	// A large fleet beats more rarely.
+	limit += max(0, mb.BeatEvery-BeatInterval)
 	if en.observed(now).Sub(mb.beatAt) < limit {
 		return true
 	}
@@ -492,7 +493,8 @@
 			en.vanished[id] = now
 			continue
 		}
-		old := now.Sub(since) > memberTime && now.Sub(en.storeLost) > memberTime
+		// An entry that does not follow the reports takes a while to see them all.
+		old := now.Sub(since) > memberTime && now.Sub(en.storeLost) > memberTime && en.readAt[TableWorkers].After(since)
 		if old && ro.assigned(string(id), "") == en.self.Incarnation {
 			changes = append(changes, RowChange{Worker: id, Expected: row.Version})
 		}
--- a/internal/dispatch/neighbours.go
+++ b/internal/dispatch/neighbours.go
@@ -255,12 +255,13 @@
 
 // The growth of the intervals of the store with the fleet.
 const (
-	// beatSpacing keeps the beats of a fleet below 75 writes a second. A part of
-	// the store takes 200, and changes of holders share it with the beats.
-	beatSpacing = time.Second / 75
-	// readSpacing keeps the rows of entries that each entry reads below 50 a
+	// beatSpacing keeps the beats of a fleet below 40 writes a second. A part of
+	// the store takes 200, and changes of holders share it with the beats; each
+	// entry reads all beats, at a third of a kilobyte.
+	beatSpacing = time.Second / 40
+	// readSpacing keeps the rows of entries that each entry reads below 40 a
 	// second.
-	readSpacing = time.Second / 50
+	readSpacing = time.Second / 40
 )
 
 // BeatEvery returns the interval at which this entry is to rewrite its row.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -142,6 +142,8 @@
 	Limits dispatch.Limits
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
+	// FirstStart tells that the whole fleet starts for the first time.
+	FirstStart bool
 }
 
 // Daemon is a running entry.
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -34,9 +34,18 @@
 	workersPause    = 500 * time.Millisecond
 	fleetPauseLeast = 500 * time.Millisecond
 	// scanRows of the reports of workers are read every scanPause by an entry that
-	// does not follow them: 64 a second, 30 KB.
-	scanRows  = 96
+	// does not follow them: 8 KB a second. A larger page holds up other messages
+	// on a link of 2 Mbit/s.
+	scanRows  = 24
 	scanPause = 1500 * time.Millisecond
+	// newsWait is how long an entry that starts waits for another one to list the
+	// workers, and firstStartWait how long the entries of a new fleet wait for the
+	// rows of the others, of which the store takes 200 a second.
+	newsWait       = 1500 * time.Millisecond
+	firstStartWait = time.Second
+	newsPoll       = 50 * time.Millisecond
+	// beatRetry is the pause after a beat that failed.
+	beatRetry = 300 * time.Millisecond
 	// reportsAtOnce bounds the single reports that are read at a time because a
 	// decision depends on them.
 	reportsAtOnce = 8
@@ -100,7 +109,7 @@
 		dm.apply(tb, rows, keys, whole)
 		complete := whole || len(rows) < feedRows
 		if complete {
-			dm.tableRead(tb.name, sent)
+			dm.followed(tb.name, sent, next)
 		}
 		version = next
 		if tb.pause != nil && complete {
@@ -132,6 +141,14 @@
 	}
 }
 
+// followed tells the entry that it has taken all changes of a table.
+func (dm *Daemon) followed(tb Table, sent time.Time, version dispatch.Version) {
+	dm.tableRead(tb, sent)
+	if tb == TableWorkers {
+		dm.locked(func(en *dispatch.Entry) { en.WorkersFollowed(version) })
+	}
+}
+
 // readAll reads the parts of a table. The version is that of the first read, so
 // that changes meanwhile come again through the feed.
 func (dm *Daemon) readAll(ctx context.Context, tb table) ([]Row, dispatch.Version, error) {
@@ -235,17 +252,44 @@
 // followWorkers keeps up with the reports of workers until ctx ends: through the
 // feed, or slowly through the whole table where others pass on what changes.
 func (dm *Daemon) followWorkers(ctx context.Context) {
-	keys := map[string]bool{}
+	keys := dm.awaitNews(ctx)
 	for ctx.Err() == nil {
 		dm.follow(ctx, table{
 			name: TableWorkers, parts: []Part{""}, wait: fixed(workersWait), pause: fixed(workersPause), keys: keys,
-			until: func() bool { return len(keys) > 0 && !dm.followsWorkers() },
+			until: func() bool { return len(keys) > 0 && !dm.followsWorkers() && !dm.needsAllWorkers() },
 			put:   dm.putWorker, drop: dropWorker,
 		})
 		dm.scanWorkers(ctx, keys)
 	}
 }
 
+// awaitNews waits until another entry has listed the workers, if this is the
+// start of an entry of a large fleet, and returns the keys of their reports.
+func (dm *Daemon) awaitNews(ctx context.Context) map[string]bool {
+	keys := map[string]bool{}
+	end := dm.clock().Add(newsWait)
+	if dm.opt.FirstStart {
+		group.Sleep(ctx, firstStartWait)
+		end = end.Add(firstStartWait)
+	}
+	for ctx.Err() == nil && dm.clock().Before(end) {
+		wait := false
+		dm.locked(func(en *dispatch.Entry) {
+			wait = en.Size() == 0 || (en.NewsExpected() && !en.HasNews())
+			if !wait && en.NewsExpected() {
+				for _, id := range en.KnownWorkers() {
+					keys[string(id)] = true
+				}
+			}
+		})
+		if !wait {
+			return keys
+		}
+		group.Sleep(ctx, newsPoll)
+	}
+	return keys
+}
+
 func fixed(pause time.Duration) func() time.Duration {
 	return func() time.Duration { return pause }
 }
@@ -281,17 +325,32 @@
 // a decision depends on, until this entry is to follow all of them.
 func (dm *Daemon) scanWorkers(ctx context.Context, keys map[string]bool) {
 	from := firstPage(keys)
-	var nextPage time.Time
+	var nextPage, passBegan time.Time
 	for ctx.Err() == nil && !dm.followsWorkers() {
 		dm.readWanted(ctx, keys)
-		if now := dm.clock(); !now.Before(nextPage) {
+		now := dm.clock()
+		if from == "" {
+			passBegan = now
+		}
+		if dm.needsAllWorkers() {
+			return
+		}
+		if !now.Before(nextPage) {
 			nextPage = now.Add(scanPause)
-			from = dm.scanPage(ctx, from, keys)
+			if from = dm.scanPage(ctx, from, keys); from == "" && !passBegan.IsZero() {
+				dm.tableRead(TableWorkers, passBegan)
+			}
 		}
 		group.Sleep(ctx, workersPause)
 	}
 }
 
+func (dm *Daemon) needsAllWorkers() bool {
+	needs := false
+	dm.locked(func(en *dispatch.Entry) { needs = en.NeedsAllWorkers() })
+	return needs
+}
+
 // firstPage returns a key to begin with, a different one for each entry, because
 // the order of a map differs.
 func firstPage(keys map[string]bool) string {
@@ -426,8 +485,11 @@
 // beat rewrites this entry's row until ctx ends.
 func (dm *Daemon) beat(ctx context.Context) {
 	for ctx.Err() == nil {
-		dm.writeBeat(ctx)
-		group.Sleep(ctx, dm.beatEvery())
+		pause := beatRetry
+		if dm.writeBeat(ctx) {
+			pause = dm.beatEvery()
+		}
+		group.Sleep(ctx, pause)
 	}
 }
 
@@ -437,7 +499,8 @@
 	return every
 }
 
-func (dm *Daemon) writeBeat(ctx context.Context) {
+// writeBeat rewrites this entry's row, and tells whether that has succeeded.
+func (dm *Daemon) writeBeat(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	self := dm.opt.Self
@@ -456,7 +519,8 @@
 	if err != nil {
 		dm.cnt.Add("store", "beat-errors", 1)
 		dm.log.Line("beat-failed", "error", err.Error())
-		return
+		return false
 	}
 	dm.locked(func(en *dispatch.Entry) { en.Beaten(sent) })
+	return true
 }
