dispatch: ask for a desired state, retry failed tasks with care

Cause 1: each entry sent a new desired state to every neighbour that lacked it; with many routes the copies filled the links of 35 entries and sessions ended. An entry now asks one neighbour after 0.5 s. TestDesiredFromOthers.

Cause 2: workers that fail at once are always free, so all attempts of a task went to them. A task that has failed waits up to 0.4 s for a worker that is above suspicion, at another holder first.

--- a/internal/dispatch/blame.go
+++ b/internal/dispatch/blame.go
@@ -17,6 +17,9 @@
 	// row; it doubles with each further one.
 	blockFirst = 500 * time.Millisecond
 	blockMost  = 4 * time.Second
+	// carefulTime is how long a task that has failed waits for a worker that is
+	// above suspicion: a few times the usual wait for room.
+	carefulTime = 400 * time.Millisecond
 	// jobsBlamed bounds the jobs that are remembered.
 	jobsBlamed = 500
 )
@@ -44,3 +47,9 @@
 		en.eff.Log("worker-blocked", "worker", string(wk.info.ID), "failures", wk.streak, "pause-ms", pause.Milliseconds())
 	}
 }
+
+// suspect tells whether a worker may be at fault, as far as a job can tell that
+// has just failed.
+func (en *Entry) suspect(wk *worker, id ids.JobID) bool {
+	return wk.streak > 0 || en.suspects[id][wk.info.ID]
+}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -61,11 +61,12 @@
 	advised      int // calls for advice
 	badTickets   int // starts that were refused for their ticket
 	adviceLost   float64
-	resumed      int // starts that went on from saved progress
-	alone        int // tasks that waited in vain for the others of their gang
-	connects     int // sessions that were begun
-	rowsRead     int // reports of workers that were read
-	messages     int // between entries
+	resumed      int            // starts that went on from saved progress
+	alone        int            // tasks that waited in vain for the others of their gang
+	connects     int            // sessions that were begun
+	rowsRead     int            // reports of workers that were read
+	messages     int            // between entries
+	sent         map[string]int // messages by type
 	cancelled    map[ids.JobID]bool
 	// trace takes the log lines of the entries and what happens at workers.
 	trace func(line string)
@@ -140,6 +141,7 @@
 
 		faultKinds: plainFaults,
 		gangs:      map[string]*emuGang{},
+		sent:       map[string]int{},
 		cancelled:  map[ids.JobID]bool{},
 		gone:       map[ids.EntryID]bool{},
 		severed:    map[ids.AvailabilityZone]bool{},
@@ -552,6 +554,7 @@
 			})
 		case reach:
 			ee.en.Heard(other.id, other.en.Load())
+			ee.en.HeardDesired(other.id, other.en.version())
 			other.en.HeardSpare(ee.id, lk.Spare)
 		}
 	}
@@ -669,6 +672,7 @@
 		return
 	}
 	wo.messages++
+	wo.sent[fmt.Sprintf("%T", msg)]++
 	ogen, number := other.gen, other.en.session(from.id).inbound
 	wo.after(emuHop, func() {
 		if other.gen != ogen || !other.alive || wo.isCut(string(from.id), string(to)) {
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -165,6 +165,10 @@
 	// their reports itself.
 	newsTaken bool
 	workersAt Version
+	// behindSince is when another entry was first heard to have a newer version of
+	// the desired state, and askedAt when one was last asked for it.
+	behindSince time.Time
+	askedAt     time.Time
 	// handed holds the owners of the tasks on workers that are being handed over.
 	handed     map[ids.WorkerID][]ids.EntryID
 	staleUntil time.Time // run times are not judged before
@@ -299,10 +303,36 @@
 		return false
 	}
 	en.desired = &des
+	en.behindSince = time.Time{}
 	en.eff.Log("desired-state", "version", des.Version, "queues", len(des.Queues))
 	return true
 }
 
+// The asking for versions of the desired state that others have.
+const (
+	// askAfter is how long an entry waits for a version from the store, which may
+	// have hundreds of kilobytes, before it asks another entry. A version must be
+	// in force within 2 s.
+	askAfter = 500 * time.Millisecond
+	// askAgain is the pause before the next entry is asked.
+	askAgain = 400 * time.Millisecond
+)
+
+// HeardDesired takes the version of the desired state that another entry has.
+func (en *Entry) HeardDesired(id ids.EntryID, version int64) {
+	now := en.now()
+	switch {
+	case version <= en.version():
+	case en.behindSince.IsZero():
+		en.behindSince = now
+	case now.Sub(en.behindSince) >= askAfter && now.Sub(en.askedAt) >= askAgain:
+		en.askedAt = now
+		en.eff.Log("desired-state-asked", "entry", string(id), "version", version, "own", en.version(),
+			"behind-ms", now.Sub(en.behindSince).Milliseconds())
+		en.send(id, AskDesired{})
+	}
+}
+
 // Table is one of the tables of the store that an entry follows.
 type Table int
 
@@ -480,6 +510,10 @@
 		en.onJobNews(ms)
 	case NewDesired:
 		en.Apply(ms.Desired)
+	case AskDesired:
+		if en.desired != nil {
+			en.send(from, NewDesired{Desired: *en.desired})
+		}
 	case WorkerNews:
 		en.onWorkerNews(ms)
 	default:
--- a/internal/dispatch/large_test.go
+++ b/internal/dispatch/large_test.go
@@ -193,3 +193,25 @@
 		}
 	}
 }
+
+// TestDesiredFromOthers guards against a desired state of many routes that each
+// entry gets from all of its neighbours at once: copies of 200 KB filled the
+// links, and sessions ended. An entry that the store does not tell asks one
+// neighbour after the other.
+func TestDesiredFromOthers(t *testing.T) {
+	const entries = 35
+	wo := zonedWorld(6, entries, 70, emuZones)
+	wo.run(5 * time.Second)
+	wo.sortedEntries()[0].en.Apply(standardDesired(2))
+	// Six steps from neighbour to neighbour reach all, each after 0.5 s and the
+	// beat of 0.2 s.
+	wo.run(5 * time.Second)
+	for _, ee := range wo.sortedEntries() {
+		if got := ee.en.version(); got != 2 {
+			t.Errorf("%s has version %d of the desired state, want 2", ee.id, got)
+		}
+	}
+	if copies := wo.sent["dispatch.NewDesired"]; copies > entries {
+		t.Errorf("%d copies of the desired state were sent to %d entries", copies, entries)
+	}
+}
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -19,11 +19,14 @@
 // want is tasks of an owner that wait for room here.
 type want struct {
 	key     wantKey
+	job     ids.JobID
 	count   int // tasks that wait
 	granted int // of these, tasks that room is reserved for
 	shape   Shape
 	inTime  time.Time
 	late    time.Time
+	// careful is until when the want is only for workers above suspicion.
+	careful time.Time
 }
 
 // grant is room that is reserved until its owner answers.
@@ -46,8 +49,11 @@
 		wa = &want{key: key}
 		en.wants[key] = wa
 	}
-	wa.count, wa.shape = ms.Count, ms.Shape
+	wa.job, wa.count, wa.shape = ms.Job, ms.Count, ms.Shape
 	wa.inTime, wa.late = now.Add(ms.Shape.InTime), now.Add(ms.Shape.Late)
+	if ms.Shape.Careful {
+		wa.careful = now.Add(carefulTime)
+	}
 	if !en.leaving && wa.granted < wa.count {
 		// The others have been tried with the present room.
 		en.grantWant(wa, now)
@@ -157,7 +163,8 @@
 	var gt *grant
 	var id GrantID
 	for wa.granted < wa.count {
-		wk := en.pick(wa.shape, wa.inTime, wa.key, now, true)
+		wa.shape.Careful = now.Before(wa.careful)
+		wk := en.pick(wa.shape, wa.job, wa.inTime, wa.key, now, true)
 		if wk == nil {
 			break
 		}
@@ -217,7 +224,7 @@
 		if num < len(reserved) && reserved[num].worker.accepts(ms.Shape, key, now) {
 			wk = reserved[num].worker
 		} else {
-			wk = en.pick(ms.Shape, inTime, key, now, ms.Shape.Affinity != "")
+			wk = en.pick(ms.Shape, ms.Job, inTime, key, now, ms.Shape.Affinity != "")
 		}
 		if wk == nil || en.leaving {
 			en.send(from, Ended{Ref: as.TaskRef, How: EndNoRoom})
@@ -248,6 +255,12 @@
 	})
 }
 
+// accepts tells whether a worker may run one more task of a job, "" where it is
+// not known.
+func (en *Entry) accepts(wk *worker, sh Shape, id ids.JobID, key wantKey, now time.Time) bool {
+	return wk.accepts(sh, key, now) && (!sh.Careful || !en.suspect(wk, id))
+}
+
 // accepts tells whether a worker may run one more task of a shape.
 func (wk *worker) accepts(sh Shape, key wantKey, now time.Time) bool {
 	if wk.info.Service != sh.Service || !wk.usable(now) {
@@ -284,14 +297,14 @@
 // stay free for long tasks, and then the one with the least room to spare.
 // While a task may still be in time on a fast worker it does not start on a
 // slow one, or away from its data, where it would be late.
-func (en *Entry) pick(sh Shape, inTime time.Time, key wantKey, now time.Time, wait bool) *worker {
+func (en *Entry) pick(sh Shape, id ids.JobID, inTime time.Time, key wantKey, now time.Time, wait bool) *worker {
 	var best *worker
 	var bestScore pickScore
 	// What follows the step has to be in time too.
 	inTime = inTime.Add(sh.Estimate - sh.Chain)
 	hopeful := wait && !now.Add(sh.Estimate).After(inTime)
 	for _, wk := range en.workers {
-		if !wk.accepts(sh, key, now) {
+		if !en.accepts(wk, sh, id, key, now) {
 			continue
 		}
 		score := en.score(wk, sh, inTime, now)
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -25,6 +25,7 @@
 // Want tells a holder that tasks of a group wait for room.
 type Want struct {
 	Group GroupID
+	Job   ids.JobID
 	Count int
 	Shape Shape
 }
@@ -110,6 +111,9 @@
 	Desired Desired
 }
 
+// AskDesired asks for the desired state that the receiver has.
+type AskDesired struct{}
+
 // Free is the free room of one worker.
 type Free struct {
 	Service ids.ServiceName
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -230,10 +230,14 @@
 	Gang         bool // of use only with room for all
 	Advised      bool // only workers with a ticket may run it
 	Tickets      map[ids.WorkerID]string
-	Started      bool          // a task of the job has been started already
-	Left         float64       // share of the job's tasks that are not done
-	InTime       time.Duration // time left until the objective is missed
-	Late         time.Duration // time left until nobody waits any more
+	// Careful tasks have failed shortly before. They wait a moment for a worker
+	// that has not failed since it last succeeded, and on which no task of the job
+	// has failed.
+	Careful bool
+	Started bool          // a task of the job has been started already
+	Left    float64       // share of the job's tasks that are not done
+	InTime  time.Duration // time left until the objective is missed
+	Late    time.Duration // time left until nobody waits any more
 }
 
 // GroupID numbers the steps of jobs at their owner.
--- a/internal/dispatch/neighbours.go
+++ b/internal/dispatch/neighbours.go
@@ -244,7 +244,7 @@
 		return
 	}
 	switch msg.(type) {
-	case WorkerNews, NewDesired, JobNews, Unwant:
+	case WorkerNews, NewDesired, AskDesired, JobNews, Unwant:
 	default:
 		en.session(id).usedAt = en.now()
 	}
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -40,3 +40,29 @@
 		})
 	}
 }
+
+// TestFailingWorkers guards against jobs that are told to have failed because
+// all attempts of a task went to workers that fail everything at once, and are
+// therefore always free.
+func TestFailingWorkers(t *testing.T) {
+	for _, bad := range []int{5, 10} {
+		wo := standardWorld(uint64(bad), 7, 48)
+		wo.load(standardKinds, 1, 20*time.Second)
+		wo.run(3 * time.Second)
+		for num, wk := range wo.sortedWorkers() {
+			wk.fails = num%(48/bad) == 0
+		}
+		wo.run(20 * time.Second)
+		wo.check(t)
+		total := 0
+		for _, count := range wo.done {
+			total += count
+		}
+		failed := wo.done[Failed]
+		t.Log(bad, wo.done, wo.share())
+		// One job in a thousand may meet three workers whose first failure it is.
+		if failed*1000 > total {
+			t.Errorf("%d of 48 workers fail everything: %d of %d jobs have failed, want one in a thousand at most", bad, failed, total)
+		}
+	}
+}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -111,6 +111,10 @@
 	offered map[ids.EntryID]bool
 	gang    gangState
 	advice  adviceState
+	// failedAt is when a run last failed, and avoid holds the holders of the
+	// workers on which runs have failed since carefulTime.
+	failedAt time.Time
+	avoid    map[ids.EntryID]bool
 }
 
 type job struct {
@@ -509,6 +513,11 @@
 func (en *Entry) failTask(gr *group, ta *task, from ids.EntryID, ms Ended) bool {
 	jb := gr.job
 	ta.failed++
+	gr.failedAt = en.now()
+	if gr.avoid == nil {
+		gr.avoid = map[ids.EntryID]bool{}
+	}
+	gr.avoid[from] = true
 	failed := ta.failed
 	if gr.shape.Gang {
 		failed = gr.gangFailed(ta.run)
@@ -771,6 +780,7 @@
 				continue
 			}
 		}
+		en.endCare(jb, now)
 		en.tickGangs(jb, now)
 		en.tickAdvice(jb, now)
 		if jb.stored != nil {
@@ -794,6 +804,19 @@
 	}
 }
 
+// endCare lets tasks that have failed go to any holder again after a while.
+func (en *Entry) endCare(jb *job, now time.Time) {
+	for _, gr := range jb.groups {
+		if gr.avoid == nil || now.Sub(gr.failedAt) < carefulTime {
+			continue
+		}
+		gr.avoid = nil
+		if !gr.shape.Gang && len(gr.queued()) > 0 {
+			en.place(gr)
+		}
+	}
+}
+
 // retryOverload is the time to come back after a refusal for want of room: a
 // few times the longest task that this system is made for.
 const retryOverload = 2 * time.Second
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -14,6 +14,7 @@
 	sh := gr.shape
 	sh.Started = gr.job.begun
 	sh.Left = gr.job.left()
+	sh.Careful = now.Sub(gr.failedAt) < carefulTime
 	sh.InTime = gr.occ.inTime.Sub(now)
 	sh.Late = gr.occ.late.Sub(now)
 	if sh.Lasting {
@@ -59,6 +60,10 @@
 		if len(waiting) == 0 {
 			break
 		}
+		if gr.avoid[fr.holder] {
+			// Its reported room may be that of workers that fail at once.
+			continue
+		}
 		take := min(fr.count, len(waiting))
 		en.sendTasks(gr, fr.holder, waiting[:take], 0)
 		waiting = gr.queued()
@@ -186,7 +191,7 @@
 
 func (en *Entry) sendWant(gr *group, id ids.EntryID, count int) {
 	gr.offered[id] = true
-	en.send(id, Want{Group: gr.id, Count: count, Shape: gr.current(en.now())})
+	en.send(id, Want{Group: gr.id, Job: gr.job.Job.ID, Count: count, Shape: gr.current(en.now())})
 }
 
 // wantTargets lists the holders to ask for room: all of them while they are
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -94,6 +94,7 @@
 		dispatch.Claimed{},
 		dispatch.PastEnds{},
 		dispatch.WorkerNews{},
+		dispatch.AskDesired{},
 	} {
 		gob.Register(msg)
 	}
@@ -152,9 +153,20 @@
 	return dm.load, false
 }
 
-// push queues a message; without a session it is dropped.
+// known tells whether entries of a protocol can read a message.
+func known(msg dispatch.Message, protocol int) bool {
+	switch msg.(type) {
+	case dispatch.WorkerNews, dispatch.AskDesired:
+		return protocol > 0
+	default:
+		return true
+	}
+}
+
+// push queues a message. Without a session it is dropped, and so is one that the
+// receiver can't read.
 func (lk *link) push(msg dispatch.Message) {
-	if !lk.up {
+	if !lk.up || !known(msg, lk.protocol) {
 		return
 	}
 	lk.queue = append(lk.queue, msg)
@@ -296,18 +308,18 @@
 			goesOn = false
 			return
 		}
+		lk.protocol = ack.Protocol
 		if !lk.up {
 			lk.up, lk.upAt = true, lk.dm.at
 			en.SessionUp(lk.to, ack.Incarnation)
 		}
-		lk.protocol = ack.Protocol
 		if ack.Linked {
 			lk.dm.hear(en, lk.to)
 		}
 		if !ack.SameLoad {
 			en.Heard(lk.to, ack.Load)
 		}
-		lk.dm.shareDesired(en, lk.to, ack.DesiredVersion)
+		lk.dm.shareDesired(en, lk.to, ack.Protocol, ack.DesiredVersion)
 	})
 	return goesOn
 }
@@ -327,9 +339,13 @@
 	}
 }
 
-// shareDesired sends the desired state to an entry that has an older one, which
-// may be cut off from the store.
-func (dm *Daemon) shareDesired(en *dispatch.Entry, to ids.EntryID, version int64) {
+// shareDesired takes the version of the desired state that another entry has.
+// One of protocol 0 does not ask for a newer version.
+func (dm *Daemon) shareDesired(en *dispatch.Entry, to ids.EntryID, protocol int, version int64) {
+	if protocol > 0 {
+		en.HeardDesired(to, version)
+		return
+	}
 	if des := en.Desired(); des != nil && des.Version > version {
 		if lk := dm.links[to]; lk != nil {
 			lk.push(dispatch.NewDesired{Desired: *des})
@@ -454,7 +470,7 @@
 		if des := en.Desired(); des != nil {
 			ack.DesiredVersion = des.Version
 		}
-		in.dm.shareDesired(en, from, batch.DesiredVersion)
+		in.dm.shareDesired(en, from, batch.Protocol, batch.DesiredVersion)
 	})
 	return err
 }
