dispatch: do not start a task again that its holder has just passed on

Cause: a holder that was asked for a run which it had passed on with its worker answered that the run was lost, and the owner started the task again while it ran. The answer is now 'unknown', after which the owner waits for the new holder or until the run has surely been stopped.

Test: TestCheckAroundHandover, red before; TestLargeRestarts passes before and after, it does not bring the moment about.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -269,6 +269,9 @@
 	EndNoRoom  End = "no-room" // never sent to a worker
 	EndTicket  End = "ticket"  // the worker has refused the ticket
 	EndOldRun  End = "old-run" // the worker has seen a later run
+	// EndUnknown answers a question about a run that the holder does not have. It
+	// may run on under another holder.
+	EndUnknown End = "unknown"
 )
 
 // Route returns the queue whose host matches and whose prefix is the longest
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -169,7 +169,7 @@
 			}
 		}
 	}
-	return EndLost, false
+	return EndUnknown, false
 }
 
 // onStop stops tasks for their owner, who no longer waits for them.
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -443,6 +443,14 @@
 	if ta == nil {
 		return
 	}
+	if ms.How == EndUnknown {
+		// The worker may have passed to another holder, which reports the run, or
+		// stops it within loseAfter.
+		if ta.atHolder() && ta.holder == from {
+			en.lose(gr, ta, en.now().Add(loseAfter))
+		}
+		return
+	}
 	jb := gr.job
 	if ms.Checkpoint != "" {
 		ta.savedRun = ms.Ref.Run
--- /dev/null
+++ b/internal/dispatch/roll_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// leaveEvery shuts entries down one after the other at an interval, shorter than
+// a shutdown takes, and starts each again.
+func (wo *world) leaveEvery(pause time.Duration) {
+	for num, ee := range wo.sortedEntries() {
+		begin := time.Duration(num) * pause
+		wo.after(begin, func() { ee.en.Leave() })
+		wo.after(begin+1800*time.Millisecond, ee.kill)
+		wo.after(begin+2200*time.Millisecond, func() { ee.start(0.4) })
+	}
+}
+
+// TestLargeRestarts guards against tasks that run twice, or are stopped, around
+// the hand-over of their workers while the entries of a large fleet restart in
+// turn: owner and new holder need not have been neighbours.
+func TestLargeRestarts(t *testing.T) {
+	const entries, workers = 40, 280
+	for seed := range uint64(4) {
+		wo := zonedWorld(seed+300, entries, workers, emuZones[:3])
+		wo.run(5 * time.Second)
+		wo.load(standardKinds, workers*loadPerWorker*0.7, 14*time.Second)
+		wo.run(time.Second)
+		wo.leaveEvery(300 * time.Millisecond)
+		wo.run(18 * time.Second)
+		wo.check(t)
+		t.Log(wo.done, wo.share())
+	}
+}
+
+// TestCheckAroundHandover guards against a task that is started again while it
+// runs: its owner asked the holder for it just when the worker had passed to
+// another entry. Seen once on the users' bench (mbapp-kiosk-grown trouble-2).
+func TestCheckAroundHandover(t *testing.T) {
+	for seed := range uint64(5) {
+		wo := standardWorld(seed, 6, 12)
+		kd := kind{queue: "pair", width: 6, work: 3 * time.Second}
+		owner := wo.sortedEntries()[0]
+		wo.submit(owner, kd)
+		wo.run(time.Second)
+		var list []*emuEntry
+		for _, ee := range wo.sortedEntries() {
+			if ee != owner && len(list) < 2 {
+				list = append(list, ee)
+			}
+		}
+		for _, ee := range list {
+			for _, wid := range sortedKeys(ee.en.workers) {
+				wk := ee.en.workers[wid]
+				var refs []TaskRef
+				for _, sl := range wk.list() {
+					refs = append(refs, sl.ref)
+				}
+				next := list[0]
+				if next == ee {
+					next = list[1]
+				}
+				rep := wo.commit([]RowChange{{Worker: wid, Expected: wo.rows[wid].Version, Holder: next.inc}})
+				ee.en.PutRow(HolderRow{Worker: wid, Holder: next.inc, Version: rep.Version})
+				ee.en.Receive(owner.id, Check{Refs: refs})
+				next.en.PutRow(HolderRow{Worker: wid, Holder: next.inc, Version: rep.Version})
+			}
+		}
+		wo.run(8 * time.Second)
+		wo.check(t)
+	}
+}
