fleet: notice closed connections at once; let callers wait for the start

Cause 1: a session that beats every 0.8 s noticed a reset connection only with its next beat.

Callers now wait up to 1.5 s from the start. TestJobsAtStart, red before.

--- a/internal/dispatch/large_test.go
+++ b/internal/dispatch/large_test.go
@@ -215,3 +215,20 @@
 		t.Errorf("%d copies of the desired state were sent to %d entries", copies, entries)
 	}
 }
+
+// TestJobsAtStart guards against jobs that are refused because their entry has
+// just started and does not know the workers yet: all entries of the fleet lost
+// power, and the balancer sends callers to them as soon as they listen.
+func TestJobsAtStart(t *testing.T) {
+	wo := standardWorld(8, 7, 48)
+	wo.restartAll(time.Second)
+	wo.run(time.Second + time.Millisecond)
+	for _, ee := range wo.sortedEntries() {
+		wo.submit(ee, kind{queue: "fit", width: 2, work: 200 * time.Millisecond})
+	}
+	wo.run(5 * time.Second)
+	wo.check(t)
+	if wo.done[Completed] != 7 {
+		t.Errorf("of 7 jobs that came at the start %v", wo.done)
+	}
+}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -174,7 +174,7 @@
 	jb := &job{Submission: sub, waiters: 1}
 	en.jobs[sub.Job.ID] = jb
 	en.prepare(jb)
-	if !en.anyWorker(sub.Queue.Service) {
+	if !en.anyWorker(sub.Queue.Service) && en.now().Sub(en.started) > startTime {
 		en.finish(jb, Outcome{Kind: Refused, Reason: "no-worker", RetryAfter: retryNoWorker})
 		return
 	}
@@ -263,6 +263,10 @@
 	return slices.ContainsFunc(jb.Steps, func(st Step) bool { return st.Lasting })
 }
 
+// startTime is how long after its start an entry may not know the workers yet.
+// Jobs wait meanwhile; reading the store and taking the workers takes 0.5 s.
+const startTime = 1500 * time.Millisecond
+
 // retryNoWorker is the time to come back when no worker of the service is
 // known: about two reports of a worker.
 const retryNoWorker = 3 * time.Second
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -156,11 +156,15 @@
 	grp     *group.Group
 	lis     net.Listener
 
-	desired  atomic.Pointer[dispatch.Desired]
+	desired atomic.Pointer[dispatch.Desired]
+	// told is closed when the first desired state is in force.
+	told     chan struct{}
 	draining atomic.Bool
 	// rowVersion is the version of this entry's row in TableFleet.
 	rowVersion atomic.Int64
 
+	startedAt time.Time
+
 	mu    sync.Mutex
 	at    time.Time // the clock when the lock was taken
 	en    *dispatch.Entry
@@ -185,6 +189,7 @@
 	dm := &Daemon{
 		opt: opt, store: store, workers: workers, log: log, cnt: cnt,
 		grp:      group.New(context.Background()),
+		told:     make(chan struct{}),
 		links:    map[ids.EntryID]*link{},
 		load:     dispatch.Load{Number: 1},
 		sentLoad: map[ids.EntryID]uint64{},
@@ -193,6 +198,7 @@
 		writers:  map[Part]*jobWriter{},
 	}
 	dm.at = dm.clock()
+	dm.startedAt = dm.at
 	dm.en = dispatch.New(opt.Self, opt.Limits, &effects{dm: dm}, func() time.Time { return dm.at })
 	return dm
 }
@@ -233,7 +239,9 @@
 	dm.en.Wake()
 	fn(dm.en)
 	if des := dm.en.Desired(); des != dm.desired.Load() {
-		dm.desired.Store(des)
+		if dm.desired.Swap(des) == nil {
+			close(dm.told)
+		}
 	}
 }
 
@@ -254,6 +262,30 @@
 // Desired returns the desired state in force, nil before the first one.
 func (dm *Daemon) Desired() *dispatch.Desired { return dm.desired.Load() }
 
+// AwaitDesired returns the desired state in force. Shortly after the start it
+// waits for the first one; it returns nil when there is none by then.
+func (dm *Daemon) AwaitDesired(ctx context.Context) *dispatch.Desired {
+	if des := dm.Desired(); des != nil {
+		return des
+	}
+	left := dm.startedAt.Add(startWait).Sub(dm.clock())
+	if left <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-dm.told:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return dm.Desired()
+}
+
+// startWait is how long after the start callers wait for the first desired
+// state, which takes up to 0.5 s to be read.
+const startWait = 1500 * time.Millisecond
+
 // Ready tells whether callers should come to this entry.
 func (dm *Daemon) Ready() bool {
 	if dm.draining.Load() {
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"sync"
 	"syscall"
 	"time"
 
@@ -217,7 +218,8 @@
 	if err != nil {
 		return err
 	}
-	cl := rpc.NewClient(conn)
+	watched := &watchedConn{Conn: conn, ended: make(chan struct{})}
+	cl := rpc.NewClient(watched)
 	defer cl.Close()
 	var number uint64
 	lk.dm.locked(func(*dispatch.Entry) {
@@ -251,7 +253,7 @@
 		if !lk.acked(ack) {
 			return errSessionEnded
 		}
-		lk.wait(ctx, lk.pause())
+		lk.wait(ctx, lk.pause(), watched.ended)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -271,13 +273,31 @@
 	return pause
 }
 
-// wait returns when there is something to send or a pause is over.
-func (lk *link) wait(ctx context.Context, pause time.Duration) {
+// watchedConn tells when a connection can no longer be read, which ends a session
+// without waiting for the next beat.
+type watchedConn struct {
+	net.Conn
+	once  sync.Once
+	ended chan struct{}
+}
+
+func (wc *watchedConn) Read(raw []byte) (int, error) {
+	count, err := wc.Conn.Read(raw)
+	if err != nil {
+		wc.once.Do(func() { close(wc.ended) })
+	}
+	return count, err
+}
+
+// wait returns when there is something to send, a pause is over or the
+// connection has ended.
+func (lk *link) wait(ctx context.Context, pause time.Duration, ended <-chan struct{}) {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-lk.kick:
+	case <-ended:
 	case <-timer.C:
 	}
 }
