--- a/internal/dispatch/large_test.go
+++ b/internal/dispatch/large_test.go
@@ -232,3 +232,31 @@
 		t.Errorf("of 7 jobs that came at the start %v", wo.done)
 	}
 }
+
+// TestOldNews guards against a worker that is used again after it has left, or
+// after it began to drain, because an entry passed on an older report.
+func TestOldNews(t *testing.T) {
+	wo := standardWorld(4, 1, 0)
+	en := wo.sortedEntries()[0].en
+	ready := WorkerInfo{ID: "w", Service: "fitdesk", Zone: "north", State: WorkerReady, Version: 5}
+	draining := ready
+	draining.State, draining.Version = WorkerDraining, 7
+	en.PutWorker(draining)
+	en.Receive("other", WorkerNews{Workers: []WorkerInfo{ready}})
+	if state := en.known["w"].info.State; state != WorkerDraining {
+		t.Errorf("after an older report the worker is %s, want draining", state)
+	}
+	en.Receive("other", WorkerNews{Gone: []GoneWorker{{Worker: "w", Version: 6}}})
+	if !en.known["w"].removed.IsZero() {
+		t.Error("an older removal drops a report that came later")
+	}
+	en.DropWorker("w", 9)
+	en.Receive("other", WorkerNews{Workers: []WorkerInfo{draining}})
+	if en.known["w"].removed.IsZero() {
+		t.Error("a worker that has left is listed again by an older report")
+	}
+	en.Receive("other", WorkerNews{Whole: true, Version: 8})
+	if en.known["w"].removed.IsZero() {
+		t.Error("a whole list without the worker lists it")
+	}
+}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -280,3 +281,74 @@
 		}
 	})
 }
+
+// TestMalformedPeers guards against a process that ends, or serves no more,
+// because of what arrives at its address for other entries.
+func TestMalformedPeers(t *testing.T) {
+	cl := startCluster(t, 2, 4, 20*time.Millisecond)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for num := range 40 {
+		conn, err := net.Dial("tcp", cl.entries[num%2].opt.Self.PeerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw := make([]byte, 1+rnd.IntN(2000))
+		for at := range raw {
+			raw[at] = byte(rnd.Uint32())
+		}
+		if num%4 == 0 {
+			// A length of nearly 1 GB and no message.
+			raw = []byte{0xfc, 0x3b, 0x9a, 0xca, 0x00}
+		}
+		if _, err := conn.Write(raw); err != nil {
+			t.Log(err) // the entry may have closed the connection already
+		}
+		if err := conn.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+	cl.eventually("the sessions are up", cl.mutual)
+	for num, dm := range cl.entries {
+		if oc := <-cl.submit(dm, fmt.Sprintf("%016x", num), 4, false); oc.Kind != dispatch.Completed {
+			t.Errorf("outcome %+v", oc)
+		}
+	}
+}
+
+// TestDecodeRunsBound guards against a malformed row of a job that makes an entry
+// run out of memory.
+func TestDecodeRunsBound(t *testing.T) {
+	for _, text := range []string{"0.0.0-99999999999@1", "0.0.-5-1@1", "0.0.0-65536@1"} {
+		if runs, err := decodeRuns([]string{text}); err == nil {
+			t.Errorf("%q is taken for %d tasks", text, len(runs))
+		}
+	}
+	if runs, err := decodeRuns([]string{"0.0.0-65535@1"}); err != nil || len(runs) != mostTasks {
+		t.Errorf("%d tasks, %v", len(runs), err)
+	}
+}
+
+// TestBeatsOfOneDirection guards against a session that ends, or beats as often
+// as the other direction, while only one of the two entries beats fast.
+func TestBeatsOfOneDirection(t *testing.T) {
+	cl := startCluster(t, 2, 2, 20*time.Millisecond)
+	cl.eventually("the sessions are up", cl.mutual)
+	time.Sleep(time.Second)
+	before := strings.Count(cl.log.String(), "message=session-")
+	time.Sleep(4 * time.Second)
+	if after := strings.Count(cl.log.String(), "message=session-"); after != before {
+		t.Errorf("%d sessions came or went in 4 s without a fault", after-before)
+	}
+	cl.entries[1].locked(func(*dispatch.Entry) {
+		lk := cl.entries[1].links["entry-0"]
+		if lk == nil || lk.protocol != peerProtocol {
+			t.Fatalf("link %+v", lk)
+		}
+	})
+	if pause := cl.entries[1].links["entry-0"].pause(); pause != linkSlowBeat {
+		t.Errorf("the entry with the higher id beats every %s, want %s", pause, linkSlowBeat)
+	}
+	if pause := cl.entries[0].links["entry-1"].pause(); pause != linkBeat {
+		t.Errorf("the entry with the lower id beats every %s, want %s", pause, linkBeat)
+	}
+}
