--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -141,6 +141,7 @@
 	// as member
 	members     map[ids.EntryID]*member
 	rows        map[ids.WorkerID]HolderRow
+	rowAt       map[ids.WorkerID]time.Time // when the row was learned
 	known       map[ids.WorkerID]*knownWorker
 	committing  bool
 	commitAt    time.Time
@@ -232,6 +233,7 @@
 		progress: map[ids.JobID]map[TaskID]SavedRun{},
 		members:  map[ids.EntryID]*member{},
 		rows:     map[ids.WorkerID]HolderRow{},
+		rowAt:    map[ids.WorkerID]time.Time{},
 		known:    map[ids.WorkerID]*knownWorker{},
 		lastWake: now(),
 	}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -191,6 +191,7 @@
 		return
 	}
 	en.rows[row.Worker] = row
+	en.rowAt[row.Worker] = en.now()
 	en.claimsChanged = true
 	if !ok || row.Version != old.Version {
 		en.forgetHeard()
@@ -220,6 +221,7 @@
 		return
 	}
 	delete(en.rows, id)
+	delete(en.rowAt, id)
 	en.claimsChanged = true
 }
 
@@ -439,7 +441,7 @@
 		if ro.assigned(string(id), kw.info.Zone) != en.self.Incarnation {
 			continue
 		}
-		if ok && !en.free(id, row.Holder, now) {
+		if ok && (en.newcomer(row) || !en.mayTakeOver(id, row.Holder, now)) {
 			en.claimsChanged = true
 			continue
 		}
@@ -460,10 +462,21 @@
 	return living
 }
 
-// free tells whether a worker whose holder is silent may be taken over. One that
-// is as silent as its holder may be cut off from here together with it, and the
-// holder may go on using it.
-func (en *Entry) free(id ids.WorkerID, holder ids.Incarnation, now time.Time) bool {
+// newcomer tells whether the holder in a row may be an entry or an incarnation
+// whose own row has not been read yet. Rows of holders come with the answers to
+// changes too, rows of entries only with a read of the table.
+func (en *Entry) newcomer(row HolderRow) bool {
+	mb := en.members[row.Holder.Entry()]
+	if mb != nil && (mb.Incarnation == row.Holder || mb.Version > row.Version) {
+		return false
+	}
+	return row.Holder.Entry() != en.id && !en.readAt[TableHolders].After(en.rowAt[row.Worker])
+}
+
+// mayTakeOver tells whether a worker whose holder is silent may be taken over.
+// One that is as silent as its holder may be cut off from here together with it,
+// and the holder may go on using it.
+func (en *Entry) mayTakeOver(id ids.WorkerID, holder ids.Incarnation, now time.Time) bool {
 	if en.replaced(holder) {
 		return true
 	}
@@ -585,7 +598,7 @@
 	owners := map[ids.WorkerID][]ids.EntryID{}
 	for _, ch := range changes {
 		if ch.Holder == "" {
-			delete(en.rows, ch.Worker)
+			en.DropRow(ch.Worker, math.MaxInt64)
 			delete(en.vanished, ch.Worker)
 			continue
 		}
