--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -177,7 +177,7 @@
 	}
 }
 
-// run keeps a session until ctx ends or the entry is forgotten.
+// run keeps a session until ctx ends, or the session is not needed any more.
 func (lk *link) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		var address string
