fleet: do not take a page that failed for the end of a pass

Cause: found while reading the change. A page from the beginning that the store did not answer returned the same empty key as the last page, so the reports counted as read whole. Rows of workers that were never seen could have been removed for that. TestFailedPage.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -352,3 +352,16 @@
 		t.Errorf("the entry with the lower id beats every %s, want %s", pause, linkBeat)
 	}
 }
+
+// TestFailedPage guards against a reading of the reports that counts as whole
+// although its only page was not answered: rows of workers that were not seen
+// would be removed after a while.
+func TestFailedPage(t *testing.T) {
+	cl := startCluster(t, 1, 2, 20*time.Millisecond)
+	cl.store.mu.Lock()
+	cl.store.down = true
+	cl.store.mu.Unlock()
+	if next, ok := cl.entries[0].scanPage(t.Context(), "", map[string]bool{}); ok || next != "" {
+		t.Errorf("a page that failed: next %q, read %v", next, ok)
+	}
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -337,9 +337,11 @@
 		}
 		if !now.Before(nextPage) {
 			nextPage = now.Add(scanPause)
-			if from = dm.scanPage(ctx, from, keys); from == "" && !passBegan.IsZero() {
+			next, ok := dm.scanPage(ctx, from, keys)
+			if ok && next == "" && !passBegan.IsZero() {
 				dm.tableRead(TableWorkers, passBegan)
 			}
+			from = next
 		}
 		group.Sleep(ctx, workersPause)
 	}
@@ -360,15 +362,16 @@
 	return ""
 }
 
-// scanPage reads one page of reports and returns the key of the next one.
-func (dm *Daemon) scanPage(ctx context.Context, from string, keys map[string]bool) string {
+// scanPage reads one page of reports and returns the key of the next one, or of
+// the same one and false when the store does not answer.
+func (dm *Daemon) scanPage(ctx context.Context, from string, keys map[string]bool) (string, bool) {
 	page, err := dm.store.Page(ctx, TableWorkers, "", from, scanRows)
 	dm.cnt.Add("store", "reads", 1)
 	if err != nil {
 		if ctx.Err() == nil {
 			dm.storeFault(TableWorkers, err)
 		}
-		return from
+		return from, false
 	}
 	dm.storeBack(TableWorkers)
 	covered := map[string]bool{}
@@ -378,7 +381,7 @@
 		}
 	}
 	dm.apply(table{put: dm.putWorker, drop: dropWorker}, append(page.Rows, missingRows(covered, page.Rows, page.Version)...), keys, true)
-	return page.Next
+	return page.Next, true
 }
 
 // readWanted reads the reports that a decision depends on.
