dispatch: extend no lease over runs that no owner has claimed

Callers would see a task of their job run twice at the same time (TWICE).

Cause: a new holder of a worker stops the runs that no owner claims within 250 ms, and extended the leases on the worker from that moment on, before the runs were known to have ended. Owners that it can't ask start their tasks again 1.7 s after the session to the holder before has ended, which counts on the last lease of that holder. A holder that comes back at once as a new incarnation has no sessions yet and asks almost nobody; in a fleet of more than 16 entries most owners are no neighbours. Whenever the stops got lost or came late, the old run went on beside the new one.

Now the lease is not extended, and nothing is started on the worker, until each unclaimed run has been claimed or its end is listed. The end of leases that a new holder counts with includes that lease, so that it does not take claimed runs for lost too early.

--- /dev/null
+++ b/internal/dispatch/adoption_test.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// recorder keeps what an entry sends to workers and to other entries.
+type recorder struct {
+	emuEffects
+	holds  []HoldOrder
+	stops  []StopOrder
+	starts []StartOrder
+	sent   []Message
+}
+
+func (rc *recorder) Hold(order HoldOrder)              { rc.holds = append(rc.holds, order) }
+func (rc *recorder) StopTask(order StopOrder)          { rc.stops = append(rc.stops, order) }
+func (rc *recorder) StartTask(order StartOrder)        { rc.starts = append(rc.starts, order) }
+func (rc *recorder) Send(_ ids.EntryID, msg Message)   { rc.sent = append(rc.sent, msg) }
+func (rc *recorder) Commit([]RowChange)                {}
+func (rc *recorder) ForgetMember(ids.EntryID, Version) {}
+
+// newHolder is an entry without others that has just taken a worker.
+func newHolder() (*world, *Entry, *recorder) {
+	wo := newWorld(1)
+	rc := &recorder{emuEffects: emuEffects{ee: &emuEntry{wo: wo}}}
+	en := New(Self{Incarnation: "entry-00/1", Zone: "north", Size: 1}, Limits{}, rc, func() time.Time { return wo.at })
+	en.Apply(standardDesired(1))
+	en.PutWorker(WorkerInfo{
+		ID: "w", Service: "fitdesk", Zone: "north", State: WorkerReady, Version: 5, Born: 1,
+		Room: Resources{CPU: 32000, Memory: 65536},
+	})
+	en.PutRow(HolderRow{Worker: "w", Holder: "entry-00/1", Version: 50})
+	return wo, en, rc
+}
+
+// tick lets time pass for an entry without a world around it.
+func (wo *world) tick(en *Entry, du time.Duration) {
+	for end := wo.at.Add(du); wo.at.Before(end); {
+		wo.at = wo.at.Add(TickInterval)
+		en.Wake()
+		en.Tick()
+	}
+}
+
+// TestNoLeaseForUnclaimedRuns guards against a run that goes on under a new
+// holder after its owner, which the holder can't ask, has started the task again:
+// the stops got lost while the leases on the worker were extended.
+func TestNoLeaseForUnclaimedRuns(t *testing.T) {
+	wo, en, rc := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
+	rep := HoldReply{Clock: WorkerTime(time.Minute), Born: 1, Running: []TaskRef{ref}}
+	answer := func() {
+		rep.Clock += WorkerTime(TickInterval)
+		en.HoldReplied("w", 50, rep)
+	}
+	answer()
+	for range 100 {
+		wo.tick(en, TickInterval)
+		answer()
+	}
+	if len(rc.stops) < 2 {
+		t.Errorf("a run that nobody claims is told %d times to stop while it runs, want more", len(rc.stops))
+	}
+	for _, order := range rc.holds {
+		if order.Extend {
+			t.Fatal("the lease is extended while a run that nobody has claimed is not known to have ended")
+		}
+	}
+	rep.Running, rep.Ended = nil, []EndedRun{{Number: 1, Ref: ref, How: EndStopped}}
+	answer()
+	if last := rc.holds[len(rc.holds)-1]; !last.Extend {
+		t.Error("the lease is not extended after the run has ended")
+	}
+}
+
+// TestHolderReborn guards against a task that runs twice after its holder has
+// died and come back at once: the new incarnation takes its workers before it has
+// sessions with the owners, and stops what nobody claims with orders that get
+// lost.
+func TestHolderReborn(t *testing.T) {
+	const entries, workers = 25, 75
+	for seed := range uint64(6) {
+		wo := zonedWorld(seed+500, entries, workers, emuZones[:3])
+		wo.run(5 * time.Second)
+		for _, ee := range wo.sortedEntries() {
+			wo.submit(ee, kind{queue: "pair", width: 3, work: 3 * time.Second})
+		}
+		wo.run(time.Second)
+		for num, ee := range wo.sortedEntries() {
+			if num%4 != 0 {
+				continue
+			}
+			for _, id := range sortedKeys(ee.en.workers) {
+				wk := wo.workers[id]
+				wk.lateShare = 0.9
+				wo.after(3*time.Second, func() { wk.lateShare = 0 })
+			}
+			ee.kill()
+			wo.after(100*time.Millisecond, func() { ee.start(0.4) })
+		}
+		wo.run(8 * time.Second)
+		wo.check(t)
+		t.Log(wo.done)
+	}
+}
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -164,7 +164,7 @@
 
 // usable tells whether new tasks may be placed on the worker.
 func (wk *worker) usable(now time.Time) bool {
-	return wk.phase == phaseOpen && wk.failing.IsZero() && wk.recheckAt.IsZero() && wk.info.State == WorkerReady &&
+	return wk.phase == phaseOpen && !wk.unclaimed() && wk.failing.IsZero() && wk.recheckAt.IsZero() && wk.info.State == WorkerReady &&
 		wk.handingTo == "" && !now.Before(wk.blocked) && !wk.overdue && wk.lapseSince.IsZero() && (wk.streak == 0 || len(wk.slots) == 0)
 }
 
@@ -224,13 +224,28 @@
 		default:
 			order.Wait = en.holdWait
 		}
-		order.Extend = true
-		order.Until = wk.clockNow(now) + WorkerTime(en.lease)
-		wk.extendLease(now, en.lease)
+		if !wk.unclaimed() {
+			order.Extend = true
+			order.Until = wk.clockNow(now) + WorkerTime(en.lease)
+			wk.extendLease(now, en.lease)
+		}
 	}
 	en.eff.Hold(order)
 }
 
+// unclaimed tells whether the worker may run a task that no owner has claimed.
+// An owner that could not be asked starts the task again once the leases of the
+// holder before have run out, so they must not be extended until the run has
+// ended.
+func (wk *worker) unclaimed() bool {
+	for _, sl := range wk.slots {
+		if sl.foreign {
+			return true
+		}
+	}
+	return false
+}
+
 // ackThrough returns the number up to which the worker may forget ends.
 func (wk *worker) ackThrough() int64 {
 	through := wk.acked
@@ -432,6 +447,8 @@
 		return
 	}
 	wk.phase = phaseAdopting
+	// The holder before may have extended the leases until now.
+	wk.extendLease(en.now(), en.lease)
 	wk.adoptUntil = en.now().Add(adoptTime)
 	wk.awaiting = map[ids.EntryID]bool{}
 	for _, ref := range rep.Running {
