dispatch: take no unclaimed run for a lasting one before its row is read

Callers would see a task of their job run twice at the same time (TWICE).

Cause: a new holder that has not read the rows of jobs yet can't tell whether a run that no owner claims lasts. It kept every such run and extended its lease until the rows were read. A holder that has just come back reads its workers' rows and the rows of jobs independently, so a slow or partly unavailable store is enough; owners that it could not ask started the tasks again after 1.7 s. No order has to get lost.

Such a run is still not stopped before the rows are read, but counts as unclaimed, so that no lease is extended over it. Where the row says that the task lasts it goes on as before. A task that lasts is lost if the rows are not read before the lease of the holder before runs out.

TestLeaseOfRunsThatMayLast: "before the rows of jobs are read the lease is extended: true, want false".

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -108,3 +108,86 @@
 		t.Log(wo.done)
 	}
 }
+
+// TestJobsUnreadAtTakeover guards against a task that runs twice after its holder
+// has come back and can't read the rows of jobs yet: a run that nobody claimed was
+// taken for one that lasts, and its lease was extended.
+func TestJobsUnreadAtTakeover(t *testing.T) {
+	const entries, workers = 25, 75
+	for seed := range uint64(6) {
+		wo := zonedWorld(seed+520, entries, workers, emuZones[:3])
+		wo.run(5 * time.Second)
+		for _, ee := range wo.sortedEntries() {
+			wo.submit(ee, kind{queue: "pair", width: 3, work: 3 * time.Second})
+		}
+		wo.run(time.Second)
+		wo.jobsSlow = 3 * time.Second
+		for num, ee := range wo.sortedEntries() {
+			if num%4 == 0 {
+				ee.kill()
+				wo.after(100*time.Millisecond, func() { ee.start(0.4) })
+			}
+		}
+		wo.run(8 * time.Second)
+		wo.check(t)
+	}
+}
+
+// TestLeaseOfRunsThatMayLast guards against the same at the holder, and against
+// tasks that last and lapse although the row of their job is known.
+func TestLeaseOfRunsThatMayLast(t *testing.T) {
+	ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
+	lasting := JobRecord{ID: "0000000000000001", Version: 7, State: JobAccepted, Lasting: true}
+	brief := lasting
+	brief.Lasting = false
+	rows := []struct {
+		name   string
+		before *JobRecord // read before the worker is taken
+		after  *JobRecord // read afterwards
+		early  bool       // the lease is extended before the second read
+		late   bool       // it is extended afterwards
+		stops  bool
+	}{
+		{"the row says that it lasts", &lasting, &lasting, true, true, false},
+		{"the row says so later", nil, &lasting, false, true, false},
+		{"the row says later that it does not", nil, &brief, false, false, true},
+		{"there is no row", nil, nil, false, false, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			wo, en, rc := newHolder()
+			if row.before != nil {
+				en.PutRecord(*row.before)
+				en.TableRead(TableJobs, wo.at)
+			}
+			rep := HoldReply{Clock: WorkerTime(time.Minute), Born: 1, Running: []TaskRef{ref}}
+			extended := func() bool {
+				from := len(rc.holds)
+				for range 25 {
+					rep.Clock += WorkerTime(TickInterval)
+					en.HoldReplied("w", 50, rep)
+					wo.tick(en, TickInterval)
+				}
+				for _, order := range rc.holds[from:] {
+					if order.Extend {
+						return true
+					}
+				}
+				return false
+			}
+			if got := extended(); got != row.early {
+				t.Errorf("before the rows of jobs are read the lease is extended: %v, want %v", got, row.early)
+			}
+			if row.after != nil {
+				en.PutRecord(*row.after)
+			}
+			en.TableRead(TableJobs, wo.at)
+			if got := extended(); got != row.late {
+				t.Errorf("after the rows of jobs are read the lease is extended: %v, want %v", got, row.late)
+			}
+			if got := len(rc.stops) > 0; got != row.stops {
+				t.Errorf("%d stops are sent, want some: %v", len(rc.stops), row.stops)
+			}
+		})
+	}
+}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -42,6 +42,8 @@
 	storeCut map[ids.EntryID]bool
 	// storeSlow times as long as usual is what the store takes, 0 for once.
 	storeSlow float64
+	// jobsSlow is how much longer the rows of jobs take to read.
+	jobsSlow time.Duration
 	// faultKinds bounds the kinds of random faults that are brought about.
 	faultKinds int
 	cut        map[[2]string]bool // severed pairs of entries or of entry and worker
@@ -309,7 +311,11 @@
 	}
 	apply := read()
 	whole := table != TableWorkers || ee.readsAll()
-	wo.after(wo.storeTime(), func() {
+	took := wo.storeTime()
+	if table == TableJobs {
+		took += wo.jobsSlow
+	}
+	wo.after(took, func() {
 		if ee.gen == gen && ee.alive {
 			ee.deliver(func() {
 				apply()
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -35,7 +35,7 @@
 	grant    GrantID
 	far      bool   // runs away from the rack of its data
 	stalls   int    // earlier runs that were stopped for running too long
-	foreign  bool   // found on the worker and not claimed by any owner
+	foreign  bool   // found on the worker, not claimed, not known to last
 	checked  bool   // the worker has listed the run
 	saved    string // the last progress that the worker has listed
 	// orphanedAt is when a lasting task lost its owner.
@@ -236,7 +236,7 @@
 // unclaimed tells whether the worker may run a task that no owner has claimed.
 // An owner that could not be asked starts the task again once the leases of the
 // holder before have run out, so they must not be extended until the run has
-// ended.
+// ended, or is known to last: such a task goes on without its owner.
 func (wk *worker) unclaimed() bool {
 	for _, sl := range wk.slots {
 		if sl.foreign {
@@ -544,12 +544,14 @@
 	wk.awaiting = nil
 	stopped := 0
 	for _, sl := range wk.list() {
-		if sl.foreign && en.mayLast(sl.ref) {
-			sl.foreign, sl.state = false, slotRunning
+		switch {
+		case !sl.foreign:
+		case en.mayLast(sl.ref):
+			// Until the row of its job is read it stays unclaimed.
+			sl.foreign, sl.state = en.recordOf(sl.ref.Task) == nil, slotRunning
 			sl.shape.Lasting, sl.shape.Stored = true, true
 			en.orphan(sl)
-		}
-		if sl.foreign {
+		default:
 			stopped++
 			en.stopSlot(wk, sl, EndStopped)
 		}
--- a/internal/dispatch/lasting.go
+++ b/internal/dispatch/lasting.go
@@ -54,6 +54,7 @@
 		reason = "cut off"
 	}
 	if reason == "" {
+		sl.foreign = sl.foreign && re == nil
 		return
 	}
 	en.eff.Log("lasting-stopped", "task", string(sl.ref.Task), "run", int64(sl.ref.Run), "worker", string(wk.info.ID),
