dispatch: answer no claim before the worker has listed its runs

An owner would be told that its task is lost while it runs, and start it again at once.

Cause: a claim that comes when the holder has taken the worker anew, and has not had its lists yet, found no slot and was answered with a lost run. That needs a claim that answers an earlier question, over a session that is slow or has just begun. Such a claim is now left alone: the lists are on their way, and the owner is asked again with them.

Test: TestClaimBeforeLists, red before: "the owner is told {... w lost} before the worker has listed its runs".

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -191,3 +191,32 @@
 		})
 	}
 }
+
+// TestClaimBeforeLists guards against an owner that is told that its task is lost
+// while it runs: its claim came when the holder had just taken the worker anew
+// and did not know yet what runs there.
+func TestClaimBeforeLists(t *testing.T) {
+	wo, en, rc := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	const owner = ids.EntryID("entry-01")
+	en.Meet(Self{Incarnation: "entry-01/1", Zone: "north", Size: 1})
+	en.SessionUp(owner, "entry-01/1")
+	en.InboundUp(owner, 1)
+	ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
+	rep := HoldReply{Clock: WorkerTime(time.Minute), Born: 1, Running: []TaskRef{ref}}
+	en.HoldReplied("w", 50, rep)
+	claim := Adopted{Worker: "w", Keep: []Kept{{Ref: ref, Group: 1, Job: "0000000000000001", Shape: Shape{Need: Resources{CPU: 1000}}}}}
+	en.PutRow(HolderRow{Worker: "w", Holder: "entry-00/1", Version: 60})
+	en.Receive(owner, claim)
+	for _, msg := range rc.sent {
+		if ed, ok := msg.(Ended); ok {
+			t.Errorf("the owner is told %v before the worker has listed its runs", ed)
+		}
+	}
+	en.HoldReplied("w", 60, rep)
+	en.Receive(owner, claim)
+	wo.tick(en, adoptTime+TickInterval)
+	if sl := en.workers["w"].slots[ref]; sl == nil || sl.owner != owner || sl.state != slotRunning {
+		t.Errorf("after the second claim the run is %+v, want running for its owner", sl)
+	}
+}
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -486,7 +486,8 @@
 
 func (en *Entry) onAdopted(from ids.EntryID, ms Adopted) {
 	wk := en.workers[ms.Worker]
-	if wk == nil {
+	if wk == nil || wk.phase == phaseFencing {
+		// The worker is asked anew what runs there, and then the owner.
 		return
 	}
 	if wk.phase != phaseAdopting {
