dispatch: take no end of a former owner's run for one of the present run

Callers that had lost their entry and sent the job to another one would see a task of it run twice at the same time (TWICE).

Cause: every owner of a job that is not stored numbers the runs of its tasks from 1. When an entry is lost that owned a job and held workers on which it ran, the leases there run out, and the next holder of the workers tells all entries that it reaches which runs have ended. The new owner of the job took the end of run 1 on the old worker for that of its own run 1 on another one, and started the task again beside it.

Such an end, other than done, now counts only if this owner knows that its run was started on that worker, and a run on another worker is not claimed. Stored jobs are not concerned, because the runs of each owner have numbers of their own.

Tests, red before: TestEndOfFormerOwnersRun ("an end lapsed on old: the present run goes on: false, want true"); TestCallerAsksAgain, 25 entries of which five lose power, whose callers ask others 1.3 s later: "task ... runs twice at a time".

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -220,3 +221,82 @@
 		t.Errorf("after the second claim the run is %+v, want running for its owner", sl)
 	}
 }
+
+// TestEndOfFormerOwnersRun guards against a task that is started again while it
+// runs: its caller had lost its first owner and sent the job to another one,
+// whose first run has the same number as that of the first owner. A worker of the
+// first owner was taken over later, and the end of the older run was taken for
+// that of the present one.
+func TestEndOfFormerOwnersRun(t *testing.T) {
+	rows := []struct {
+		worker ids.WorkerID
+		how    End
+		keeps  bool // the present run goes on
+	}{
+		{"old", EndLapsed, true},
+		{"old", EndStopped, true},
+		{"old", EndFailed, true},
+		{"w", EndLapsed, false},
+		{"w", EndStopped, false},
+	}
+	for _, row := range rows {
+		wo, en, rc := newHolder()
+		en.TableRead(TableJobs, wo.at)
+		en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
+		qu, _ := en.desired.Route("example", "/pair/")
+		en.Submit(Submission{
+			Job: Job{ID: "0000000000000001", Payload: "cpu=1000", Steps: []Step{
+				{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, Estimate: time.Second},
+			}},
+			Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(10 * time.Second), Done: func(Outcome) {},
+		})
+		if len(rc.starts) != 1 {
+			t.Fatalf("%d starts, want 1", len(rc.starts))
+		}
+		ref := rc.starts[0].Ref
+		en.StartReplied("w", 50, ref, StartReply{Started: true})
+		en.Receive("entry-01", Adopt{Worker: row.worker, Ended: []Ended{{Ref: ref, Worker: row.worker, How: row.how}}})
+		_, ta := en.find(ref)
+		if got := ta != nil && ta.state == taskRunning; got != row.keeps {
+			t.Errorf("an end %s on %s: the present run goes on: %v, want %v", row.how, row.worker, got, row.keeps)
+		}
+		en.Receive("entry-01", Adopt{Worker: "old", Running: []TaskRef{ref}})
+		if row.keeps && ta != nil && ta.worker != "w" {
+			t.Errorf("a run on %s is claimed for the one on w", ta.worker)
+		}
+	}
+}
+
+// TestCallerAsksAgain guards against the same in a fleet: entries lose power, and
+// their callers send the jobs to other entries before the workers of the former
+// ones are taken over.
+func TestCallerAsksAgain(t *testing.T) {
+	const entries, workers = 25, 75
+	// A caller asks again 1.3 s after its connection has ended.
+	const again = 1300 * time.Millisecond
+	for seed := range uint64(6) {
+		wo := zonedWorld(seed+540, entries, workers, emuZones[:3])
+		wo.run(5 * time.Second)
+		list := wo.sortedEntries()
+		var lost []ids.JobID
+		for num, ee := range list {
+			wo.submit(ee, kind{queue: "pair", width: 3, work: 3 * time.Second})
+			if num%6 == 0 {
+				lost = append(lost, ids.JobID(fmt.Sprintf("%016x", wo.lastJob)))
+			}
+		}
+		wo.run(time.Second)
+		for num, ee := range list {
+			if num%6 == 0 {
+				ee.freeze(20 * time.Second)
+			}
+		}
+		wo.run(again)
+		for num, id := range lost {
+			wo.submitAgain(list[(num*6+1)%24], id)
+		}
+		wo.run(8 * time.Second)
+		wo.check(t)
+		t.Log(wo.done)
+	}
+}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -106,6 +106,7 @@
 	started bool
 	refused bool
 	length  map[TaskID]time.Duration
+	sub     Submission
 }
 
 type event struct {
@@ -1403,7 +1404,7 @@
 	wo.asked[kd.queue]++
 	jb.stored = kd.stored
 	job.Stored = kd.stored
-	ee.en.Submit(Submission{
+	jb.sub = Submission{
 		Job: job, Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(4 * time.Second),
 		Done: func(out Outcome) {
 			wo.done[out.Kind]++
@@ -1423,7 +1424,16 @@
 				}
 			}
 		},
-	})
+	}
+	ee.en.Submit(jb.sub)
+}
+
+// submitAgain sends a job to another entry, as its caller does that has lost the
+// connection to the first one.
+func (wo *world) submitAgain(ee *emuEntry, id ids.JobID) {
+	sub := wo.jobs[id].sub
+	sub.Arrived, sub.Deadline = wo.at, wo.at.Add(4*time.Second)
+	ee.en.Submit(sub)
 }
 
 // load submits jobs of the kinds at random moments and entries.
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -653,7 +653,7 @@
 	for _, ref := range ms.Running {
 		gr, ta := en.find(ref)
 		// A claim that does not reach the holder would leave the task to be stopped.
-		if ta == nil || gr.job.suspended || !reached {
+		if ta == nil || gr.job.suspended || !reached || (ta.worker != "" && !gr.job.startedOn(ta, ms.Worker)) {
 			continue
 		}
 		ta.state, ta.holder, ta.worker = taskRunning, from, ms.Worker
@@ -661,15 +661,24 @@
 		reply.Keep = append(reply.Keep, Kept{Ref: ref, Group: gr.id, Job: gr.job.Job.ID, Shape: gr.current(now)})
 	}
 	for _, ed := range ms.Ended {
-		if _, ta := en.find(ed.Ref); ta != nil {
-			en.onEnded(from, ed)
-		} else {
+		switch gr, ta := en.find(ed.Ref); {
+		case ta == nil:
 			en.pastEnd(from, ed)
+		case ed.How == EndDone || gr.job.startedOn(ta, ms.Worker):
+			en.onEnded(from, ed)
 		}
 	}
 	en.send(from, reply)
 }
 
+// startedOn tells whether a run that a worker lists under the number of the
+// latest run of a task is that run. Each owner of a job that is not stored begins
+// with the same number, so the run may be that of an entry to which the caller
+// had sent the job before.
+func (jb *job) startedOn(ta *task, worker ids.WorkerID) bool {
+	return jb.stored != nil || ta.worker == worker
+}
+
 // Cancel tells that a connection no longer waits for a job. Without any other
 // the job ends.
 func (en *Entry) Cancel(id ids.JobID, reason string) {
