dispatch: claim a run only to the latest holder of its worker

Callers would see a task of their job run twice at the same time (TWICE).

Cause: an owner claimed a run to whichever holder asked last. The question of a former holder that arrives after that of the present one, over a slow session, made the owner believe that the run was with the former. That one answers the owner's next check with `unknown`, and the owner starts the task again after 1.7 s while the present holder keeps the claimed run and extends its lease.

The question now carries the token of the holder, and an owner that has claimed a run on a worker ignores questions with a lower one. An entry of an earlier version sends none and is answered as before.

Test: TestClaimFromLatestHolder, red before: "after the question of a former holder the task is ... holder:former".

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -300,3 +300,32 @@
 		t.Log(wo.done)
 	}
 }
+
+// TestClaimFromLatestHolder guards against an owner that takes the question of a
+// former holder, which arrives late, for that of the present one: the former one
+// answers later that it does not have the run, and the task is started again
+// while the present holder keeps it.
+func TestClaimFromLatestHolder(t *testing.T) {
+	wo, en, rc := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
+	qu, _ := en.desired.Route("example", "/pair/")
+	en.Submit(Submission{
+		Job: Job{ID: "0000000000000001", Payload: "cpu=1000", Steps: []Step{
+			{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, Estimate: time.Second},
+		}},
+		Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(10 * time.Second), Done: func(Outcome) {},
+	})
+	ref := rc.starts[0].Ref
+	en.StartReplied("w", 50, ref, StartReply{Started: true})
+	for _, id := range []ids.EntryID{"former", "present"} {
+		en.Meet(Self{Incarnation: ids.Incarnation(id + "/1"), Zone: "north", Size: 1})
+		en.SessionUp(id, ids.Incarnation(id+"/1"))
+		en.InboundUp(id, 1)
+	}
+	en.Receive("present", Adopt{Worker: "w", Token: 70, Running: []TaskRef{ref}})
+	en.Receive("former", Adopt{Worker: "w", Token: 60, Running: []TaskRef{ref}})
+	if _, ta := en.find(ref); ta == nil || ta.holder != "present" {
+		t.Errorf("after the question of a former holder the task is %+v, want it with the present one", ta)
+	}
+}
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -440,7 +440,7 @@
 	if len(rep.Running) == 0 {
 		for _, id := range en.reachable() {
 			if len(ended) > 0 {
-				en.send(id, Adopt{Worker: wk.info.ID, Ended: ended})
+				en.send(id, Adopt{Worker: wk.info.ID, Token: wk.token, Ended: ended})
 			}
 		}
 		en.openWorker(wk)
@@ -468,7 +468,7 @@
 			wk.awaiting[id] = true
 		}
 	}
-	wk.adopt = Adopt{Worker: wk.info.ID, Running: rep.Running, Ended: ended}
+	wk.adopt = Adopt{Worker: wk.info.ID, Token: wk.token, Running: rep.Running, Ended: ended}
 	for _, id := range list {
 		en.send(id, wk.adopt)
 	}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -74,6 +74,7 @@
 // Adopt tells owners what a new holder found on a worker.
 type Adopt struct {
 	Worker  ids.WorkerID
+	Token   Token // of the holder, 0 from an entry that does not tell it
 	Running []TaskRef
 	Ended   []Ended
 }
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -63,6 +63,7 @@
 	stalls     int // runs that were stopped for running too long
 	holder     ids.EntryID
 	worker     ids.WorkerID
+	token      Token // of the last holder to which the run was claimed, 0 if there is none
 	placedAt   time.Time
 	lostUntil  time.Time // when a lost task surely runs no more, or has rested
 	sent       bool      // this owner has sent a run of it to a holder
@@ -557,7 +558,7 @@
 
 // rest lets a lasting task wait for room again after a pause.
 func (en *Entry) rest(ta *task, how End) {
-	ta.state, ta.holder, ta.worker, ta.lostUntil = taskResting, "", "", en.now()
+	ta.state, ta.holder, ta.worker, ta.token, ta.lostUntil = taskResting, "", "", 0, en.now()
 	if how == EndDone || how == EndFailed {
 		ta.lostUntil = en.now().Add(restTime)
 	}
@@ -577,7 +578,7 @@
 
 // requeue lets a task wait for room again.
 func (en *Entry) requeue(gr *group, ta *task, noRoom bool) {
-	ta.state, ta.holder, ta.worker = taskQueued, "", ""
+	ta.state, ta.holder, ta.worker, ta.token = taskQueued, "", "", 0
 	if gr.shape.Gang {
 		en.breakGang(gr)
 		return
@@ -656,7 +657,11 @@
 		if ta == nil || gr.job.suspended || !reached || (ta.worker != "" && !gr.job.startedOn(ta, ms.Worker)) {
 			continue
 		}
-		ta.state, ta.holder, ta.worker = taskRunning, from, ms.Worker
+		if ta.worker == ms.Worker && ms.Token != 0 && ms.Token < ta.token {
+			// A later holder has asked before.
+			continue
+		}
+		ta.state, ta.holder, ta.worker, ta.token = taskRunning, from, ms.Worker, ms.Token
 		gr.job.begun = true
 		reply.Keep = append(reply.Keep, Kept{Ref: ref, Group: gr.id, Job: gr.job.Job.ID, Shape: gr.current(now)})
 	}
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -148,7 +148,7 @@
 	for _, ta := range tasks {
 		ta.run = max(ta.run, gr.job.runBase) + 1
 		ta.sent = true
-		ta.state, ta.holder, ta.worker, ta.placedAt = taskPlaced, holder, "", now
+		ta.state, ta.holder, ta.worker, ta.token, ta.placedAt = taskPlaced, holder, "", 0, now
 		msg.Tasks = append(msg.Tasks, Assignment{
 			TaskRef: ta.ref(), Checkpoint: ta.checkpoint, Attempt: ta.failed, Stalls: ta.stalls,
 		})
