dispatch: do not take a later incarnation of an entry for an ended one

Callers could see work of an entry that had just started again fall away: its workers, and the stored jobs that it had accepted, were claimed by others while it lived. For stored jobs that made two owners, of which the conditional writes let only one go on.

alive, replaced and silentFor compared incarnations for difference. A session that was still up with the earlier process, a row of it that was read late, or no row at all yet, therefore counted as proof that the later one was gone. A record of a job is read, or told by its owner, up to 0.5 s before the row of that owner, and a new entry of a fleet has no row yet.

Incarnations have no order of their own: the names are random, and the time of day of a VM may step back between two starts. Two facts order them. Processes of one entry do not overlap, so one that answers a batch that was sent after another was known is the later one. And the row of an entry names the later one where its version is higher than that of a row that names the other. Replaced uses these two everywhere; without them both incarnations count as running, and the next answer (0.8 s at the latest), the end of the session or the silence of the entry decides. A row of an incarnation that another one has outlived is not taken any more.

TestLaterIncarnation failed before in all its six cases, with the worker claimed or the owner counted as gone. TestEarlierIncarnation guards the takeover at once from the earlier one; its case with a session still up failed before too. Rows of entries in the emulator now have versions and change with the beats, as in the store.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -203,7 +203,7 @@
 	frozen bool
 	gen    int
 	inc    ids.Incarnation
-	beat   int64
+	row    Member // of this entry in the store
 	number uint64
 	seen   Version // of the rows of jobs
 	dials  map[ids.EntryID]time.Time
@@ -250,7 +250,8 @@
 			return
 		}
 		if !ee.frozen && wo.reaches(ee) {
-			ee.beat++
+			wo.version++
+			ee.row = Member{Self: ee.en.self, Version: wo.version, Beat: wo.at.UnixMilli(), BeatEvery: ee.en.BeatEvery()}
 			sent := wo.at
 			wo.after(wo.storeTime(), func() {
 				if ee.gen == gen && ee.alive {
@@ -334,8 +335,10 @@
 	wo := ee.wo
 	var members []Member
 	for _, other := range wo.sortedEntries() {
-		if other.id != ee.id && other.gen > 0 && !wo.gone[other.id] {
-			members = append(members, Member{Self: Self{Incarnation: other.inc, Zone: other.zone, Size: other.size}, Beat: other.beat, BeatEvery: other.en.BeatEvery(), Leaving: other.en.leaving})
+		if other.id != ee.id && other.row.Version > 0 && !wo.gone[other.id] {
+			mb := other.row
+			mb.Leaving = other.en.leaving && mb.Incarnation == other.inc
+			members = append(members, mb)
 		}
 	}
 	var rows []HolderRow
@@ -542,6 +545,7 @@
 			other.en.InboundUp(ee.id, number)
 			other.en.HeardSpare(ee.id, lk.Spare)
 			ee.en.SessionUp(other.id, other.inc)
+			ee.en.Answered(other.id, wo.at)
 		case reach && other.en.session(ee.id).inbound == 0:
 			// The receiver has ended the session; the sender learns it at once.
 			ee.en.SessionDown(other.id, "ended by the receiver")
@@ -560,6 +564,7 @@
 				}
 			})
 		case reach:
+			ee.en.Answered(other.id, wo.at)
 			ee.en.Heard(other.id, other.en.Load())
 			ee.en.HeardDesired(other.id, other.en.version())
 			other.en.HeardSpare(ee.id, lk.Spare)
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -140,6 +140,7 @@
 
 	// as member
 	members     map[ids.EntryID]*member
+	lives       map[ids.EntryID]map[ids.Incarnation]*life
 	rows        map[ids.WorkerID]HolderRow
 	rowAt       map[ids.WorkerID]time.Time // when the row was learned
 	known       map[ids.WorkerID]*knownWorker
@@ -181,6 +182,7 @@
 	up          bool // messages can be sent
 	incarnation ids.Incarnation
 	upSince     time.Time
+	answered    time.Time // when the last batch was sent that the incarnation has answered
 	downSince   time.Time
 	refused     bool // the last attempt to connect was refused
 	load        Load
@@ -232,6 +234,7 @@
 		suspects: suspectJobs{},
 		progress: map[ids.JobID]map[TaskID]SavedRun{},
 		members:  map[ids.EntryID]*member{},
+		lives:    map[ids.EntryID]map[ids.Incarnation]*life{},
 		rows:     map[ids.WorkerID]HolderRow{},
 		rowAt:    map[ids.WorkerID]time.Time{},
 		known:    map[ids.WorkerID]*knownWorker{},
@@ -379,7 +382,11 @@
 // SessionUp tells that messages can be sent to an entry.
 func (en *Entry) SessionUp(id ids.EntryID, inc ids.Incarnation) {
 	se := en.session(id)
+	if se.incarnation != inc {
+		se.answered = time.Time{}
+	}
 	se.up, se.refused, se.incarnation, se.upSince = true, false, inc, en.now()
+	en.life(inc)
 	en.claimsChanged = true
 	en.eff.Log("session-up", "entry", string(id), "incarnation", string(inc))
 	if se.inbound != 0 {
--- /dev/null
+++ b/internal/dispatch/incarnation_test.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// incarnationWorld returns an entry that has run for a minute, in whose zone a
+// worker reports.
+func incarnationWorld() (*world, *Entry) {
+	wo := newWorld(4)
+	en := New(Self{Incarnation: "entry-00/1", Zone: "north", Size: 1}, Limits{}, &emuEffects{ee: &emuEntry{wo: wo}}, func() time.Time { return wo.at })
+	wo.at = wo.at.Add(time.Minute)
+	en.PutWorker(WorkerInfo{ID: "w", Service: "fitdesk", Zone: "north", State: WorkerReady, Version: 5})
+	return wo, en
+}
+
+func rowOf(inc ids.Incarnation, version Version) Member {
+	return Member{Self: Self{Incarnation: inc, Zone: "north", Size: 1}, Version: version, Beat: int64(version)}
+}
+
+// takes tells whether the worker is claimed, and whether the owner counts as
+// gone, right after a whole read of the rows of entries and holders.
+func (en *Entry) takes(wo *world, owner ids.Incarnation) (claims, gone bool) {
+	wo.at = wo.at.Add(time.Millisecond)
+	en.TableRead(TableHolders, wo.at)
+	ro := newRoster([]Member{{Self: en.self}})
+	return len(en.claims(ro, wo.at)) > 0, en.ownerGone(owner, wo.at)
+}
+
+// TestLaterIncarnation guards against workers and stored jobs that are claimed
+// from an entry that has just started again, because an earlier incarnation was
+// taken for the later one: its session has not ended yet, or its row is the only
+// one that was read.
+func TestLaterIncarnation(t *testing.T) {
+	rows := []struct {
+		name  string
+		learn func(wo *world, en *Entry)
+		// named tells that a holder's row names other/2.
+		named bool
+	}{
+		{"session with the earlier one is up", func(wo *world, en *Entry) {
+			en.PutMember(rowOf("other/1", 10))
+			en.SessionUp("other", "other/1")
+			en.Answered("other", wo.at)
+			wo.at = wo.at.Add(100 * time.Millisecond)
+			en.PutMember(rowOf("other/2", 20))
+		}, true},
+		{"holder's row is read while the session is up", func(wo *world, en *Entry) {
+			en.PutMember(rowOf("other/1", 10))
+			en.SessionUp("other", "other/1")
+			en.Answered("other", wo.at)
+			wo.at = wo.at.Add(100 * time.Millisecond)
+		}, true},
+		{"row of the earlier one is read late", func(wo *world, en *Entry) {
+			en.PutMember(rowOf("other/1", 10))
+			en.SessionUp("other", "other/2")
+			wo.at = wo.at.Add(100 * time.Millisecond)
+			en.Answered("other", wo.at)
+			en.PutMember(rowOf("other/2", 20))
+			wo.at = wo.at.Add(100 * time.Millisecond)
+			en.PutMember(rowOf("other/1", 30))
+		}, true},
+		{"earlier one is met late", func(_ *world, en *Entry) {
+			en.Meet(Self{Incarnation: "other/1", Zone: "north", Size: 1})
+		}, false},
+		{"row of the later one is not read yet", func(_ *world, en *Entry) {
+			en.PutMember(rowOf("other/1", 10))
+		}, false},
+		{"no row of the entry is read yet", func(*world, *Entry) {}, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			wo, en := incarnationWorld()
+			row.learn(wo, en)
+			en.PutRecord(JobRecord{ID: "0000000000000001", State: JobAccepted, Owner: "other/2", Epoch: 1, Version: 25})
+			if row.named {
+				en.PutRow(HolderRow{Worker: "w", Holder: "other/2", Version: 25})
+			}
+			claims, gone := en.takes(wo, "other/2")
+			if row.named && claims {
+				t.Error("the worker of the later incarnation is claimed")
+			}
+			if gone {
+				t.Error("the later incarnation counts as gone as an owner")
+			}
+		})
+	}
+}
+
+// TestEarlierIncarnation guards against workers and stored jobs that stay with
+// an incarnation although its entry has provably begun a later one.
+func TestEarlierIncarnation(t *testing.T) {
+	rows := []struct {
+		name          string
+		before, after func(wo *world, en *Entry) // the rows that name other/1 are read
+	}{
+		{"row of the later one is read", putEarlier, func(_ *world, en *Entry) {
+			en.PutMember(rowOf("other/2", 20))
+		}},
+		{"row of the later one is read while a session is up", putEarlier, func(wo *world, en *Entry) {
+			en.SessionUp("other", "other/1")
+			en.Answered("other", wo.at)
+			en.PutMember(rowOf("other/2", 20))
+		}},
+		{"the later one answers", putEarlier, func(wo *world, en *Entry) {
+			en.SessionUp("other", "other/2")
+			en.Answered("other", wo.at)
+		}},
+		{"the later one still answers", func(wo *world, en *Entry) {
+			en.SessionUp("other", "other/2")
+			en.Answered("other", wo.at)
+		}, func(wo *world, en *Entry) {
+			en.PutMember(rowOf("other/1", 10))
+			wo.at = wo.at.Add(100 * time.Millisecond)
+			en.Answered("other", wo.at)
+		}},
+		{"only the row of the later one is there", func(_ *world, en *Entry) {
+			en.PutMember(rowOf("other/2", 20))
+		}, func(*world, *Entry) {}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			wo, en := incarnationWorld()
+			row.before(wo, en)
+			en.PutRow(HolderRow{Worker: "w", Holder: "other/1", Version: 11})
+			en.PutRecord(JobRecord{ID: "0000000000000001", State: JobAccepted, Owner: "other/1", Epoch: 1, Version: 12})
+			wo.at = wo.at.Add(time.Second)
+			row.after(wo, en)
+			claims, gone := en.takes(wo, "other/1")
+			if !claims {
+				t.Error("the worker of the earlier incarnation is not claimed")
+			}
+			if !gone {
+				t.Error("the earlier incarnation does not count as gone as an owner")
+			}
+		})
+	}
+}
+
+func putEarlier(_ *world, en *Entry) { en.PutMember(rowOf("other/1", 10)) }
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -79,7 +79,12 @@
 		return
 	}
 	old := en.members[id]
-	if old != nil && old.Member == mb {
+	en.named(mb.Incarnation, mb.Version)
+	if old != nil && (old.Member == mb || mb.Version < old.Version) {
+		return
+	}
+	if old != nil && old.Incarnation != mb.Incarnation && en.outlived(mb.Incarnation) {
+		// A beat that the store has carried out late.
 		return
 	}
 	if old == nil || old.Incarnation != mb.Incarnation {
@@ -190,6 +195,7 @@
 	if ok && row.Version < old.Version {
 		return
 	}
+	en.named(row.Holder, row.Version)
 	en.rows[row.Worker] = row
 	en.rowAt[row.Worker] = en.now()
 	en.claimsChanged = true
@@ -254,14 +260,18 @@
 	if id == en.id {
 		return false
 	}
-	mb := en.members[id]
-	if mb == nil || mb.Incarnation != inc {
+	if en.Replaced(inc) {
 		return false
 	}
 	se := en.session(id)
 	if se.up {
-		// Another incarnation that answers proves that this one has ended.
-		return se.incarnation == inc
+		// It answers, or another one does of which it is not known whether it is
+		// the later one; the next answer or the end of the session shows that.
+		return true
+	}
+	mb := en.members[id]
+	if mb == nil || mb.Incarnation != inc {
+		return false
 	}
 	limit := beatSilence
 	if se.refused {
@@ -302,17 +312,6 @@
 	return se.refused || now.Sub(se.probedAt) >= probeTime
 }
 
-// replaced tells whether an incarnation has surely ended, because its entry has
-// begun another one.
-func (en *Entry) replaced(inc ids.Incarnation) bool {
-	id := inc.Entry()
-	if id == en.id {
-		return inc != en.self.Incarnation
-	}
-	mb, se := en.members[id], en.sessions[id]
-	return (mb != nil && mb.Incarnation != inc) || (se != nil && se.up && se.incarnation != inc)
-}
-
 // candidates lists the entries that may hold workers.
 func (en *Entry) candidates(now time.Time) []Member {
 	var list []Member
@@ -399,6 +398,7 @@
 		en.eff.Log("member-forgotten", "entry", string(id), "beat-age-ms", now.Sub(mb.beatAt).Milliseconds())
 		delete(en.members, id)
 		delete(en.sessions, id)
+		delete(en.lives, id)
 		en.eff.ForgetMember(id, mb.Version)
 	}
 }
@@ -477,7 +477,7 @@
 // One that is as silent as its holder may be cut off from here together with it,
 // and the holder may go on using it.
 func (en *Entry) mayTakeOver(id ids.WorkerID, holder ids.Incarnation, now time.Time) bool {
-	if en.replaced(holder) {
+	if en.Replaced(holder) {
 		return true
 	}
 	if !en.probed(holder.Entry(), now) {
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -337,6 +337,7 @@
 	if rec.Version < re.Version {
 		return
 	}
+	en.named(rec.Owner, rec.Version)
 	re.JobRecord = rec
 	re.begun = re.begun || begun
 	switch {
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -101,18 +101,18 @@
 	if inc == "" || inc.Entry() == en.id {
 		return true
 	}
-	mb := en.members[inc.Entry()]
-	se := en.session(inc.Entry())
-	if se.up {
-		return se.incarnation != inc
+	if en.Replaced(inc) {
+		return true
 	}
-	if mb == nil {
-		return now.Sub(en.started) > silence
+	if en.session(inc.Entry()).up {
+		return false
 	}
-	if mb.Incarnation != inc {
-		return true
+	// The row of an entry that has just started may not have been read yet.
+	heard := en.life(inc).since
+	if mb := en.members[inc.Entry()]; mb != nil && mb.Incarnation == inc {
+		heard = mb.beatAt
 	}
-	return now.Sub(mb.beatAt) > silence && now.Sub(en.storeLost) > silence
+	return now.Sub(heard) > silence && now.Sub(en.storeLost) > silence
 }
 
 // claimJobs takes over jobs whose owners are gone.
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -233,7 +233,9 @@
 	for {
 		batch := Batch{From: lk.dm.opt.Self.Incarnation, Session: number, Protocol: peerProtocol, Self: self}
 		needless := false
+		var sent time.Time
 		lk.dm.locked(func(en *dispatch.Entry) {
+			sent = lk.dm.at
 			needless = lk.needless && len(lk.queue) == 0
 			batch.Load, batch.SameLoad = lk.dm.loadFor(en, lk.to, lk.protocol, len(lk.queue) > 0)
 			batch.Hears, batch.Spare = en.Hears(lk.to), lk.spare
@@ -250,7 +252,7 @@
 		if err != nil {
 			return err
 		}
-		if !lk.acked(ack) {
+		if !lk.acked(ack, sent) {
 			return errSessionEnded
 		}
 		lk.wait(ctx, lk.pause(), watched.ended)
@@ -320,8 +322,9 @@
 	}
 }
 
-// acked takes the answer to a batch, and tells whether the session goes on.
-func (lk *link) acked(ack Ack) bool {
+// acked takes the answer to a batch that was sent at a time, and tells whether
+// the session goes on.
+func (lk *link) acked(ack Ack, sent time.Time) bool {
 	goesOn := true
 	lk.dm.locked(func(en *dispatch.Entry) {
 		if lk.broken {
@@ -333,6 +336,7 @@
 			lk.up, lk.upAt = true, lk.dm.at
 			en.SessionUp(lk.to, ack.Incarnation)
 		}
+		en.Answered(lk.to, sent)
 		if ack.Linked {
 			lk.dm.hear(en, lk.to)
 		}
