dispatch: do not call a run unknown that has a slot without an owner

Callers would see a task of their job run twice at the same time (TWICE).

Cause: a holder that was asked for a run answered `unknown` although the worker listed it, if no owner was noted for it: while it waited for claims, or for the stop to work. A check on its way when the holder took the worker anew was answered so after the owner had claimed the run.

Such a check is now left without an answer, as for a run that goes on. The owner asks again a second later, when the run is its own or has ended. Tasks that last and are kept without an owner are answered as before: their owner finds them by asking for the job.

Test: TestCheckOfUnclaimedRun, red before: "a run that the worker lists is said to be unknown while its owner is asked for it".

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -329,3 +329,40 @@
 		t.Errorf("after the question of a former holder the task is %+v, want it with the present one", ta)
 	}
 }
+
+// TestCheckOfUnclaimedRun guards against a task that is started again while it
+// runs: its holder had taken the worker anew and asked who claims the run, and
+// answered a check that was on its way that it does not have it. The claim came
+// after that, so that the holder kept the run.
+func TestCheckOfUnclaimedRun(t *testing.T) {
+	wo, en, rc := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	const owner = ids.EntryID("entry-01")
+	en.Meet(Self{Incarnation: "entry-01/1", Zone: "north", Size: 1})
+	en.SessionUp(owner, "entry-01/1")
+	en.InboundUp(owner, 1)
+	ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
+	rep := HoldReply{Clock: WorkerTime(time.Minute), Born: 1, Running: []TaskRef{ref}}
+	en.HoldReplied("w", 50, rep)
+	told := func() bool {
+		en.Receive(owner, Check{Refs: []TaskRef{ref}})
+		for _, msg := range rc.sent {
+			if ed, ok := msg.(Ended); ok && ed.How == EndUnknown {
+				return true
+			}
+		}
+		return false
+	}
+	if told() {
+		t.Error("a run that the worker lists is said to be unknown while its owner is asked for it")
+	}
+	wo.tick(en, adoptTime+2*TickInterval)
+	if told() {
+		t.Error("a run that is being stopped is said to be unknown")
+	}
+	rep.Running, rep.Ended = nil, []EndedRun{{Number: 1, Ref: ref, How: EndStopped}}
+	en.HoldReplied("w", 50, rep)
+	if !told() {
+		t.Error("a run that has ended is not said to be unknown")
+	}
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -156,11 +156,15 @@
 	}
 }
 
-// findRun tells whether a run of an owner is here, and else how it ended.
+// ending tells whether a run without an owner may still be claimed, or has to end.
+func (sl *slot) ending() bool { return sl.owner == "" && (sl.foreign || !sl.keeps()) }
+
+// findRun tells whether a run of an owner is here, and else how it ended. An
+// owner that claims a run must not have been told before that it is not here.
 func (en *Entry) findRun(from ids.EntryID, ref TaskRef) (End, bool) {
 	for _, id := range sortedKeys(en.workers) {
 		wk := en.workers[id]
-		if sl := wk.slots[ref]; sl != nil && sl.owner == from {
+		if sl := wk.slots[ref]; sl != nil && (sl.owner == from || sl.ending()) {
 			return "", true
 		}
 		for _, un := range wk.unnoted {
