fleet: do not let a late beat replace the row of a later incarnation

Callers could see an entry that had just started again lose its workers, and entries without a session to it could take its stored jobs, for up to a second, until its next beat was read.

A beat rewrote the row of its entry without a condition. The store may carry out a write without an answer seconds later. A beat that was on its way when a process ended could therefore replace the row that the next process had written meanwhile, and all entries without a session to it took the living incarnation for the ended one.

A beat now replaces only the version of the row that its writer knows. A process that starts, or whose last beat got no answer, learns the version from the refusal and writes once more. Beats of incarnations that follow each other thus form a chain, which the order of incarnations by the versions of their rows relies on. The price is one refused call at each start and after each lost answer.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -160,7 +160,7 @@
 	// told is closed when the first desired state is in force.
 	told     chan struct{}
 	draining atomic.Bool
-	// rowVersion is the version of this entry's row in TableFleet.
+	// rowVersion is the version of this entry's row in TableFleet, 0 for none.
 	rowVersion atomic.Int64
 
 	startedAt time.Time
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -365,3 +366,65 @@
 		t.Errorf("a page that failed: next %q, read %v", next, ok)
 	}
 }
+
+// lateStore keeps writes without an answer while late is set.
+type lateStore struct {
+	*memStore
+	late atomic.Bool
+	kept chan Transaction
+}
+
+func (ls *lateStore) Commit(ctx context.Context, tx Transaction) (TransactionReply, error) {
+	if !ls.late.Load() {
+		return ls.memStore.Commit(ctx, tx)
+	}
+	ls.kept <- tx
+	return TransactionReply{}, errStoreDown
+}
+
+// TestLateBeat guards against workers and jobs that are claimed from a living
+// entry because a beat of its earlier incarnation, which the store carried out
+// late, has replaced its row.
+func TestLateBeat(t *testing.T) {
+	cl := startCluster(t, 1, 0, 20*time.Millisecond)
+	ls := &lateStore{memStore: cl.store, kept: make(chan Transaction, 100)}
+	cnt := counter.New()
+	begin := func() *Daemon {
+		dm := New(Options{Self: dispatch.Self{
+			Incarnation: ids.NewIncarnation("entry-9"), Zone: "north", PeerAddress: "127.0.0.1:0", Size: 1,
+		}}, ls, cl.workers, cl.journal, cnt)
+		if err := dm.Start(); err != nil {
+			t.Fatal(err)
+		}
+		return dm
+	}
+	names := func(dm *Daemon) bool {
+		rows, _, err := cl.store.Read(t.Context(), TableFleet, "", dm.entryKey())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(rows) == 1 && strings.Contains(string(rows[0].Value), string(dm.opt.Self.Incarnation))
+	}
+	before := begin()
+	cl.eventually("the earlier incarnation has a row", func() bool { return names(before) })
+	ls.late.Store(true)
+	tx := <-ls.kept
+	before.Close()
+	ls.late.Store(false)
+
+	failed := cnt.Value("store", "beat-errors")
+	after := begin()
+	defer after.Close()
+	cl.eventually("the later incarnation has a row", func() bool { return names(after) })
+	if _, err := cl.store.Commit(t.Context(), tx); err != nil {
+		t.Fatal(err)
+	}
+	if !names(after) {
+		t.Error("the late beat has replaced the row of the later incarnation")
+	}
+	version := after.rowVersion.Load()
+	cl.eventually("the later incarnation goes on beating", func() bool { return after.rowVersion.Load() > version && names(after) })
+	if count := cnt.Value("store", "beat-errors") - failed; count != 0 {
+		t.Errorf("%d beats of the later incarnation failed", count)
+	}
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -506,18 +506,11 @@
 func (dm *Daemon) writeBeat(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	self := dm.opt.Self
 	sent := dm.clock()
-	raw, err := json.Marshal(entryRecord{
-		Incarnation: self.Incarnation, Zone: self.Zone, PeerAddress: self.PeerAddress, Size: self.Size,
-		Leaving: dm.draining.Load(), Beat: time.Now().UnixMilli(), BeatEvery: dm.beatEvery().Milliseconds(),
-	})
-	if err == nil {
-		var rep TransactionReply
-		rep, err = dm.store.Commit(ctx, Transaction{Puts: []Put{{Table: TableFleet, Key: dm.entryKey(), Value: raw}}})
-		if err == nil {
-			dm.rowVersion.Store(int64(rep.Version))
-		}
+	err := dm.writeRow(ctx)
+	if errors.Is(err, errRowChanged) {
+		sent = dm.clock()
+		err = dm.writeRow(ctx)
 	}
 	if err != nil {
 		dm.cnt.Add("store", "beat-errors", 1)
@@ -527,3 +520,38 @@
 	dm.locked(func(en *dispatch.Entry) { en.Beaten(sent) })
 	return true
 }
+
+// errRowChanged tells that this entry's row had another version than the one
+// that it was to replace.
+var errRowChanged = errors.New("the row of this entry has changed")
+
+// writeRow replaces the version of this entry's row that is known. Without that
+// condition, a beat of an earlier incarnation that the store carries out late
+// would replace the row of this one.
+func (dm *Daemon) writeRow(ctx context.Context) error {
+	self := dm.opt.Self
+	raw, err := json.Marshal(entryRecord{
+		Incarnation: self.Incarnation, Zone: self.Zone, PeerAddress: self.PeerAddress, Size: self.Size,
+		Leaving: dm.draining.Load(), Beat: time.Now().UnixMilli(), BeatEvery: dm.beatEvery().Milliseconds(),
+	})
+	if err != nil {
+		return err
+	}
+	rep, err := dm.store.Commit(ctx, Transaction{
+		Checks: []Check{{Table: TableFleet, Key: dm.entryKey(), Version: dispatch.Version(dm.rowVersion.Load())}},
+		Puts:   []Put{{Table: TableFleet, Key: dm.entryKey(), Value: raw}},
+	})
+	if err != nil {
+		return err
+	}
+	if !rep.OK {
+		rep.Version, err = 0, errRowChanged
+		for _, ro := range rep.Present {
+			if ro.Key == dm.entryKey() && !ro.Deleted {
+				rep.Version = ro.Version
+			}
+		}
+	}
+	dm.rowVersion.Store(int64(rep.Version))
+	return err
+}
