fleet: refuse sessions of an incarnation that has ended

Callers of an entry that had just started again could see their jobs slowed by up to 1.7 s: a holder stopped the entry's tasks.

A connection of the former process may be accepted after the new process has begun its session, from the queue of a receiver that was busy. The receiver took it for the newer session, ended that of the living process with its tasks, and gave the entry's place to one that had ended.

The first batch of a session is now refused if its sender has been replaced.

TestLateSession failed before: the batch of the earlier incarnation was taken and the session of the later one had ended.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/rpc"
 	"strconv"
 	"strings"
 	"sync"
@@ -428,3 +429,46 @@
 		t.Errorf("%d beats of the later incarnation failed", count)
 	}
 }
+
+// TestLateSession guards against tasks of a living owner that are stopped because
+// a connection of its earlier incarnation was accepted late, and its session
+// taken for the newer one.
+func TestLateSession(t *testing.T) {
+	cl := startCluster(t, 2, 2, 20*time.Millisecond)
+	cl.eventually("the sessions are up", cl.mutual)
+	holder, before := cl.entries[0], cl.entries[1].opt.Self
+	cl.entries[1].Close()
+	cl.entries = cl.entries[:1]
+	cl.start("entry-1", counter.New())
+	cl.eventually("the sessions are up again", cl.mutual)
+	inbound := func() uint64 {
+		number := uint64(0)
+		holder.locked(func(*dispatch.Entry) {
+			for in := range holder.inbound {
+				if in.from == "entry-1" && !in.ended {
+					number = max(number, in.number)
+				}
+			}
+		})
+		return number
+	}
+	number := inbound()
+	peer, err := rpc.Dial("tcp", holder.opt.Self.PeerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := peer.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	batch := Batch{From: before.Incarnation, Session: 1, Protocol: peerProtocol, Self: &before}
+	if err := peer.Call("Peer.Deliver", batch, &Ack{}); err == nil || err.Error() != errSessionEnded.Error() {
+		t.Errorf("the batch of the earlier incarnation is answered with %v, want %v", err, errSessionEnded)
+	}
+	holder.locked(func(en *dispatch.Entry) {
+		if !en.InboundIs("entry-1", number) {
+			t.Error("the session of the later incarnation has ended")
+		}
+	})
+}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -473,6 +473,11 @@
 			err = errSessionEnded
 			return
 		}
+		if in.from == "" && en.Replaced(batch.From) {
+			in.dm.log.Line("session-refused", "incarnation", string(batch.From))
+			err = errSessionEnded
+			return
+		}
 		in.heard = in.dm.at
 		from := batch.From.Entry()
 		if in.from == "" {
