dispatch: extend no lease over a run that must end

What callers see: a task runs twice at the same time. Its owner loses touch with the holder and starts the task again 1.7 s (loseAfter) later, while the first run goes on.

Cause: a lease on a worker covers all runs there, and the holder went on extending it, by holds and by starts, while the stop of one run got lost or had not been carried out. loseAfter relied on stops taking effect; the sum in its comment (longest lease, silence of a session) is 1.9 s and did not hold either when the owner's end of a session broke first.

Fix: a lease now ends at the latest - 1.5 s (touchLease) after the holder was last in touch with the owner of any run on the worker. With the error of clocks that is 1.59 s, below loseAfter. Runs whose owner waits for the report of the end (stalled tasks, gangs, doubted starts) bound the lease only by the first rule. Lasting stored tasks are kept without an owner and bound nothing until they are stopped.

No new task goes to a worker on which a run must end and whose limit is less than 0.6 s away, so a stop that is confirmed within 0.35 s costs nothing. A run that was never listed counts as gone with the first hold that is sent after a confirmed stop; it kept its room for 0.8 s. Other tasks that lapse are started again by their owners as before (EndLapsed).

TestLeaseOfSilentOwner fails without touchLease alone: leases end up to 52 ms beyond it. TestConfirmedStops passes before and after; it guards the other tasks on the workers.

--- a/internal/dispatch/doubt.go
+++ b/internal/dispatch/doubt.go
@@ -142,7 +142,14 @@
 	if wk == nil || wk.token != token || !done {
 		return
 	}
-	if sl := wk.slots[ref]; sl != nil && sl.doubt == doubtStop && (sl.state == slotOrdered || sl.state == slotUnknown) {
+	sl := wk.slots[ref]
+	if sl == nil {
+		return
+	}
+	if sl.state == slotStopping && sl.stopDone.IsZero() {
+		sl.stopDone = en.now()
+	}
+	if sl.doubt == doubtStop && (sl.state == slotOrdered || sl.state == slotUnknown) {
 		sl.doubt, sl.doubtAt = doubtGone, en.now()
 		en.look(wk, en.now())
 	}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -573,6 +573,7 @@
 			ee.en.Heard(other.id, other.en.Load())
 			ee.en.HeardDesired(other.id, other.en.version())
 			other.en.HeardSpare(ee.id, lk.Spare)
+			other.en.InTouch(ee.id, wo.at)
 		}
 	}
 }
@@ -712,20 +713,22 @@
 	})
 }
 
+// emuOrderTimeout bounds the calls to workers.
+const emuOrderTimeout = 250 * time.Millisecond
+
 // order carries an order to a worker and its answer back.
 func (ef *emuEffects) order(id ids.WorkerID, do func(wk *emuWorker) StartReply, reply func(en *Entry, rep StartReply)) {
 	wo, from := ef.ee.wo, ef.ee
 	wk := wo.workers[id]
-	const orderTimeout = 250 * time.Millisecond
 	if wo.rnd.Float64() < wk.lateShare {
 		delay := time.Duration(2+wo.rnd.Float64()*8) * time.Second
 		wo.after(delay, func() { do(wk) })
-		ef.back(orderTimeout, func(en *Entry) { reply(en, StartReply{}) })
+		ef.back(emuOrderTimeout, func(en *Entry) { reply(en, StartReply{}) })
 		return
 	}
 	wo.after(emuHop, func() {
 		if !wk.up || wo.isCut(string(from.id), string(id)) {
-			ef.back(orderTimeout, func(en *Entry) { reply(en, StartReply{}) })
+			ef.back(emuOrderTimeout, func(en *Entry) { reply(en, StartReply{}) })
 			return
 		}
 		rep := do(wk)
@@ -734,6 +737,11 @@
 }
 
 func (ef *emuEffects) StopTask(order StopOrder) {
+	if wk := ef.ee.wo.workers[order.Worker]; wk.lateStops > 0 {
+		ef.ee.wo.after(wk.lateStops, func() { wk.stop(order) })
+		ef.back(emuOrderTimeout, func(en *Entry) { en.StopReplied(order.Worker, order.Token, order.Ref, false) })
+		return
+	}
 	ef.order(order.Worker, func(wk *emuWorker) StartReply {
 		wk.stop(order)
 		return StartReply{Started: true}
@@ -959,6 +967,9 @@
 	unlisted  bool    // its row in the store is away
 	lateHolds bool    // holds are late like other orders
 	lateShare float64 // share of the orders that are carried out late
+	// lateStops is how much later stops are carried out, without an answer.
+	lateStops time.Duration
+	lapses    int // runs that ended because the lease ran out
 }
 
 type emuRun struct {
@@ -1224,6 +1235,7 @@
 		}
 		wk.lapsedAt = wk.wo.at
 		for _, run := range wk.sortedRuns() {
+			wk.lapses++
 			wk.end(run, EndLapsed)
 		}
 	})
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -197,6 +197,9 @@
 	// inbound is the number of the session in the other direction, 0 when
 	// there is none.
 	inbound uint64
+	// touchAt is a time at which the session in the other direction surely was
+	// up for the other entry.
+	touchAt time.Time
 }
 
 // New returns the state of an entry that has just started.
@@ -430,7 +433,7 @@
 			en.giveUpAt(id)
 		}
 	}
-	se.inbound = number
+	se.inbound, se.touchAt = number, en.now()
 	en.linksChanged = true
 	if se.up {
 		en.offerWants(id)
@@ -462,6 +465,16 @@
 	return en.session(id).inbound == number
 }
 
+// InTouch tells that at a time an entry still kept its session towards this
+// one, and that all that it sent before has been received. The time is one at
+// which this entry sent something that the other one has answered since, so that
+// it holds however late the answer is read.
+func (en *Entry) InTouch(id ids.EntryID, at time.Time) {
+	if se := en.session(id); se.inbound != 0 && at.After(se.touchAt) {
+		se.touchAt = at
+	}
+}
+
 // Hears tells whether an entry has a session towards this one.
 func (en *Entry) Hears(id ids.EntryID) bool { return en.session(id).inbound != 0 }
 
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -40,6 +40,10 @@
 	saved    string // the last progress that the worker has listed
 	// orphanedAt is when a lasting task lost its owner.
 	orphanedAt time.Time
+	// leaseLimit bounds the lease of the worker while the run must end for an
+	// owner that may start the task again. Without it the lease is not extended.
+	leaseLimit time.Time
+	stopDone   time.Time // when the worker has confirmed a stop
 	doubt      doubtStep // search for a run whose start got no answer
 	doubtAt    time.Time // when the present step was begun
 }
@@ -103,6 +107,8 @@
 	lossyWait = 60 * time.Millisecond
 	// lossyTime after the last call that got lost, calls count as safe again.
 	lossyTime = 3 * time.Second
+	// limitedWait bounds the wait of holds that do not extend the whole lease.
+	limitedWait = 60 * time.Millisecond
 	// failsMost holds without an answer in a row make a worker silent.
 	failsMost = 2
 	// clockError bounds how much slower a worker's clock may run.
@@ -162,10 +168,12 @@
 	sl.shape = sh
 }
 
-// usable tells whether new tasks may be placed on the worker.
+// usable tells whether new tasks may be placed on the worker. Where a run must
+// end the lease may be about to run out.
 func (wk *worker) usable(now time.Time) bool {
-	return wk.phase == phaseOpen && !wk.unclaimed() && wk.failing.IsZero() && wk.recheckAt.IsZero() && wk.info.State == WorkerReady &&
-		wk.handingTo == "" && !now.Before(wk.blocked) && !wk.overdue && wk.lapseSince.IsZero() && (wk.streak == 0 || len(wk.slots) == 0)
+	return wk.phase == phaseOpen && wk.failing.IsZero() && wk.recheckAt.IsZero() && wk.info.State == WorkerReady &&
+		wk.handingTo == "" && !now.Before(wk.blocked) && !wk.overdue && wk.lapseSince.IsZero() && (wk.streak == 0 || len(wk.slots) == 0) &&
+		!wk.expires(now)
 }
 
 // takeWorker begins to hold a worker under a token.
@@ -224,28 +232,20 @@
 		default:
 			order.Wait = en.holdWait
 		}
-		if !wk.unclaimed() {
+		lease := en.leaseFor(wk, en.lease, now)
+		if lease < en.lease {
+			// The whole lease is asked for as soon as it may be.
+			order.Wait = min(order.Wait, limitedWait)
+		}
+		if lease > 0 {
 			order.Extend = true
-			order.Until = wk.clockNow(now) + WorkerTime(en.lease)
-			wk.extendLease(now, en.lease)
+			order.Until = wk.clockNow(now) + WorkerTime(lease)
+			wk.extendLease(now, lease)
 		}
 	}
 	en.eff.Hold(order)
 }
 
-// unclaimed tells whether the worker may run a task that no owner has claimed.
-// An owner that could not be asked starts the task again once the leases of the
-// holder before have run out, so they must not be extended until the run has
-// ended, or is known to last: such a task goes on without its owner.
-func (wk *worker) unclaimed() bool {
-	for _, sl := range wk.slots {
-		if sl.foreign {
-			return true
-		}
-	}
-	return false
-}
-
 // ackThrough returns the number up to which the worker may forget ends.
 func (wk *worker) ackThrough() int64 {
 	through := wk.acked
@@ -638,6 +638,9 @@
 	switch {
 	case sl.state == slotUnknown && clock > sl.until+lateOrderMargin:
 		en.endSlot(wk, sl, EndLost, "", 0)
+	case sl.state == slotStopping && !sl.stopDone.IsZero() && sent.After(sl.stopDone):
+		// The worker refuses the start from the stop on.
+		en.endSlot(wk, sl, EndLost, "", 0)
 	case (sl.state == slotRunning || sl.state == slotStopping) && sl.checked && sl.until < clock:
 		en.endSlot(wk, sl, EndLost, "", 0)
 	case (sl.state == slotRunning || sl.state == slotStopping) && !sl.checked && sent.Sub(sl.began) > en.startLease && sl.until < clock:
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -239,19 +239,21 @@
 
 // order sends a start to a worker and takes its room.
 func (en *Entry) order(wk *worker, from ids.EntryID, ms Start, as Assignment, now time.Time) {
-	until := wk.clockNow(now) + WorkerTime(en.startLease)
 	shape, far := ms.Shape, !wk.near(ms.Shape)
 	if far {
 		shape.Estimate = time.Duration(float64(shape.Estimate) * en.remotePenalty)
 	}
-	wk.addSlot(&slot{
+	sl := &slot{
 		ref: as.TaskRef, owner: from, group: ms.Group, job: ms.Job, shape: shape, state: slotOrdered,
-		until: until, began: now, far: far, stalls: as.Stalls,
-	})
-	wk.extendLease(now, en.startLease)
+		began: now, far: far, stalls: as.Stalls,
+	}
+	wk.addSlot(sl)
+	lease := en.leaseFor(wk, en.startLease, now)
+	sl.until = wk.clockNow(now) + WorkerTime(lease)
+	wk.extendLease(now, lease)
 	en.eff.StartTask(StartOrder{
 		Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: as.TaskRef,
-		Payload: ms.Payload, Checkpoint: as.Checkpoint, Ticket: ms.Shape.Tickets[wk.info.ID], Until: until,
+		Payload: ms.Payload, Checkpoint: as.Checkpoint, Ticket: ms.Shape.Tickets[wk.info.ID], Until: sl.until,
 	})
 }
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -24,7 +24,8 @@
 //
 // # Failures
 //
-// A holder stops the tasks of an owner whose session ends. An owner whose
+// A holder stops the tasks of an owner whose session ends, and extends no lease
+// beyond the time in which the owner counts on their end. An owner whose
 // session to a holder ends treats the tasks there as lost only after the time
 // in which they have surely been stopped. A new holder of a worker learns from
 // the worker itself what runs there and asks the owners; it extends leases
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -138,6 +138,9 @@
 		return
 	}
 	sl.state, sl.why = slotStopping, why
+	if sl.owner == "" && !sl.foreign && sl.leaseLimit.IsZero() {
+		sl.leaseLimit = en.now().Add(en.lease)
+	}
 	en.sendStop(wk, sl)
 }
 
@@ -186,10 +189,10 @@
 					en.stopSlot(wk, sl, EndStopped)
 				}
 			} else if sl != nil && sl.state != slotGranted && sl.state != slotStopping {
-				sl.owner = ""
+				en.disown(sl)
 				en.stopSlot(wk, sl, EndStopped)
 			} else if sl != nil && sl.owner == from {
-				sl.owner = ""
+				en.disown(sl)
 			}
 		}
 	}
@@ -212,7 +215,7 @@
 				en.orphan(sl)
 				continue
 			}
-			sl.owner = ""
+			en.disown(sl)
 			stopped++
 			if sl.state != slotStopping {
 				en.stopSlot(wk, sl, EndStopped)
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -150,9 +150,10 @@
 	// lateFactor times the objective is the age above which an answer is worth
 	// nothing to its caller.
 	lateFactor = 3
-	// loseAfter is the time after the end of a session in which a holder that
-	// still lives has surely stopped the tasks, and a dead one's leases have
-	// run out: the longest lease, the silence that ends a session, and a margin.
+	// loseAfter is the time after the end of a session in which the tasks at a
+	// holder have surely ended, whether it lives and stops them or not. Leases end
+	// at most touchLease after the holder was last in touch with the owner; 90 ms
+	// for a slow clock and a late reading (clockError, leaseMargin) leave 110 ms.
 	loseAfter = 1700 * time.Millisecond
 	// runStep is the distance between run numbers after a worker has refused a
 	// run as old: another entry started the same task before.
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -69,7 +69,9 @@
 	Incarnation ids.Incarnation
 	Protocol    int
 	// Linked tells that the receiver keeps its session towards the sender.
-	Linked         bool
+	Linked bool
+	// Untold tells that messages for the sender are on their way or wait.
+	Untold         bool
 	SameLoad       bool // as in Batch
 	Load           dispatch.Load
 	DesiredVersion int64
@@ -114,6 +116,7 @@
 	needless bool // no session is needed any more
 	protocol int  // of the receiver
 	queue    []dispatch.Message
+	telling  bool // messages are on their way
 	kick     chan struct{}
 }
 
@@ -196,7 +199,7 @@
 			return
 		}
 		lk.dm.locked(func(en *dispatch.Entry) {
-			lk.up, lk.queue = false, nil
+			lk.up, lk.queue, lk.telling = false, nil, false
 			en.SessionDown(lk.to, err.Error())
 			if errors.Is(err, syscall.ECONNREFUSED) {
 				en.Refused(lk.to)
@@ -243,6 +246,7 @@
 				batch.DesiredVersion = des.Version
 			}
 			batch.Messages, lk.queue = lk.queue, nil
+			lk.telling, sent = len(batch.Messages) > 0, lk.dm.at
 		})
 		if needless {
 			return errNeedless
@@ -331,7 +335,7 @@
 			goesOn = false
 			return
 		}
-		lk.protocol = ack.Protocol
+		lk.protocol, lk.telling = ack.Protocol, false
 		if !lk.up {
 			lk.up, lk.upAt = true, lk.dm.at
 			en.SessionUp(lk.to, ack.Incarnation)
@@ -339,6 +343,9 @@
 		en.Answered(lk.to, sent)
 		if ack.Linked {
 			lk.dm.hear(en, lk.to)
+			if !ack.Untold {
+				en.InTouch(lk.to, sent)
+			}
 		}
 		if !ack.SameLoad {
 			en.Heard(lk.to, ack.Load)
@@ -385,7 +392,9 @@
 	from   ids.EntryID
 	number uint64
 	heard  time.Time
-	ended  bool
+	// answered is when the last batch was answered. The next one was made later.
+	answered time.Time
+	ended    bool
 }
 
 // accept serves connections of other entries until ctx ends.
@@ -490,10 +499,13 @@
 		for _, msg := range batch.Messages {
 			en.Receive(from, msg)
 		}
+		en.InTouch(from, in.answered)
+		in.answered = in.dm.at
 		ack.Incarnation = in.dm.opt.Self.Incarnation
 		ack.Protocol = peerProtocol
 		if lk := in.dm.links[from]; lk != nil && en.Hears(from) {
 			ack.Linked = lk.up
+			ack.Untold = lk.telling || len(lk.queue) > 0
 		}
 		ack.Load, ack.SameLoad = in.dm.loadFor(en, from, batch.Protocol, len(batch.Messages) > 0)
 		if des := en.Desired(); des != nil {
