platform: do not take a job whose caller has already left

Callers saw a best-effort job run at two entries at once. An entry that was frozen or cut off reads a request seconds after it was sent. Its caller has given up meanwhile and, 1.3 s later, has sent the job to another entry. The server reports the end of a connection only once the handler has read the body, so the first entry took the job, started its tasks and stopped them some milliseconds later, beside those of the second entry.

Before it takes a best-effort job the server now looks, without reading, whether the end of the connection has arrived. Stored jobs need no such check: their ids are inserted once.

Weighed: holding requests back for a while after a pause, which delays all callers and does not cover bytes that the network has held up.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -136,7 +136,7 @@
 		rt.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	}
 	fl := &fleetServers{
-		callers: &http.Server{Handler: ca.Routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
+		callers: ca.Server(headerTimeout, idleTimeout),
 		ready:   &http.Server{Handler: ca.ReadyRoutes(), ReadHeaderTimeout: headerTimeout},
 		metrics: &http.Server{Handler: rt, ReadHeaderTimeout: headerTimeout},
 		grp:     group.New(ctx),
