--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -146,11 +146,6 @@
 // entries die at once, a zone is severed, an entry is replaced.
 func TestRandomFaultsStore(t *testing.T) { playSchedules(t, "store", (*world).checkAnswered) }
 
-// TestRandomFaultsCallers plays random faults with callers that send their jobs
-// to other entries. It guards against two owners of one job that take the runs of
-// each other for their own.
-func TestRandomFaultsCallers(t *testing.T) { playSchedules(t, "again", (*world).checkAnswered) }
-
 // randomFault brings about one fault.
 func (wo *world) randomFault() {
 	entries, workers := wo.sortedEntries(), wo.sortedWorkers()
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -42,9 +42,6 @@
 	storeCut map[ids.EntryID]bool
 	// storeSlow times as long as usual is what the store takes, 0 for once.
 	storeSlow float64
-	// callersAsk tells that callers send their jobs to another entry when theirs
-	// is lost.
-	callersAsk bool
 	// jobsSlow is how much longer the rows of jobs take to read.
 	jobsSlow time.Duration
 	// faultKinds bounds the kinds of random faults that are brought about.
@@ -110,8 +107,6 @@
 	refused bool
 	length  map[TaskID]time.Duration
 	sub     Submission
-	// again tells that the caller has sent the job to another entry.
-	again bool
 }
 
 type event struct {
@@ -639,7 +634,6 @@
 func (ee *emuEntry) kill() {
 	ee.alive = false
 	wo := ee.wo
-	ee.callersAsk(func() bool { return true })
 	for _, other := range wo.sortedEntries() {
 		if other == ee || !other.alive {
 			continue
@@ -656,8 +650,6 @@
 
 func (ee *emuEntry) freeze(du time.Duration) {
 	ee.frozen = true
-	gen := ee.gen
-	ee.callersAsk(func() bool { return ee.gen == gen && ee.frozen })
 	ee.wo.after(du, func() {
 		ee.frozen = false
 		held := ee.held
@@ -1442,8 +1434,7 @@
 			if out.Kind == Completed && wo.at.Sub(jb.arrived) <= objective {
 				wo.inTime[jb.queue]++
 			}
-			// A job that was sent again counts as refused only if all entries refuse it.
-			if out.Kind == Refused && !jb.again {
+			if out.Kind == Refused {
 				jb.refused = true
 				if jb.started {
 					wo.fault("job %s is refused as not run after a task has started", id)
@@ -1458,39 +1449,10 @@
 // connection to the first one.
 func (wo *world) submitAgain(ee *emuEntry, id ids.JobID) {
 	sub := wo.jobs[id].sub
-	wo.jobs[id].again = true
 	sub.Arrived, sub.Deadline = wo.at, wo.at.Add(4*time.Second)
 	ee.en.Submit(sub)
 }
 
-// emuCaller is how long after the loss of its entry a caller sends a job again.
-const emuCaller = 1300 * time.Millisecond
-
-// callersAsk lets the callers of jobs that are not stored ask other entries, if
-// the entry is still lost then.
-func (ee *emuEntry) callersAsk(lost func() bool) {
-	wo := ee.wo
-	if !wo.callersAsk {
-		return
-	}
-	for _, id := range sortedKeys(ee.en.jobs) {
-		if !ee.en.Waits(id) {
-			continue
-		}
-		wo.after(emuCaller, func() {
-			list := wo.sortedEntries()
-			other := list[wo.rnd.IntN(len(list))]
-			if !lost() || !other.alive || other.frozen || other == ee {
-				return
-			}
-			if ee.alive {
-				ee.deliver(func() { ee.en.Cancel(id, "caller gone") })
-			}
-			wo.submitAgain(other, id)
-		})
-	}
-}
-
 // load submits jobs of the kinds at random moments and entries.
 func (wo *world) load(kinds []kind, factor float64, du time.Duration) {
 	end := wo.at.Add(du)
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -11,8 +11,8 @@
 )
 
 // TestTrace prints the decisions on what the variable TRACE names, for the
-// random schedule with the seed in SEED. SCHEDULE is plain, store, again,
-// stored or mixed.
+// random schedule with the seed in SEED. SCHEDULE is plain, store, stored or
+// mixed.
 func TestTrace(t *testing.T) {
 	want := os.Getenv("TRACE")
 	if want == "" {
@@ -63,11 +63,6 @@
 		// went on with them.
 		33,
 	}},
-	"again": {offset: 60_000, kinds: plainFaults, play: callersSchedule, inCI: 10, broken: []uint64{
-		// The end of a run of a job's former owner was taken for that of the present
-		// one.
-		15,
-	}},
 	"stored": {offset: 5000, kinds: allFaults, play: storedSchedule, inCI: 40},
 	"mixed": {offset: 40_000, kinds: allFaults, play: mixedSchedule, inCI: 10, broken: []uint64{
 		// An owner that was cut off placed tasks again before it knew that its jobs
@@ -120,13 +115,6 @@
 	}
 }
 
-// callersSchedule is randomSchedule with callers that send their jobs to other
-// entries when theirs are lost.
-func callersSchedule(wo *world) {
-	wo.callersAsk = true
-	randomSchedule(wo)
-}
-
 // randomSchedule plays the load and the faults of one random schedule.
 func randomSchedule(wo *world) {
 	wo.load(standardKinds, 0.5+wo.rnd.Float64(), 20*time.Second)
