dispatch: do not take the runs of a job's earlier owner for one's own

Callers saw a task of a best-effort job run twice at a time. A caller that has lost its connection sends the job again to another entry, which numbers its runs from 1 as the first owner did. When a worker on which the first owner had run a task got a new holder, the holder found the end there ("lapsed") or the run, and asked all entries whose it was. The second owner compared only task and run number, took the end for that of its own run on another worker, and started the next run beside it; or it claimed the earlier run and forgot where its own was. Any fault that ends an entry while jobs run and moves its workers does this: loss of power of all entries, kills, freezes, cuts.

An owner now takes a run or an end that a new holder reports for its own only on the worker that it knows. If the session ended before a worker was named, a run may be claimed, but an end other than done does not start the task again before the usual 1.7 s. Stored jobs have other numbers for each owner and go on as before.

The emulator has played no callers that send again.

One is open: a connection that is reset for the caller alone.

--- /dev/null
+++ b/internal/dispatch/callers_test.go
@@ -0,0 +1,332 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// The behaviour of callers of jobs that are not stored, as the platform's pages
+// tell: a caller that has no answer by its deadline, or whose connection has
+// broken, sends the job again to any entry after a pause.
+const (
+	emuDeadline = 1500 * time.Millisecond
+	emuResend   = 1300 * time.Millisecond
+	emuAttempts = 4
+	// emuCallers stands for the callers in cuts.
+	emuCallers = "callers"
+	// emuHeldUp is the interval at which held up bytes are tried again.
+	emuHeldUp = 5 * time.Millisecond
+)
+
+// emuCall is a caller's job, which is sent until it has an answer.
+type emuCall struct {
+	wo       *world
+	job      Job
+	queue    Queue
+	attempts int
+	conn     *emuConn
+}
+
+// emuConn is one connection of a caller to an entry. Bytes arrive in order; a
+// cut holds them up until it heals.
+type emuConn struct {
+	ca     *emuCall
+	ee     *emuEntry
+	gen    int
+	queue  []func()
+	moving bool
+	closed bool // the end of the connection is the last thing in the queue
+	broken bool // at the caller
+	// ended tells that the end of the connection has reached the entry's VM, and
+	// left that the entry has read it or has answered.
+	ended, left bool
+}
+
+// call has a caller send one job to an entry, and again until it is answered.
+func (wo *world) call(ee *emuEntry, kd kind) *emuCall {
+	job, qu := wo.draw(kd)
+	ca := &emuCall{wo: wo, job: job, queue: qu}
+	wo.calls[job.ID] = ca
+	ca.send(ee)
+	return ca
+}
+
+// send makes one attempt.
+func (ca *emuCall) send(ee *emuEntry) {
+	ca.attempts++
+	co := &emuConn{ca: ca, ee: ee, gen: ee.gen}
+	ca.conn = co
+	if !ee.alive {
+		co.lost()
+		return
+	}
+	co.carry(func() {
+		if co.ended {
+			// The request was read together with the end of its connection.
+			return
+		}
+		wo := ca.wo
+		ee.en.Submit(Submission{
+			Job: ca.job, Queue: ca.queue, Arrived: wo.at, Deadline: wo.at.Add(emuDeadline),
+			Done: func(out Outcome) { co.answer(out) },
+		})
+	})
+	ca.wo.after(emuDeadline, func() { co.close() })
+}
+
+// carry passes bytes to the entry.
+func (co *emuConn) carry(fn func()) {
+	co.queue = append(co.queue, fn)
+	if !co.moving {
+		co.moving = true
+		co.ca.wo.after(emuHop, co.move)
+	}
+}
+
+func (co *emuConn) move() {
+	wo := co.ca.wo
+	if co.ee.gen != co.gen || !co.ee.alive {
+		co.queue = nil
+		return
+	}
+	if wo.isCut(emuCallers, string(co.ee.id)) {
+		wo.after(emuHeldUp, co.move)
+		return
+	}
+	co.moving = false
+	queue := co.queue
+	co.queue, co.ended = nil, co.closed
+	for _, fn := range queue {
+		co.ee.deliver(fn)
+	}
+}
+
+// leave tells the entry that the connection has ended.
+func (co *emuConn) leave() {
+	if !co.left {
+		co.left = true
+		co.ee.en.Cancel(co.ca.job.ID, "caller-left")
+	}
+}
+
+// close ends the connection at the caller, which has waited long enough.
+func (co *emuConn) close() {
+	if co.broken {
+		return
+	}
+	co.carry(co.leave)
+	co.closed = true
+	co.lost()
+}
+
+// reset breaks the connection for the caller alone: what was on its way is lost,
+// and the entry sees no end.
+func (co *emuConn) reset() {
+	if co.broken {
+		return
+	}
+	co.queue = nil
+	co.lost()
+}
+
+// lost has the caller send the job again after a pause.
+func (co *emuConn) lost() {
+	if co.broken {
+		return
+	}
+	co.broken = true
+	ca := co.ca
+	if ca.attempts >= emuAttempts {
+		return
+	}
+	ca.wo.after(emuResend, func() {
+		list := ca.wo.sortedEntries()
+		ca.send(list[ca.wo.rnd.IntN(len(list))])
+	})
+}
+
+// answer takes the outcome of an attempt to the caller.
+func (co *emuConn) answer(out Outcome) {
+	co.left = true
+	wo := co.ca.wo
+	wo.after(emuHop, func() {
+		if co.broken || wo.isCut(emuCallers, string(co.ee.id)) {
+			return
+		}
+		if out.Kind == Abandoned {
+			co.lost()
+			return
+		}
+		co.broken = true
+		wo.done[out.Kind]++
+	})
+}
+
+// killed tells the callers of an entry that its process has ended.
+func (wo *world) killed(ee *emuEntry) {
+	for _, id := range sortedKeys(wo.calls) {
+		if co := wo.calls[id].conn; co != nil && co.ee == ee && !wo.isCut(emuCallers, string(ee.id)) {
+			co.lost()
+		}
+	}
+}
+
+// resetCallers breaks the connections of all callers to an entry on their side.
+func (wo *world) resetCallers(ee *emuEntry) {
+	for _, id := range sortedKeys(wo.calls) {
+		if co := wo.calls[id].conn; co.ee == ee {
+			co.reset()
+		}
+	}
+}
+
+// cutCallers cuts an entry off from all callers for a while.
+func (wo *world) cutCallers(ee *emuEntry, du time.Duration) {
+	wo.setCut(emuCallers, string(ee.id), true)
+	wo.after(du, func() { wo.setCut(emuCallers, string(ee.id), false) })
+}
+
+// cutEntry cuts an entry off from the other entries and from the store.
+func (wo *world) cutEntry(ee *emuEntry, du time.Duration) {
+	wo.storeCut[ee.id] = true
+	for _, other := range wo.sortedEntries() {
+		wo.setCut(string(ee.id), string(other.id), true)
+	}
+	wo.after(du, func() {
+		delete(wo.storeCut, ee.id)
+		for _, other := range wo.sortedEntries() {
+			wo.setCut(string(ee.id), string(other.id), false)
+		}
+	})
+}
+
+// cutWorkers cuts an entry off from all workers.
+func (wo *world) cutWorkers(ee *emuEntry, du time.Duration) {
+	for _, wk := range wo.sortedWorkers() {
+		wo.setCut(string(ee.id), string(wk.info.ID), true)
+		wo.after(du, func() { wo.setCut(string(ee.id), string(wk.info.ID), false) })
+	}
+}
+
+// loadCalls has callers send jobs of the kinds at random moments and entries.
+func (wo *world) loadCalls(kinds []kind, factor float64, du time.Duration) {
+	end := wo.at.Add(du)
+	for _, kd := range kinds {
+		var next func()
+		next = func() {
+			if wo.at.After(end) {
+				return
+			}
+			list := wo.sortedEntries()
+			wo.call(list[wo.rnd.IntN(len(list))], kd)
+			wo.after(time.Duration(wo.rnd.ExpFloat64()/(kd.perS*factor)*float64(time.Second)), next)
+		}
+		wo.after(time.Duration(wo.rnd.Float64()*float64(time.Second)/(kd.perS*factor)), next)
+	}
+}
+
+// callerKinds are jobs that may run for as long as their callers wait.
+var callerKinds = []kind{
+	{queue: "fit", perS: 40, width: 2, work: 200 * time.Millisecond},
+	{queue: "pair", perS: 12, width: 4, work: 900 * time.Millisecond},
+}
+
+// TestCallersAgain guards against a task that runs at two entries: its caller
+// has lost the first one and sends the job again to another, while the first one
+// does not know that nobody waits any more.
+func TestCallersAgain(t *testing.T) {
+	rows := []struct {
+		name  string
+		fault func(wo *world, ee *emuEntry)
+	}{
+		{"calm: callers give up at their deadline", func(*world, *emuEntry) {}},
+		{"callers cut off: their ends arrive seconds later", func(wo *world, ee *emuEntry) {
+			wo.cutCallers(ee, 4*time.Second)
+		}},
+		{"entry killed", func(wo *world, ee *emuEntry) {
+			ee.kill()
+			wo.after(time.Second, func() { ee.start(0.4) })
+		}},
+		{"all entries without power", func(wo *world, _ *emuEntry) {
+			for _, ee := range wo.sortedEntries() {
+				ee.kill()
+				wo.after(time.Duration(float64(time.Second)*(1+wo.rnd.Float64())), func() { ee.start(0.4) })
+			}
+		}},
+		{"a third of the entries killed", func(wo *world, _ *emuEntry) {
+			for num, ee := range wo.sortedEntries() {
+				if num%3 == 0 {
+					ee.kill()
+					wo.after(2*time.Second, func() { ee.start(0.4) })
+				}
+			}
+		}},
+		{"entry frozen", func(wo *world, ee *emuEntry) {
+			ee.freeze(time.Duration(float64(time.Second) * (0.8 + 3.2*wo.rnd.Float64())))
+		}},
+		{"entry frozen while the store is down", func(wo *world, ee *emuEntry) {
+			wo.storeUp = false
+			ee.freeze(time.Duration(float64(time.Second) * (0.8 + 3.2*wo.rnd.Float64())))
+			wo.after(4*time.Second, func() { wo.storeUp = true })
+		}},
+		{"entry and callers cut off", func(wo *world, ee *emuEntry) {
+			wo.cutEntry(ee, 4*time.Second)
+			wo.cutCallers(ee, 4*time.Second)
+		}},
+		{"entry, workers and callers cut off, and callers reset", func(wo *world, ee *emuEntry) {
+			wo.cutEntry(ee, 4*time.Second)
+			wo.cutWorkers(ee, 4*time.Second)
+			wo.cutCallers(ee, 4*time.Second)
+			wo.resetCallers(ee)
+		}},
+		{"zone cut off, and its callers from elsewhere", func(wo *world, ee *emuEntry) {
+			wo.sever(ee.zone, 4*time.Second)
+			wo.cutCallers(ee, 4*time.Second)
+		}},
+		{"sessions to the holders end while the callers leave", func(wo *world, ee *emuEntry) {
+			for _, other := range wo.sortedEntries() {
+				wo.setCut(string(ee.id), string(other.id), true)
+				wo.after(700*time.Millisecond, func() { wo.setCut(string(ee.id), string(other.id), false) })
+			}
+			for _, id := range sortedKeys(wo.calls) {
+				co := wo.calls[id].conn
+				if co.ee == ee {
+					wo.after(time.Duration(wo.rnd.Float64()*float64(time.Second)), co.close)
+				}
+			}
+		}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			for _, seed := range []uint64{0, 3, 5} {
+				wo := standardWorld(seed+300, 7, 48)
+				wo.loadCalls(callerKinds, 1, 14*time.Second)
+				wo.run(3 * time.Second)
+				for num := range 2 {
+					wo.after(time.Duration(num)*6*time.Second, func() {
+						list := wo.sortedEntries()
+						row.fault(wo, list[wo.rnd.IntN(len(list))])
+					})
+				}
+				wo.run(22 * time.Second)
+				for _, fa := range wo.faults {
+					t.Errorf("seed %d: %s", seed, fa)
+				}
+			}
+		})
+	}
+}
+
+// TestRandomFaultsCallers plays random faults while callers send again what they
+// have lost.
+func TestRandomFaultsCallers(t *testing.T) { playSchedules(t, "callers", (*world).checkAnswered) }
+
+// callersSchedule is like randomSchedule, with callers that send again.
+func callersSchedule(wo *world) {
+	wo.loadCalls(callerKinds, 1.5, 20*time.Second)
+	for range 6 {
+		wo.after(time.Duration(wo.rnd.Float64()*15)*time.Second, wo.randomFault)
+	}
+	wo.run(32 * time.Second)
+}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -70,6 +70,8 @@
 	messages     int            // between entries
 	sent         map[string]int // messages by type
 	cancelled    map[ids.JobID]bool
+	// calls are those of callers that send a job again, by job.
+	calls map[ids.JobID]*emuCall
 	// trace takes the log lines of the entries and what happens at workers.
 	trace func(line string)
 	// stored jobs
@@ -155,6 +157,7 @@
 		done:       map[OutcomeKind]int{},
 		inTime:     map[string]int{},
 		asked:      map[string]int{},
+		calls:      map[ids.JobID]*emuCall{},
 
 		records:   map[ids.JobID]JobRecord{},
 		bodies:    map[ids.JobID]Job{},
@@ -634,6 +637,7 @@
 func (ee *emuEntry) kill() {
 	ee.alive = false
 	wo := ee.wo
+	wo.killed(ee)
 	for _, other := range wo.sortedEntries() {
 		if other == ee || !other.alive {
 			continue
@@ -1379,11 +1383,8 @@
 	colocated bool
 }
 
-// submit sends one job to an entry.
-func (wo *world) submit(ee *emuEntry, kd kind) {
-	if !ee.alive || ee.frozen {
-		return
-	}
+// draw makes one job of a kind.
+func (wo *world) draw(kd kind) (Job, Queue) {
 	wo.lastJob++
 	id := ids.JobID(fmt.Sprintf("%016x", wo.lastJob))
 	qu, _ := wo.desired.Route("example", "/"+kd.queue+"/")
@@ -1421,6 +1422,16 @@
 	wo.asked[kd.queue]++
 	jb.stored = kd.stored
 	job.Stored = kd.stored
+	return job, qu
+}
+
+// submit sends one job to an entry.
+func (wo *world) submit(ee *emuEntry, kd kind) {
+	if !ee.alive || ee.frozen {
+		return
+	}
+	job, qu := wo.draw(kd)
+	id, jb := job.ID, wo.jobs[job.ID]
 	jb.sub = Submission{
 		Job: job, Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(4 * time.Second),
 		Done: func(out Outcome) {
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -647,6 +647,15 @@
 	}
 }
 
+// foundOn tells whether a run that a new holder has found on a worker can be
+// the latest run of a task. A caller may have sent its job to another entry
+// before, which numbers the runs alike and may have left one on that worker; the
+// runs of stored jobs have different numbers at each owner. Of a task that has
+// just been placed the former holder of the worker would have named the worker.
+func (gr *group) foundOn(ta *task, id ids.WorkerID) bool {
+	return gr.job.stored != nil || ta.worker == id || (ta.worker == "" && ta.state == taskLost)
+}
+
 // onAdopt claims the tasks that a new holder has found on a worker.
 func (en *Entry) onAdopt(from ids.EntryID, ms Adopt) {
 	reply := Adopted{Worker: ms.Worker}
@@ -655,7 +664,7 @@
 	for _, ref := range ms.Running {
 		gr, ta := en.find(ref)
 		// A claim that does not reach the holder would leave the task to be stopped.
-		if ta == nil || gr.job.suspended || !reached || (ta.worker != "" && !gr.job.startedOn(ta, ms.Worker)) {
+		if ta == nil || gr.job.suspended || !reached || !gr.foundOn(ta, ms.Worker) {
 			continue
 		}
 		if ta.worker == ms.Worker && ms.Token != 0 && ms.Token < ta.token {
@@ -667,24 +676,20 @@
 		reply.Keep = append(reply.Keep, Kept{Ref: ref, Group: gr.id, Job: gr.job.Job.ID, Shape: gr.current(now)})
 	}
 	for _, ed := range ms.Ended {
-		switch gr, ta := en.find(ed.Ref); {
+		gr, ta := en.find(ed.Ref)
+		switch {
 		case ta == nil:
 			en.pastEnd(from, ed)
-		case ed.How == EndDone || gr.job.startedOn(ta, ms.Worker):
+		case !gr.foundOn(ta, ms.Worker):
+		case ta.worker == "" && gr.job.stored == nil && ed.How != EndDone:
+			// The lost run may be on a worker that is not known, and go on there.
+		default:
 			en.onEnded(from, ed)
 		}
 	}
 	en.send(from, reply)
 }
 
-// startedOn tells whether a run that a worker lists under the number of the
-// latest run of a task is that run. Each owner of a job that is not stored begins
-// with the same number, so the run may be that of an entry to which the caller
-// had sent the job before.
-func (jb *job) startedOn(ta *task, worker ids.WorkerID) bool {
-	return jb.stored != nil || ta.worker == worker
-}
-
 // Cancel tells that a connection no longer waits for a job. Without any other
 // the job ends.
 func (en *Entry) Cancel(id ids.JobID, reason string) {
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -11,8 +11,8 @@
 )
 
 // TestTrace prints the decisions on what the variable TRACE names, for the
-// random schedule with the seed in SEED. SCHEDULE is plain, store, stored or
-// mixed.
+// random schedule with the seed in SEED. SCHEDULE is plain, store, callers,
+// stored or mixed.
 func TestTrace(t *testing.T) {
 	want := os.Getenv("TRACE")
 	if want == "" {
@@ -63,6 +63,11 @@
 		// went on with them.
 		33,
 	}},
+	"callers": {offset: 60_000, kinds: allFaults, play: callersSchedule, inCI: 10, broken: []uint64{
+		// An owner took an end that a new holder had found for that of its own run,
+		// which another owner of the same job had numbered alike.
+		5, 29, 46,
+	}},
 	"stored": {offset: 5000, kinds: allFaults, play: storedSchedule, inCI: 40},
 	"mixed": {offset: 40_000, kinds: allFaults, play: mixedSchedule, inCI: 10, broken: []uint64{
 		// An owner that was cut off placed tasks again before it knew that its jobs
