--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -366,3 +367,52 @@
 		t.Error("a run that has ended is not said to be unknown")
 	}
 }
+
+// TestUnlistedWorkerIsReleased guards against runs on a worker that its holder
+// has dropped because it is no longer listed, although it answers: the owners must
+// hear of it, also of a start without an answer, and no lease may be extended
+// afterwards.
+func TestUnlistedWorkerIsReleased(t *testing.T) {
+	wo, en, rc := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	rep := HoldReply{Clock: WorkerTime(time.Minute), Born: 1}
+	en.HoldReplied("w", 50, rep)
+	const owner = ids.EntryID("entry-01")
+	en.Meet(Self{Incarnation: "entry-01/1", Zone: "north", Size: 1})
+	en.SessionUp(owner, "entry-01/1")
+	en.InboundUp(owner, 1)
+	en.DropWorker("w", 0)
+	// The worker answers all the time.
+	for range int(storeRecovery/TickInterval) - 5 {
+		wo.tick(en, TickInterval)
+		rep.Clock += WorkerTime(TickInterval)
+		en.HoldReplied("w", 50, rep)
+	}
+	en.Receive(owner, Start{
+		Group: 1, Job: "0000000000000001", Payload: "cpu=1000",
+		Shape: Shape{Service: "fitdesk", Need: Resources{CPU: 1000, Memory: 64}, Estimate: time.Second},
+		Tasks: []Assignment{{TaskRef: TaskRef{Task: "0000000000000001.0.0.0", Run: 1}}},
+	})
+	if len(rc.starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(rc.starts))
+	}
+	wo.tick(en, storeRecovery)
+	if en.workers["w"] != nil {
+		t.Fatal("the worker is still held")
+	}
+	var told []string
+	for _, msg := range rc.sent {
+		switch msg.(type) {
+		case Running, Released, Ended:
+			told = append(told, fmt.Sprintf("%T", msg))
+		}
+	}
+	if want := []string{"dispatch.Running", "dispatch.Released"}; !slices.Equal(told, want) {
+		t.Errorf("the owner is told %v, want %v", told, want)
+	}
+	holds := len(rc.holds)
+	wo.tick(en, time.Second)
+	if len(rc.holds) > holds {
+		t.Error("a worker is held after it was dropped")
+	}
+}
