dispatch: take stops of a run only from its owner

Callers that had sent their job to another entry would get their answer late.

Cause: both owners number the runs of a job that is not stored from 1. When the former owner, frozen meanwhile, gave the job up, its stop ended the run of the present owner at the same holder, which did not tell the present owner: it found out by its checks and started the task again after 1.7 s and more.

A run of a job that is not stored is now stopped only for the owner that has sent it, or that has claimed it. Runs without an owner and those of stored jobs, whose numbers are never the same, are stopped as before.

Test: TestStopOfFormerOwner, red before: "after the stop of a former owner the run is ... state:stopping, 1 stops are sent".

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -416,3 +416,29 @@
 		t.Error("a worker is held after it was dropped")
 	}
 }
+
+// TestStopOfFormerOwner guards against a run that is stopped for an owner that it
+// does not belong to: the caller had sent the job to another entry, whose run has
+// the same number, and the former owner was frozen meanwhile.
+func TestStopOfFormerOwner(t *testing.T) {
+	for _, report := range []bool{false, true} {
+		wo, en, rc := newHolder()
+		en.TableRead(TableJobs, wo.at)
+		en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
+		ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
+		en.Receive("present", Start{
+			Group: 1, Job: "0000000000000001", Payload: "cpu=1000",
+			Shape: Shape{Service: "fitdesk", Need: Resources{CPU: 1000, Memory: 64}, Estimate: time.Second},
+			Tasks: []Assignment{{TaskRef: ref}},
+		})
+		en.StartReplied("w", 50, ref, StartReply{Started: true})
+		en.Receive("former", Stop{Refs: []TaskRef{ref}, Report: report})
+		if sl := en.workers["w"].slots[ref]; len(rc.stops) > 0 || sl == nil || sl.owner != "present" {
+			t.Errorf("report %v: after the stop of a former owner the run is %+v, %d stops are sent", report, sl, len(rc.stops))
+		}
+		en.Receive("present", Stop{Refs: []TaskRef{ref}, Report: report})
+		if len(rc.stops) != 1 {
+			t.Errorf("report %v: %d stops are sent for the present owner, want 1", report, len(rc.stops))
+		}
+	}
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -184,6 +184,10 @@
 	for _, ref := range ms.Refs {
 		for _, id := range sortedKeys(en.workers) {
 			wk := en.workers[id]
+			if sl := wk.slots[ref]; sl != nil && sl.owner != "" && sl.owner != from && !sl.shape.Stored {
+				// Another owner of the job has given its run the same number.
+				continue
+			}
 			if sl := wk.slots[ref]; sl != nil && ms.Report && sl.owner == from {
 				if sl.state != slotStopping {
 					en.stopSlot(wk, sl, EndStopped)
