dispatch: do not refuse stored jobs after a pause of this process

Callers of stored jobs were told that the store is away (503) for 0.4 s after their entry had been paused for over half a second, although it answers.

Cause: a pause was noted in the same field as an outage of the store, because beats of others are not read in either. The decisions on others still use that field; the refusal now looks at outages alone. An insertion needs no such caution: it is conditional.

TestStoredAfterPause failed before: 'after a pause a stored job is answered at once with {refused store-away}'.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -146,7 +146,11 @@
 	known       map[ids.WorkerID]*knownWorker
 	committing  bool
 	commitAt    time.Time
-	storeLost   time.Time // last time the store was seen to be away
+	// storeLost is the last time at which rows of others may not have been read,
+	// because the store was away or this process paused, and storeAway the last
+	// time at which the store was seen to be away.
+	storeLost   time.Time
+	storeAway   time.Time
 	lastWake    time.Time
 	memberTick  time.Time
 	removalTick time.Time
@@ -284,7 +288,7 @@
 	}
 	en.eff.Log("paused", "gap-ms", gap.Milliseconds())
 	// Beats of others were not read meanwhile; they prove nothing.
-	en.StoreAway()
+	en.storeLost = now
 	for _, id := range sortedKeys(en.sessions) {
 		if en.sessions[id].inbound != 0 {
 			en.InboundDown(id, en.sessions[id].inbound, "paused")
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -187,7 +187,7 @@
 }
 
 // StoreAway notes that the store did not answer.
-func (en *Entry) StoreAway() { en.storeLost = en.now() }
+func (en *Entry) StoreAway() { en.storeLost, en.storeAway = en.now(), en.now() }
 
 // PutRow takes the row of a worker's holder from the store.
 func (en *Entry) PutRow(row HolderRow) {
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -150,7 +150,7 @@
 		en.join(old, sub)
 		return
 	}
-	if en.now().Sub(en.storeLost) < storeAwayLimit {
+	if en.now().Sub(en.storeAway) < storeAwayLimit {
 		sub.Done(Outcome{Kind: Refused, Reason: "store-away", RetryAfter: retryOverload})
 		return
 	}
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // storedKinds are the users' kinds of job, stored and in two steps.
@@ -91,3 +93,29 @@
 	}
 	wo.run(50 * time.Second)
 }
+
+// TestStoredAfterPause guards against stored jobs that are refused because the
+// store is away, while only this process was paused and the store answers.
+func TestStoredAfterPause(t *testing.T) {
+	wo, en, _ := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	wo.tick(en, time.Second)
+	wo.at = wo.at.Add(2 * pauseLimit)
+	en.Wake()
+	outcome := func(id ids.JobID) Outcome {
+		var out Outcome
+		qu, _ := en.queue("fit")
+		en.Submit(Submission{
+			Job:   Job{ID: id, Stored: true, Steps: []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
+			Queue: qu, Arrived: wo.at, Done: func(got Outcome) { out = got },
+		})
+		return out
+	}
+	if out := outcome("0000000000000001"); out.Kind != "" {
+		t.Errorf("after a pause a stored job is answered at once with %+v", out)
+	}
+	en.StoreAway()
+	if out := outcome("0000000000000002"); out.Kind != Refused || out.Reason != "store-away" {
+		t.Errorf("while the store is away a stored job is answered with %+v", out)
+	}
+}
