--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -139,13 +139,13 @@
 	vanished map[ids.WorkerID]time.Time
 
 	// as member
-	members     map[ids.EntryID]*member
-	lives       map[ids.EntryID]map[ids.Incarnation]*life
-	rows        map[ids.WorkerID]HolderRow
-	rowAt       map[ids.WorkerID]time.Time // when the row was learned
-	known       map[ids.WorkerID]*knownWorker
-	committing  bool
-	commitAt    time.Time
+	members    map[ids.EntryID]*member
+	lives      map[ids.EntryID]map[ids.Incarnation]*life
+	rows       map[ids.WorkerID]HolderRow
+	rowAt      map[ids.WorkerID]time.Time // when the row was learned
+	known      map[ids.WorkerID]*knownWorker
+	committing bool
+	commitAt   time.Time
 	// storeLost is the last time at which rows of others may not have been read,
 	// because the store was away or this process paused, and storeAway the last
 	// time at which the store was seen to be away.
