dispatch: take a run for lost only when its present holder says so

A task that must run once could be started again while its run went on: an entry that was cut off from a worker and from the store told the owner that the run was lost when its own last lease had ended. Another entry had taken the worker meanwhile, the owner had passed the run to it, and it had extended the lease. The owner did not look at who told.

EndLost is the belief of a holder, not an end that the worker has listed, so the owner now takes it only from the entry that the run is with. Ends that a worker has listed count whoever tells of them.

Found by reading. TestLossSeenByFormerHolder failed before.

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -442,3 +442,44 @@
 		}
 	}
 }
+
+// TestLossSeenByFormerHolder guards against a task that is started again while it
+// runs: another entry has taken its worker, and the former holder, which does not
+// reach the worker, takes the end of its own last lease for that of the run.
+func TestLossSeenByFormerHolder(t *testing.T) {
+	rows := []struct {
+		from  ids.EntryID
+		how   End
+		keeps bool // the run goes on
+	}{
+		{"former", EndLost, true},
+		{"present", EndLost, false},
+		{"former", EndLapsed, false}, // the worker has listed the end
+	}
+	for _, row := range rows {
+		wo, en, rc := newHolder()
+		en.TableRead(TableJobs, wo.at)
+		en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
+		qu, _ := en.desired.Route("example", "/pair/")
+		en.Submit(Submission{
+			Job: Job{ID: "0000000000000001", Payload: "cpu=1000", Steps: []Step{
+				{Count: 1, Need: Resources{CPU: 1000, Memory: 64}, Estimate: time.Second},
+			}},
+			Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(10 * time.Second), Done: func(Outcome) {},
+		})
+		ref := rc.starts[0].Ref
+		en.StartReplied("w", 50, ref, StartReply{Started: true})
+		for _, id := range []ids.EntryID{"former", "present"} {
+			en.Meet(Self{Incarnation: ids.Incarnation(id + "/1"), Zone: "north", Size: 1})
+			en.SessionUp(id, ids.Incarnation(id+"/1"))
+			en.InboundUp(id, 1)
+		}
+		en.Receive("former", Adopt{Worker: "w", Token: 60, Running: []TaskRef{ref}})
+		en.Receive("present", Adopt{Worker: "w", Token: 70, Running: []TaskRef{ref}})
+		en.Receive(row.from, Ended{Ref: ref, Worker: "w", How: row.how})
+		_, ta := en.find(ref)
+		if got := ta != nil && ta.state == taskRunning && ta.holder == "present"; got != row.keeps {
+			t.Errorf("an end %s from the %s holder: the run goes on: %v, want %v", row.how, row.from, got, row.keeps)
+		}
+	}
+}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -457,6 +457,11 @@
 		}
 		return
 	}
+	if ms.How == EndLost && from != ta.holder {
+		// The lease that has run out at a former holder may have been extended by the
+		// present one.
+		return
+	}
 	jb := gr.job
 	if ms.Checkpoint != "" {
 		ta.savedRun = ms.Ref.Run
