dispatch: recall a start again after its worker has restarted

A start without an answer counted as lost when the worker had confirmed a stop and did not list the run, also when the worker had restarted under its id in between. The new lifetime knows nothing of that stop and may take the start when it comes late, while the owner has started the task elsewhere.

The search for the run now begins anew with the new lifetime, so that it is the one that confirms the stop.

Found by reading. TestDoubtOfRebornWorker failed before.

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -483,3 +483,46 @@
 		}
 	}
 }
+
+// TestDoubtOfRebornWorker guards against a task that runs twice: its start is on
+// its way when a stop is confirmed by the worker, which then restarts under its
+// id and refuses nothing of what comes late.
+func TestDoubtOfRebornWorker(t *testing.T) {
+	wo, en, rc := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	rep := HoldReply{Clock: WorkerTime(time.Minute), Born: 1}
+	en.HoldReplied("w", 50, rep)
+	ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
+	en.Receive("entry-00", Start{
+		Group: 1, Job: "0000000000000001", Payload: "cpu=1000",
+		Shape: Shape{Service: "fitdesk", Need: Resources{CPU: 1000, Memory: 64}, Estimate: time.Second},
+		Tasks: []Assignment{{TaskRef: ref}},
+	})
+	looked := func() {
+		wo.tick(en, lookTimeout+2*TickInterval)
+		for _, order := range slices.Backward(rc.holds) {
+			if order.Look != 0 {
+				en.Looked("w", 50, order.Look, rep)
+				return
+			}
+		}
+		t.Fatal("the worker is not asked for its lists")
+	}
+	looked()
+	if len(rc.stops) == 0 {
+		t.Fatal("the start is not recalled")
+	}
+	en.StopReplied("w", 50, ref, true)
+	rep = HoldReply{Clock: WorkerTime(time.Second), Born: 2}
+	en.HoldReplied("w", 50, rep)
+	looked()
+	if en.workers["w"].slots[ref] == nil {
+		t.Fatal("the run counts as lost although the new lifetime of the worker has confirmed no stop of it")
+	}
+	looked()
+	en.StopReplied("w", 50, ref, true)
+	looked()
+	if en.workers["w"].slots[ref] != nil {
+		t.Error("the run does not count as lost although the new lifetime of the worker refuses it")
+	}
+}
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -401,6 +401,8 @@
 		switch {
 		case sl.state == slotGranted || listed[sl.ref]:
 		case sl.state == slotOrdered || sl.state == slotUnknown || (sl.state == slotRunning && !sl.checked):
+			// Only a stop that this lifetime confirms makes it refuse the order.
+			sl.doubt = doubtNone
 			sl.state, sl.until = slotUnknown, rep.Clock+WorkerTime(en.startLease)
 		default:
 			en.endSlot(wk, sl, EndLost, "", 0)
