dispatch: tell plain tasks of a job with lasting ones apart

A stored job may have steps whose tasks last and others whose tasks end. Its row said only that some last, so that a new holder took every unclaimed run of the job for a lasting one: it kept the run and extended its lease without an owner, and let the worker forget its end before the owner had stored it. The owner, for which the task does not last, started it again, also after an end done.

The row now names the steps that last. Rows of earlier programs name none, and all of their steps count as lasting, as before.

TestPlainTaskOfLastingJob plays restarts of holders that can't reach all owners; before, tasks ran twice or again after their end in it, and none did with the same jobs without lasting steps.

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -526,3 +526,28 @@
 		t.Error("the run does not count as lost although the new lifetime of the worker refuses it")
 	}
 }
+
+// TestPlainTaskOfLastingJob guards against a task that runs twice: it does not
+// last itself but belongs to a job with tasks that do. A new holder that could not
+// ask its owner kept it, and the owner started it again.
+func TestPlainTaskOfLastingJob(t *testing.T) {
+	const entries, workers = 25, 75
+	for seed := range uint64(6) {
+		wo := zonedWorld(seed+560, entries, workers, emuZones[:3])
+		wo.run(5 * time.Second)
+		for _, ee := range wo.sortedEntries() {
+			job, qu := wo.draw(kind{queue: "pair", width: 3, steps: 2, work: 6 * time.Second, stored: true})
+			job.Steps[1].Lasting = true
+			ee.en.Submit(Submission{Job: job, Queue: qu, Arrived: wo.at, Done: func(Outcome) {}})
+		}
+		wo.run(time.Second)
+		for num, ee := range wo.sortedEntries() {
+			if num%4 == 0 {
+				ee.kill()
+				wo.after(100*time.Millisecond, func() { ee.start(0.4) })
+			}
+		}
+		wo.run(12 * time.Second)
+		wo.check(t)
+	}
+}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -70,7 +70,7 @@
 		}
 		return verdictUnknown
 	}
-	if re.Lasting {
+	if re.lasts(un.ref.Task) {
 		// Its tasks are started again however they end.
 		return verdictNoted
 	}
--- a/internal/dispatch/lasting.go
+++ b/internal/dispatch/lasting.go
@@ -48,7 +48,7 @@
 		reason = "job over"
 	case re == nil && en.readAt[TableJobs].After(sl.orphanedAt):
 		reason = "no such job"
-	case re != nil && !re.Lasting:
+	case re != nil && !re.lasts(sl.ref.Task):
 		reason = "no owner"
 	case en.cutOff(now, lastingFence):
 		reason = "cut off"
@@ -68,7 +68,7 @@
 		return false
 	}
 	re := en.recordOf(ref.Task)
-	return (re != nil && re.Lasting && !re.State.over()) || (re == nil && en.readAt[TableJobs].IsZero())
+	return (re != nil && re.lasts(ref.Task) && !re.State.over()) || (re == nil && en.readAt[TableJobs].IsZero())
 }
 
 // lastingRuns lists the lasting tasks of jobs that run here, and tells whether
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -265,6 +265,17 @@
 	return slices.ContainsFunc(jb.Steps, func(st Step) bool { return st.Lasting })
 }
 
+// lastingSteps lists the steps whose tasks run until the job is cancelled.
+func (jb Job) lastingSteps() []int {
+	var list []int
+	for num, st := range jb.Steps {
+		if st.Lasting {
+			list = append(list, num)
+		}
+	}
+	return list
+}
+
 // startTime is how long after its start an entry may not know the workers yet.
 // Jobs wait meanwhile; reading the store and taking the workers takes 0.5 s.
 const startTime = 1500 * time.Millisecond
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -33,6 +33,9 @@
 	Submitted int64           // Unix milliseconds
 	Timed     bool            // the steps have times when they are due
 	Lasting   bool            // some tasks run until the job is cancelled
+	// LastingSteps are the steps of these tasks. Rows of earlier programs have
+	// none; all steps count as lasting then.
+	LastingSteps []int
 	// Done and Fails hold which runs are known to have ended so, by the names
 	// of the tasks without the job.
 	Done  map[string]Run
@@ -42,6 +45,12 @@
 	Latest map[string]Run
 }
 
+// lasts tells whether a task of the job runs until the job is cancelled.
+func (re JobRecord) lasts(id TaskID) bool {
+	at, ok := splitTask(id)
+	return ok && re.Lasting && (len(re.LastingSteps) == 0 || slices.Contains(re.LastingSteps, at.step))
+}
+
 // clone copies a record, so that later changes of the job don't reach a write
 // on its way.
 func (re JobRecord) clone() JobRecord {
@@ -157,7 +166,7 @@
 	jb := &job{Submission: sub, waiters: 1, stored: &storedJob{rec: JobRecord{
 		ID: id, Queue: sub.Queue.Name, State: JobAccepted, Owner: en.self.Incarnation, Epoch: 1,
 		Submitted: en.now().UnixMilli(),
-		Timed:     sub.Job.Repeat.Count > 0, Lasting: sub.Job.lasting(),
+		Timed:     sub.Job.Repeat.Count > 0, Lasting: sub.Job.lasting(), LastingSteps: sub.Job.lastingSteps(),
 	}}}
 	en.jobs[id] = jb
 	en.write(jb)
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -68,6 +68,9 @@
 	Submitted int64             `json:"submitted-unix-millis"`
 	Timed     bool              `json:"timed,omitempty"`
 	Lasting   bool              `json:"lasting,omitempty"`
+	// LastingSteps are the steps with tasks that last, none in rows of earlier
+	// programs.
+	LastingSteps []int `json:"lasting-steps,omitempty"`
 	// Done holds the tasks that are done, as encodeRuns writes them.
 	Done   []string                  `json:"done,omitempty"`
 	Fails  map[string][]dispatch.Run `json:"fails,omitempty"`
@@ -130,7 +133,7 @@
 	return json.Marshal(jobRecord{
 		Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
 		Submitted: rec.Submitted, Done: encodeRuns(rec.Done), Fails: rec.Fails, Latest: rec.Latest,
-		Timed: rec.Timed, Lasting: rec.Lasting,
+		Timed: rec.Timed, Lasting: rec.Lasting, LastingSteps: rec.LastingSteps,
 	})
 }
 
@@ -146,7 +149,7 @@
 	return dispatch.JobRecord{
 		ID: ids.JobID(ro.Key), Version: ro.Version, Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
 		Submitted: rec.Submitted, Done: done, Fails: rec.Fails, Latest: rec.Latest,
-		Timed: rec.Timed, Lasting: rec.Lasting,
+		Timed: rec.Timed, Lasting: rec.Lasting, LastingSteps: rec.LastingSteps,
 	}, nil
 }
 
