--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -238,7 +238,6 @@
 		needless := false
 		var sent time.Time
 		lk.dm.locked(func(en *dispatch.Entry) {
-			sent = lk.dm.at
 			needless = lk.needless && len(lk.queue) == 0
 			batch.Load, batch.SameLoad = lk.dm.loadFor(en, lk.to, lk.protocol, len(lk.queue) > 0)
 			batch.Hears, batch.Spare = en.Hears(lk.to), lk.spare
