dispatch: start no run beside one of the same number on a worker

Best-effort runs are numbered from 1 by each owner. When a caller sent its job to another entry and the holder placed the new run on the worker on which the run of the former owner was still being stopped, the new slot replaced the old one. The room of the old one stayed taken as long as the worker had its holder, the limit on its lease was forgotten, and the new owner was told the end of the old run.

The holder now has no room for such a task, and the owner asks again.

Found by reading. TestStartBesideFormerOwnersRun failed before.

--- a/internal/dispatch/callers_test.go
+++ b/internal/dispatch/callers_test.go
@@ -330,3 +330,31 @@
 	}
 	wo.run(32 * time.Second)
 }
+
+// TestStartBesideFormerOwnersRun guards against room that stays taken for good: a
+// caller has sent its job to another entry, whose run has the number of one of the
+// first owner that is still being stopped on the same worker.
+func TestStartBesideFormerOwnersRun(t *testing.T) {
+	wo, en, rc := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
+	ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
+	order := Start{
+		Group: 1, Job: "0000000000000001", Payload: "cpu=1000",
+		Shape: Shape{Service: "fitdesk", Need: Resources{CPU: 1000, Memory: 64}, Estimate: time.Second},
+		Tasks: []Assignment{{TaskRef: ref}},
+	}
+	en.InboundUp("former", 1)
+	en.InboundUp("present", 2)
+	en.Receive("former", order)
+	en.StartReplied("w", 50, ref, StartReply{Started: true})
+	en.Receive("former", Stop{Refs: []TaskRef{ref}})
+	en.Receive("present", order)
+	if len(rc.starts) != 1 {
+		t.Errorf("%d starts, want none while a run of the same number ends there", len(rc.starts)-1)
+	}
+	en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1, Ended: []EndedRun{{Number: 1, Ref: ref, How: EndStopped}}})
+	if got := en.workers["w"].taken; got != (Resources{}) {
+		t.Errorf("%+v are taken after the run has ended, want nothing", got)
+	}
+}
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -226,7 +226,7 @@
 		} else {
 			wk = en.pick(ms.Shape, ms.Job, inTime, key, now, ms.Shape.Affinity != "")
 		}
-		if wk == nil || en.leaving {
+		if wk == nil || en.leaving || wk.slots[as.TaskRef] != nil {
 			en.send(from, Ended{Ref: as.TaskRef, How: EndNoRoom})
 			continue
 		}
