--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -472,3 +473,22 @@
 		}
 	})
 }
+
+// TestRowKeepsLastingSteps guards against a holder that takes a plain task for
+// one that lasts, because the row of the job does not tell its steps apart.
+func TestRowKeepsLastingSteps(t *testing.T) {
+	rows := [][]int{nil, {1}, {0, 2}}
+	for _, steps := range rows {
+		raw, err := encodeRecord(dispatch.JobRecord{ID: "0000000000000001", State: dispatch.JobAccepted, Lasting: true, LastingSteps: steps})
+		if err != nil {
+			t.Fatal(err)
+		}
+		rec, err := decodeRecord(Row{Key: "0000000000000001", Value: raw})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !rec.Lasting || !slices.Equal(rec.LastingSteps, steps) {
+			t.Errorf("steps %v that last are read from the row as %v", steps, rec.LastingSteps)
+		}
+	}
+}
