--- a/internal/fleet/stand_in_test.go
+++ b/internal/fleet/stand_in_test.go
@@ -152,6 +152,7 @@
 	running map[dispatch.TaskID]int
 	starts  int
 	twice   []dispatch.TaskID
+	held    func(order dispatch.HoldOrder) // called with each hold, nil for nothing
 }
 
 type memWorker struct {
@@ -231,6 +232,12 @@
 }
 
 func (mw *memWorkers) Hold(ctx context.Context, order dispatch.HoldOrder) dispatch.HoldReply {
+	mw.mu.Lock()
+	held := mw.held
+	mw.mu.Unlock()
+	if held != nil {
+		held(order)
+	}
 	end := time.Now().Add(order.Wait)
 	for {
 		rep, ready := mw.list(order)
--- /dev/null
+++ b/internal/fleet/touch_test.go
@@ -0,0 +1,201 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/dispatch"
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
+
+// fakeOwner is an entry that owns a task at the entry under test. The test sends
+// its batches.
+type fakeOwner struct {
+	self   dispatch.Self
+	untold bool
+	heard  atomic.Int64 // batches of the other entry
+}
+
+// Deliver answers a batch.
+func (fo *fakeOwner) Deliver(_ Batch, ack *Ack) error {
+	fo.heard.Add(1)
+	*ack = Ack{Incarnation: fo.self.Incarnation, Protocol: peerProtocol, Linked: true, Untold: fo.untold}
+	return nil
+}
+
+// serve answers the batches of other entries until the test ends.
+func (fo *fakeOwner) serve(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fo.self.PeerAddress = lis.Addr().String()
+	srv := rpc.NewServer()
+	if err := srv.RegisterName("Peer", fo); err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	time.AfterFunc(0, func() {
+		defer close(served)
+		srv.Accept(lis)
+	})
+	t.Cleanup(func() {
+		if err := lis.Close(); err != nil {
+			t.Error(err)
+		}
+		<-served
+	})
+}
+
+// touch is a time at which the owner surely was in touch. The holder may count on
+// it from the time since.
+type touch struct{ at, since time.Time }
+
+// touches are those of a session, in order.
+type touches struct {
+	mu   sync.Mutex
+	list []touch
+}
+
+func (to *touches) add(at, since time.Time) {
+	to.mu.Lock()
+	defer to.mu.Unlock()
+	to.list = append(to.list, touch{at: at, since: since})
+}
+
+// last returns the last touch that a holder may count on at a time.
+func (to *touches) last(now time.Time) (time.Time, bool) {
+	to.mu.Lock()
+	defer to.mu.Unlock()
+	for num := len(to.list) - 1; num >= 0; num-- {
+		if !to.list[num].since.After(now) {
+			return to.list[num].at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// TestLeaseAfterTouch guards against a task that runs twice because its holder
+// extends the lease for longer than its owner counts on: a batch of the owner
+// proves only that it was in touch when the batch before was answered, and an
+// answer proves nothing while messages of the owner are on their way.
+func TestLeaseAfterTouch(t *testing.T) {
+	for _, untold := range []bool{true, false} {
+		t.Run(fmt.Sprintf("untold %v", untold), func(t *testing.T) {
+			cl := startCluster(t, 1, 1, time.Minute)
+			fo := &fakeOwner{self: dispatch.Self{Incarnation: ids.NewIncarnation("z-owner"), Zone: "north", Size: 0.1}, untold: untold}
+			fo.serve(t)
+			end := time.Now().Add(waitLimit)
+			for session := uint64(1); ; session++ {
+				// A session that ends early, on a busy machine, proves nothing.
+				err := fo.checkLeases(t, cl, session)
+				if err == nil {
+					return
+				}
+				if time.Now().After(end) {
+					t.Fatalf("no session has lasted for %s: %v", waitLimit, err)
+				}
+			}
+		})
+	}
+}
+
+// checkLeases plays a session in which the owner sends few batches, and compares
+// the leases that the holder asks for with the times at which both were in touch.
+func (fo *fakeOwner) checkLeases(t *testing.T, cl *cluster, session uint64) error {
+	const (
+		// ownerTouch is how long after a touch a lease may end, by docs/fleet.md.
+		ownerTouch = 1500 * time.Millisecond
+		// tolerance covers the reading of the worker's clock.
+		tolerance = 30 * time.Millisecond
+		// pause between two batches is below the silence that ends a session.
+		pause = 600 * time.Millisecond
+	)
+	peer, err := rpc.Dial("tcp", cl.entries[0].opt.Self.PeerAddress)
+	if err != nil {
+		return err
+	}
+	defer peer.Close()
+	known := &touches{}
+	var previous time.Time
+	send := func(messages ...dispatch.Message) error {
+		batch := Batch{From: fo.self.Incarnation, Session: session, Protocol: peerProtocol, Self: &fo.self, Hears: true, Messages: messages}
+		sent := time.Now()
+		if !previous.IsZero() {
+			known.add(previous, sent)
+		}
+		err := peer.Call("Peer.Deliver", batch, &Ack{})
+		previous = time.Now()
+		if len(known.list) == 0 {
+			known.add(previous, sent)
+		}
+		return err
+	}
+	heard := fo.heard.Load()
+	if err := send(); err != nil {
+		return err
+	}
+	cl.eventually("the holder has a session with the owner", func() bool { return fo.heard.Load() > heard+1 })
+	ref := dispatch.TaskRef{Task: dispatch.TaskID(fmt.Sprintf("%016x.0.0.0", session)), Run: 1}
+	if err := send(dispatch.Start{
+		Group: dispatch.GroupID(session), Job: ids.JobID(fmt.Sprintf("%016x", session)),
+		Shape: dispatch.Shape{
+			Service: "fitdesk", Need: dispatch.Resources{CPU: 1000, Memory: 64},
+			Estimate: time.Minute, InTime: time.Minute, Late: time.Hour,
+		},
+		Tasks: []dispatch.Assignment{{TaskRef: ref}},
+	}); err != nil {
+		return err
+	}
+	var mu sync.Mutex
+	holds, full := 0, 0
+	var wrong []string
+	setHeld := func(held func(order dispatch.HoldOrder)) {
+		cl.workers.mu.Lock()
+		defer cl.workers.mu.Unlock()
+		cl.workers.held = held
+	}
+	setHeld(func(order dispatch.HoldOrder) {
+		at, ok := known.last(time.Now())
+		if !ok || !order.Extend {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		holds++
+		if lease := time.Duration(order.Until - memClock()); lease > ownerTouch-pause {
+			full++
+		}
+		if beyond := time.Duration(order.Until) - at.Add(ownerTouch).Sub(memEpoch); fo.untold && beyond > tolerance {
+			wrong = append(wrong, fmt.Sprintf("a lease ends %s later than %s after the owner was in touch", beyond, ownerTouch))
+		}
+	})
+	defer setHeld(nil)
+	for range 4 {
+		time.Sleep(pause)
+		if err := send(); err != nil {
+			return err
+		}
+	}
+	cl.workers.mu.Lock()
+	running := cl.workers.running[ref.Task]
+	cl.workers.mu.Unlock()
+	if running != 1 {
+		return fmt.Errorf("%d runs of the task, want 1", running)
+	}
+	setHeld(nil)
+	mu.Lock()
+	defer mu.Unlock()
+	for _, text := range wrong {
+		t.Error(text)
+	}
+	if holds == 0 || (!fo.untold && full < holds/2) {
+		t.Errorf("of %d leases %d are whole", holds, full)
+	}
+	return nil
+}
