fleet: learn the version of the own row by a read before the first beat

Cause: the first beat of each entry was refused because of the row of the process before, and written again with the version that the refusal told. The part of the store takes 200 changes a second, and the claims of workers and the rows that prove the former processes gone waited behind twice as many beats. Reads have a rate of their own.

TestFirstBeat failed before: '1 changes are refused, want 0'.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -492,3 +492,44 @@
 		}
 	}
 }
+
+// refusingStore counts the changes that a store refuses.
+type refusingStore struct {
+	*memStore
+	refused atomic.Int64
+}
+
+// Commit counts a refusal.
+func (rs *refusingStore) Commit(ctx context.Context, tx Transaction) (TransactionReply, error) {
+	rep, err := rs.memStore.Commit(ctx, tx)
+	if err == nil && !rep.OK {
+		rs.refused.Add(1)
+	}
+	return rep, err
+}
+
+// TestFirstBeat guards against a fleet that restarts slowly: each entry had its
+// first beat refused, because of the row of the process before, and the claims of
+// workers waited at the store for twice as many changes.
+func TestFirstBeat(t *testing.T) {
+	cl := startCluster(t, 1, 0, 20*time.Millisecond)
+	rs := &refusingStore{memStore: cl.store}
+	for range 2 {
+		dm := New(Options{Self: dispatch.Self{
+			Incarnation: ids.NewIncarnation("entry-9"), Zone: "south", PeerAddress: "127.0.0.1:0", Size: 1,
+		}}, rs, cl.workers, cl.journal, counter.New())
+		if err := dm.Start(); err != nil {
+			t.Fatal(err)
+		}
+		cl.eventually("the entry has a row", func() bool { return dm.rowVersion.Load() > 0 })
+		rows, _, err := cl.store.Read(t.Context(), TableFleet, "", dm.entryKey())
+		if err != nil || len(rows) != 1 {
+			t.Fatalf("%d rows of the entry, %v", len(rows), err)
+		}
+		// It ends without taking its row away, as a process that is killed.
+		dm.Close()
+	}
+	if count := rs.refused.Load(); count != 0 {
+		t.Errorf("%d changes are refused, want 0", count)
+	}
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -507,7 +507,10 @@
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	sent := dm.clock()
-	err := dm.writeRow(ctx)
+	err := dm.findRow(ctx)
+	if err == nil {
+		err = dm.writeRow(ctx)
+	}
 	if errors.Is(err, errRowChanged) {
 		sent = dm.clock()
 		err = dm.writeRow(ctx)
@@ -525,6 +528,20 @@
 // that it was to replace.
 var errRowChanged = errors.New("the row of this entry has changed")
 
+// findRow learns the version of the row that an earlier incarnation has left. A
+// refused change would tell it too, but the store takes few changes a second, and
+// when a fleet starts its claims of workers wait for the beats of all entries.
+func (dm *Daemon) findRow(ctx context.Context) error {
+	if dm.rowVersion.Load() != 0 {
+		return nil
+	}
+	rows, _, err := dm.store.Read(ctx, TableFleet, "", dm.entryKey())
+	if err == nil && len(rows) == 1 {
+		dm.rowVersion.Store(int64(rows[0].Version))
+	}
+	return err
+}
+
 // writeRow replaces the version of this entry's row that is known. Without that
 // condition, a beat of an earlier incarnation that the store carries out late
 // would replace the row of this one.
