peer: probe the incarnations of the entry behind a failed address

An entry that called first is recorded with the address that it listens on. When the VM list, read later, names another address for it, calls to that address fail after its end, but recordFailure looked for incarnations at the failed address only and found none. Nothing probed the ended process, so it stayed suspect for good and its homes were never taken over.

TestGoneAfterLateList fails before (5 s without a proof) and passes now.

Ruled out: refusals forgotten after a pause (no pause was needed to reproduce it); the dial of the probe (it was never made).

--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -511,7 +511,10 @@
 	me.opt.Log.Error().Str("peer", addr).Str("reason", string(reason)).Msg("declared-gone")
 }
 
-// recordFailure records a failed call and returns the incarnations to probe.
+// recordFailure records a failed call and returns the incarnations to probe:
+// those at the address and those of the entry that the address belongs to. An
+// incarnation that called before the VM list was read is recorded with the
+// address that it listens on, which the list may not contain.
 func (me *Membership) recordFailure(addr string) []ids.Incarnation {
 	me.mu.Lock()
 	defer me.mu.Unlock()
@@ -523,7 +526,7 @@
 	co.failures++
 	var out []ids.Incarnation
 	for inc, st := range me.states {
-		if st.mem.PeerAddress == addr {
+		if st.mem.PeerAddress == addr || (co.id != "" && st.mem.ID == co.id) {
 			out = append(out, inc)
 		}
 	}
--- a/internal/peer/membership_test.go
+++ b/internal/peer/membership_test.go
@@ -235,6 +235,21 @@
 	}
 }
 
+// TestGoneAfterLateList guards against an entry that is never declared gone. It
+// called first, so its peer recorded the address that it listens on; the VM list
+// that the peer reads later names another address for it.
+func TestGoneAfterLateList(t *testing.T) {
+	a := startNode(t, "entry-a", "north", "127.0.0.1:0", testInterval)
+	b := startNode(t, "entry-b", "north", "127.0.0.1:0", testInterval)
+	toA, toB := newTestProxy(t, a.srv.Address()), newTestProxy(t, b.srv.Address())
+	a.publishList(listedEntry(a.id, toA.Address()), listedEntry(b.id, toB.Address()))
+	eventually(t, 5*time.Second, "the caller is alive for the other", func() bool { return b.alive(a.id) })
+	b.publishList(listedEntry(a.id, toA.Address()), listedEntry(b.id, toB.Address()))
+	time.Sleep(3 * testInterval)
+	a.stop()
+	eventually(t, 5*time.Second, "the stopped entry is gone", func() bool { return b.gone(a.inc) == blackboard.GoneRefused })
+}
+
 // TestUnlistedEntryAlive guards against a stale list: an entry that sends
 // heartbeats is alive even if it is not listed.
 func TestUnlistedEntryAlive(t *testing.T) {
