dispatch: send unanswered starts again before they are recalled

Hypothesis: while workers leave 40% of the calls unanswered, almost no job is served because an unanswered start takes a poll, a stop and a second poll in turn, each of which may get lost and is repeated only after 150 ms, and because two lost holds take a worker out although it answers other calls.

Change: - A start without a reply is sent again unchanged after 60 ms (20 ms while calls get lost), up to five times, before it is recalled. The worker confirms a run that it already has and refuses one that has ended there. A refusal of a repeated start proves nothing about the earlier ones, so it only leads to a poll. After a restart of the worker the order is not sent again, and a run whose start was repeated counts as unconfirmed. - Calls without a reply are repeated every 20 ms while calls get lost; several polls may be in flight. - A worker is silent after two lost holds only if it has answered no other call for 0.2 s. Until then, and if all short calls remain unanswered for that long, it gets no new tasks. - Run times that were measured late are not learned from.

TestRecallAfterWorkerRestart waits for the repeated starts and checks their number in addition. The emulated worker answers all open holds at an end, not only the one that was received last.

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -500,6 +500,11 @@
 		Shape: Shape{Service: "fitdesk", Need: Resources{CPU: 1000, Memory: 64}, Estimate: time.Second},
 		Tasks: []Assignment{{TaskRef: ref}},
 	})
+	// The order is sent again before it is recalled.
+	wo.tick(en, resendAfter+maxStarts*lossyRetry)
+	if len(rc.starts) != maxStarts {
+		t.Fatalf("the start is sent %d times, want %d", len(rc.starts), maxStarts)
+	}
 	replyToPoll := func() {
 		wo.tick(en, pollTimeout+2*TickInterval)
 		for _, order := range slices.Backward(rc.holds) {
@@ -527,6 +532,9 @@
 	if en.workers["w"].slots[ref] != nil {
 		t.Error("the run does not count as lost although the new lifetime of the worker refuses it")
 	}
+	if len(rc.starts) != maxStarts {
+		t.Error("the start order with a time on the clock of the earlier lifetime is sent to the new one")
+	}
 }
 
 // TestPlainTaskOfLastingJob guards against a task that runs twice. It is not
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -43,6 +43,12 @@
 	storeCut map[ids.EntryID]bool
 	// storeSlowdown multiplies the latency of the store; values below 1 count as 1.
 	storeSlowdown float64
+	// firstHeartbeat is the time from the start of an entry to its first heartbeat,
+	// dialDelay is the maximum delay before a connection attempt, and
+	// exchangeInterval is the interval at which an entry updates its sessions.
+	firstHeartbeat   time.Duration
+	dialDelay        time.Duration
+	exchangeInterval time.Duration
 	// jobsReadDelay is added to the time of a read of the rows of jobs.
 	jobsReadDelay time.Duration
 	// faultKinds is the number of kinds of random faults to choose from.
@@ -146,20 +152,22 @@
 		rows:    map[ids.WorkerID]HolderRow{},
 		storeUp: true,
 
-		faultKinds:     plainFaults,
-		gangs:          map[string]*emuGang{},
-		sent:           map[string]int{},
-		cancelled:      map[ids.JobID]bool{},
-		removedEntries: map[ids.EntryID]bool{},
-		cutZones:       map[ids.AvailabilityZone]bool{},
-		storeCut:       map[ids.EntryID]bool{},
-		cut:            map[[2]string]bool{},
-		jobs:           map[ids.JobID]*emuJob{},
-		running:        map[TaskID]int{},
-		done:           map[OutcomeKind]int{},
-		inTime:         map[string]int{},
-		submitted:      map[string]int{},
-		calls:          map[ids.JobID]*emuCall{},
+		dialDelay:        emuMaxDialDelay,
+		exchangeInterval: emuPollInterval,
+		faultKinds:       plainFaults,
+		gangs:            map[string]*emuGang{},
+		sent:             map[string]int{},
+		cancelled:        map[ids.JobID]bool{},
+		removedEntries:   map[ids.EntryID]bool{},
+		cutZones:         map[ids.AvailabilityZone]bool{},
+		storeCut:         map[ids.EntryID]bool{},
+		cut:              map[[2]string]bool{},
+		jobs:             map[ids.JobID]*emuJob{},
+		running:          map[TaskID]int{},
+		done:             map[OutcomeKind]int{},
+		inTime:           map[string]int{},
+		submitted:        map[string]int{},
+		calls:            map[ids.JobID]*emuCall{},
 
 		records:      map[ids.JobID]JobRecord{},
 		bodies:       map[ids.JobID]Job{},
@@ -274,10 +282,10 @@
 		if !ee.frozen {
 			ee.updateSessions()
 		}
-		wo.after(emuPollInterval, exchange)
+		wo.after(wo.exchangeInterval, exchange)
 	}
 	wo.after(0, tick)
-	wo.after(0, heartbeat)
+	wo.after(wo.firstHeartbeat, heartbeat)
 	wo.after(2*time.Millisecond, exchange)
 	for num, read := range []func() func(){ee.readFleet, ee.readWorkers, ee.readJobs} {
 		wo.after(time.Duration(num+1)*time.Millisecond, func() { ee.poll(gen, Table(num), read) })
@@ -581,7 +589,7 @@
 	}
 }
 
-// emuMaxDialDelay is the maximum delay before a connection attempt.
+// emuMaxDialDelay is the usual maximum delay before a connection attempt.
 const emuMaxDialDelay = 800 * time.Millisecond
 
 // dialAt returns the time of the next attempt to connect to an entry.
@@ -591,7 +599,7 @@
 	}
 	at, ok := ee.dials[id]
 	if !ok {
-		at = ee.wo.at.Add(time.Duration(ee.wo.rnd.Float64() * float64(emuMaxDialDelay)))
+		at = ee.wo.at.Add(time.Duration(ee.wo.rnd.Float64() * float64(ee.wo.dialDelay)))
 		ee.dials[id] = at
 	}
 	return at
@@ -950,26 +958,26 @@
 
 // emuWorker is one worker, with the behaviour that the platform documents.
 type emuWorker struct {
-	wo         *world
-	info       WorkerInfo
-	speed      float64
-	up         bool
-	downAt     time.Time
-	offset     time.Duration // of its clock
-	token      Token
-	runs       map[TaskRef]*emuRun
-	latest     map[TaskID]Run // highest run that was stopped or ended
-	endedRuns  []EndedRun
-	number     int64
-	endedAt    map[int64]time.Time
-	lease      WorkerTime
-	lapsedAt   time.Time // when the lease last ran out
-	answerHold func()    // answers the open hold, nil for none
-	fails      bool      // all its tasks fail
-	hangs      bool      // its tasks never complete
-	unlisted   bool      // its row is missing in the store
-	lateHolds  bool      // lateShare applies to holds too
-	lateShare  float64   // share of the orders that are carried out late
+	wo        *world
+	info      WorkerInfo
+	speed     float64
+	up        bool
+	downAt    time.Time
+	offset    time.Duration // of its clock
+	token     Token
+	runs      map[TaskRef]*emuRun
+	latest    map[TaskID]Run // highest run that was stopped or ended
+	endedRuns []EndedRun
+	number    int64
+	endedAt   map[int64]time.Time
+	lease     WorkerTime
+	lapsedAt  time.Time // when the lease last ran out
+	openHolds []func()  // each answers an open hold
+	fails     bool      // all its tasks fail
+	hangs     bool      // its tasks never complete
+	unlisted  bool      // its row is missing in the store
+	lateHolds bool      // lateShare applies to holds too
+	lateShare float64   // share of the orders that are carried out late
 	// lateStops is the delay with which stops are carried out, without a reply.
 	lateStops time.Duration
 	lapses    int // runs that ended because the lease ran out
@@ -1272,10 +1280,10 @@
 		er.Checkpoint = wk.checkpoint(run, how)
 	}
 	wk.endedRuns = append(wk.endedRuns, er)
-	if wk.answerHold != nil {
-		fn := wk.answerHold
-		wk.answerHold = nil
-		fn()
+	open := wk.openHolds
+	wk.openHolds = nil
+	for _, answer := range open {
+		answer()
 	}
 }
 
@@ -1335,7 +1343,7 @@
 		answer()
 		return
 	}
-	wk.answerHold = answer
+	wk.openHolds = append(wk.openHolds, answer)
 	wk.wo.after(order.Wait, answer)
 }
 
@@ -1360,7 +1368,7 @@
 	for _, run := range wk.sortedRuns() {
 		wk.end(run, EndLost)
 	}
-	wk.endedRuns, wk.answerHold = nil, nil
+	wk.endedRuns, wk.openHolds = nil, nil
 	if restart == 0 {
 		return
 	}
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -28,6 +28,9 @@
 	job             ids.JobID
 	shape           Shape
 	state           slotState
+	startOrder      StartOrder // as sent, to send it again without a reply
+	starts          int        // number of times that the start order was sent
+	startSent       time.Time  // when it was last sent
 	startExpires    WorkerTime // when an unconfirmed start order expires
 	began           time.Time
 	stopSent        time.Time
@@ -65,7 +68,8 @@
 	slots map[TaskRef]*slot
 	used  Resources // sum of the slots
 
-	polling           bool // a poll is in flight
+	polls             map[int64]time.Time // send times of the polls in flight, by PollID
+	lastPoll          int64
 	pollSent          time.Time
 	holding           bool // a hold is in flight
 	holdSent          time.Time
@@ -73,7 +77,10 @@
 	holdRequiredSince time.Time             // no new tasks until a hold sent at or after this time is answered
 	failingSince      time.Time             // since when holds fail, zero while they succeed
 	lostHolds         int                   // consecutive holds without a reply
-	answeredAt        time.Time             // when the worker last answered
+	answeredAt        time.Time             // when the worker last answered a call
+	listsAt           time.Time             // when the worker last answered with its lists of runs
+	listsBefore       time.Time             // the same for the time before listsAt
+	unansweredSince   time.Time             // since when short calls get no reply, zero if the last one got one
 	leaseEnd          time.Time             // no lease that was requested lasts longer than this
 	acked             int64                 // highest number of an end that has been processed
 	retained          map[int64]retainedEnd // ends that the owners have not stored yet
@@ -113,8 +120,13 @@
 	// limitedWait bounds the wait of holds that do not extend the whole lease.
 	limitedWait = 60 * time.Millisecond
 	// maxLostHolds is the number of consecutive holds without a reply after which a
-	// worker counts as silent.
+	// worker counts as silent, if it has not answered any other call for
+	// unresponsiveAfter either.
 	maxLostHolds = 2
+	// unresponsiveAfter is how long short calls to a worker may remain unanswered
+	// before it gets no new tasks. Calls are repeated every 20 to 30 ms, so a worker
+	// that leaves four in ten calls unanswered rarely exceeds it.
+	unresponsiveAfter = 200 * time.Millisecond
 	// maxClockDrift is the factor by which a worker's clock may be slower than that
 	// of this entry.
 	maxClockDrift = 1.03
@@ -181,13 +193,37 @@
 func (wk *worker) usable(now time.Time) bool {
 	return wk.phase == phaseOpen && wk.failingSince.IsZero() && wk.holdRequiredSince.IsZero() && wk.info.State == WorkerReady &&
 		wk.movingTo == "" && !now.Before(wk.blockedUntil) && !wk.hasOverdue && wk.lapseSince.IsZero() && (wk.failures == 0 || len(wk.slots) == 0) &&
-		!wk.leaseExpiring(now)
+		!wk.leaseExpiring(now) && !wk.unresponsive(now)
+}
+
+// unresponsive reports whether the worker has left all short calls unanswered
+// for unresponsiveAfter.
+func (wk *worker) unresponsive(now time.Time) bool {
+	return !wk.unansweredSince.IsZero() && now.Sub(wk.unansweredSince) >= unresponsiveAfter
+}
+
+// listsReceived records that the worker has answered with its lists of runs.
+func (wk *worker) listsReceived(now time.Time) {
+	wk.listsBefore, wk.listsAt = wk.listsAt, now
+	wk.callAnswered(now)
+}
+
+// callSent records that a call was sent to the worker that it answers at once.
+func (wk *worker) callSent(now time.Time) {
+	if wk.unansweredSince.IsZero() {
+		wk.unansweredSince = now
+	}
+}
+
+// callAnswered records that the worker has answered a call.
+func (wk *worker) callAnswered(now time.Time) {
+	wk.answeredAt, wk.unansweredSince = now, time.Time{}
 }
 
 // takeWorker makes this entry the holder of a worker, under a fencing token.
 func (en *Entry) takeWorker(info WorkerInfo, token Token) {
 	wk := &worker{
-		info: info, token: token, phase: phaseFencing, slots: map[TaskRef]*slot{}, born: info.Born,
+		info: info, token: token, phase: phaseFencing, slots: map[TaskRef]*slot{}, polls: map[int64]time.Time{}, born: info.Born,
 		retained: map[int64]retainedEnd{}, taskOwners: en.handoverOwners[info.ID],
 	}
 	for _, id := range wk.taskOwners {
@@ -274,10 +310,13 @@
 	if !wk.failingSince.IsZero() {
 		return
 	}
+	if wk.lostHolds > 0 || wk.unresponsive(now) {
+		en.poll(wk, now)
+	}
 	for _, sl := range wk.sortedSlots() {
 		switch sl.state {
 		case slotStopping:
-			if now.Sub(sl.stopSent) > stopRetryAfter {
+			if now.Sub(sl.stopSent) > en.retryInterval(now, stopRetryAfter) {
 				en.stopSlot(wk, sl, sl.stopReason)
 			}
 		case slotRunning:
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -135,13 +135,15 @@
 
 // holdFailed handles a hold without a usable reply.
 func (en *Entry) holdFailed(wk *worker, rep HoldReply) {
-	if rep.Failed && wk.phase == phaseOpen && wk.failingSince.IsZero() && wk.lostHolds+1 < maxLostHolds {
-		// A single lost call does not make the worker silent.
-		wk.lostHolds++
-		en.hold(wk)
+	now := en.now()
+	wk.lostHolds++
+	wk.callSent(now)
+	if rep.Failed && wk.phase == phaseOpen && wk.failingSince.IsZero() && (wk.lostHolds < maxLostHolds || !wk.unresponsive(now)) {
+		// Single lost calls do not make the worker silent.
+		wk.nextHold = now.Add(pollPause)
+		en.poll(wk, now)
 		return
 	}
-	now := en.now()
 	if wk.failingSince.IsZero() {
 		wk.failingSince = now
 		en.eff.Log("worker-silent", "worker", string(wk.info.ID), "reason", rep.Reason, "slots", len(wk.slots))
@@ -155,7 +157,8 @@
 	if wk.lostHolds > 0 && wk.failingSince.IsZero() {
 		en.recordLostCall(wk, "hold")
 	}
-	wk.lostHolds, wk.answeredAt = 0, now
+	wk.lostHolds = 0
+	wk.listsReceived(now)
 	if !wk.failingSince.IsZero() {
 		en.eff.Log("worker-back", "worker", string(wk.info.ID), "after-ms", now.Sub(wk.failingSince).Milliseconds())
 		wk.failingSince = time.Time{}
@@ -192,9 +195,10 @@
 	for _, sl := range wk.sortedSlots() {
 		switch {
 		case sl.state == slotGranted || listed[sl.ref]:
-		case sl.state == slotOrdered || sl.state == slotUnknown || (sl.state == slotRunning && !sl.listed):
-			// This lifetime refuses the order only after it has confirmed a stop.
-			sl.recall = recallNone
+		case sl.state == slotOrdered || sl.state == slotUnknown || (sl.state == slotRunning && (!sl.listed || sl.starts > 1)):
+			// This lifetime refuses the order only after it has confirmed a stop. The
+			// order is not sent again: it names a time on the clock of the earlier one.
+			sl.recall, sl.starts = recallNone, maxStarts
 			sl.state, sl.startExpires = slotUnknown, rep.Clock+WorkerTime(en.startLease)
 		default:
 			en.endSlot(wk, sl, EndLost, "", 0)
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -255,10 +255,19 @@
 	lease := en.allowedLease(wk, en.startLease, now)
 	sl.startExpires = wk.clockNow(now) + WorkerTime(lease)
 	wk.recordLease(now, lease)
-	en.eff.StartTask(StartOrder{
+	sl.startOrder = StartOrder{
 		Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: as.TaskRef,
 		Payload: ms.Payload, Checkpoint: as.Checkpoint, Ticket: ms.Shape.Tickets[wk.info.ID], Until: sl.startExpires,
-	})
+	}
+	en.sendStartOrder(wk, sl, now)
+}
+
+// sendStartOrder sends the start order of a slot for the first time or again.
+func (en *Entry) sendStartOrder(wk *worker, sl *slot, now time.Time) {
+	sl.starts++
+	sl.startSent = now
+	wk.callSent(now)
+	en.eff.StartTask(sl.startOrder)
 }
 
 // accepts reports whether a worker may run one more task of a job. The job ID is
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -30,11 +30,13 @@
 	work := time.Duration(0)
 	switch how {
 	case EndDone:
-		work = time.Duration(float64(took) * factor)
-		if sl.remote {
-			work = time.Duration(float64(work) / en.remotePenalty)
+		if en.endTimeKnown(wk) {
+			work = time.Duration(float64(took) * factor)
+			if sl.remote {
+				work = time.Duration(float64(work) / en.remotePenalty)
+			}
+			wk.speed.learn(sl.shape.Estimate, took, en.now())
 		}
-		wk.speed.learn(sl.shape.Estimate, took, en.now())
 		wk.failures, wk.blockedUntil = 0, time.Time{}
 		en.eff.Observe("task.took", took)
 	case EndFailed:
@@ -54,6 +56,13 @@
 	en.send(sl.owner, Ended{Ref: sl.ref, Worker: wk.info.ID, How: how, Checkpoint: checkpoint, Work: work})
 }
 
+// endTimeKnown reports whether an end in the latest lists of a worker has just
+// happened. While calls get lost, it may have been listed in a reply that did not
+// arrive.
+func (en *Entry) endTimeKnown(wk *worker) bool {
+	return !en.now().Before(en.lossyUntil) || wk.listsAt.Sub(wk.listsBefore) <= duePollPause
+}
+
 // StartReply is the reply to a start order.
 type StartReply struct {
 	Started bool
@@ -83,13 +92,20 @@
 	if wk == nil || wk.token != token {
 		return
 	}
+	if rep.Started || rep.Reason != "" {
+		wk.callAnswered(en.now())
+	}
 	sl := wk.slots[ref]
-	if sl == nil || (sl.state != slotOrdered && sl.state != slotStopping) {
+	if sl == nil || (sl.state != slotOrdered && sl.state != slotUnknown && sl.state != slotStopping) {
 		return
 	}
 	switch {
 	case rep.Started:
-		if sl.state == slotOrdered {
+		if sl.starts > 1 {
+			en.recordLostCall(wk, "start")
+		}
+		if sl.state != slotStopping {
+			sl.recall = recallNone
 			en.confirmSlot(wk, sl)
 		}
 		return
@@ -102,6 +118,14 @@
 			"worker", string(id), "detail", rep.Detail)
 		return
 	}
+	if sl.starts > 1 && rep.Reason != RefusedFence {
+		// An earlier order may have started the run, which may have ended since.
+		if sl.state != slotStopping && sl.recall == recallNone {
+			sl.recall, sl.recallAt = recallPoll, en.now()
+			en.poll(wk, en.now())
+		}
+		return
+	}
 	en.startRefused(wk, sl, rep)
 	en.match()
 }
@@ -113,7 +137,9 @@
 	how := EndNoRoom
 	switch rep.Reason {
 	case RefusedFence:
-		en.endSlot(wk, sl, EndNoRoom, "", 0)
+		if sl.starts == 1 {
+			en.endSlot(wk, sl, EndNoRoom, "", 0)
+		}
 		en.releaseWorker(wk, "fenced")
 		return
 	case RefusedOld:
@@ -146,6 +172,7 @@
 
 func (en *Entry) sendStop(wk *worker, sl *slot) {
 	sl.stopSent = en.now()
+	wk.callSent(sl.stopSent)
 	en.eff.StopTask(StopOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Ref: sl.ref})
 }
 
@@ -252,7 +279,7 @@
 	ran := now.Sub(sl.began)
 	if now.Before(en.lossyUntil) {
 		// The reply that reports the end may have been lost.
-		ran = wk.answeredAt.Sub(sl.began)
+		ran = wk.listsAt.Sub(sl.began)
 	}
 	expected := time.Duration(float64(sl.shape.Estimate) / math.Exp(wk.speed.longTerm))
 	limit := max(overdueFloor, time.Duration(overdueFactor*float64(expected)))
--- a/internal/dispatch/recall.go
+++ b/internal/dispatch/recall.go
@@ -7,10 +7,12 @@
 )
 
 // A start order without a reply may never have arrived, may have been executed,
-// or may be executed seconds later. The holder polls the runs of the worker. If
-// the run is not among them, the holder sends a stop, after which the worker
-// refuses the start, and polls once more. Then the task can start elsewhere long
-// before the order itself expires.
+// or may be executed seconds later. The holder first sends the same order again:
+// a worker that already has the run confirms it, and a run that has ended there
+// does not start again. If there is still no reply, the holder recalls the start.
+// It polls the runs of the worker. If the run is not among them, the holder sends
+// a stop, after which the worker refuses the start, and polls once more. Then the
+// task can start elsewhere long before the order itself expires.
 
 // recallStep is a step of the recall of a start without a reply.
 type recallStep int
@@ -23,26 +25,45 @@
 )
 
 const (
-	// recallAfter is the time without a reply to a start after which the recall
-	// begins. Workers answer within one to five milliseconds.
-	recallAfter = 60 * time.Millisecond
-	// lossyRecallAfter is the same while single calls get lost.
-	lossyRecallAfter = 20 * time.Millisecond
+	// resendAfter is the time without a reply to a start after which the order is
+	// sent again, or recalled. Workers answer within one to five milliseconds.
+	resendAfter = 60 * time.Millisecond
+	// maxStarts is how often a start order is sent before it is recalled.
+	maxStarts = 5
+	// lossyRetry is the interval at which calls without a reply are repeated while
+	// single calls get lost, and at which a start is repeated from the second time
+	// on.
+	lossyRetry = 20 * time.Millisecond
 	// pollPause is the minimum interval between two polls of a worker.
 	pollPause = 20 * time.Millisecond
 	// pollTimeout is the time after which a poll without a reply is sent again.
 	pollTimeout = 150 * time.Millisecond
 )
 
-// tickRecall begins or continues the recall of a start without a reply.
+// retryInterval returns the interval at which a call without a reply is
+// repeated: usual, or lossyRetry while single calls get lost.
+func (en *Entry) retryInterval(now time.Time, usual time.Duration) time.Duration {
+	if now.Before(en.lossyUntil) {
+		return lossyRetry
+	}
+	return usual
+}
+
+// tickRecall sends a start without a reply again, or begins or continues its
+// recall.
 func (en *Entry) tickRecall(wk *worker, sl *slot, now time.Time) {
 	switch sl.recall {
 	case recallNone:
-		limit := recallAfter
-		if now.Before(en.lossyUntil) {
-			limit = lossyRecallAfter
+		pause := en.retryInterval(now, resendAfter)
+		if sl.starts > 1 {
+			pause = lossyRetry
+		}
+		if now.Sub(sl.startSent) < pause {
+			return
 		}
-		if now.Sub(sl.began) < limit {
+		if sl.starts < maxStarts && wk.clockNow(now) < sl.startExpires {
+			en.eff.Count("retry", "start-resent", 1)
+			en.sendStartOrder(wk, sl, now)
 			return
 		}
 		sl.recall, sl.recallAt = recallPoll, now
@@ -50,7 +71,7 @@
 	case recallPoll, recallVerify:
 		en.poll(wk, now)
 	case recallStop:
-		if now.Sub(sl.stopSent) > stopRetryAfter {
+		if now.Sub(sl.stopSent) > en.retryInterval(now, stopRetryAfter) {
 			en.sendStop(wk, sl)
 		}
 	}
@@ -59,7 +80,7 @@
 // pollDueRun polls for the end of a run that should have ended, while the reply
 // that reports it may get lost.
 func (en *Entry) pollDueRun(wk *worker, sl *slot, now time.Time) {
-	if !now.Before(en.lossyUntil) || sl.shape.Lasting || now.Sub(wk.answeredAt) < duePollPause {
+	if !now.Before(en.lossyUntil) || sl.shape.Lasting || now.Sub(wk.listsAt) < duePollPause {
 		return
 	}
 	expected := time.Duration(float64(sl.shape.Estimate) / wk.speed.factor(now))
@@ -68,34 +89,37 @@
 	}
 }
 
-// duePollPause is the time since the last reply of a worker after which it is
+// duePollPause is the time since the last list of a worker after which it is
 // polled for ends that are due.
 const duePollPause = 40 * time.Millisecond
 
 // poll polls a worker for its runs and ends while a hold is in flight.
 func (en *Entry) poll(wk *worker, now time.Time) {
 	pause := pollPause
-	if wk.polling {
-		pause = pollTimeout
+	if len(wk.polls) > 0 {
+		pause = en.retryInterval(now, pollTimeout)
 	}
 	if now.Sub(wk.pollSent) < pause {
 		return
 	}
-	wk.polling, wk.pollSent = true, now
+	wk.lastPoll++
+	wk.polls[wk.lastPoll], wk.pollSent = now, now
+	wk.callSent(now)
 	en.eff.Hold(HoldOrder{
-		Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.ackThrough(), PollID: wk.pollSent.UnixNano(), Margin: pollTimeout,
+		Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.ackThrough(), PollID: wk.lastPoll, Margin: pollTimeout,
 	})
 }
 
 // PollReplied handles the reply to a hold with a PollID.
 func (en *Entry) PollReplied(id ids.WorkerID, token Token, pollID int64, rep HoldReply) {
 	wk := en.workers[id]
-	if wk == nil || wk.token != token || wk.pollSent.UnixNano() != pollID {
+	if wk == nil || wk.token != token || wk.polls[pollID].IsZero() {
 		return
 	}
-	wk.polling = false
+	sent := wk.polls[pollID]
+	delete(wk.polls, pollID)
 	if !rep.Failed {
-		wk.answeredAt = en.now()
+		wk.listsReceived(en.now())
 	}
 	if rep.Failed || rep.Other || rep.Fenced || (wk.born != 0 && rep.Born != 0 && rep.Born != wk.born) {
 		// The reply to the hold in flight decides these cases.
@@ -104,7 +128,7 @@
 	en.processEnds(wk, rep)
 	listed := rep.listed()
 	for _, sl := range wk.sortedSlots() {
-		if (sl.state != slotOrdered && sl.state != slotUnknown) || sl.recall == recallNone || sl.recallAt.After(wk.pollSent) {
+		if (sl.state != slotOrdered && sl.state != slotUnknown) || sl.recall == recallNone || sl.recallAt.After(sent) {
 			continue
 		}
 		en.continueRecall(wk, sl, listed[sl.ref], rep.More)
@@ -143,6 +167,7 @@
 	if wk == nil || wk.token != token || !done {
 		return
 	}
+	wk.callAnswered(en.now())
 	sl := wk.slots[ref]
 	if sl == nil {
 		return
