dispatch: bound the doublings of a failing worker's pause

The pause of a worker whose runs always fail doubles with each failure. From the 37th failure in a row the shift overflowed to a negative pause, and from the 58th to none, so the worker got tasks again all the time.

--- a/internal/dispatch/failures.go
+++ b/internal/dispatch/failures.go
@@ -19,6 +19,8 @@
 	// its room or its lifetime.
 	firstBlock = 500 * time.Millisecond
 	maxBlock   = 4 * time.Second
+	// maxDoublings bounds the doublings, so that the pause does not overflow.
+	maxDoublings = 8
 	// carefulTime is how long a failed task waits for a worker that is not
 	// suspect: a few times the usual wait for room.
 	carefulTime = 400 * time.Millisecond
@@ -45,7 +47,7 @@
 	}
 	wk.failures++
 	if wk.failures > 1 {
-		pause := min(maxBlock, firstBlock<<(wk.failures-2))
+		pause := min(maxBlock, firstBlock<<min(wk.failures-2, maxDoublings))
 		wk.blockedUntil = en.now().Add(pause)
 		en.eff.Log("worker-blocked", "worker", string(wk.info.ID), "failures", wk.failures, "pause-ms", pause.Milliseconds())
 	}
