dispatch: match a retained end by its run after a read of its job

The callback of the read found the end by its number. After a restart of the worker the number belongs to another run, whose end was then acknowledged as that of a job that is not stored. TestRetainedEndAfterRestart fails before.

--- a/internal/dispatch/retained_ends.go
+++ b/internal/dispatch/retained_ends.go
@@ -143,8 +143,10 @@
 	}
 	rt.requestedAt = now
 	wk.retained[number] = rt
+	ref := rt.ref
 	en.readJob(at.job, func(failed bool) {
-		if rt, kept := wk.retained[number]; kept && !failed && en.records[at.job] == nil {
+		// After a restart of the worker the number may be that of another end.
+		if rt, kept := wk.retained[number]; kept && rt.ref == ref && !failed && en.records[at.job] == nil {
 			rt.absent = true
 			wk.retained[number] = rt
 		}
