--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -293,7 +293,7 @@
 		return
 	}
 	en.eff.Log("task-stalled", "job", string(sl.job), "task", string(sl.ref.Task), "run", int64(sl.ref.Run),
-		"worker", string(wk.info.ID), "ran-ms", ran.Milliseconds(), "limit-ms", limit.Milliseconds())
+		"worker", string(wk.info.ID), "ran-ms", ran.Milliseconds(), "limit-ms", stallLimit.Milliseconds())
 	en.stopSlot(wk, sl, EndStalled)
 }
 
