dispatch: separate the callers of a stored job's cancellation and insertion

- While the insertion of a stored job was in flight, the end of one caller's connection answered all callers of the job as abandoned.
Now only the last one does; TestCancelDuringInsertion fails before.
- A conflicting cancellation of a job that another entry owns counted its waiting callers as attempts: with twelve of them it was not retried and all were told that it had failed.
TestCancelWithManyCallers fails before, 0 of 24 callers.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -118,7 +118,7 @@
 	readAt            map[Table]time.Time // when the last complete read was sent
 	requiredAnswers   requiredAnswers
 	lookups           map[ids.JobID][]func(failed bool)
-	cancels           map[ids.JobID][]func(out Outcome)
+	cancels           map[ids.JobID]*cancellation
 	lastBeatSent      time.Time // when the last heartbeat that the store confirmed was sent
 	fenced            bool      // other entries may take over the stored jobs of this one
 	unfencedAt        time.Time // when fenced was last cleared
@@ -242,7 +242,7 @@
 		openRecords:      map[ids.JobID]*record{},
 		readAt:           map[Table]time.Time{},
 		lookups:          map[ids.JobID][]func(failed bool){},
-		cancels:          map[ids.JobID][]func(out Outcome){},
+		cancels:          map[ids.JobID]*cancellation{},
 		started:          now(),
 		workers:          map[ids.WorkerID]*worker{},
 		wants:            map[wantKey]*want{},
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -195,6 +195,10 @@
 // is left the job ends.
 func (en *Entry) Cancel(id ids.JobID, reason string) {
 	if jb := en.jobs[id]; jb != nil && (jb.stored == nil || !jb.stored.accepted) {
+		jb.waiters--
+		if jb.waiters > 0 {
+			return
+		}
 		if jb.stored != nil {
 			// The insertion is in flight: the job may still be accepted after the
 			// callers have received this answer.
@@ -203,10 +207,6 @@
 			done(Outcome{Kind: Abandoned, Reason: reason})
 			return
 		}
-		jb.waiters--
-		if jb.waiters > 0 {
-			return
-		}
 		kind := Refused
 		if jb.begun {
 			kind = Abandoned
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -491,16 +491,25 @@
 		done(Outcome{Kind: Completed, Reason: string(re.State)})
 		return
 	}
-	en.cancels[id] = append(en.cancels[id], done)
-	if len(en.cancels[id]) == 1 {
-		en.writeCancel(re)
+	if ca := en.cancels[id]; ca != nil {
+		ca.calls = append(ca.calls, done)
+		return
 	}
+	en.cancels[id] = &cancellation{calls: []func(out Outcome){done}}
+	en.writeCancel(re)
+}
+
+// cancellation is the cancellation of a stored job that another entry owns.
+type cancellation struct {
+	calls  []func(out Outcome) // the callers that wait for it
+	writes int                 // attempts so far
 }
 
 // writeCancel writes the cancellation of a job that another entry owns.
 func (en *Entry) writeCancel(re *record) {
 	rec := re.JobRecord
 	rec.State = JobCancelled
+	en.cancels[re.ID].writes++
 	en.eff.StoreJob(JobWrite{Record: rec, Expected: rec.Version})
 }
 
@@ -510,8 +519,8 @@
 	if rep.Present != nil {
 		en.updateRecord(*rep.Present, false)
 	}
-	calls := en.cancels[id]
-	if len(calls) == 0 {
+	ca := en.cancels[id]
+	if ca == nil {
 		return
 	}
 	re := en.records[id]
@@ -520,10 +529,8 @@
 		wr.Record.Version = rep.Version
 		en.updateRecord(wr.Record, false)
 		en.broadcastNews(JobNews{Record: wr.Record})
-	case re != nil && !re.State.ended() && len(calls) < maxCancelWrites:
-		// The owner has changed the row in the meantime, or the answer was lost. The
-		// empty function counts this attempt towards maxCancelWrites.
-		en.cancels[id] = append(calls, func(Outcome) {})
+	case re != nil && !re.State.ended() && ca.writes < maxCancelWrites:
+		// The owner has changed the row in the meantime, or the answer was lost.
 		en.writeCancel(re)
 		return
 	}
@@ -532,7 +539,7 @@
 	if re != nil && re.State.ended() {
 		out = Outcome{Kind: Completed, Reason: string(re.State)}
 	}
-	answerCancels(calls, out)
+	answerCancels(ca.calls, out)
 }
 
 // answerCancels passes the outcome of a cancellation to all callers that
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -96,6 +96,54 @@
 	wo.run(50 * time.Second)
 }
 
+// TestCancelDuringInsertion guards against a caller that is told that its job was
+// abandoned because another caller of the same job has left while the job was
+// being stored.
+func TestCancelDuringInsertion(t *testing.T) {
+	wo, en, _ := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	qu, _ := en.findQueue("fit")
+	outcomes := make([]Outcome, 2)
+	for num := range outcomes {
+		en.Submit(Submission{
+			Job:   Job{ID: "0000000000000001", Stored: true, Steps: []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
+			Queue: qu, Arrived: wo.at, Done: func(out Outcome) { outcomes[num] = out },
+		})
+	}
+	en.Cancel("0000000000000001", "caller-left")
+	if outcomes[0].Kind != "" || outcomes[1].Kind != "" {
+		t.Errorf("the callers get the outcomes %+v although one of them waits", outcomes)
+	}
+	jb := en.jobs["0000000000000001"]
+	en.JobStored(JobWrite{Record: jb.stored.rec}, JobWriteReply{OK: true, Version: 60})
+	if outcomes[1].Kind != Accepted {
+		t.Errorf("the caller that waits gets the outcome %+v, want accepted", outcomes[1])
+	}
+}
+
+// TestCancelWithManyCallers guards against a cancellation that is given up after
+// one conflict because many callers wait for it.
+func TestCancelWithManyCallers(t *testing.T) {
+	wo, en, _ := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	rec := JobRecord{ID: "0000000000000001", State: JobAccepted, Owner: "other/1", Version: 60}
+	en.PutRecord(rec)
+	cancelled := 0
+	for range 2 * maxCancelWrites {
+		en.CancelStored(rec.ID, func(out Outcome) {
+			if out.Kind == Completed {
+				cancelled++
+			}
+		})
+	}
+	rec.Version = 70
+	en.JobStored(JobWrite{Record: JobRecord{ID: rec.ID, State: JobCancelled}}, JobWriteReply{Conflict: true, Present: &rec})
+	en.JobStored(JobWrite{Record: JobRecord{ID: rec.ID, State: JobCancelled}}, JobWriteReply{OK: true, Version: 80})
+	if cancelled != 2*maxCancelWrites {
+		t.Errorf("%d of %d callers are told that the job is cancelled", cancelled, 2*maxCancelWrites)
+	}
+}
+
 // TestStoredAfterPause guards against stored jobs that are refused because the
 // store counts as unavailable, although only this process was paused and the
 // store answers.
