dispatch: derive Retry-After of overload refusals from the queue

Callers refused for overload were told to return after 2 s whatever the queue. They now return after the time that the workers of the service need for the waiting tasks, spread by the job's id over as much time again, between 1 and 20 s. TestRetryAfterFollowsQueue: with 6.2 s of waiting tasks all callers returned after 2 s before, now after 6 s to 12.4 s.

--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // TestOverload guards against collapse under a load of several times the capacity
@@ -41,6 +44,43 @@
 	}
 }
 
+// TestRetryAfterFollowsQueue guards against refused callers that return while the
+// queue is still full, or that all return at the same time.
+func TestRetryAfterFollowsQueue(t *testing.T) {
+	wait := func(jobs int) (least, most time.Duration) {
+		wo, en, _ := newHolder()
+		en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
+		qu, _ := en.desired.Route("example", "/fit/")
+		for num := range jobs {
+			en.Submit(Submission{
+				Job: Job{ID: ids.JobID(fmt.Sprintf("%016x", num)), Payload: "cpu=16000", Steps: []Step{
+					{Count: 1, Need: Resources{CPU: 16000, Memory: 64}, Estimate: 200 * time.Millisecond},
+				}},
+				Queue: qu, Arrived: wo.at, Done: func(out Outcome) {
+					if out.Kind != Refused {
+						return
+					}
+					if least == 0 || out.RetryAfter < least {
+						least = out.RetryAfter
+					}
+					most = max(most, out.RetryAfter)
+				},
+			})
+		}
+		wo.tick(en, 2*time.Second)
+		return least, most
+	}
+	least, _ := wait(5)
+	if least != minRetryAfter {
+		t.Errorf("with a short queue callers return after %s at the earliest, want %s", least, minRetryAfter)
+	}
+	// The worker runs two of the 62 waiting tasks of 0.2 s at a time.
+	least, most := wait(64)
+	if least < 6*time.Second || most > 12800*time.Millisecond || most < least+3*time.Second {
+		t.Errorf("with 6.2 s of waiting tasks callers return after %s to %s, want from 6 s to 12.8 s", least, most)
+	}
+}
+
 // TestFailingWorkers guards against jobs that fail because all attempts of a task
 // went to workers that fail every run immediately and are therefore always free.
 func TestFailingWorkers(t *testing.T) {
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -303,12 +303,17 @@
 		}
 	}
 	slices.SortFunc(ended, func(a, b *job) int { return a.Arrived.Compare(b.Arrived) })
+	waits := map[ids.ServiceName]time.Duration{}
 	for _, jb := range ended {
+		svc := jb.Queue.Service
+		if _, ok := waits[svc]; !ok {
+			waits[svc] = en.queueTime(svc)
+		}
 		kind, reason := Abandoned, "deadline"
 		if jb.notStarted() {
 			kind, reason = Refused, "overload"
 		}
-		en.finish(jb, Outcome{Kind: kind, Reason: reason, RetryAfter: retryAfterOverload})
+		en.finish(jb, Outcome{Kind: kind, Reason: reason, RetryAfter: retryAfterOverload(waits[svc], jb.Job.ID)})
 	}
 }
 
--- a/internal/dispatch/refusals.go
+++ b/internal/dispatch/refusals.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/pkg/rendezvous"
 )
 
 // startupTime is the time after the start of an entry in which its list of
@@ -24,10 +25,45 @@
 	return false
 }
 
-// retryAfterOverload is the time after which the caller may retry when a job was
-// refused because of overload. It is a few times the longest task that this
-// system is designed for.
-const retryAfterOverload = 2 * time.Second
+// The times after which callers may retry.
+const (
+	// retryAfterStore applies when a job can't be stored. Outages of the store last
+	// some seconds.
+	retryAfterStore = 2 * time.Second
+	// minRetryAfter and maxRetryAfter bound the time when a job was refused because
+	// of overload. Retry-After is in whole seconds.
+	minRetryAfter = time.Second
+	maxRetryAfter = 20 * time.Second
+)
+
+// queueTime estimates how long the workers of a service need for the tasks that
+// wait for room. It assumes that the other entries have as many as this one.
+func (en *Entry) queueTime(svc ids.ServiceName) time.Duration {
+	var capacity Millicores
+	for _, kw := range en.known {
+		if kw.info.Service == svc && kw.info.State == WorkerReady {
+			capacity += kw.info.Room.CPU
+		}
+	}
+	if capacity <= 0 {
+		return retryAfterNoWorker
+	}
+	waiting := 0.0
+	for _, gr := range en.groups {
+		if gr.shape.Service == svc && !gr.shape.Lasting {
+			waiting += float64(len(gr.queued())) * float64(gr.shape.Need.CPU) * float64(gr.shape.Estimate)
+		}
+	}
+	return time.Duration(waiting * float64(en.topology.size) / float64(capacity))
+}
+
+// retryAfterOverload returns the time after which the caller of a refused job may
+// retry: once the queue is expected to be empty, spread over as much time again,
+// so that not all refused callers return at once.
+func retryAfterOverload(queueTime time.Duration, id ids.JobID) time.Duration {
+	spread := 1 + rendezvous.Uniform(string(id), "retry")
+	return min(max(time.Duration(spread*float64(queueTime)), minRetryAfter), maxRetryAfter)
+}
 
 // tooLate reports whether no task of a job has begun and the job can no longer
 // end in time to be of use to its caller.
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -164,7 +164,7 @@
 		return
 	}
 	if en.now().Sub(en.storeUnavailableAt) < storeUnavailableTime {
-		sub.Done(Outcome{Kind: Refused, Reason: "store-away", RetryAfter: retryAfterOverload})
+		sub.Done(Outcome{Kind: Refused, Reason: "store-away", RetryAfter: retryAfterStore})
 		return
 	}
 	jb := &job{Submission: sub, waiters: 1, stored: &storedJob{rec: JobRecord{
