dispatch: pass on changes of workers that other entries have passed on

A watcher of another zone read the draining state first and sent it to the watchers of the worker's zone. When these read the report themselves 0.2 s later it showed no change, so they sent nothing. Entries of the zone without a session to the other zone's watcher, among them the holder, found out by their own scan 4 s later or not at all.

Ruled out: entries that disagree on who the watchers are (all 13 named the same two from 14 s on); sessions that were down at the tick (none was skipped).

Change: a watcher passes on each change that is new to it, however it learned of it. A change that comes back is not new, so it is sent once by each watcher.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -174,6 +174,10 @@
 	claimsChanged bool
 	claimsAt      time.Time
 	lastForgetAt  time.Time
+	// watcherSince is when this entry last became a watcher, and snapshotsDue reports
+	// that it has not sent the snapshots that follow.
+	watcherSince time.Time
+	snapshotsDue bool
 	// snapshotTaken reports that a watcher has sent the list of the workers of this
 	// zone. workersVersion is the store version up to which this entry has itself
 	// received all changes of the workers' reports.
@@ -376,14 +380,11 @@
 // TableRead records that all rows that a table had when the read was sent have
 // been passed to the entry.
 func (en *Entry) TableRead(tb Table, sent time.Time) {
-	first := en.readAt[tb].IsZero()
 	if sent.After(en.readAt[tb]) {
 		en.readAt[tb] = sent
 	}
-	if tb == TableWorkers && first {
-		for _, id := range sortedKeys(en.sessions) {
-			en.sendWorkerSnapshot(id)
-		}
+	if tb == TableWorkers {
+		en.sendWorkerSnapshots()
 	}
 }
 
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -162,7 +162,10 @@
 	changed := info.changedFrom(kw.info) || !kw.removedAt.IsZero()
 	en.claimsChanged = en.claimsChanged || changed
 	kw.info, kw.removedAt = info, time.Time{}
-	if own && changed {
+	if changed {
+		// A change that another entry has passed on is passed on too: that entry may
+		// have no session with entries that this one reaches, and the report that
+		// this one reads later then shows no change.
 		en.queueWorkerNews(func(news *WorkerNews) { news.Workers = append(news.Workers, info) })
 	}
 	wk := en.workers[info.ID]
--- a/internal/dispatch/neighbours.go
+++ b/internal/dispatch/neighbours.go
@@ -170,11 +170,15 @@
 	}
 	ro := newRoster(list)
 	en.linksChanged, en.claimsChanged = true, true
+	watches := slices.Contains(ro.watchers(en.self.Zone), en.id)
+	if watches && !old.watcher {
+		en.watcherSince, en.snapshotsDue = en.now(), true
+	}
 	en.topology = topology{
 		list:       list,
 		roster:     ro,
 		neighbours: ro.neighbours(en.id, en.self.Zone),
-		watcher:    slices.Contains(ro.watchers(en.self.Zone), en.id),
+		watcher:    watches,
 		size:       max(1, len(list)),
 	}
 	return ro
--- a/internal/dispatch/worker_news.go
+++ b/internal/dispatch/worker_news.go
@@ -121,6 +121,19 @@
 	}
 }
 
+// sendWorkerSnapshots sends a snapshot to every entry after the first read of all
+// reports since this entry has become a watcher. The watchers before it may have
+// sent it changes that they could not send to others.
+func (en *Entry) sendWorkerSnapshots() {
+	if !en.snapshotsDue || !en.readAt[TableWorkers].After(en.watcherSince) {
+		return
+	}
+	en.snapshotsDue = false
+	for _, id := range sortedKeys(en.sessions) {
+		en.sendWorkerSnapshot(id)
+	}
+}
+
 // sendWorkerSnapshot sends a snapshot of the workers of its zone to an entry
 // with which a session has begun.
 func (en *Entry) sendWorkerSnapshot(id ids.EntryID) {
