dispatch: measure the run time of adopted runs from their start

Cause: a new holder took the moment at which it found a run as its start. A run that ended soon after seemed to have taken only that long, and the speed of the worker rose by up to a factor of three. All later runs then deviated so far that they counted as passing slowness and never corrected the estimate: they were stopped and started elsewhere. The same times entered the estimates of queues.

Change: an owner that claims a run tells how long ago it sent it. Run times are not learned if the start is unknown.

--- a/internal/dispatch/adoption.go
+++ b/internal/dispatch/adoption.go
@@ -35,7 +35,7 @@
 	for _, ref := range rep.Running {
 		// The size of an unclaimed task is unknown, so it occupies the whole worker.
 		wk.addSlot(&slot{
-			ref: ref, state: slotStopping, unclaimed: true, listed: true, began: en.now(), stopReason: EndStopped,
+			ref: ref, state: slotStopping, unclaimed: true, listed: true, began: en.now(), beganUnknown: true, stopReason: EndStopped,
 			shape: Shape{Need: wk.info.Room},
 		})
 	}
@@ -83,6 +83,9 @@
 		}
 		sl.unclaimed, sl.state, sl.owner = false, slotRunning, from
 		sl.group, sl.job = kp.Group, kp.Job
+		if kp.Ran > 0 {
+			sl.began, sl.beganUnknown = en.now().Add(-kp.Ran), false
+		}
 		wk.resizeSlot(sl, kp.Shape)
 	}
 	delete(wk.awaitingAdopted, from)
--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -486,6 +486,29 @@
 	}
 }
 
+// TestAdoptedRunTime guards against a worker that counts as many times faster
+// than it is, because the run time of a task was measured from the moment at
+// which a new holder found it. Tasks on the worker were then stopped as stalled
+// again and again.
+func TestAdoptedRunTime(t *testing.T) {
+	const before, after = 380 * time.Millisecond, 20 * time.Millisecond
+	for _, ran := range []time.Duration{before, 0} {
+		wo, en, _ := newHolder()
+		en.TableRead(TableJobs, wo.at)
+		ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
+		clock := WorkerTime(time.Minute)
+		en.HoldReplied("w", 50, HoldReply{Clock: clock, Born: 1, Running: []TaskRef{ref}})
+		en.Receive("entry-00", Adopted{Worker: "w", Keep: []Kept{{Ref: ref, Group: 1, Job: "0000000000000001", Ran: ran, Shape: Shape{
+			Service: "fitdesk", Need: Resources{CPU: 1000, Memory: 64}, Estimate: before + after, InTime: time.Second, Late: time.Second,
+		}}}})
+		wo.tick(en, after)
+		en.HoldReplied("w", 50, HoldReply{Clock: clock, Born: 1, Ended: []EndedRun{{Number: 1, Ref: ref, How: EndDone}}})
+		if factor := en.workers["w"].speed.factor(wo.at); factor < 0.95 || factor > 1.05 {
+			t.Errorf("after a run of 0.4 s that was expected to take as long, the speed of the worker is %.2f, want 1", factor)
+		}
+	}
+}
+
 // TestRecallAfterWorkerRestart guards against a task that runs twice. Its start
 // is in flight when the worker confirms a stop. The worker then restarts with
 // the same ID and no longer refuses the late start.
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -39,6 +39,7 @@
 	remote          bool   // not on the rack of its data
 	stalls          int    // earlier runs that were stopped for running too long
 	unclaimed       bool   // listed by the worker, not claimed, not known to be long-running
+	beganUnknown    bool   // began is the time at which this holder found the run
 	listed          bool   // the worker has listed the run
 	savedCheckpoint string // the latest checkpoint that the worker has listed
 	// orphanedAt is when a long-running task lost its owner.
--- a/internal/dispatch/lost_tasks.go
+++ b/internal/dispatch/lost_tasks.go
@@ -83,7 +83,7 @@
 		}
 		ta.state, ta.holder, ta.worker, ta.token = taskRunning, from, ms.Worker, ms.Token
 		gr.job.begun = true
-		reply.Keep = append(reply.Keep, Kept{Ref: ref, Group: gr.id, Job: gr.job.Job.ID, Shape: gr.currentShape(now)})
+		reply.Keep = append(reply.Keep, Kept{Ref: ref, Group: gr.id, Job: gr.job.Job.ID, Shape: gr.currentShape(now), Ran: now.Sub(ta.placedAt)})
 	}
 	for _, ed := range ms.Ended {
 		gr, ta := en.currentTask(ed.Ref)
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -91,6 +91,8 @@
 	Group GroupID
 	Job   ids.JobID
 	Shape Shape
+	// Ran is the time since the run was sent to its first holder, 0 if unknown.
+	Ran time.Duration
 }
 
 // Released informs an owner that its tasks on a worker pass to another holder,
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -30,7 +30,7 @@
 	work := time.Duration(0)
 	switch how {
 	case EndDone:
-		if en.endTimeKnown(wk) {
+		if !sl.beganUnknown && en.endTimeKnown(wk) {
 			work = time.Duration(float64(took) * factor)
 			if sl.remote {
 				work = time.Duration(float64(work) / en.remotePenalty)
