dispatch: send no stops while owners may still claim the runs on a new worker

Cause: the runs that a new holder finds are kept in the state stopping until their owners claim them, with no stop sent. The tick repeats a stop that is older than 150 ms, and "never sent" counted as older.

TestNoStopBeforeClaims fails before.

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -486,6 +486,31 @@
 	}
 }
 
+// TestNoStopBeforeClaims guards against runs that are stopped at a hand-over
+// although their owner claims them: a tick between the question to the owner and
+// its answer sent the stops.
+func TestNoStopBeforeClaims(t *testing.T) {
+	wo, en, rc := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
+	en.AddMember(Self{Incarnation: "entry-01/1", Zone: "north", Size: 1})
+	en.SessionUp("entry-01", "entry-01/1")
+	en.InboundUp("entry-01", 1)
+	en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1, Running: []TaskRef{ref}})
+	wo.tick(en, adoptTimeout-2*TickInterval)
+	if len(rc.stops) > 0 {
+		t.Fatal("a stop is sent before the owner has answered")
+	}
+	en.Receive("entry-01", Adopted{Worker: "w", Keep: []Kept{{Ref: ref, Group: 1, Job: "0000000000000001", Shape: Shape{
+		Service: "fitdesk", Need: Resources{CPU: 1000, Memory: 64}, Estimate: time.Second,
+	}}}})
+	en.Receive("entry-00", Adopted{Worker: "w"})
+	wo.tick(en, 500*time.Millisecond)
+	if len(rc.stops) > 0 {
+		t.Error("the claimed run is stopped")
+	}
+}
+
 // TestAdoptedRunTime guards against a worker that counts as many times faster
 // than it is, because the run time of a task was measured from the moment at
 // which a new holder found it. Tasks on the worker were then stopped as stalled
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -335,7 +335,8 @@
 	for _, sl := range wk.sortedSlots() {
 		switch sl.state {
 		case slotStopping:
-			if now.Sub(sl.stopSent) > en.retryInterval(now, stopRetryAfter) {
+			// While owners may still claim the runs on a new worker, no stop is sent.
+			if wk.phase != phaseAdopting && now.Sub(sl.stopSent) > en.retryInterval(now, stopRetryAfter) {
 				en.stopSlot(wk, sl, sl.stopReason)
 			}
 		case slotRunning:
