dispatch: use the workers of a leaving entry while the store is out of reach

It got SIGTERM while its zone was cut off from the others and the store, held 21 workers, could not pass them on, and placed no tasks on them. The other entry of the zone had just restarted and could not become their holder either.

Change: an entry that leaves goes on placing tasks, its own and those of others, while the store does not answer. It passes on its workers as before once it does. Owners send tasks to leaving holders last; long-running tasks are not started there.

--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
@@ -242,12 +244,8 @@
 // classSpeed returns the speed of the workers of the same service that have the
 // same labels apart from the rack.
 func (en *Entry) classSpeed(info WorkerInfo) *classSpeed {
-	key := string(info.Service)
-	for _, label := range info.Labels {
-		if label != string(info.Rack) {
-			key += " " + label
-		}
-	}
+	labels := slices.DeleteFunc(slices.Clone(info.Labels), func(label string) bool { return label == string(info.Rack) })
+	key := strings.Join(append([]string{string(info.Service)}, labels...), " ")
 	cs := en.classSpeeds[key]
 	if cs == nil {
 		cs = &classSpeed{}
@@ -333,19 +331,23 @@
 		en.poll(wk, now)
 	}
 	for _, sl := range wk.sortedSlots() {
-		switch sl.state {
-		case slotStopping:
-			// While owners may still claim the runs on a new worker, no stop is sent.
-			if wk.phase != phaseAdopting && now.Sub(sl.stopSent) > en.retryInterval(now, stopRetryAfter) {
-				en.stopSlot(wk, sl, sl.stopReason)
-			}
-		case slotRunning:
-			en.pollDueRun(wk, sl, now)
-			en.checkOverdue(wk, sl, now)
-		case slotOrdered, slotUnknown:
-			en.tickRecall(wk, sl, now)
-		}
-		en.tickLasting(wk, sl, now)
+		en.tickSlot(wk, sl, now)
 	}
 	wk.hasOverdue = wk.anyOverdue(now)
 }
+
+func (en *Entry) tickSlot(wk *worker, sl *slot, now time.Time) {
+	switch sl.state {
+	case slotStopping:
+		// While owners may still claim the runs on a new worker, no stop is sent.
+		if wk.phase != phaseAdopting && now.Sub(sl.stopSent) > en.retryInterval(now, stopRetryAfter) {
+			en.stopSlot(wk, sl, sl.stopReason)
+		}
+	case slotRunning:
+		en.pollDueRun(wk, sl, now)
+		en.checkOverdue(wk, sl, now)
+	case slotOrdered, slotUnknown:
+		en.tickRecall(wk, sl, now)
+	}
+	en.tickLasting(wk, sl, now)
+}
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -54,7 +54,7 @@
 	if ms.Shape.Careful {
 		wa.careful = now.Add(carefulTime)
 	}
-	if !en.leaving && wa.granted < wa.count {
+	if !en.passingOn() && wa.granted < wa.count {
 		// The other wants have already been matched with the present room.
 		en.grantWant(wa, now)
 	}
@@ -66,7 +66,7 @@
 
 // match reserves free room for the wants in the order of their rank.
 func (en *Entry) match() {
-	if len(en.wants) == 0 || en.leaving {
+	if len(en.wants) == 0 || en.passingOn() {
 		return
 	}
 	now := en.now()
@@ -230,7 +230,7 @@
 			// better worker.
 			wk = en.pickWorker(ms.Shape, ms.Job, inTime, key, now, ms.Shape.Affinity != "")
 		}
-		if wk == nil || en.leaving || wk.slots[as.TaskRef] != nil {
+		if wk == nil || en.passingOn() || wk.slots[as.TaskRef] != nil {
 			en.send(from, Ended{Ref: as.TaskRef, How: EndNoRoom})
 			continue
 		}
@@ -273,6 +273,9 @@
 // accepts reports whether a worker may run one more task of a job. The job ID is
 // "" if it is not known.
 func (en *Entry) accepts(wk *worker, sh Shape, id ids.JobID, key wantKey, now time.Time) bool {
+	if en.leaving && sh.Lasting {
+		return false
+	}
 	return wk.accepts(sh, key, now) && (!sh.Careful || !en.suspect(wk, id))
 }
 
@@ -389,7 +392,7 @@
 func (en *Entry) Load() Load {
 	now := en.now()
 	ld := Load{Leaving: en.leaving}
-	if en.leaving {
+	if en.passingOn() {
 		return ld
 	}
 	for _, id := range sortedKeys(en.workers) {
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -377,6 +377,13 @@
 	en.eff.Log("leaving", "workers", len(en.workers), "jobs", len(en.jobs))
 }
 
+// passingOn reports whether this entry is leaving and can pass on its workers.
+// While the store does not answer, no other entry can become their holder, so
+// this one continues to use them.
+func (en *Entry) passingOn() bool {
+	return en.leaving && en.readAt[TableHolders].After(en.storeUnavailableAt)
+}
+
 // Held returns the number of workers that this entry holds.
 func (en *Entry) Held() int { return len(en.workers) }
 
@@ -556,17 +563,14 @@
 // moveChanges returns the row changes that pass workers held by this entry to
 // the entries that they are assigned to.
 func (en *Entry) moveChanges(ro roster, now time.Time) []RowChange {
-	limit := maxMoveRows
-	settled := map[ids.EntryID]bool{en.id: true}
-	var list []Member
-	for _, st := range ro.all {
-		id := st.Incarnation.Entry()
-		se := en.sessions[id]
-		if id == en.id || (se != nil && se.up && now.Sub(se.upSince) > settleTime) {
-			settled[id] = true
-			list = append(list, st.Member)
+	if en.leaving && !en.passingOn() {
+		for _, wk := range en.workers {
+			wk.movingTo = ""
 		}
+		return nil
 	}
+	limit := maxMoveRows
+	list, settled := en.settledMembers(ro, now)
 	if en.leaving {
 		// A leaving entry has no time to wait for sessions with others.
 		limit, ro = maxCommitRows, newRoster(list)
@@ -597,6 +601,22 @@
 	return changes
 }
 
+// settledMembers returns the entries that have been reachable for settleTime, this
+// one included, as a list and as a set.
+func (en *Entry) settledMembers(ro roster, now time.Time) ([]Member, map[ids.EntryID]bool) {
+	settled := map[ids.EntryID]bool{en.id: true}
+	var list []Member
+	for _, st := range ro.all {
+		id := st.Incarnation.Entry()
+		se := en.sessions[id]
+		if id == en.id || (se != nil && se.up && now.Sub(se.upSince) > settleTime) {
+			settled[id] = true
+			list = append(list, st.Member)
+		}
+	}
+	return list, settled
+}
+
 // hasPendingStarts reports whether the worker has slots that are granted or
 // whose start is not confirmed yet.
 func (wk *worker) hasPendingStarts() bool {
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -302,6 +302,11 @@
 			ended = append(ended, jb)
 		}
 	}
+	en.finishUnserved(ended)
+}
+
+// finishUnserved answers jobs that can no longer be served, the oldest first.
+func (en *Entry) finishUnserved(ended []*job) {
 	slices.SortFunc(ended, func(a, b *job) int { return a.Arrived.Compare(b.Arrived) })
 	waits := map[ids.ServiceName]time.Duration{}
 	for _, jb := range ended {
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -78,23 +78,30 @@
 	count    int
 	speed    float64
 	sameZone bool
+	leaving  bool
 }
 
 // freeRoom lists the holders whose last report shows room for the shape, on the
-// rack of its data if it names one. Holders with fast free workers come first,
+// rack of its data if it names one. Holders that leave come last, because they
+// are about to pass on their workers. Holders with fast free workers come first,
 // then those in this zone, then those with the most room.
 func (en *Entry) freeRoom(sh Shape) []holderRoom {
 	var list []holderRoom
 	if count, best := countFree(en.Load().Free, sh); count > 0 {
-		list = append(list, holderRoom{holder: en.id, count: count, speed: best, sameZone: true})
+		list = append(list, holderRoom{holder: en.id, count: count, speed: best, sameZone: true, leaving: en.leaving})
 	}
 	for id, free := range en.reportedFree() {
 		if count, best := countFree(free, sh); count > 0 {
-			list = append(list, holderRoom{holder: id, count: count, speed: best, sameZone: en.zoneOf(id) == en.self.Zone})
+			list = append(list, holderRoom{
+				holder: id, count: count, speed: best, sameZone: en.zoneOf(id) == en.self.Zone, leaving: en.sessions[id].load.Leaving,
+			})
 		}
 	}
 	sort.Slice(list, func(a, b int) bool {
 		left, right := list[a], list[b]
+		if left.leaving != right.leaving {
+			return right.leaving
+		}
 		if fastA, fastB := left.speed >= fastSpeed, right.speed >= fastSpeed; fastA != fastB {
 			return fastA
 		}
@@ -110,11 +117,10 @@
 }
 
 // reportedFree returns the free room that the reachable entries have reported.
-// It omits entries that are leaving.
 func (en *Entry) reportedFree() iter.Seq2[ids.EntryID, []Free] {
 	return func(yield func(ids.EntryID, []Free) bool) {
 		for id, se := range en.sessions {
-			if se.bidirectional() && !se.load.Leaving && !yield(id, se.load.Free) {
+			if se.bidirectional() && !yield(id, se.load.Free) {
 				return
 			}
 		}
