dispatch: drop the recent deviation of a worker's speed

The deviation lowered the speed of a worker at once after one run of 2.5 times the expected time and decayed over 2 s. Estimates of run times are off by 40%, so it often hit healthy workers, which then got no long tasks, and the slow workers that it was made for are kept free by anyOverdue anyway, which needs no estimate of how slow they are. The deviation also scaled the run times from which queues learn.

Change: a speed is one average. A run that takes far longer than expected counts as a deviation of 2.5 times, so a passing slowness moves the average little and a lasting one is learned.

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -528,7 +528,7 @@
 		}}}})
 		wo.tick(en, after)
 		en.HoldReplied("w", 50, HoldReply{Clock: clock, Born: 1, Ended: []EndedRun{{Number: 1, Ref: ref, How: EndDone}}})
-		if factor := en.workers["w"].speed.factor(wo.at); factor < 0.95 || factor > 1.05 {
+		if factor := en.workers["w"].speed.factor(); factor < 0.95 || factor > 1.05 {
 			t.Errorf("after a run of 0.4 s that was expected to take as long, the speed of the worker is %.2f, want 1", factor)
 		}
 	}
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -68,15 +68,10 @@
 }
 
 // speed is the estimated speed of a worker, relative to the mean of the service.
-// It is the sum of two logarithms. The long-term part changes slowly. The recent
-// deviation follows a worker that becomes slow within a few tasks, and decays so
-// that the worker is tried again.
 type speed struct {
-	class    *classSpeed // of workers with the same labels, nil if there is none
-	longTerm float64     // logarithm, valid if there are samples
-	samples  int
-	recent   float64 // logarithm, valid at recentAt
-	recentAt time.Time
+	class   *classSpeed // of workers with the same labels, nil if there is none
+	meanLog float64     // mean logarithm, valid if there are samples
+	samples int
 }
 
 // classSpeed is the mean speed of the workers of a service that have the same
@@ -94,7 +89,7 @@
 
 // The weights for the speed of a worker.
 const (
-	// speedWindow is the number of tasks over which the long-term part is averaged.
+	// speedWindow is the number of tasks over which the speed is averaged.
 	// With task estimates off by 40% it leaves an error of about 10%.
 	speedWindow = 12
 	// classWindow is the number of tasks over which the speed of a class is
@@ -106,71 +101,42 @@
 	// maxSpeedFactor limits the factor by which one task can deviate from the
 	// expected time.
 	maxSpeedFactor = 10.0
-	// outlierLog is the deviation of the logarithm above which a task indicates
-	// that the speed of the worker has changed. It is 2.5 times the spread of
-	// estimates.
+	// outlierLog is the deviation of the logarithm above which a task shows that the
+	// worker is slow at present. It is 2.5 times the spread of estimates.
 	outlierLog = 0.9
-	// recentDecay is the time constant of the decay: the time in which a recent
-	// deviation falls to about a third.
-	recentDecay = 2 * time.Second
 )
 
-// typical returns the logarithm of the speed without the recent deviation.
+// typical returns the logarithm of the speed.
 func (sp *speed) typical() float64 {
 	if sp.samples == 0 && sp.class != nil {
 		return sp.class.meanLog
 	}
-	return sp.longTerm
-}
-
-// deviation returns the recent deviation, decayed until now.
-func (sp *speed) deviation(now time.Time) float64 {
-	if sp.recent == 0 {
-		return 0
-	}
-	return sp.recent * math.Exp(-float64(now.Sub(sp.recentAt))/float64(recentDecay))
+	return sp.meanLog
 }
 
 // learn updates the speed from a completed task: its expected run time at speed
-// 1 and its measured run time.
-func (sp *speed) learn(expected, took time.Duration, now time.Time) {
+// 1 and its measured run time. Runs that took far longer than expected count
+// as outlierLog: a passing slowness, during which the worker gets no new tasks
+// (see anyOverdue), changes the speed little, and a lasting one is learned.
+func (sp *speed) learn(expected, took time.Duration) {
 	if expected <= 0 || took <= 0 {
 		return
 	}
 	ratio := max(1/maxSpeedFactor, min(maxSpeedFactor, float64(expected)/float64(took)))
 	if sp.samples == 0 && sp.class != nil {
-		sp.longTerm, sp.samples = sp.class.meanLog, min(sp.class.samples, priorSamples)
+		sp.meanLog, sp.samples = sp.class.meanLog, min(sp.class.samples, priorSamples)
 	}
-	off := math.Log(ratio) - sp.longTerm
-	dev := sp.deviation(now)
-	if sp.samples >= priorSamples && (off < -outlierLog || dev < -outlierLog) {
-		// The recent deviation moves halfway to the new sample; the long-term part
-		// does not change.
-		sp.recent, sp.recentAt = dev+(min(off, 0)-dev)/2, now
-		return
+	off := math.Log(ratio) - sp.meanLog
+	if sp.samples >= priorSamples && off < -outlierLog {
+		off = -outlierLog
 	}
 	if sp.class != nil {
-		sp.class.learn(math.Log(ratio))
+		sp.class.learn(sp.meanLog + off)
 	}
 	sp.samples = min(sp.samples+1, speedWindow)
 	// The prior, speed 1, counts as one sample, so the first task has a weight of
 	// one half.
-	sp.longTerm += off / float64(sp.samples+1)
-	sp.recent, sp.recentAt = dev, now
+	sp.meanLog += off / float64(sp.samples+1)
 }
 
-// learnUnfinished lowers the speed because of a task that has already run for
-// longer than expected and has not ended.
-func (sp *speed) learnUnfinished(expected, ran time.Duration, now time.Time) {
-	if expected <= 0 || ran <= expected {
-		return
-	}
-	off := math.Log(max(1/maxSpeedFactor, float64(expected)/float64(ran))) - sp.typical()
-	if off < min(-outlierLog, sp.deviation(now)) {
-		sp.recent, sp.recentAt = off, now
-	}
-}
-
-func (sp *speed) factor(now time.Time) float64 {
-	return math.Exp(sp.typical() + sp.deviation(now))
-}
+func (sp *speed) factor() float64 { return math.Exp(sp.typical()) }
--- a/internal/dispatch/estimate_test.go
+++ b/internal/dispatch/estimate_test.go
@@ -12,7 +12,7 @@
 // restart or a hand-over, because a worker counts as one of mean speed until it
 // has run some tasks. Workers with the same labels have similar speeds.
 func TestSpeedOfNewWorker(t *testing.T) {
-	wo, en, _ := newHolder()
+	_, en, _ := newHolder()
 	put := func(id ids.WorkerID, kind, rack string, version Version) *worker {
 		info := en.known["w"].info
 		info.ID, info.Labels, info.Rack, info.Version = id, []string{kind, rack}, ids.RackID(rack), version
@@ -24,7 +24,7 @@
 	}
 	expect := func(wk *worker, want float64) {
 		t.Helper()
-		if got := wk.speed.factor(wo.at); math.Abs(math.Log(got/want)) > 0.15 {
+		if got := wk.speed.factor(); math.Abs(math.Log(got/want)) > 0.15 {
 			t.Errorf("the speed of worker %s is %.2f, want %.2f", wk.info.ID, got, want)
 		}
 	}
@@ -32,15 +32,15 @@
 	slow, fast := put("slow", "a", "r1", 60), put("fast", "b", "r1", 61)
 	expect(slow, 1)
 	for range 20 {
-		slow.speed.learn(estimate, estimate*2, wo.at)
-		fast.speed.learn(estimate, estimate/2, wo.at)
+		slow.speed.learn(estimate, estimate*2)
+		fast.speed.learn(estimate, estimate/2)
 	}
 	expect(slow, 0.5)
 	expect(fast, 2)
 	expect(put("new-slow", "a", "r2", 62), 0.5)
 	fresh := put("new-fast", "b", "r2", 63)
 	expect(fresh, 2)
-	fresh.speed.learn(estimate, estimate/2, wo.at)
+	fresh.speed.learn(estimate, estimate/2)
 	expect(fresh, 2)
 	// The worker restarts on a machine of another kind.
 	expect(put("new-fast", "a", "r2", 64), 0.5)
@@ -49,13 +49,12 @@
 // TestSpeedFarFromMean guards against a worker whose speed is never learned
 // because every run takes far longer than on a worker of mean speed.
 func TestSpeedFarFromMean(t *testing.T) {
-	wo, en, _ := newHolder()
+	_, en, _ := newHolder()
 	wk := en.workers["w"]
 	for range 20 {
-		wk.speed.learn(200*time.Millisecond, time.Second, wo.at)
+		wk.speed.learn(200*time.Millisecond, time.Second)
 	}
-	wo.at = wo.at.Add(time.Minute)
-	if got := wk.speed.factor(wo.at); got > 0.25 {
+	if got := wk.speed.factor(); got > 0.25 {
 		t.Errorf("a worker of speed 0.2 counts as one of speed %.2f", got)
 	}
 }
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -328,7 +328,7 @@
 			continue
 		}
 		score := en.score(wk, sh, inTime, now)
-		if !score.inTime && mayBeInTime && (!score.near || wk.speed.factor(now) < fastSpeed) {
+		if !score.inTime && mayBeInTime && (!score.near || wk.speed.factor() < fastSpeed) {
 			continue
 		}
 		if best == nil || score.better(bestScore, best, wk) {
@@ -350,7 +350,7 @@
 func (wk *worker) near(sh Shape) bool { return sh.Affinity == "" || sh.Affinity == wk.info.Rack }
 
 func (en *Entry) score(wk *worker, sh Shape, inTime time.Time, now time.Time) pickScore {
-	factor := wk.speed.factor(now)
+	factor := wk.speed.factor()
 	if !wk.near(sh) {
 		factor /= en.remotePenalty
 	}
@@ -404,7 +404,7 @@
 		if room.CPU > 0 {
 			ld.Free = append(ld.Free, Free{
 				Service: wk.info.Service, CPU: room.CPU, Rack: wk.info.Rack,
-				Speed: float32(math.Round(wk.speed.factor(now)*speedSteps) / speedSteps),
+				Speed: float32(math.Round(wk.speed.factor()*speedSteps) / speedSteps),
 			})
 		}
 	}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
@@ -25,7 +24,7 @@
 	if sl.owner == "" {
 		return
 	}
-	factor := wk.speed.factor(en.now())
+	factor := wk.speed.factor()
 	expected := time.Duration(float64(sl.shape.Estimate) / factor)
 	work := time.Duration(0)
 	switch how {
@@ -35,7 +34,7 @@
 			if sl.remote {
 				work = time.Duration(float64(work) / en.remotePenalty)
 			}
-			wk.speed.learn(sl.shape.Estimate, took, en.now())
+			wk.speed.learn(sl.shape.Estimate, took)
 		}
 		wk.failures, wk.blockedUntil = 0, time.Time{}
 		en.eff.Observe("task.took", took)
@@ -281,12 +280,11 @@
 		// The reply that reports the end may have been lost.
 		ran = wk.listsAt.Sub(sl.began)
 	}
-	expected := time.Duration(float64(sl.shape.Estimate) / math.Exp(wk.speed.typical()))
+	expected := time.Duration(float64(sl.shape.Estimate) / wk.speed.factor())
 	limit := max(overdueFloor, time.Duration(overdueFactor*float64(expected)))
 	if ran < limit || now.Before(en.ignoreRunTimesUntil) {
 		return
 	}
-	wk.speed.learnUnfinished(sl.shape.Estimate, ran, now)
 	// A task that was stopped before may take longer than estimated.
 	stallLimit := max(stallFloor, time.Duration(stallFactor*float64(expected))) << (2 * min(sl.stalls, maxCountedStalls))
 	if ran < stallLimit || (float64(ran) < forcedStallFactor*float64(stallLimit) && !en.roomElsewhere(wk, sl.shape, now)) {
@@ -300,7 +298,7 @@
 // roomElsewhere reports whether another fast worker has room for a task now.
 func (en *Entry) roomElsewhere(except *worker, sh Shape, now time.Time) bool {
 	for _, wk := range en.workers {
-		if wk != except && wk.speed.factor(now) >= fastSpeed && wk.accepts(sh, wantKey{}, now) {
+		if wk != except && wk.speed.factor() >= fastSpeed && wk.accepts(sh, wantKey{}, now) {
 			return true
 		}
 	}
@@ -314,7 +312,7 @@
 
 func (wk *worker) anyOverdue(now time.Time) bool {
 	for _, sl := range wk.slots {
-		expected := float64(sl.shape.Estimate) / wk.speed.factor(now) * overdueFactor
+		expected := float64(sl.shape.Estimate) / wk.speed.factor() * overdueFactor
 		if sl.state == slotRunning && !sl.shape.Lasting && now.Sub(sl.began) > max(overdueFloor, time.Duration(expected)) {
 			return true
 		}
