--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -31,6 +31,8 @@
 	After        []int   `json:"after,omitempty"`
 	Requirements string  `json:"requirements,omitempty"`
 	LongRunning  bool    `json:"longRunning,omitempty"`
+	GPUs         int     `json:"gpus,omitempty"`
+	Gang         bool    `json:"gang,omitempty"`
 	runMs        int64
 	fails        func(task string, run int64) bool // nil for never
 }
@@ -63,6 +65,8 @@
 	entries []*entry
 	workers []*worker
 	calls   *http.Client
+	// extraRoute adds a second route to the desired state.
+	extraRoute bool
 
 	mu     sync.Mutex
 	jobs   map[string]jobBody
@@ -169,10 +173,12 @@
 const (
 	hostName   = "nony24.example"
 	pathPrefix = "/lohu930/"
+	// extraPrefix is the prefix of a route that a case removes.
+	extraPrefix = "/pule252/"
 )
 
-// configure writes the desired state with one queue.
-func (bd *bed) configure() error {
+// configure writes a version of the desired state.
+func (bd *bed) configure(version int) error {
 	type service struct {
 		Name           string `json:"name"`
 		HealthPath     string `json:"healthPath"`
@@ -180,12 +186,18 @@
 		Protocol       string `json:"protocol"`
 		AdmissionCheck bool   `json:"admissionCheck"`
 	}
+	routes := []route{{
+		Name: "r-wrr6x73", Host: hostName, PathPrefix: pathPrefix, Type: "non_idempotent", TimeoutMs: 1500, TargetMs: 60,
+		Service: serviceName, MaxAttempts: 4, Stretch: 1.6,
+	}}
+	if bd.extraRoute {
+		extra := routes[0]
+		extra.Name, extra.PathPrefix = "r-73hh2b9", extraPrefix
+		routes = append(routes, extra)
+	}
 	return bd.store.put(tableDesired, desiredKey, map[string]any{
-		"version": 7,
-		"routes": []route{{
-			Name: "r-wrr6x73", Host: hostName, PathPrefix: pathPrefix, Type: "non_idempotent", TimeoutMs: 1500, TargetMs: 60,
-			Service: serviceName, MaxAttempts: 4, Stretch: 1.6,
-		}},
+		"version":  version,
+		"routes":   routes,
 		"services": []service{{Name: serviceName, HealthPath: "/health", MaxConnections: 64, Protocol: "h1"}},
 		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
@@ -370,7 +382,7 @@
 // start starts a deployment and waits until all entries are ready and all workers
 // have a holder.
 func (bd *bed) start(entries, workers int, kd kind) error {
-	if err := bd.configure(); err != nil {
+	if err := bd.configure(7); err != nil {
 		return err
 	}
 	if err := bd.addWorkers(workers, kd); err != nil {
@@ -431,9 +443,13 @@
 
 // call sends a request to an entry and waits for the answer up to callLimit.
 func (bd *bed) call(en *entry, method, id string, body []byte) answer {
+	return bd.callAt(en, method, pathPrefix, id, body)
+}
+
+func (bd *bed) callAt(en *entry, method, prefix, id string, body []byte) answer {
 	ctx, cancel := context.WithTimeout(bd.grp.Context(), callLimit)
 	defer cancel()
-	rq, err := http.NewRequestWithContext(ctx, method, "http://"+en.ip+":8161"+pathPrefix+id, bytes.NewReader(body))
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+en.ip+":8161"+prefix+id, bytes.NewReader(body))
 	if err != nil {
 		return answer{}
 	}
@@ -464,6 +480,11 @@
 
 // post hands a job in.
 func (bd *bed) post(en *entry, id string, job jobBody) answer {
+	return bd.postAt(en, pathPrefix, id, job)
+}
+
+// postAt hands a job in at a route.
+func (bd *bed) postAt(en *entry, prefix, id string, job jobBody) answer {
 	bd.mu.Lock()
 	bd.jobs[id] = job
 	bd.mu.Unlock()
@@ -472,7 +493,7 @@
 		return answer{}
 	}
 	bd.rec.logf("job %s steps=%d bytes=%d best-effort=%t", id, len(job.Steps), len(raw), job.BestEffort)
-	return bd.call(en, http.MethodPost, id, raw)
+	return bd.callAt(en, http.MethodPost, prefix, id, raw)
 }
 
 // stepOf returns the step of a task.
--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -209,7 +209,7 @@
 // tasks wait that need the earlier kind.
 func playOtherKind(bd *bed, trouble bool) error {
 	const (
-		workers = 7
+		workers = 8 // one of them is less than the largest share that crashes
 		down    = time.Second
 		rounds  = 3
 	)
@@ -259,8 +259,8 @@
 	return nil
 }
 
-// playLastingLeft takes a worker away as planned and then, half a minute later,
-// one entry for good, while long-running tasks run.
+// playLastingLeft takes a worker away as planned and some seconds later one entry
+// for good, while long-running tasks run.
 func playLastingLeft(bd *bed, trouble bool) error {
 	const (
 		workers = 12
@@ -389,33 +389,6 @@
 	return longest
 }
 
-// playMixed kills one entry while a job runs that has long-running tasks and one
-// long task that ends by itself.
-func playMixed(bd *bed, trouble bool) error {
-	const watch = 24 * time.Second
-	if err := bd.start(3, 9, bigKind); err != nil {
-		return err
-	}
-	job := jobBody{Spec: "mixed", Steps: []step{
-		{Count: 18, CPU: 9000, MemMB: 64, EstimatedMs: 1000, LongRunning: true},
-		{Count: 6, CPU: 4000, MemMB: 64, EstimatedMs: 60000, runMs: 60000},
-	}}
-	if ans := bd.post(bd.entries[0], jobID(1), job); ans.status != http.StatusOK {
-		return fmt.Errorf("the job was not accepted: %+v", ans)
-	}
-	time.Sleep(6 * time.Second)
-	bd.rec.sayf("running before: %d", len(bd.runningTasks(jobID(1))))
-	if trouble {
-		bd.rec.sayf("%s is killed", bd.entries[1].name)
-		bd.entries[1].kill()
-		time.Sleep(time.Second)
-		if err := bd.entries[1].start(false); err != nil {
-			return err
-		}
-	}
-	return bd.watchLasting(jobID(1), contactTime, watch)
-}
-
 // playRefused cancels best-effort jobs shortly after they were handed in.
 func playRefused(bd *bed, trouble bool) error {
 	const jobs = 400
@@ -454,3 +427,164 @@
 	}
 	return nil
 }
+
+// playRouteRemoved removes the route of a running job and then kills the entry
+// that owns it, beside a steady traffic on another route.
+func playRouteRemoved(bd *bed, trouble bool) error {
+	const (
+		before = 4 * time.Second
+		after  = 36 * time.Second
+	)
+	bd.extraRoute = true
+	if err := bd.start(3, 4, bigKind); err != nil {
+		return err
+	}
+	quick := func(int) jobBody {
+		return jobBody{Spec: "quick", BestEffort: true, Steps: []step{{Count: 4, CPU: 500, MemMB: 64, EstimatedMs: 60, runMs: 60}}}
+	}
+	small := func(int) jobBody {
+		return jobBody{Spec: "small", Steps: []step{
+			{Count: 8, CPU: 500, MemMB: 64, EstimatedMs: 300, runMs: 300},
+			{Count: 8, CPU: 500, MemMB: 64, EstimatedMs: 300, After: []int{0}, runMs: 300},
+		}}
+	}
+	long := jobBody{Spec: "long", Steps: []step{{Count: 540, CPU: 500, MemMB: 64, EstimatedMs: 800, runMs: 800}}}
+	stored, unstored := newSubmitter(bd), newSubmitter(bd)
+	grp := group.New(bd.grp.Context())
+	grp.Go(func(context.Context) { stored.steady(0, 500*time.Millisecond, before+after, small) })
+	grp.Go(func(context.Context) { unstored.steady(1<<16, 20*time.Millisecond, before+after, quick) })
+	time.Sleep(before)
+	owner := bd.entries[0]
+	if ans := bd.postAt(owner, extraPrefix, jobID(1<<20), long); ans.status != http.StatusOK {
+		return fmt.Errorf("the job was not accepted: %+v", ans)
+	}
+	time.Sleep(time.Second)
+	bd.extraRoute = false
+	if err := bd.configure(8); err != nil {
+		return err
+	}
+	bd.rec.sayf("the route of the job is removed")
+	if trouble {
+		time.Sleep(500 * time.Millisecond)
+		bd.rec.sayf("%s is killed", owner.name)
+		owner.kill()
+		time.Sleep(time.Second)
+		if err := owner.start(false); err != nil {
+			return err
+		}
+	}
+	grp.Wait()
+	stored.grp.Wait()
+	unstored.grp.Wait()
+	bd.rec.sayf("stored jobs: accepted=%d refused=%d silent=%d", len(stored.accepted), stored.refused, stored.silent)
+	bd.rec.sayf("best-effort jobs: success=%d refused=%d silent=%d", len(unstored.accepted), unstored.refused, unstored.silent)
+	bd.rec.sayf("tasks of the job on the removed route done: %d", bd.doneTasks(jobID(1<<20)))
+	time.Sleep(finishTime)
+	return bd.checkFinished(append(stored.accepted, jobID(1<<20)))
+}
+
+// doneTasks returns how many tasks of a job have ended done.
+func (bd *bed) doneTasks(id string) int {
+	bd.mu.Lock()
+	defer bd.mu.Unlock()
+	done := map[string]bool{}
+	for _, rn := range bd.runs {
+		if job, _ := jobOf(rn.task); job == id && rn.how == howDone {
+			done[rn.task] = true
+		}
+	}
+	return len(done)
+}
+
+// playGang submits a gang whose tasks need accelerators and no CPU.
+func playGang(bd *bed, trouble bool) error {
+	if err := bd.start(3, 4, kind{name: "a", room: room{CPU: 32000, MemMB: 65536, GPUs: 8}}); err != nil {
+		return err
+	}
+	job := jobBody{Spec: "gang", Steps: []step{{Count: 8, MemMB: 64, GPUs: 1, EstimatedMs: 300, Gang: true, runMs: 300}}}
+	if !trouble {
+		job.Steps[0].CPU = 500
+	}
+	if ans := bd.post(bd.entries[0], jobID(1), job); ans.status != http.StatusOK {
+		return fmt.Errorf("the job was not accepted: %+v", ans)
+	}
+	time.Sleep(finishTime)
+	return bd.checkFinished([]string{jobID(1)})
+}
+
+// playCancelLost loses the answer to the insertion of a long job, and cancels
+// the job at the entry that still waits for that answer.
+func playCancelLost(bd *bed, trouble bool) error {
+	if err := bd.start(3, 4, bigKind); err != nil {
+		return err
+	}
+	job := jobBody{Spec: "x", Steps: []step{{Count: 8, CPU: 500, MemMB: 64, EstimatedMs: 30000, runMs: 30000}}}
+	if trouble {
+		lost := false
+		bd.store.setLoseTx(func(puts []storeRow) bool {
+			if lost || len(puts) == 0 || puts[0].Table != "oleanderwall-jobs" {
+				return false
+			}
+			lost = true
+			return true
+		})
+	}
+	grp := group.New(bd.grp.Context())
+	grp.Go(func(context.Context) { bd.post(bd.entries[0], jobID(1), job) })
+	time.Sleep(300 * time.Millisecond)
+	if ans := bd.post(bd.entries[1], jobID(1), job); ans.status != http.StatusOK {
+		return fmt.Errorf("the job was not accepted: %+v", ans)
+	}
+	time.Sleep(100 * time.Millisecond)
+	sent := bd.rec.now()
+	ans := bd.call(bd.entries[0], http.MethodDelete, jobID(1), nil)
+	bd.rec.sayf("the cancelling was sent at %.3f, answered %d %s", sent.Seconds(), ans.status, ans.state)
+	grp.Wait()
+	time.Sleep(4*time.Second + 3*time.Second + 100*time.Millisecond)
+	used := int64(0)
+	for _, wk := range bd.workers {
+		cpu, _ := wk.load()
+		used += cpu
+	}
+	bd.rec.sayf("CPU in use by tasks of the cancelled job: %d", used)
+	if used > 0 {
+		return fmt.Errorf("%w: the tasks run on", errBroken)
+	}
+	return nil
+}
+
+// playForeignRow keeps a row of another writer in the table of the workers, and
+// kills the entry that owns a running job.
+func playForeignRow(bd *bed, trouble bool) error {
+	const watch = 30 * time.Second
+	if err := bd.start(3, 6, bigKind); err != nil {
+		return err
+	}
+	if trouble {
+		bd.grp.Every(reportEvery, func(context.Context) {
+			err := bd.store.put(tableWorkers, "i-0badc0de", workerReport{
+				Service: "another-system", Address: bd.prefix + "250:9", Zone: "nalon", Version: "v1", Capacity: 8, State: "ready",
+				Room: bigKind.room, Labels: []string{"a", "r1-0"}, Sequence: time.Now().UnixMilli(),
+			})
+			if err != nil {
+				bd.rec.logf("foreign row: %v", err)
+			}
+		})
+	}
+	time.Sleep(5 * time.Second)
+	owner := bd.entries[0]
+	job := jobBody{Spec: "x", Steps: []step{{Count: 540, CPU: 2000, MemMB: 64, EstimatedMs: 800, runMs: 800}}}
+	if ans := bd.postAt(owner, pathPrefix, jobID(1), job); ans.status != http.StatusOK {
+		return fmt.Errorf("the job was not accepted: %+v", ans)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	bd.rec.sayf("%s is killed; tasks done: %d", owner.name, bd.doneTasks(jobID(1)))
+	owner.kill()
+	time.Sleep(time.Second)
+	if err := owner.start(false); err != nil {
+		return err
+	}
+	time.Sleep(watch)
+	bd.rec.sayf("tasks done: %d", bd.doneTasks(jobID(1)))
+	return bd.checkFinished([]string{jobID(1)})
+}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -29,8 +29,11 @@
 	"many-steps":   playManySteps,
 	"other-kind":   playOtherKind,
 	"lasting-left": playLastingLeft,
-	"mixed":        playMixed,
 	"refused":      playRefused,
+	"route":        playRouteRemoved,
+	"gang":         playGang,
+	"foreign-row":  playForeignRow,
+	"cancel-lost":  playCancelLost,
 }
 
 func main() { os.Exit(play()) }
