--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -33,6 +33,7 @@
 	LongRunning  bool    `json:"longRunning,omitempty"`
 	GPUs         int     `json:"gpus,omitempty"`
 	Gang         bool    `json:"gang,omitempty"`
+	AntiAffinity int     `json:"antiAffinity,omitempty"`
 	runMs        int64
 	fails        func(task string, run int64) bool // nil for never
 }
@@ -220,7 +221,7 @@
 	num := len(bd.entries) + 1
 	en := &entry{bd: bd, name: fmt.Sprintf("edge-nalon-%d", num), ip: bd.prefix + strconv.Itoa(num)}
 	bd.entries = append(bd.entries, en)
-	return en.start(num <= 3)
+	return en.start(num <= entriesAtStart)
 }
 
 // settings returns the settings file of an entry.
@@ -379,16 +380,19 @@
 	return errors.Join(rep.Body.Close()) == nil && rep.StatusCode == http.StatusOK
 }
 
+// entriesAtStart is the number of entries of the deployment.
+const entriesAtStart = 3
+
 // start starts a deployment and waits until all entries are ready and all workers
 // have a holder.
-func (bd *bed) start(entries, workers int, kd kind) error {
+func (bd *bed) start(workers int, kd kind) error {
 	if err := bd.configure(7); err != nil {
 		return err
 	}
 	if err := bd.addWorkers(workers, kd); err != nil {
 		return err
 	}
-	for range entries {
+	for range entriesAtStart {
 		if err := bd.addEntry(); err != nil {
 			return err
 		}
--- a/review/bed/cases.go
+++ b/review/bed/cases.go
@@ -77,7 +77,7 @@
 		before     = 6 * time.Second
 		after      = 34 * time.Second
 	)
-	if err := bd.start(3, 4, bigKind); err != nil {
+	if err := bd.start(4, bigKind); err != nil {
 		return err
 	}
 	quick := func(int) jobBody {
@@ -213,7 +213,7 @@
 		down    = time.Second
 		rounds  = 3
 	)
-	if err := bd.start(3, workers, bigKind); err != nil {
+	if err := bd.start(workers, bigKind); err != nil {
 		return err
 	}
 	job := func(int) jobBody {
@@ -267,23 +267,12 @@
 		pause   = 10 * time.Second
 		watch   = 24 * time.Second
 	)
-	if err := bd.start(3, workers, bigKind); err != nil {
+	if err := bd.start(workers, bigKind); err != nil {
 		return err
 	}
-	job := jobBody{Spec: "lasting", Steps: []step{{Count: 27, CPU: 9000, MemMB: 64, EstimatedMs: 1000, LongRunning: true}}}
+	job := jobBody{Spec: "lasting", Steps: []step{{Count: 30, CPU: 9000, MemMB: 64, EstimatedMs: 1000, LongRunning: true}}}
 	// The entry with the most workers is lost later. It also owns the job.
-	held := make([]int, len(bd.entries))
-	victim := 0
-	for _, wk := range bd.workers {
-		if num := bd.holderOf(wk.id); num >= 0 {
-			held[num]++
-		}
-	}
-	for num := range held {
-		if held[num] > held[victim] {
-			victim = num
-		}
-	}
+	victim, held := bd.busiestEntry()
 	bd.rec.sayf("workers held by each entry: %v", held)
 	if ans := bd.post(bd.entries[victim], jobID(1), job); ans.status != http.StatusOK {
 		return fmt.Errorf("the job was not accepted: %+v", ans)
@@ -304,14 +293,35 @@
 		}
 	}
 	time.Sleep(pause)
+	_, held = bd.busiestEntry()
+	bd.rec.sayf("workers held by each entry: %v", held)
 	return bd.loseEntry(victim, watch, jobID(1))
 }
 
+// busiestEntry returns the number of the entry that holds the most workers, and
+// how many each entry holds.
+func (bd *bed) busiestEntry() (int, []int) {
+	held := make([]int, len(bd.entries))
+	for _, wk := range bd.workers {
+		if num := bd.holderOf(wk.id); num >= 0 {
+			held[num]++
+		}
+	}
+	most := 0
+	for num := range held {
+		if held[num] > held[most] {
+			most = num
+		}
+	}
+	return most, held
+}
+
 // loseEntry removes an entry for good, adds one at another address two seconds
 // later, and checks that all tasks of a long-running job are started again.
 func (bd *bed) loseEntry(victim int, watch time.Duration, id string) error {
 	bd.rec.sayf("%s is removed for good; running before: %d", bd.entries[victim].name, len(bd.runningTasks(id)))
-	bd.entries[victim].signal(syscall.SIGKILL)
+	// A machine without power does not answer, and does not refuse connections.
+	bd.entries[victim].signal(syscall.SIGSTOP)
 	time.Sleep(2 * time.Second)
 	if err := bd.addEntry(); err != nil {
 		return err
@@ -392,7 +402,7 @@
 // playRefused cancels best-effort jobs shortly after they were handed in.
 func playRefused(bd *bed, trouble bool) error {
 	const jobs = 400
-	if err := bd.start(3, 4, bigKind); err != nil {
+	if err := bd.start(4, bigKind); err != nil {
 		return err
 	}
 	job := jobBody{Spec: "x", BestEffort: true, Steps: []step{{Count: 4, CPU: 500, MemMB: 64, EstimatedMs: 100, runMs: 100}}}
@@ -436,7 +446,7 @@
 		after  = 36 * time.Second
 	)
 	bd.extraRoute = true
-	if err := bd.start(3, 4, bigKind); err != nil {
+	if err := bd.start(4, bigKind); err != nil {
 		return err
 	}
 	quick := func(int) jobBody {
@@ -448,11 +458,18 @@
 			{Count: 8, CPU: 500, MemMB: 64, EstimatedMs: 300, After: []int{0}, runMs: 300},
 		}}
 	}
-	long := jobBody{Spec: "long", Steps: []step{{Count: 540, CPU: 500, MemMB: 64, EstimatedMs: 800, runMs: 800}}}
+	long := jobBody{Spec: "long"}
+	for num := range 12 {
+		st := step{Count: 45, CPU: 2500, MemMB: 64, EstimatedMs: 250, runMs: 250}
+		if num > 0 {
+			st.After = []int{num - 1}
+		}
+		long.Steps = append(long.Steps, st)
+	}
 	stored, unstored := newSubmitter(bd), newSubmitter(bd)
 	grp := group.New(bd.grp.Context())
 	grp.Go(func(context.Context) { stored.steady(0, 500*time.Millisecond, before+after, small) })
-	grp.Go(func(context.Context) { unstored.steady(1<<16, 20*time.Millisecond, before+after, quick) })
+	grp.Go(func(context.Context) { unstored.steady(1<<16, 15*time.Millisecond, before+after, quick) })
 	time.Sleep(before)
 	owner := bd.entries[0]
 	if ans := bd.postAt(owner, extraPrefix, jobID(1<<20), long); ans.status != http.StatusOK {
@@ -478,9 +495,12 @@
 	unstored.grp.Wait()
 	bd.rec.sayf("stored jobs: accepted=%d refused=%d silent=%d", len(stored.accepted), stored.refused, stored.silent)
 	bd.rec.sayf("best-effort jobs: success=%d refused=%d silent=%d", len(unstored.accepted), unstored.refused, unstored.silent)
-	bd.rec.sayf("tasks of the job on the removed route done: %d", bd.doneTasks(jobID(1<<20)))
 	time.Sleep(finishTime)
-	return bd.checkFinished(append(stored.accepted, jobID(1<<20)))
+	bd.rec.sayf("tasks done of the job on the removed route: %d of 540", bd.doneTasks(jobID(1<<20)))
+	if err := bd.checkFinished(stored.accepted); err != nil {
+		return err
+	}
+	return bd.checkFinished([]string{jobID(1 << 20)})
 }
 
 // doneTasks returns how many tasks of a job have ended done.
@@ -498,7 +518,7 @@
 
 // playGang submits a gang whose tasks need accelerators and no CPU.
 func playGang(bd *bed, trouble bool) error {
-	if err := bd.start(3, 4, kind{name: "a", room: room{CPU: 32000, MemMB: 65536, GPUs: 8}}); err != nil {
+	if err := bd.start(4, kind{name: "a", room: room{CPU: 32000, MemMB: 65536, GPUs: 8}}); err != nil {
 		return err
 	}
 	job := jobBody{Spec: "gang", Steps: []step{{Count: 8, MemMB: 64, GPUs: 1, EstimatedMs: 300, Gang: true, runMs: 300}}}
@@ -515,7 +535,7 @@
 // playCancelLost loses the answer to the insertion of a long job, and cancels
 // the job at the entry that still waits for that answer.
 func playCancelLost(bd *bed, trouble bool) error {
-	if err := bd.start(3, 4, bigKind); err != nil {
+	if err := bd.start(4, bigKind); err != nil {
 		return err
 	}
 	job := jobBody{Spec: "x", Steps: []step{{Count: 8, CPU: 500, MemMB: 64, EstimatedMs: 30000, runMs: 30000}}}
@@ -557,7 +577,7 @@
 // kills the entry that owns a running job.
 func playForeignRow(bd *bed, trouble bool) error {
 	const watch = 30 * time.Second
-	if err := bd.start(3, 6, bigKind); err != nil {
+	if err := bd.start(6, bigKind); err != nil {
 		return err
 	}
 	if trouble {
@@ -588,3 +608,48 @@
 	bd.rec.sayf("tasks done: %d", bd.doneTasks(jobID(1)))
 	return bd.checkFinished([]string{jobID(1)})
 }
+
+// playTaskFails lets one run of each of four long-running jobs fail once, on
+// four workers in turn, and then hands in jobs that end by themselves.
+func playTaskFails(bd *bed, trouble bool) error {
+	const (
+		workers = 4
+		jobs    = 4
+	)
+	if err := bd.start(workers, bigKind); err != nil {
+		return err
+	}
+	for num := range jobs {
+		job := jobBody{Spec: "lasting", Steps: []step{{Count: 4, CPU: 1000, MemMB: 64, EstimatedMs: 1000, AntiAffinity: 1, LongRunning: true}}}
+		if ans := bd.post(bd.entries[num%3], jobID(num), job); ans.status != http.StatusOK {
+			return fmt.Errorf("the job was not accepted: %+v", ans)
+		}
+	}
+	time.Sleep(5 * time.Second)
+	for num := range jobs {
+		if trouble {
+			bd.rec.sayf("%s: one run of job %s ends failed", bd.workers[num].id, jobID(num))
+			bd.workers[num].fail(jobID(num))
+		}
+		time.Sleep(3 * time.Second)
+	}
+	su := newSubmitter(bd)
+	small := func(int) jobBody {
+		return jobBody{Spec: "small", Steps: []step{{Count: 4, CPU: 500, MemMB: 64, EstimatedMs: 100, runMs: 100}}}
+	}
+	su.steady(100, 500*time.Millisecond, 5*time.Second, small)
+	su.grp.Wait()
+	time.Sleep(finishTime)
+	away := 0
+	for num := range jobs {
+		away += 4 - len(bd.runningTasks(jobID(num)))
+	}
+	bd.rec.sayf("long-running tasks not at work: %d of %d; away for %.1f s", away, 4*jobs, bd.longestAway(jobID(0)).Seconds())
+	if err := bd.checkFinished(su.accepted); err != nil {
+		return err
+	}
+	if away > 0 {
+		return fmt.Errorf("%w: %d long-running tasks were not started again", errBroken, away)
+	}
+	return nil
+}
--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -31,6 +31,7 @@
 	"lasting-left": playLastingLeft,
 	"refused":      playRefused,
 	"route":        playRouteRemoved,
+	"task-fails":   playTaskFails,
 	"gang":         playGang,
 	"foreign-row":  playForeignRow,
 	"cancel-lost":  playCancelLost,
--- a/review/bed/worker.go
+++ b/review/bed/worker.go
@@ -420,3 +420,15 @@
 	}
 	return parts[0], step
 }
+
+// fail lets the first run of a job that is found end failed.
+func (wk *worker) fail(job string) {
+	wk.mu.Lock()
+	defer wk.mu.Unlock()
+	for _, rn := range wk.running {
+		if id, _ := jobOf(rn.task); id == job {
+			wk.end(rn, howFailed)
+			return
+		}
+	}
+}
