--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -87,6 +87,9 @@
 	bodies       map[ids.JobID]Job
 	acknowledged map[TaskID]bool      // tasks whose completion was acknowledged
 	lastStart    map[TaskID]time.Time // of the latest run
+
+	crash       crashLog
+	lastStarter ids.EntryID // the entry that has sent the latest start order
 }
 
 // The numbers of kinds of random faults. The first plainFaults kinds either do
@@ -176,6 +179,8 @@
 		bodies:       map[ids.JobID]Job{},
 		acknowledged: map[TaskID]bool{},
 		lastStart:    map[TaskID]time.Time{},
+
+		crash: crashLog{deadly: map[TaskID]bool{}, under: map[TaskID]int{}, after: map[TaskID]int{}},
 	}
 }
 
@@ -722,6 +727,7 @@
 }
 
 func (ef *emuEffects) StartTask(order StartOrder) {
+	ef.ee.wo.lastStarter = ef.ee.id
 	ef.sendOrder(order.Worker, func(wk *emuWorker) StartReply { return wk.start(order) }, func(en *Entry, rep StartReply) {
 		en.StartReplied(order.Worker, order.Token, order.Ref, rep)
 	})
@@ -1106,6 +1112,10 @@
 		wo.violation("worker %s is given %d of %d millicores", wk.info.ID, used.CPU, wk.info.Room.CPU)
 	}
 	wk.extend(order.Until)
+	if wo.crash.deadly[order.Ref.Task] {
+		wk.crashUnder(run)
+		return rep
+	}
 	if wk.hangs {
 		return rep
 	}
@@ -1369,6 +1379,7 @@
 func (wk *emuWorker) crash(restart time.Duration) {
 	wk.up, wk.downAt = false, wk.wo.at
 	for _, run := range wk.sortedRuns() {
+		wk.wo.crash.under[run.ref.Task]++
 		wk.end(run, EndLost)
 	}
 	wk.endedRuns, wk.openHolds = nil, nil
