dispatch: give up tasks that crash their workers

What callers saw: a task that crashes each worker that starts it was started without a bound (BUDGET). Its job never ended, and each start cost the work of all other tasks on the worker.

Cause: nobody counted the workers that were lost under a task. A run lost with its worker was reported like a start that never took effect, and started again; a run lost together with its holder did not even become a message.

Change: holders report runs that are lost with their worker as crashed, with the worker's lifetime, whether the worker had confirmed the run, and whether it ran alone. A holder can't tell a crash from a cut, so owners count the crashes of those lifetimes that have not been seen since, when they decide whether to start the task again. A task is given up after three crashes, or after two if it was alone at the second; its job fails. The crashes are part of the row of a stored job; the second one must be stored before the task starts again. A holder tells the owner as soon as a worker refuses connections, and keeps crashes for an owner that takes the job over. A long-running task that has run for ten seconds is taken for sound.

TestCrashesOfSoundTasks: no sound job is given up on workers that crash or are cut off four times.

The emulator no longer carries out orders of one lifetime of a worker in the next: they end with the process that has received them.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -45,6 +45,13 @@
 		}
 		wo.crash.crashes++
 		wo.crash.lost += len(wk.runs)
+		wk.refuses = true
+		wo.after(emuDownTime, func() { wk.refuses = false })
+		open := wk.openHolds
+		wk.up = false
+		for _, answer := range open {
+			answer()
+		}
 		if !wo.crash.renewed {
 			wk.crash(emuDownTime)
 			return
@@ -184,6 +191,33 @@
 	}
 }
 
+// TestRandomFaultsCrashes runs random schedules of faults while tasks crash their
+// workers.
+func TestRandomFaultsCrashes(t *testing.T) {
+	playSchedules(t, "crashes", func(wo *world, t *testing.T) {
+		wo.checkStored(t)
+		wo.checkGivenUp(t)
+	})
+}
+
+// crashesSchedule runs the load, deadly jobs and the faults of one random
+// schedule.
+func crashesSchedule(wo *world) {
+	wo.crash.renewed = wo.rnd.IntN(2) == 0
+	wo.load(storedKinds(), 0.1+0.1*wo.rnd.Float64(), 15*time.Second)
+	for _, kd := range []kind{
+		{queue: "peek", width: 4, work: 300 * time.Millisecond, stored: true, steps: 2},
+		{queue: "peek", width: 4, work: 300 * time.Millisecond, stored: true, gang: true},
+		{queue: "fit", width: 2, work: time.Second, stored: true, lasting: true},
+	} {
+		wo.submitDeadly(kd, 0.3, 12*time.Second)
+	}
+	for range 6 {
+		wo.after(time.Duration(wo.rnd.Float64()*12)*time.Second, wo.randomFault)
+	}
+	wo.run(70 * time.Second)
+}
+
 // killInTurn kills the entry that has sent the latest start order, several times.
 func (wo *world) killInTurn() {
 	for num := range 5 {
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -733,6 +733,17 @@
 	})
 }
 
+// later carries out a call that has reached a worker, unless its process has
+// ended by then.
+func (wk *emuWorker) later(delay time.Duration, do func()) {
+	born := wk.info.Born
+	wk.wo.after(delay, func() {
+		if wk.info.Born == born {
+			do()
+		}
+	})
+}
+
 // emuOrderTimeout is the timeout of calls to workers.
 const emuOrderTimeout = 250 * time.Millisecond
 
@@ -742,7 +753,7 @@
 	wk := wo.workers[id]
 	if wo.rnd.Float64() < wk.lateShare {
 		delay := time.Duration(2+wo.rnd.Float64()*8) * time.Second
-		wo.after(delay, func() { do(wk) })
+		wk.later(delay, func() { do(wk) })
 		ef.callBack(emuOrderTimeout, func(en *Entry) { reply(en, StartReply{}) })
 		return
 	}
@@ -758,7 +769,7 @@
 
 func (ef *emuEffects) StopTask(order StopOrder) {
 	if wk := ef.ee.wo.workers[order.Worker]; wk.lateStops > 0 {
-		ef.ee.wo.after(wk.lateStops, func() { wk.stop(order) })
+		wk.later(wk.lateStops, func() { wk.stop(order) })
 		ef.callBack(emuOrderTimeout, func(en *Entry) { en.StopReplied(order.Worker, order.Token, order.Ref, false) })
 		return
 	}
@@ -785,11 +796,15 @@
 		wo.violation("a hold leaves no time for the reply")
 	}
 	if wk.lateHolds && wo.rnd.Float64() < wk.lateShare {
-		wo.after(time.Duration(2+wo.rnd.Float64()*8)*time.Second, func() { wk.hold(order, func(HoldReply) {}) })
+		wk.later(time.Duration(2+wo.rnd.Float64()*8)*time.Second, func() { wk.hold(order, func(HoldReply) {}) })
 		ef.callBack(order.Wait+order.Margin, func(en *Entry) { replied(en, HoldReply{Failed: true, Reason: "silent"}) })
 		return
 	}
 	wo.after(emuNetworkDelay, func() {
+		if wk.refuses && !wo.isCut(string(from.id), string(order.Worker)) {
+			reply(HoldReply{Failed: true, Refused: true, Reason: "connection refused"})
+			return
+		}
 		if !wk.up || wo.isCut(string(from.id), string(order.Worker)) {
 			ef.callBack(order.Wait+order.Margin, func(en *Entry) {
 				replied(en, HoldReply{Failed: true, Reason: "silent"})
@@ -990,6 +1005,8 @@
 	// lateStops is the delay with which stops are carried out, without a reply.
 	lateStops time.Duration
 	lapses    int // runs that ended because the lease ran out
+	// refuses is set while the process is down and its machine refuses connections.
+	refuses bool
 }
 
 type emuRun struct {
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -136,6 +136,8 @@
 	classSpeeds   map[string]*classSpeed // by service and labels
 	// savedCheckpoints holds the checkpoints of ended runs, see keepCheckpoint.
 	savedCheckpoints map[ids.JobID]map[TaskID]SavedRun
+	// keptCrashes holds the runs that were lost with their workers, see keepCrash.
+	keptCrashes map[ids.JobID]map[TaskID][]Crash
 	// unreached holds the workers that this entry holds according to their rows but
 	// has not reached yet, with the time when it became their holder. The previous
 	// holder may still use them.
@@ -258,6 +260,7 @@
 		failedWorkers:    failedWorkers{},
 		classSpeeds:      map[string]*classSpeed{},
 		savedCheckpoints: map[ids.JobID]map[TaskID]SavedRun{},
+		keptCrashes:      map[ids.JobID]map[TaskID][]Crash{},
 		members:          map[ids.EntryID]*member{},
 		incarnations:     map[ids.EntryID]map[ids.Incarnation]*incarnationRecord{},
 		rows:             map[ids.WorkerID]HolderRow{},
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -43,6 +43,7 @@
 	unclaimed       bool   // listed by the worker, not claimed, not known to be long-running
 	beganUnknown    bool   // began is the time at which this holder found the run
 	listed          bool   // the worker has listed the run
+	confirmed       bool   // the worker has answered that it has started the run
 	savedCheckpoint string // the latest checkpoint that the worker has listed
 	// orphanedAt is when a long-running task lost its owner.
 	orphanedAt time.Time
@@ -51,6 +52,7 @@
 	// is not extended.
 	leaseLimit      time.Time
 	stopConfirmedAt time.Time  // when the worker confirmed a stop
+	crash           *Crash     // set once the lifetime of the worker that was sent the run has ended
 	recall          recallStep // progress of recalling a start without a reply
 	recallAt        time.Time  // when that step began
 }
@@ -320,13 +322,9 @@
 		en.openWorker(wk)
 	}
 	if !wk.failingSince.IsZero() && now.After(wk.leaseEnd) {
-		for _, sl := range wk.sortedSlots() {
-			// A task of a stored job may have ended done. The worker reports that when
-			// it answers again; if it does not come back, its row is removed.
-			if sl.state != slotGranted && (!sl.shape.Stored || sl.shape.Lasting) {
-				en.endSlot(wk, sl, EndLost, "", 0)
-			}
-		}
+		// A task of a stored job may have ended done. The worker reports that when it
+		// answers again; if it does not come back, its row is removed.
+		en.loseRuns(wk, wk.born, func(sl *slot) bool { return !sl.shape.Stored || sl.shape.Lasting })
 	}
 	if !wk.holding && wk.phase != phaseAdopting && !now.Before(wk.nextHold) {
 		en.hold(wk)
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -68,6 +68,7 @@
 	Fenced  bool // the worker has seen a higher token
 	Other   bool // the reply is from another lifetime of the worker
 	Failed  bool // no reply, or an unusable one
+	Refused bool // the worker's machine refuses connections
 	Reason  string
 }
 
@@ -118,6 +119,8 @@
 		// The tasks that are lost may be placed again at once, so the worker must
 		// already count as one whose report has not been read.
 		en.workerRestarted(wk, rep, before)
+	} else {
+		wk.clearCrashes()
 	}
 	if wk.phase == phaseFencing {
 		delete(en.unreached, id)
@@ -149,7 +152,10 @@
 	}
 	if wk.failingSince.IsZero() {
 		wk.failingSince = now
-		en.eff.Log("worker-silent", "worker", string(wk.info.ID), "reason", rep.Reason, "slots", len(wk.slots))
+		en.eff.Log("worker-silent", "worker", string(wk.info.ID), "reason", rep.Reason, "refused", rep.Refused, "slots", len(wk.slots))
+		if rep.Refused {
+			en.reportLikelyCrash(wk)
+		}
 	}
 	wk.nextHold = now.Add(holdRetry)
 }
@@ -196,18 +202,19 @@
 		"report-born", wk.info.Born, "slots", len(wk.slots))
 	wk.acked, wk.retained, wk.lapseSince = 0, map[int64]retainedEnd{}, time.Time{}
 	listed := rep.listed()
-	for _, sl := range wk.sortedSlots() {
+	en.loseRuns(wk, before, func(sl *slot) bool {
 		switch {
-		case sl.state == slotGranted || listed[sl.ref]:
+		case listed[sl.ref]:
+			return false
 		case sl.state == slotOrdered || sl.state == slotUnknown || (sl.state == slotRunning && (!sl.listed || sl.starts > 1)):
 			// This lifetime refuses the order only after it has confirmed a stop. The
 			// order is not sent again: it names a time on the clock of the earlier one.
 			sl.recall, sl.starts = recallNone, maxStarts
 			sl.state, sl.startExpires = slotUnknown, rep.Clock+WorkerTime(en.startLease)
-		default:
-			en.endSlot(wk, sl, EndLost, "", 0)
+			return false
 		}
-	}
+		return true
+	})
 }
 
 // reconcile compares the worker's lists with the slots. A run that was started
--- a/internal/dispatch/lost_tasks.go
+++ b/internal/dispatch/lost_tasks.go
@@ -140,6 +140,7 @@
 				en.requeue(gr, ta, false)
 			case ta.state == taskLost && now.After(ta.waitUntil) && !en.endMayArrive(gr, now):
 				en.eff.Count("retry", "holder-lost", 1)
+				en.recordLostWorker(gr, ta)
 				en.eff.Log("task-again", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
 					"worker", string(ta.worker), "holder", string(ta.holder), "reason", "holder-lost")
 				en.requeue(gr, ta, false)
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -417,10 +417,8 @@
 		if wk == nil {
 			continue
 		}
-		for _, sl := range wk.sortedSlots() {
-			if sl.state != slotGranted && !answers {
-				en.endSlot(wk, sl, EndLost, "", 0)
-			}
+		if !answers {
+			en.loseRuns(wk, wk.born, func(*slot) bool { return true })
 		}
 		en.releaseWorker(wk, "unlisted")
 	}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -56,6 +56,8 @@
 	Checkpoint string
 	// Work is the run time scaled to a worker of speed 1, 0 if unknown.
 	Work time.Duration
+	// Crash describes an EndCrashed.
+	Crash Crash
 }
 
 // Stop asks a holder to stop tasks.
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -279,13 +279,15 @@
 type End string
 
 // The ways in which a run ends. EndDone, EndFailed, EndStopped and EndLapsed are
-// reported by the worker. EndLost and EndStalled are conclusions of the holder.
+// reported by the worker. EndLost, EndCrashed and EndStalled are
+// conclusions of the holder.
 const (
 	EndDone    End = "done"
 	EndFailed  End = "failed"
 	EndStopped End = "stopped"
 	EndLapsed  End = "lapsed"  // ended by the worker because its lease expired
-	EndLost    End = "lost"    // the worker is gone or the start never took effect
+	EndLost    End = "lost"    // the start never took effect, or the worker has left
+	EndCrashed End = "crashed" // the worker has crashed, or was cut off until the lease had expired
 	EndStalled End = "stalled" // stopped because it ran far beyond its estimate
 	EndNoRoom  End = "no-room" // not sent to a worker
 	EndTicket  End = "ticket"  // the worker has refused the ticket
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -8,7 +8,7 @@
 
 // confirmSlot records that a worker runs a task and informs the owner.
 func (en *Entry) confirmSlot(wk *worker, sl *slot) {
-	sl.state = slotRunning
+	sl.state, sl.confirmed = slotRunning, true
 	en.send(sl.owner, Running{Ref: sl.ref, Worker: wk.info.ID})
 }
 
@@ -21,6 +21,11 @@
 	if how != EndDone {
 		en.keepCheckpoint(sl.ref, checkpoint)
 	}
+	var cr Crash
+	if how == EndLost && sl.crash != nil && wk.info.State != WorkerDraining {
+		how, cr = EndCrashed, *sl.crash
+		en.keepCrash(sl.ref.Task, cr)
+	}
 	if sl.owner == "" {
 		return
 	}
@@ -52,7 +57,7 @@
 			"worker", string(wk.info.ID), "how", string(how), "took-ms", took.Milliseconds(),
 			"expected-ms", expected.Milliseconds(), "speed", factor)
 	}
-	en.send(sl.owner, Ended{Ref: sl.ref, Worker: wk.info.ID, How: how, Checkpoint: checkpoint, Work: work})
+	en.send(sl.owner, Ended{Ref: sl.ref, Worker: wk.info.ID, How: how, Checkpoint: checkpoint, Work: work, Crash: cr})
 }
 
 // endTimeKnown reports whether an end in the latest lists of a worker has just
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -63,6 +63,9 @@
 	stalls        int // runs that were stopped for running too long
 	holder        ids.EntryID
 	worker        ids.WorkerID
+	born          int64 // the lifetime of the worker, 0 if unknown
+	crashes       []crash
+	provenRun     Run   // a long-running task has run for provenTime in this run, and crashes until then don't count
 	token         Token // of the last holder for which this owner claimed the run, 0 if there is none
 	placedAt      time.Time
 	waitUntil     time.Time // the time by which a lost task has stopped, or the end of the backoff
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -43,6 +43,9 @@
 	// Latest holds the latest run of each task that was started more than once
 	// and was not done when the job ended.
 	Latest map[string]Run
+	// Crashes holds the runs that were lost with their workers, for tasks that are
+	// not done.
+	Crashes map[string][]Crash
 }
 
 // isLasting reports whether a task of the job is long-running.
@@ -56,6 +59,7 @@
 func (re JobRecord) clone() JobRecord {
 	re.Done = maps.Clone(re.Done)
 	re.Fails = maps.Clone(re.Fails)
+	re.Crashes = maps.Clone(re.Crashes)
 	return re
 }
 
@@ -364,6 +368,7 @@
 		re.endedAt = en.now()
 		delete(en.openRecords, rec.ID)
 		delete(en.savedCheckpoints, rec.ID)
+		delete(en.keptCrashes, rec.ID)
 		en.endedRecords = append(en.endedRecords, re)
 	}
 }
@@ -405,6 +410,7 @@
 			st.rec.Done = map[string]Run{}
 		}
 		st.rec.Done[name] = ta.run
+		st.rec.setCrashes(name, nil)
 	} else {
 		if st.rec.Fails == nil {
 			st.rec.Fails = map[string][]Run{}
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -208,6 +208,9 @@
 					gr.addFailedRun(run)
 				}
 			}
+			for _, cr := range rec.Crashes[name] {
+				ta.crashes = append(ta.crashes, crash{Crash: cr, at: en.now()})
+			}
 			if run, done := rec.Done[name]; done {
 				ta.state, ta.run = taskDone, run
 			}
@@ -245,6 +248,8 @@
 	Running []Running
 	// Saved holds the checkpoints that ended runs had saved.
 	Saved []SavedRun
+	// Crashed holds the runs that were lost with their workers.
+	Crashed []PastCrash
 	// Held holds the workers that the answer covers.
 	Held []HolderRow
 	// Unreached is set when the sender has not reached one of its workers yet.
@@ -312,6 +317,7 @@
 	for _, id := range ms.Jobs {
 		jobs[id] = true
 		reply.Saved = append(reply.Saved, en.checkpointsOf(id)...)
+		reply.Crashed = append(reply.Crashed, en.crashesOf(id)...)
 	}
 	for _, id := range sortedKeys(en.workers) {
 		wk := en.workers[id]
@@ -347,6 +353,9 @@
 	for _, sv := range ms.Saved {
 		en.resumeFrom(sv)
 	}
+	for _, pc := range ms.Crashed {
+		en.applyPastCrash(pc)
+	}
 	if !en.coversAllWorkers(from, ms.Held) {
 		return
 	}
--- a/internal/dispatch/task_ends.go
+++ b/internal/dispatch/task_ends.go
@@ -12,6 +12,9 @@
 		return
 	}
 	ta.state, ta.worker = taskRunning, ms.Worker
+	if kw := en.known[ms.Worker]; kw != nil {
+		ta.born = kw.info.Born
+	}
 	if !gr.job.begun {
 		gr.job.begun = true
 		en.eff.Observe("job.first-start", en.now().Sub(gr.job.Arrived))
@@ -38,7 +41,7 @@
 		}
 		return
 	}
-	if ms.How == EndLost && from != ta.holder {
+	if (ms.How == EndLost || ms.How == EndCrashed) && from != ta.holder {
 		// The lease that has expired at the previous holder may have been extended by
 		// the present one.
 		return
@@ -48,6 +51,9 @@
 		ta.checkpointRun = ms.Ref.Run
 		gr.setCheckpoint(ta, ms.Checkpoint)
 	}
+	if ms.How == EndCrashed {
+		en.recordCrash(gr, ta, ms.Crash)
+	}
 	if ms.How == EndTicket {
 		gr.dropTicket(ms.Worker)
 		ms.How = EndNoRoom
@@ -168,11 +174,18 @@
 
 // requeue queues a task again. The other tasks of its gang are stopped.
 func (en *Entry) requeue(gr *group, ta *task, noRoom bool) {
-	ta.state, ta.holder, ta.worker, ta.token = taskQueued, "", "", 0
+	ta.state, ta.holder, ta.worker, ta.token, ta.born = taskQueued, "", "", 0, 0
+	heldBack := en.holdBack(gr, ta)
+	if en.jobs[gr.job.Job.ID] != gr.job {
+		return
+	}
 	if gr.shape.Gang {
 		en.stopGang(gr)
 		return
 	}
+	if heldBack {
+		return
+	}
 	if noRoom && !gr.shape.Advised {
 		en.sendWants(gr)
 		return
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -76,6 +76,42 @@
 	Done   []string                  `json:"done,omitempty"`
 	Fails  map[string][]dispatch.Run `json:"fails,omitempty"`
 	Latest map[string]dispatch.Run   `json:"latest,omitempty"`
+	// Crashes holds the runs that were lost with their workers, by task.
+	Crashes map[string][]crashRecord `json:"crashes,omitempty"`
+}
+
+// crashRecord is a run that was lost with its worker.
+type crashRecord struct {
+	Run    dispatch.Run `json:"run"`
+	Worker ids.WorkerID `json:"worker"`
+	Born   int64        `json:"born-unix-millis,omitempty"` // the lifetime of the worker
+	// Confirmed is set if the worker had confirmed the run, and Alone if no other
+	// task was on it.
+	Confirmed bool `json:"confirmed,omitempty"`
+	Alone     bool `json:"alone,omitempty"`
+}
+
+// encodeCrashes and decodeCrashes convert the crashes of a job to and from its row.
+func encodeCrashes(crashes map[string][]dispatch.Crash) map[string][]crashRecord {
+	rows := map[string][]crashRecord{}
+	for name, list := range crashes {
+		for _, cr := range list {
+			rows[name] = append(rows[name], crashRecord{Run: cr.Run, Worker: cr.Worker, Born: cr.Born, Confirmed: cr.Confirmed, Alone: cr.Alone})
+		}
+	}
+	return rows
+}
+
+func decodeCrashes(rows map[string][]crashRecord) map[string][]dispatch.Crash {
+	crashes := map[string][]dispatch.Crash{}
+	for name, list := range rows {
+		for _, cr := range list {
+			crashes[name] = append(crashes[name], dispatch.Crash{
+				Run: cr.Run, Worker: cr.Worker, Born: cr.Born, Confirmed: cr.Confirmed, Alone: cr.Alone,
+			})
+		}
+	}
+	return crashes
 }
 
 // encodeRuns encodes tasks and their runs as occurrence, step, range of indices
@@ -135,6 +171,7 @@
 		Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
 		Submitted: rec.Submitted, Done: encodeRuns(rec.Done), Fails: rec.Fails, Latest: rec.Latest,
 		Timed: rec.Timed, Lasting: rec.Lasting, LastingSteps: rec.LastingSteps,
+		Crashes: encodeCrashes(rec.Crashes),
 	})
 }
 
@@ -151,6 +188,7 @@
 		ID: ids.JobID(ro.Key), Version: ro.Version, Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
 		Submitted: rec.Submitted, Done: done, Fails: rec.Fails, Latest: rec.Latest,
 		Timed: rec.Timed, Lasting: rec.Lasting, LastingSteps: rec.LastingSteps,
+		Crashes: decodeCrashes(rec.Crashes),
 	}, nil
 }
 
