dispatch: tell the holder of a worker that its report has changed

What callers saw: tasks were started beyond the room of a worker that had shrunk while it runs (LIMIT), by a holder that is cut off from the store.

Cause: in a fleet of up to 16 entries each reads the reports of workers by itself, and none passes a change on. A holder that can't reach the store uses the room that it has read last for as long as the cut lasts.

Change: an entry that reads a changed report sends it to the worker's holder. Labels, state and lifetime reach the holder in the same way. Larger fleets have watchers, which do so already.

--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -149,8 +149,9 @@
 // another entry passed on (own is false) may be older than the record.
 func (en *Entry) applyReport(info WorkerInfo, own bool) *knownWorker {
 	kw := en.known[info.ID]
+	first := kw == nil
 	switch {
-	case kw == nil:
+	case first:
 		kw = &knownWorker{reportedAfter: en.now()}
 		en.known[info.ID] = kw
 		en.eff.Log("worker-listed", "worker", string(info.ID), "service", string(info.Service), "zone", string(info.Zone))
@@ -167,6 +168,9 @@
 		// have no session with entries that this one reaches, and the report that
 		// this one reads later then shows no change.
 		en.queueWorkerNews(func(news *WorkerNews) { news.Workers = append(news.Workers, info) })
+		if own && !first {
+			en.informHolder(info)
+		}
 	}
 	wk := en.workers[info.ID]
 	if wk == nil {
--- a/internal/dispatch/worker_news.go
+++ b/internal/dispatch/worker_news.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// informHolder sends a changed report to the holder of the worker in a fleet
+// without watchers. The holder may be cut off from the store, and would start tasks
+// in room that the worker no longer has.
+func (en *Entry) informHolder(info WorkerInfo) {
+	row, ok := en.rows[info.ID]
+	if id := row.Holder.Entry(); ok && id != en.id && en.everyEntryFollows() && en.session(id).bidirectional() {
+		en.send(id, WorkerNews{Workers: []WorkerInfo{info}})
+	}
+}
+
 // sendWorkerNews sends the changes since the last tick. Each entry receives
 // those of the workers in its zone and of the workers that it holds.
 func (en *Entry) sendWorkerNews() {
--- a/internal/dispatch/worker_news_test.go
+++ b/internal/dispatch/worker_news_test.go
@@ -38,6 +38,54 @@
 	return count
 }
 
+// TestRoomShrinks guards against tasks that are started beyond the room of a worker
+// that has shrunk while it runs. Its holder may be unable to read the report.
+func TestRoomShrinks(t *testing.T) {
+	rows := []struct {
+		name    string
+		entries int
+		fault   func(wo *world)
+	}{
+		{"calm", 7, func(*world) {}},
+		{"holder cut off from the store", 7, func(wo *world) { wo.cutFromStore("entry-01", 9*time.Second) }},
+		{"half of the holders cut off from the store", 7, func(wo *world) {
+			for _, id := range []ids.EntryID{"entry-01", "entry-03", "entry-05"} {
+				wo.cutFromStore(id, 9*time.Second)
+			}
+		}},
+		{"holder cut off from the store in a fleet with watchers", 20, func(wo *world) { wo.cutFromStore("entry-01", 9*time.Second) }},
+		{"holder killed", 7, func(wo *world) { wo.entries["entry-01"].kill() }},
+	}
+	for num, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(uint64(num)+980, row.entries, 48)
+			wo.load(standardKinds, 0.8, 24*time.Second)
+			wo.run(2 * time.Second)
+			row.fault(wo)
+			for _, wk := range wo.sortedWorkers() {
+				cpu := wk.info.Room.CPU
+				wk.resize(cpu / 2)
+				wo.after(14*time.Second, func() { wk.resize(cpu) })
+			}
+			wo.run(18 * time.Second)
+			before, beforeInTime := wo.jobCounts()
+			wo.run(6 * time.Second)
+			after, afterInTime := wo.jobCounts()
+			if share := float64(afterInTime-beforeInTime) / float64(after-before); share < 0.8 {
+				t.Errorf("%.3f of the jobs are in time after the room has grown again, want 0.80 or more", share)
+			}
+			wo.check(t)
+		})
+	}
+}
+
+// cutFromStore partitions an entry from the store for the given time.
+func (wo *world) cutFromStore(id ids.EntryID, du time.Duration) {
+	wo.storeCut[id] = true
+	wo.after(du, func() { delete(wo.storeCut, id) })
+}
+
 // TestForwardedNewsPassedOn guards against entries that start tasks on a worker
 // long after it has begun to drain. A watcher of another zone read the change
 // first and sent it to the watchers of the worker's zone. These saw no change in
