dispatch: a row of another writer no longer holds up lost tasks

Cause: some entry becomes the holder of such a row. It never reaches the worker and does not answer an owner that asks what has ended, and a lost task of a stored job waits for the answers of all holders.

Change: a report of a service that no desired state has named is not claimed, and nothing waits for it; it is logged and counted, like rows that can't be read.

The crashes of at most 30 tasks, in place of 100, go into the row of a job, 10 KB of its 64.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -59,7 +59,7 @@
 	crashCheckInterval = 200 * time.Millisecond
 	// maxRecordedTasks bounds the tasks with crashes in the row of a job. When many
 	// workers crash at once a job of many tasks must still fit into its row.
-	maxRecordedTasks = 100
+	maxRecordedTasks = 30
 )
 
 // loseRuns ends the runs on a worker that has crashed, or that was silent until
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -407,7 +407,7 @@
 	if away {
 		wk.downAt = wo.zoneCutAt
 	}
-	if !wk.up || away || wk.unlisted {
+	if (!wk.up && !wk.dead) || away || wk.unlisted {
 		return wk.info, false
 	}
 	info := wk.info
@@ -1005,6 +1005,8 @@
 	// lateStops is the delay with which stops are carried out, without a reply.
 	lateStops time.Duration
 	lapses    int // runs that ended because the lease ran out
+	// dead is set on the row of another writer: nothing listens at its address.
+	dead bool
 	// shrunkFrom is the room before it shrank at shrunkAt.
 	shrunkFrom Resources
 	shrunkAt   time.Time
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -101,7 +101,10 @@
 	now           func() time.Time
 
 	desired *Desired
-	leaving bool
+	// services holds the services that a desired state has named. Tasks of a job may
+	// still run on workers of a service whose queue was removed.
+	services map[ids.ServiceName]bool
+	leaving  bool
 
 	sessions map[ids.EntryID]*session
 
@@ -259,6 +262,7 @@
 		vanished:         map[ids.WorkerID]time.Time{},
 		failedWorkers:    failedWorkers{},
 		classSpeeds:      map[string]*classSpeed{},
+		services:         map[ids.ServiceName]bool{},
 		savedCheckpoints: map[ids.JobID]map[TaskID]SavedRun{},
 		keptCrashes:      map[ids.JobID]map[TaskID][]Crash{},
 		members:          map[ids.EntryID]*member{},
@@ -341,6 +345,9 @@
 		return false
 	}
 	en.desired = &des
+	for _, qu := range des.Queues {
+		en.services[qu.Service] = true
+	}
 	en.desiredBehindSince = time.Time{}
 	en.eff.Log("desired-state", "version", des.Version, "queues", len(des.Queues))
 	return true
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -171,6 +171,10 @@
 		if own && !first {
 			en.informHolder(info)
 		}
+		if en.foreign(info.ID) {
+			en.eff.Count("worker", "foreign", 1)
+			en.eff.Log("worker-foreign", "worker", string(info.ID), "service", string(info.Service), "version", int64(info.Version))
+		}
 	}
 	wk := en.workers[info.ID]
 	if wk == nil {
@@ -481,7 +485,7 @@
 	alive := map[ids.Incarnation]bool{}
 	for id, kw := range en.known {
 		row, ok := en.rows[id]
-		if !kw.removedAt.IsZero() || (ok && en.aliveCached(alive, row.Holder, now)) {
+		if !kw.removedAt.IsZero() || en.foreign(id) || (ok && en.aliveCached(alive, row.Holder, now)) {
 			continue
 		}
 		if ro.assigned(string(id), kw.info.Zone) != en.self.Incarnation {
@@ -498,6 +502,13 @@
 	return limitChanges(changes, maxCommitRows)
 }
 
+// foreign reports whether a report is not that of a worker of ours: it is of a
+// service that no desired state has named, so no task of ours can be there.
+func (en *Entry) foreign(id ids.WorkerID) bool {
+	kw := en.known[id]
+	return kw != nil && en.desired != nil && !en.services[kw.info.Service]
+}
+
 // aliveCached is alive with its results cached in answers.
 func (en *Entry) aliveCached(answers map[ids.Incarnation]bool, inc ids.Incarnation, now time.Time) bool {
 	living, ok := answers[inc]
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -305,6 +305,9 @@
 func (en *Entry) handleClaimed(from ids.EntryID, ms Claimed) {
 	reply := PastEnds{Jobs: ms.Jobs}
 	for id, since := range en.unreached {
+		if en.foreign(id) {
+			continue
+		}
 		if age := en.now().Sub(since); age < ownerTimeout {
 			return
 		} else if age > lastingTimeout && en.workers[id] == nil {
@@ -321,6 +324,15 @@
 	}
 	for _, id := range sortedKeys(en.workers) {
 		wk := en.workers[id]
+		if en.foreign(id) {
+			continue
+		}
+		if wk.phase == phaseFencing && en.hasLongBeenUnreached(id) {
+			// Waiting longer would block all jobs for ever if nothing answers there. An end
+			// that it lists later is superseded by that of the next run.
+			reply.Held = append(reply.Held, HolderRow{Worker: id, Version: Version(wk.token)})
+			continue
+		}
 		if wk.phase != phaseOpen || wk.runsTaskOf(jobs) {
 			// More ends may follow; the owner asks again.
 			return
@@ -341,6 +353,13 @@
 	en.send(from, reply)
 }
 
+// hasLongBeenUnreached reports whether a worker has not answered since this entry
+// became its holder, for so long that a former holder no longer uses it.
+func (en *Entry) hasLongBeenUnreached(id ids.WorkerID) bool {
+	since, ok := en.unreached[id]
+	return ok && en.now().Sub(since) >= ownerTimeout
+}
+
 // handlePastEnds handles ends that this owner has not received yet, among them
 // ends of runs that a previous owner started.
 func (en *Entry) handlePastEnds(from ids.EntryID, ms PastEnds) {
@@ -380,7 +399,7 @@
 		tokens[row.Worker] = row.Version
 	}
 	for id, row := range en.rows {
-		if row.Holder.Entry() == from && en.workerListed(id) && tokens[id] < row.Version {
+		if row.Holder.Entry() == from && en.workerListed(id) && !en.foreign(id) && tokens[id] < row.Version {
 			return false
 		}
 	}
@@ -484,6 +503,9 @@
 	type holderState struct{ alive, gone, goneLong bool }
 	holders := map[ids.Incarnation]holderState{}
 	for id, row := range en.rows {
+		if en.foreign(id) {
+			continue
+		}
 		hs, ok := holders[row.Holder]
 		if !ok {
 			hs = holderState{
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -312,6 +312,7 @@
 func (dm *Daemon) putWorker(en *dispatch.Entry, ro Row, full bool) {
 	info, err := dm.store.DecodeWorker(ro.Key, ro.Value)
 	if err != nil {
+		dm.cnt.Add("worker", "unreadable", 1)
 		dm.log.Log("worker-unreadable", "key", ro.Key, "version", int64(ro.Version), "error", err.Error())
 		en.DropWorker(ids.WorkerID(ro.Key), ro.Version)
 		return
