fleet: a write that the store can never carry out fails alone

Cause: the row of the job exceeds 64 KB. The store rejects it, and the writer took that for a failure that may pass: it sent the row again for ever, in one transaction with the other writes of its part. Their ends were not stored, and a worker that lists more than 500 such ends shows no further one.

The transaction is halved until the write at fault is alone, and only its job is refused or failed. A transaction is filled by bytes too.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -80,9 +80,9 @@
 
 // Resources is an amount of room on a worker.
 type Resources struct {
-	CPU          Millicores
-	Memory       ids.Megabytes
-	Accelerators int
+	CPU          Millicores    `json:",omitempty"`
+	Memory       ids.Megabytes `json:",omitempty"`
+	Accelerators int           `json:",omitempty"`
 }
 
 func (re Resources) minus(other Resources) Resources {
@@ -109,25 +109,25 @@
 type Step struct {
 	Count    int
 	Need     Resources
-	Estimate time.Duration // run time declared by the caller, often wrong
-	After    []int         // earlier steps whose tasks must all be done first
+	Estimate time.Duration `json:",omitempty"` // run time declared by the caller, often wrong
+	After    []int         `json:",omitempty"` // earlier steps whose tasks must all be done first
 	// Requirement is a label that the worker must have, "" for none.
-	Requirement string
+	Requirement string `json:",omitempty"`
 	// Affinity is the rack that holds the data, "" for any.
-	Affinity ids.RackID
+	Affinity ids.RackID `json:",omitempty"`
 	// AntiAffinity is the largest number of tasks of the step on one worker, 0 for
 	// no limit.
-	AntiAffinity int
+	AntiAffinity int `json:",omitempty"`
 	// Checkpointing tasks save checkpoints and can be resumed.
-	Checkpointing bool
+	Checkpointing bool `json:",omitempty"`
 	// Gang tasks must run together: all are started at the same time. When the
 	// first one is done all are done; any other end stops the runs of all.
-	Gang bool
+	Gang bool `json:",omitempty"`
 	// Colocated tasks are slower when they run on more than one rack.
-	Colocated bool
+	Colocated bool `json:",omitempty"`
 	// Lasting marks long-running tasks, which run until the job is cancelled. They
 	// are restarted however they end.
-	Lasting bool
+	Lasting bool `json:",omitempty"`
 }
 
 // Repeat makes the steps of a job run several times at given times. The zero
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -77,6 +77,7 @@
 	Version  Version
 	Conflict bool
 	Present  *JobRecord // the present row, after a conflict
+	Invalid  bool       // the store can never carry out the write
 	Reason   string
 }
 
@@ -233,12 +234,37 @@
 		en.retryWrite(jb)
 	case rep.Conflict:
 		en.dropLostJob(jb, rep.Present)
+	case rep.Invalid:
+		en.failUnstorable(jb, rep.Reason)
 	default:
 		en.eff.Log("job-write-failed", "job", string(wr.Record.ID), "state", string(wr.Record.State), "reason", rep.Reason)
 		en.retryWrite(jb)
 	}
 }
 
+// failUnstorable fails a job whose row the store can never write. Sent again, it
+// would hold up all other jobs whose ends are on the same workers.
+func (en *Entry) failUnstorable(jb *job, reason string) {
+	st := jb.stored
+	en.eff.Count("job", "unstorable", 1)
+	en.eff.Log("job-unstorable", "job", string(jb.Job.ID), "accepted", st.accepted, "tasks-done", len(st.rec.Done), "reason", reason)
+	if !st.accepted {
+		answerCancels(st.cancels, Outcome{Kind: Abandoned, Reason: ReasonTooLarge})
+		en.finish(jb, Outcome{Kind: Refused, Reason: ReasonTooLarge})
+		return
+	}
+	// Without the lists of runs the row fits.
+	st.rec.Done, st.rec.Fails, st.rec.Crashes, st.rec.Latest = nil, nil, nil, nil
+	if !st.rec.State.ended() {
+		st.rec.State = JobFailed
+	}
+	en.retryWrite(jb)
+}
+
+// ReasonTooLarge is the reason of a refusal of a job that does not fit into the
+// store.
+const ReasonTooLarge = "job-too-large"
+
 // isOwnRow reports whether a row was written by this owner in the same epoch
 // and the job has not ended.
 func (en *Entry) isOwnRow(st *storedJob, present *JobRecord) bool {
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -96,6 +96,25 @@
 	wo.run(50 * time.Second)
 }
 
+// TestUnstorableProgress guards against a job whose row has outgrown the store and
+// is written again for ever, while its ends hold up those of other jobs.
+func TestUnstorableProgress(t *testing.T) {
+	wo, en, _ := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	qu, _ := en.findQueue("fit")
+	en.Submit(Submission{
+		Job:   Job{ID: "0000000000000001", Stored: true, Steps: []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
+		Queue: qu, Arrived: wo.at, Done: func(Outcome) {},
+	})
+	jb := en.jobs["0000000000000001"]
+	en.JobStored(JobWrite{Record: jb.stored.rec}, JobWriteReply{OK: true, Version: 60})
+	jb.stored.rec.Done = map[string]Run{"0.0.0": 1}
+	en.JobStored(JobWrite{Record: jb.stored.rec}, JobWriteReply{Invalid: true})
+	if rec := jb.stored.rec; rec.State != JobFailed || rec.Done != nil || !jb.stored.dirty {
+		t.Errorf("the next write of the job is %+v, want a short row of a failed job", rec)
+	}
+}
+
 // TestCancelDuringInsertion guards against a caller that is told that its job was
 // abandoned because another caller of the same job has left while the job was
 // being stored.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -106,6 +106,10 @@
 	Present []Row
 }
 
+// ErrInvalid reports that the store can never carry out a transaction, for example
+// because of the size of a row.
+var ErrInvalid = errors.New("store rejected the transaction as invalid")
+
 // ErrNotCommitted reports that the store did not carry out a transaction.
 var ErrNotCommitted = errors.New("store refused the transaction")
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -498,6 +498,63 @@
 	}
 }
 
+// TestRowKeepsCrashes guards against an owner that starts a task which crashes its
+// workers again, because the row of its job does not name the crashes.
+func TestRowKeepsCrashes(t *testing.T) {
+	want := dispatch.Crash{Run: 1001, Worker: "w-1", Born: 1774523604686, Confirmed: true, Alone: true}
+	raw, err := encodeRecord(dispatch.JobRecord{ID: "0000000000000001", State: dispatch.JobAccepted, Crashes: map[string][]dispatch.Crash{"0.0.1": {want}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec, err := decodeRecord(Row{Key: "0000000000000001", Value: raw})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := rec.Crashes["0.0.1"]; len(got) != 1 || got[0] != want {
+		t.Errorf("the crashes are decoded from the row as %+v", rec.Crashes)
+	}
+}
+
+// TestOversizedRow guards against a job whose row the store rejects and that is
+// written again for ever, together with the jobs that share its transactions.
+func TestOversizedRow(t *testing.T) {
+	cl := startCluster(t, 1, 6, 20*time.Millisecond)
+	cl.store.mu.Lock()
+	cl.store.maxRowBytes, cl.store.maxTxBytes = 20_000, 60_000
+	cl.store.mu.Unlock()
+	submit := func(num, payload int) <-chan dispatch.Outcome {
+		out := make(chan dispatch.Outcome, 1)
+		id := ids.JobID(fmt.Sprintf("%016x", num))
+		qu, _ := cl.entries[0].Desired().Route("h", "/t/"+string(id))
+		cl.entries[0].Submit(dispatch.Submission{
+			Job: dispatch.Job{ID: id, Stored: true, Payload: strings.Repeat("x", payload), Steps: []dispatch.Step{{
+				Count: 1, Need: dispatch.Resources{CPU: 1000, Memory: 64}, Estimate: 20 * time.Millisecond,
+			}}},
+			Queue: qu, Arrived: cl.entries[0].Now(), Done: func(oc dispatch.Outcome) { out <- oc },
+		})
+		return out
+	}
+	const oversized = 17
+	var outs []<-chan dispatch.Outcome
+	for num := range 120 {
+		payload := 5_000
+		if num == oversized {
+			payload = 30_000
+		}
+		outs = append(outs, submit(num, payload))
+	}
+	for num, out := range outs {
+		select {
+		case oc := <-out:
+			if want := num != oversized; (oc.Kind == dispatch.Accepted) != want || (!want && oc.Reason != dispatch.ReasonTooLarge) {
+				t.Errorf("job %d: outcome %+v", num, oc)
+			}
+		case <-time.After(waitLimit):
+			t.Fatalf("job %d has no outcome after %s", num, waitLimit)
+		}
+	}
+}
+
 // refusingStore counts the transactions that a store refuses.
 type refusingStore struct {
 	*memStore
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -30,8 +31,11 @@
 	commitBackoff    = 50 * time.Millisecond
 	maxCommitBackoff = 800 * time.Millisecond
 	// maxBatchJobs bounds the jobs of one transaction. Each job needs up to three
-	// of the hundred items that the store accepts, and 10 KB of its 1 MB.
+	// of the hundred items that the store accepts.
 	maxBatchJobs = 30
+	// maxBatchBytes bounds the rows of one transaction, which are sent as base64. The
+	// store accepts 1 MB.
+	maxBatchBytes = 700_000
 	// maxRangeTasks bounds the tasks in one range of a row, so that a malformed row
 	// can't exhaust the memory. Stored jobs have fewer tasks.
 	maxRangeTasks = 1 << 16
@@ -256,45 +260,83 @@
 	wr.backoff = min(maxCommitBackoff, max(commitBackoff, 2*wr.backoff))
 }
 
-// commit writes a batch. If the checks of some rows fail, the others are retried
-// without them.
+// commit writes a batch, in several transactions if it is too large for one. If
+// the checks of some rows fail, the others are retried without them. So are the
+// writes that share a transaction with one that the store can never carry out.
 func (wr *jobWriter) commit(ctx context.Context, batch []dispatch.JobWrite) {
 	for len(batch) > 0 && ctx.Err() == nil {
-		tx := Transaction{Part: wr.part}
-		for _, write := range batch {
-			tx.add(wr.dm, write)
-		}
+		tx, count := wr.fill(batch)
+		now, later := batch[:count], batch[count:]
 		wr.dm.cnt.Add("store", "job-commits", 1)
 		rep, err := wr.dm.store.Commit(ctx, tx)
-		wr.updateBackoff(err)
-		if err != nil || rep.OK {
+		if errors.Is(err, ErrInvalid) && count > 1 {
+			wr.commit(ctx, now[:count/2])
+			batch = batch[count/2:]
+			continue
+		}
+		if !errors.Is(err, ErrInvalid) {
+			wr.updateBackoff(err)
+		}
+		if err != nil && !errors.Is(err, ErrInvalid) {
 			wr.reply(batch, func(dispatch.JobWrite) dispatch.JobWriteReply { return jobReply(rep, err) })
 			return
 		}
-		var failed, rest []dispatch.JobWrite
-		present := map[string]Row{}
-		for _, ro := range rep.Present {
-			present[ro.Key] = ro
+		if err != nil || rep.OK {
+			wr.reply(now, func(dispatch.JobWrite) dispatch.JobWriteReply { return jobReply(rep, err) })
+			batch = later
+			continue
 		}
-		for _, write := range batch {
-			if present[string(write.Record.ID)].Version == write.Expected {
-				rest = append(rest, write)
-			} else {
-				failed = append(failed, write)
-			}
+		batch = append(wr.replyConflicts(now, rep), later...)
+	}
+}
+
+// fill builds a transaction of the first writes of a batch, as many as fit into
+// one, and returns their number.
+func (wr *jobWriter) fill(batch []dispatch.JobWrite) (Transaction, int) {
+	tx := Transaction{Part: wr.part}
+	size := 0
+	for num, write := range batch {
+		before := tx
+		tx.add(wr.dm, write)
+		for _, pt := range tx.Puts[len(before.Puts):] {
+			size += len(pt.Value)
 		}
-		if len(failed) == 0 {
-			// The rows changed between the check and the answer.
-			failed, rest = batch, nil
+		if num > 0 && size > maxBatchBytes {
+			return before, num
 		}
-		wr.reply(failed, func(write dispatch.JobWrite) dispatch.JobWriteReply {
-			return wr.dm.conflictReply(present[string(write.Record.ID)])
-		})
-		batch = rest
 	}
+	return tx, len(batch)
+}
+
+// replyConflicts answers the writes whose checks have failed, and returns the
+// others.
+func (wr *jobWriter) replyConflicts(batch []dispatch.JobWrite, rep TransactionReply) []dispatch.JobWrite {
+	var failed, rest []dispatch.JobWrite
+	present := map[string]Row{}
+	for _, ro := range rep.Present {
+		present[ro.Key] = ro
+	}
+	for _, write := range batch {
+		if present[string(write.Record.ID)].Version == write.Expected {
+			rest = append(rest, write)
+		} else {
+			failed = append(failed, write)
+		}
+	}
+	if len(failed) == 0 {
+		// The rows changed between the check and the answer.
+		failed, rest = batch, nil
+	}
+	wr.reply(failed, func(write dispatch.JobWrite) dispatch.JobWriteReply {
+		return wr.dm.conflictReply(present[string(write.Record.ID)])
+	})
+	return rest
 }
 
 func jobReply(rep TransactionReply, err error) dispatch.JobWriteReply {
+	if errors.Is(err, ErrInvalid) {
+		return dispatch.JobWriteReply{Invalid: true, Reason: err.Error()}
+	}
 	if err != nil {
 		return dispatch.JobWriteReply{Reason: err.Error()}
 	}
--- a/internal/fleet/stand_in_test.go
+++ b/internal/fleet/stand_in_test.go
@@ -18,11 +18,13 @@
 // memStore is a store in memory. Rows of workers and desired states hold types
 // of internal/dispatch as JSON.
 type memStore struct {
-	mu      sync.Mutex
-	version dispatch.Version
-	rows    map[string]Row // by table, part and key
-	tables  map[string]Table
-	down    bool
+	// maxRowBytes and maxTxBytes bound a row and a transaction, 0 for no bound.
+	maxRowBytes, maxTxBytes int
+	mu                      sync.Mutex
+	version                 dispatch.Version
+	rows                    map[string]Row // by table, part and key
+	tables                  map[string]Table
+	down                    bool
 }
 
 func newMemStore() *memStore {
@@ -91,6 +93,12 @@
 	if ms.down {
 		return TransactionReply{}, errStoreDown
 	}
+	size := 0
+	for _, pt := range tx.Puts {
+		if size += len(pt.Value); ms.maxRowBytes > 0 && (len(pt.Value) > ms.maxRowBytes || size > ms.maxTxBytes) {
+			return TransactionReply{}, fmt.Errorf("%w: %d bytes", ErrInvalid, size)
+		}
+	}
 	rep := TransactionReply{OK: true}
 	for _, ck := range tx.Checks {
 		ro := ms.rows[memKey(ck.Table, tx.Part, ck.Key)]
