dispatch: take over jobs whose route was removed

What callers saw: an accepted job whose route had been removed was not run on after its owner was lost.

Cause: claimJob needs the queue of the job and knew only those of the present desired state.

Change: the stored body of a job holds the queue at which it was accepted, and its row names the service, so that entries which never saw the route hold the workers. Rows of earlier versions lack both; their jobs are taken over only while the queue exists.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -101,8 +101,8 @@
 	now           func() time.Time
 
 	desired *Desired
-	// services holds the services that a desired state has named. Tasks of a job may
-	// still run on workers of a service whose queue was removed.
+	// services holds the services that a desired state or an open stored job has
+	// named. Jobs go on after their queue has been removed.
 	services map[ids.ServiceName]bool
 	leaving  bool
 
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -503,7 +503,7 @@
 }
 
 // foreign reports whether a report is not that of a worker of ours: it is of a
-// service that no desired state has named, so no task of ours can be there.
+// service that neither a desired state nor an open job has named.
 func (en *Entry) foreign(id ids.WorkerID) bool {
 	kw := en.known[id]
 	return kw != nil && en.desired != nil && !en.services[kw.info.Service]
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -147,6 +147,9 @@
 	// Stored jobs are accepted once they are in the store. They survive the loss of
 	// the caller's connection and of the owner.
 	Stored bool
+	// Route is the queue at which a stored job was accepted. The job goes on when the
+	// queue is removed.
+	Route *Queue `json:",omitempty"`
 }
 
 // Queue is a route of the desired state: where jobs are received and which
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -27,6 +27,7 @@
 	ID        ids.JobID
 	Version   Version
 	Queue     string
+	Service   ids.ServiceName // of the queue, "" in rows written by earlier versions
 	State     JobState
 	Owner     ids.Incarnation // "" after the last owner has released the job
 	Epoch     int64           // increases with each owner; the base of its run numbers
@@ -172,8 +173,9 @@
 		sub.Done(Outcome{Kind: Refused, Reason: "store-away", RetryAfter: retryAfterStore})
 		return
 	}
+	sub.Job.Route = &sub.Queue
 	jb := &job{Submission: sub, waiters: 1, stored: &storedJob{rec: JobRecord{
-		ID: id, Queue: sub.Queue.Name, State: JobAccepted, Owner: en.self.Incarnation, Epoch: 1,
+		ID: id, Queue: sub.Queue.Name, Service: sub.Queue.Service, State: JobAccepted, Owner: en.self.Incarnation, Epoch: 1,
 		Submitted: en.now().UnixMilli(),
 		Timed:     sub.Job.Repeat.Count > 0, Lasting: sub.Job.lasting(), LastingSteps: sub.Job.lastingSteps(),
 	}}}
@@ -390,6 +392,9 @@
 	switch {
 	case !rec.State.ended():
 		en.openRecords[rec.ID] = re
+		if rec.Service != "" {
+			en.services[rec.Service] = true
+		}
 	case re.endedAt.IsZero():
 		re.endedAt = en.now()
 		delete(en.openRecords, rec.ID)
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -96,6 +98,42 @@
 	wo.run(50 * time.Second)
 }
 
+// TestRemovedRoute guards against accepted jobs that stand still, and hold up all
+// others on their workers, because their route was removed before their owner was
+// lost.
+func TestRemovedRoute(t *testing.T) {
+	rows := []struct {
+		name  string
+		fault func(wo *world)
+	}{
+		{"owner killed", func(wo *world) {
+			wo.entries["entry-01"].kill()
+			wo.after(time.Second, func() { wo.entries["entry-01"].start(0.4) })
+		}},
+		{"all entries restart", func(wo *world) { wo.restartAll(time.Second) }},
+	}
+	for num, row := range rows {
+		for _, only := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, only route %v", row.name, only), func(t *testing.T) {
+				t.Parallel()
+				wo := standardWorld(uint64(num)+1020, 4, 12)
+				wo.load([]kind{{queue: "pair", perS: 3, width: 4, work: 600 * time.Millisecond, steps: 3, stored: true}}, 1, 3*time.Second)
+				wo.run(3 * time.Second)
+				wo.desired.Version++
+				wo.desired.Queues = slices.DeleteFunc(slices.Clone(wo.desired.Queues), func(qu Queue) bool { return only || qu.Name == "pair" })
+				for _, ee := range wo.sortedEntries() {
+					ee.en.Apply(wo.desired)
+				}
+				wo.run(300 * time.Millisecond)
+				row.fault(wo)
+				wo.run(30 * time.Second)
+				wo.check(t)
+				wo.checkStored(t)
+			})
+		}
+	}
+}
+
 // TestUnstorableProgress guards against a job whose row has outgrown the store and
 // is written again for ever, while its ends hold up those of other jobs.
 func TestUnstorableProgress(t *testing.T) {
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -168,9 +168,13 @@
 		return
 	}
 	qu, ok := en.findQueue(re.Queue)
-	if !ok {
+	if !ok && body.Route == nil {
+		// Rows written by earlier versions do not say what the queue was.
 		return
 	}
+	if !ok {
+		qu = *body.Route
+	}
 	rec := re.clone()
 	before := rec.Owner
 	rec.Owner = en.self.Incarnation
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -67,6 +67,7 @@
 // jobRecord is a row of TableJobs.
 type jobRecord struct {
 	Queue     string            `json:"queue"`
+	Service   ids.ServiceName   `json:"service,omitempty"`
 	State     dispatch.JobState `json:"state"`
 	Owner     ids.Incarnation   `json:"owner,omitempty"`
 	Epoch     int64             `json:"epoch"`
@@ -172,7 +173,7 @@
 
 func encodeRecord(rec dispatch.JobRecord) ([]byte, error) {
 	return json.Marshal(jobRecord{
-		Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
+		Queue: rec.Queue, Service: rec.Service, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
 		Submitted: rec.Submitted, Done: encodeRuns(rec.Done), Fails: rec.Fails, Latest: rec.Latest,
 		Timed: rec.Timed, Lasting: rec.Lasting, LastingSteps: rec.LastingSteps,
 		Crashes: encodeCrashes(rec.Crashes),
@@ -189,7 +190,7 @@
 		return dispatch.JobRecord{}, err
 	}
 	return dispatch.JobRecord{
-		ID: ids.JobID(ro.Key), Version: ro.Version, Queue: rec.Queue, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
+		ID: ids.JobID(ro.Key), Version: ro.Version, Queue: rec.Queue, Service: rec.Service, State: rec.State, Owner: rec.Owner, Epoch: rec.Epoch,
 		Submitted: rec.Submitted, Done: done, Fails: rec.Fails, Latest: rec.Latest,
 		Timed: rec.Timed, Lasting: rec.Lasting, LastingSteps: rec.LastingSteps,
 		Crashes: decodeCrashes(rec.Crashes),
