dispatch: failures of single runs no longer take workers with long-running tasks away

What callers saw: after one failed run, a worker that also runs long-running tasks got no task any more.

Cause: after a failure a worker gets one task at a time until one ends done. Long-running tasks count as the one task, and never end done.

--- a/internal/dispatch/failures.go
+++ b/internal/dispatch/failures.go
@@ -24,6 +24,10 @@
 	// carefulTime is how long a failed task waits for a worker that is not
 	// suspect: a few times the usual wait for room.
 	carefulTime = 400 * time.Millisecond
+	// cautionTime is the time after the last failure from which a worker counts as
+	// sound again even if no run has ended done: it may have only long-running tasks.
+	// It covers the longest pause and a try after it.
+	cautionTime = 2 * maxBlock
 	// maxFailedJobs bounds the number of jobs in failedWorkers.
 	maxFailedJobs = 500
 )
@@ -45,7 +49,7 @@
 	if len(at) > 1 || again {
 		return
 	}
-	wk.failures++
+	wk.failures, wk.failedAt = wk.failuresAt(en.now())+1, en.now()
 	if wk.failures > 1 {
 		pause := min(maxBlock, firstBlock<<min(wk.failures-2, maxDoublings))
 		wk.blockedUntil = en.now().Add(pause)
@@ -53,8 +57,28 @@
 	}
 }
 
+// failuresAt returns the number of consecutive failures, 0 if the last one was more
+// than cautionTime ago.
+func (wk *worker) failuresAt(now time.Time) int {
+	if now.Sub(wk.failedAt) > cautionTime {
+		return 0
+	}
+	return wk.failures
+}
+
+// hasEndingTask reports whether the worker has a task that ends by itself, or room
+// reserved for one.
+func (wk *worker) hasEndingTask() bool {
+	for _, sl := range wk.slots {
+		if !sl.shape.Lasting {
+			return true
+		}
+	}
+	return false
+}
+
 // suspect reports whether a worker may be the cause of failures: a run has failed
 // there since the last success, or a task of the given job has failed there.
 func (en *Entry) suspect(wk *worker, id ids.JobID) bool {
-	return wk.failures > 0 || en.failedWorkers[id][wk.info.ID]
+	return wk.failuresAt(en.now()) > 0 || en.failedWorkers[id][wk.info.ID]
 }
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -104,6 +104,7 @@
 
 	speed        speed
 	failures     int       // consecutive failed runs, of different jobs
+	failedAt     time.Time // when a run last failed
 	blockedUntil time.Time // no task is placed before this time
 	hasOverdue   bool      // a task runs far beyond its estimate
 }
@@ -197,7 +198,7 @@
 // while its lease is about to expire because of a run that must end.
 func (wk *worker) usable(now time.Time) bool {
 	return wk.phase == phaseOpen && wk.failingSince.IsZero() && wk.holdRequiredSince.IsZero() && wk.reportCurrent() && wk.info.State == WorkerReady &&
-		wk.movingTo == "" && !now.Before(wk.blockedUntil) && !wk.hasOverdue && wk.lapseSince.IsZero() && (wk.failures == 0 || len(wk.slots) == 0) &&
+		wk.movingTo == "" && !now.Before(wk.blockedUntil) && !wk.hasOverdue && wk.lapseSince.IsZero() && (wk.failuresAt(now) == 0 || !wk.hasEndingTask()) &&
 		!wk.leaseExpiring(now) && !wk.unresponsive(now)
 }
 
