--- a/internal/dispatch/callers_test.go
+++ b/internal/dispatch/callers_test.go
@@ -206,6 +206,27 @@
 	})
 }
 
+// TestCancelBeforeAnswer guards against a job that is reported as not run although a
+// worker has started a task of it: its caller cancels it while the start order is on
+// its way.
+func TestCancelBeforeAnswer(t *testing.T) {
+	wo, en, _ := newHolder()
+	en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
+	qu, _ := en.findQueue("fit")
+	var out Outcome
+	en.Submit(Submission{
+		Job:   Job{ID: "0000000000000001", Steps: []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
+		Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(time.Second), Done: func(oc Outcome) { out = oc },
+	})
+	if len(en.workers["w"].slots) != 1 {
+		t.Fatal("no start order was sent")
+	}
+	en.Cancel("0000000000000001", "caller-left")
+	if out.Kind != Abandoned {
+		t.Errorf("the outcome is %+v, want abandoned", out)
+	}
+}
+
 // cutWorkers partitions an entry from all workers for the given time.
 func (wo *world) cutWorkers(ee *emuEntry, du time.Duration) {
 	for _, wk := range wo.sortedWorkers() {
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -211,7 +211,7 @@
 			return
 		}
 		kind := Refused
-		if jb.begun {
+		if !jb.notStarted() {
 			kind = Abandoned
 		}
 		en.finish(jb, Outcome{Kind: kind, Reason: reason})
