dispatch: keep cancellations of jobs whose insertion was not answered

Cause: an owner that found its own row after a lost answer started the job, whatever had been asked meanwhile. One that found the row of another entry dropped the cancelling; it is now written to that row.

Evidence: TestCancelAfterLostInsertion and TestCancelOfJobInsertedElsewhere failed before.

--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -299,7 +299,15 @@
 		jb.Done = func(Outcome) {}
 		done(Outcome{Kind: Accepted})
 		en.broadcastJob(jb)
-		en.startJob(jb)
+		switch {
+		case rec.State.ended():
+			en.finishStored(jb, rec.State)
+		case st.rec.State.ended():
+			// The job was cancelled while the answer to its insertion was lost.
+			en.writeJob(jb)
+		default:
+			en.startJob(jb)
+		}
 		return
 	}
 	if rec.State.ended() {
@@ -370,9 +378,12 @@
 		en.updateRecord(*present, false)
 		jb.continuedElsewhere = !present.State.ended()
 	}
-	answerCancels(jb.stored.cancels, Outcome{Kind: Abandoned, Reason: "owner changed"})
 	// If an insertion has conflicted with a row, the job is already stored.
 	en.finish(jb, Outcome{Kind: Accepted})
+	for _, fn := range jb.stored.cancels {
+		// The row belongs to another owner now, and is cancelled there.
+		en.CancelStored(jb.Job.ID, fn)
+	}
 }
 
 // updateRecord updates the record of a stored job, unless the present one is
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -134,6 +134,63 @@
 	}
 }
 
+// TestCancelAfterLostInsertion guards against a cancelling that is forgotten. The
+// answer to the insertion of the job was lost, and the cancelling arrives before the
+// entry has found out that the job is stored.
+func TestCancelAfterLostInsertion(t *testing.T) {
+	for _, inserted := range []bool{true, false} {
+		wo, en, _ := newHolder()
+		en.TableRead(TableJobs, wo.at)
+		qu, _ := en.findQueue("fit")
+		en.Submit(Submission{
+			Job:   Job{ID: "0000000000000001", Stored: true, Steps: []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
+			Queue: qu, Arrived: wo.at, Done: func(Outcome) {},
+		})
+		jb := en.jobs["0000000000000001"]
+		row := jb.stored.rec
+		en.JobStored(JobWrite{Record: row}, JobWriteReply{Reason: "no answer"})
+		var cancelled []Outcome
+		en.CancelStored("0000000000000001", func(out Outcome) { cancelled = append(cancelled, out) })
+		write := JobWrite{Record: jb.stored.rec}
+		if inserted {
+			row.Version = 60
+			en.JobStored(write, JobWriteReply{Conflict: true, Present: &row})
+			if !jb.stored.writing || jb.stored.rec.State != JobCancelled {
+				t.Fatalf("the cancelling is not written: %+v", jb.stored)
+			}
+			write = JobWrite{Record: jb.stored.rec, Expected: 60}
+		}
+		en.JobStored(write, JobWriteReply{OK: true, Version: 61})
+		if len(cancelled) != 1 || cancelled[0].Kind != Completed || en.jobs["0000000000000001"] != nil {
+			t.Errorf("inserted %v: the cancelling is answered with %+v, job %+v", inserted, cancelled, en.jobs["0000000000000001"])
+		}
+	}
+}
+
+// TestCancelOfJobInsertedElsewhere guards against a cancelling that is forgotten
+// because the caller has sent the job to another entry, which has inserted it first.
+func TestCancelOfJobInsertedElsewhere(t *testing.T) {
+	wo, en, _ := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	qu, _ := en.findQueue("fit")
+	en.Submit(Submission{
+		Job:   Job{ID: "0000000000000001", Stored: true, Steps: []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
+		Queue: qu, Arrived: wo.at, Done: func(Outcome) {},
+	})
+	row := en.jobs["0000000000000001"].stored.rec
+	write := JobWrite{Record: row}
+	var cancelled []Outcome
+	en.CancelStored("0000000000000001", func(out Outcome) { cancelled = append(cancelled, out) })
+	row.Owner, row.Version = "entry-09/1", 60
+	en.JobStored(write, JobWriteReply{Conflict: true, Present: &row})
+	write = JobWrite{Record: row, Expected: 60}
+	write.Record.State = JobCancelled
+	en.JobStored(write, JobWriteReply{OK: true, Version: 61})
+	if len(cancelled) != 1 || cancelled[0].Kind != Completed {
+		t.Errorf("the cancelling is answered with %+v, want one that it has completed", cancelled)
+	}
+}
+
 // TestUnstorableProgress guards against a job whose row has outgrown the store and
 // is written again for ever, while its ends hold up those of other jobs.
 func TestUnstorableProgress(t *testing.T) {
