dispatch: count free room in the resource that a task asks for

Cause: reports of free room name the CPU alone, and such a task counted once for each worker.

Change: reports name the accelerators too. Entries of earlier versions do not send them; gangs on accelerators wait until those are replaced.

Evidence: TestGangOnAccelerators failed before.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -1287,7 +1287,13 @@
 	if _, err := fmt.Sscanf(payload, "cpu=%d", &cpu); err != nil {
 		panic(err)
 	}
-	return Resources{CPU: Millicores(cpu), Memory: 64}
+	need := Resources{CPU: Millicores(cpu), Memory: 64}
+	if _, text, ok := strings.Cut(payload, "accelerators="); ok {
+		if _, err := fmt.Sscan(text, &need.Accelerators); err != nil {
+			panic(err)
+		}
+	}
+	return need
 }
 
 func (wk *emuWorker) extend(until WorkerTime) {
@@ -1456,6 +1462,8 @@
 	lasting       bool
 	checkpointing bool // tasks save checkpoints, see emuWorker.checkpoint
 	colocated     bool
+	// accelerators is the number of accelerators that a task needs in place of CPU.
+	accelerators int
 }
 
 // randomJob returns a random job of a kind and its queue.
@@ -1483,6 +1491,10 @@
 			jb.rack = ids.RackID(fmt.Sprintf("rack-%d", wo.rnd.IntN(kd.racks)))
 		}
 		st := Step{Checkpointing: kd.checkpointing, Gang: kd.gang, Lasting: kd.lasting, Colocated: kd.colocated, Requirement: kd.label, AntiAffinity: kd.spread, Affinity: jb.rack, Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared}
+		if kd.accelerators > 0 {
+			st.Need.CPU, st.Need.Accelerators = 0, kd.accelerators
+			job.Payload = fmt.Sprintf("cpu=0 accelerators=%d", kd.accelerators)
+		}
 		if step > 0 {
 			st.After = []int{step - 1}
 		}
--- a/internal/dispatch/job_forms_test.go
+++ b/internal/dispatch/job_forms_test.go
@@ -59,6 +59,25 @@
 	}
 }
 
+// TestGangOnAccelerators guards against a gang that never starts although there is
+// room for it: its tasks ask for accelerators and no CPU, and one worker has room for
+// several of them.
+func TestGangOnAccelerators(t *testing.T) {
+	wo := standardWorld(761, 3, 4)
+	for _, wk := range wo.workers {
+		wk.info.Room.Accelerators = 4
+	}
+	wo.run(2 * time.Second)
+	kd := kind{queue: "pair", width: 10, work: 300 * time.Millisecond, gang: true, stored: true, accelerators: 1}
+	wo.submit(wo.sortedEntries()[0], kd)
+	if tasks := len(wo.jobs["0000000000000001"].length); tasks <= 4 || tasks > 16 {
+		t.Fatalf("the gang has %d tasks, want more than the 4 workers and at most their 16 accelerators", tasks)
+	}
+	wo.run(10 * time.Second)
+	wo.check(t)
+	wo.checkStored(t)
+}
+
 // TestTimedJobs guards against occurrences of timed jobs that start early or are
 // skipped, also when an owner dies while it waits for the next one.
 func TestTimedJobs(t *testing.T) {
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -401,9 +401,9 @@
 			continue
 		}
 		room := wk.free()
-		if room.CPU > 0 {
+		if room.CPU > 0 || room.Accelerators > 0 {
 			ld.Free = append(ld.Free, Free{
-				Service: wk.info.Service, CPU: room.CPU, Rack: wk.info.Rack,
+				Service: wk.info.Service, CPU: room.CPU, Accelerators: room.Accelerators, Rack: wk.info.Rack,
 				Speed: float32(math.Round(wk.speed.factor()*speedSteps) / speedSteps),
 			})
 		}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -121,10 +121,11 @@
 
 // Free is the free room of one worker.
 type Free struct {
-	Service ids.ServiceName
-	CPU     Millicores
-	Speed   float32
-	Rack    ids.RackID
+	Service      ids.ServiceName
+	CPU          Millicores
+	Accelerators int
+	Speed        float32
+	Rack         ids.RackID
 }
 
 // Load is the report of an entry about the workers that it holds.
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"math"
 	"sort"
 	"time"
 
@@ -133,19 +134,32 @@
 func countFree(free []Free, sh Shape) (int, float64) {
 	count, best := 0, 0.0
 	for _, fr := range free {
-		if fr.Service != sh.Service || fr.CPU < sh.Need.CPU || (sh.Affinity != "" && fr.Rack != sh.Affinity) {
+		fits := fr.tasks(sh.Need)
+		if fr.Service != sh.Service || fits == 0 || (sh.Affinity != "" && fr.Rack != sh.Affinity) {
 			continue
 		}
-		if sh.Need.CPU > 0 {
-			count += int(fr.CPU / sh.Need.CPU)
-		} else {
-			count++
-		}
+		count += fits
 		best = max(best, float64(fr.Speed))
 	}
 	return count, best
 }
 
+// tasks returns how many tasks fit into the free room. The report does not have the
+// memory; a task that asks for nothing else counts once.
+func (fr Free) tasks(need Resources) int {
+	count := math.MaxInt32
+	if need.CPU > 0 {
+		count = min(count, int(fr.CPU/need.CPU))
+	}
+	if need.Accelerators > 0 {
+		count = min(count, fr.Accelerators/need.Accelerators)
+	}
+	if count == math.MaxInt32 {
+		return 1
+	}
+	return max(count, 0)
+}
+
 // sendTasks sends tasks of a group to a holder. Each send increases the run
 // number of a task, because an earlier order that got no reply may still be
 // executed.
@@ -180,10 +194,13 @@
 	}
 	free := se.load.Free
 	for num := range free {
-		for count > 0 && free[num].Service == sh.Service && free[num].CPU >= sh.Need.CPU && sh.Need.CPU > 0 {
-			free[num].CPU -= sh.Need.CPU
-			count--
+		if free[num].Service != sh.Service {
+			continue
 		}
+		fits := min(count, free[num].tasks(sh.Need))
+		free[num].CPU -= Millicores(fits) * sh.Need.CPU
+		free[num].Accelerators -= fits * sh.Need.Accelerators
+		count -= fits
 	}
 }
 
