--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -123,8 +123,8 @@
 		kept = map[TaskID][]Crash{}
 		en.keptCrashes[at.job] = kept
 	}
-	list := append(kept[id], cr)
-	kept[id] = list[max(0, len(list)-maxCrashes):]
+	kept[id] = append(kept[id], cr)
+	kept[id] = kept[id][max(0, len(kept[id])-maxCrashes):]
 }
 
 // recordCrash records a crash under a task at its owner.
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -308,17 +308,9 @@
 // does not answer while the answer would be incomplete.
 func (en *Entry) handleClaimed(from ids.EntryID, ms Claimed) {
 	reply := PastEnds{Jobs: ms.Jobs}
-	for id, since := range en.unreached {
-		if en.foreign(id) {
-			continue
-		}
-		if age := en.now().Sub(since); age < ownerTimeout {
-			return
-		} else if age > lastingTimeout && en.workers[id] == nil {
-			delete(en.unreached, id)
-		} else {
-			reply.Unreached = true
-		}
+	ready := false
+	if reply.Unreached, ready = en.checkUnreached(); !ready {
+		return
 	}
 	jobs := map[ids.JobID]bool{}
 	for _, id := range ms.Jobs {
@@ -357,6 +349,25 @@
 	en.send(from, reply)
 }
 
+// checkUnreached reports whether this entry has not reached some of its workers yet,
+// and whether it may answer owners all the same: after ownerTimeout a former holder
+// keeps at most long-running tasks there.
+func (en *Entry) checkUnreached() (unreached, ready bool) {
+	for id, since := range en.unreached {
+		age := en.now().Sub(since)
+		switch {
+		case en.foreign(id):
+		case age < ownerTimeout:
+			return true, false
+		case age > lastingTimeout && en.workers[id] == nil:
+			delete(en.unreached, id)
+		default:
+			unreached = true
+		}
+	}
+	return unreached, true
+}
+
 // hasLongBeenUnreached reports whether a worker has not answered since this entry
 // became its holder, for so long that a former holder no longer uses it.
 func (en *Entry) hasLongBeenUnreached(id ids.WorkerID) bool {
