dispatch: bound the runs of a task after two crashes, however they end

A task under which two workers have crashed is given up after two more confirmed runs, however these end. The owner fills in the age of a run that its holder does not know; without one the crash neither counts nor resets.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -45,6 +45,10 @@
 	// no other task can have been the cause.
 	maxCrashes      = 3
 	maxCrashesAlone = 2
+	// maxTries is the number of runs after maxCrashesAlone crashes after which a task
+	// is given up however they end. A crash may have been lost with the owner and the
+	// holder, and runs of a gang are stopped with those of the others.
+	maxTries = 2
 	// maxLostStarts is the number of crashes after which a task is given up although
 	// few of its runs had been confirmed: it may crash workers before they answer.
 	maxLostStarts = 5
@@ -101,6 +105,14 @@
 	}
 }
 
+// countTry counts a run of a task under which workers have crashed, once its worker
+// has confirmed it.
+func (ta *task) countTry() {
+	if len(ta.crashes) >= maxCrashesAlone && ta.triedRun != ta.run {
+		ta.tries, ta.triedRun = ta.tries+1, ta.run
+	}
+}
+
 // clearCrashes forgets that the runs on a worker counted as lost. The worker was
 // only cut off.
 func (wk *worker) clearCrashes() {
@@ -133,8 +145,15 @@
 	if cr.Run <= ta.provenRun || slices.ContainsFunc(ta.crashes, func(old crash) bool { return old.Run == cr.Run }) {
 		return
 	}
+	if cr.Ran == 0 && cr.Run == ta.run && !ta.placedAt.IsZero() {
+		cr.Ran = en.now().Sub(ta.placedAt)
+	}
+	if gr.shape.Lasting && cr.Ran == 0 {
+		// The task may have run for weeks.
+		return
+	}
 	ta.crashes = append(ta.crashes, crash{Crash: cr, at: en.now()})
-	if gr.shape.Lasting && (cr.Ran == 0 || cr.Ran > provenTime) {
+	if gr.shape.Lasting && cr.Ran > provenTime {
 		ta.provenRun = cr.Run
 		ta.crashes = slices.DeleteFunc(ta.crashes, func(old crash) bool { return old.Run <= cr.Run })
 	}
@@ -245,8 +264,9 @@
 			limit = maxCrashesAlone
 		}
 	}
+	tried := confirmed >= maxCrashesAlone && ta.tries >= maxTries && !gr.shape.Lasting
 	switch {
-	case confirmed < limit && len(ta.crashes) < maxLostStarts:
+	case confirmed < limit && len(ta.crashes) < maxLostStarts && !tried:
 		if len(ta.crashes) >= maxCrashesAlone && !en.crashesStored(gr, ta) {
 			return crashWait
 		}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -65,6 +65,8 @@
 	worker        ids.WorkerID
 	born          int64 // the lifetime of the worker, 0 if unknown
 	crashes       []crash
+	tries         int   // runs since workers have crashed under the task, see maxTries
+	triedRun      Run   // the last of these
 	provenRun     Run   // a long-running task has run for provenTime in this run, and crashes until then don't count
 	token         Token // of the last holder for which this owner claimed the run, 0 if there is none
 	placedAt      time.Time
--- a/internal/dispatch/task_ends.go
+++ b/internal/dispatch/task_ends.go
@@ -12,6 +12,7 @@
 		return
 	}
 	ta.state, ta.worker = taskRunning, ms.Worker
+	ta.countTry()
 	if kw := en.known[ms.Worker]; kw != nil {
 		ta.born = kw.info.Born
 	}
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -68,8 +68,13 @@
 		// It belonged to a run of another owner of the same job with the same number.
 		5, 29, 46,
 	}},
-	"crashes": {offset: 80_000, faultKinds: allFaults, play: crashesSchedule, inCI: 12},
-	"stored":  {offset: 5000, faultKinds: allFaults, play: storedSchedule, inCI: 40},
+	"crashes": {offset: 80_000, faultKinds: allFaults, play: crashesSchedule, inCI: 12, regressions: []uint64{
+		// Runs of a gang that were stopped with those of the others did not count.
+		20,
+		// A crash of a long-running task whose holder had changed reset the count.
+		34,
+	}},
+	"stored": {offset: 5000, faultKinds: allFaults, play: storedSchedule, inCI: 40},
 	"mixed": {offset: 40_000, faultKinds: allFaults, play: mixedSchedule, inCI: 10, regressions: []uint64{
 		// A partitioned owner placed tasks again before it had detected that its jobs
 		// had been taken over.
