dispatch: answer a job that is given up once

A best-effort job that is given up by requeueWaiting was answered again for each further lost task, and once more when its deadline passed in the same tick. A second answer blocks the entry, as nobody reads it.

TestGivenUpOnce: three answers before.

--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -218,6 +218,31 @@
 	wo.run(70 * time.Second)
 }
 
+// TestGivenUpOnce guards against a caller that is answered twice: the job is given up
+// in the tick in which its deadline passes.
+func TestGivenUpOnce(t *testing.T) {
+	wo, en, rc := newHolder()
+	qu, _ := en.findQueue("fit")
+	answers := 0
+	en.Submit(Submission{
+		Job:   Job{ID: "0000000000000001", Steps: []Step{{Count: 2, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
+		Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(time.Second), Done: func(Outcome) { answers++ },
+	})
+	for num, gr := range en.jobs["0000000000000001"].groups {
+		for _, ta := range gr.tasks {
+			ta.state, ta.run = taskLost, Run(num+3)
+			for run := range Run(2) {
+				ta.crashes = append(ta.crashes, crash{Crash: Crash{Run: run + 1, Worker: "gone", Confirmed: true, Alone: true}})
+			}
+		}
+	}
+	wo.at = wo.at.Add(1100 * time.Millisecond)
+	en.Tick()
+	if answers != 1 || len(rc.starts) != 0 {
+		t.Errorf("the caller is answered %d times and %d tasks are started, want one answer", answers, len(rc.starts))
+	}
+}
+
 // killInTurn kills the entry that has sent the latest start order, several times.
 func (wo *world) killInTurn() {
 	for num := range 5 {
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -286,6 +286,10 @@
 	for _, id := range sortedKeys(en.jobs) {
 		jb := en.jobs[id]
 		en.requeueWaiting(jb, now)
+		if en.jobs[id] != jb {
+			// The job was given up.
+			continue
+		}
 		if jb.nextDue < jb.Job.Repeat.Count && (jb.stored == nil || jb.stored.accepted) && !jb.suspended {
 			en.openDue(jb)
 			en.advance(jb)
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -98,6 +98,16 @@
 	wo.run(50 * time.Second)
 }
 
+// submitStoredTask submits a stored job of one task to an entry that does not run in
+// an emulated world.
+func (wo *world) submitStoredTask(en *Entry) {
+	qu, _ := en.findQueue("fit")
+	en.Submit(Submission{
+		Job:   Job{ID: "0000000000000001", Stored: true, Steps: []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
+		Queue: qu, Arrived: wo.at, Done: func(Outcome) {},
+	})
+}
+
 // TestRemovedRoute guards against accepted jobs that stand still, and hold up all
 // others on their workers, because their route was removed before their owner was
 // lost.
@@ -141,11 +151,7 @@
 	for _, inserted := range []bool{true, false} {
 		wo, en, _ := newHolder()
 		en.TableRead(TableJobs, wo.at)
-		qu, _ := en.findQueue("fit")
-		en.Submit(Submission{
-			Job:   Job{ID: "0000000000000001", Stored: true, Steps: []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
-			Queue: qu, Arrived: wo.at, Done: func(Outcome) {},
-		})
+		wo.submitStoredTask(en)
 		jb := en.jobs["0000000000000001"]
 		row := jb.stored.rec
 		en.JobStored(JobWrite{Record: row}, JobWriteReply{Reason: "no answer"})
@@ -172,11 +178,7 @@
 func TestCancelOfJobInsertedElsewhere(t *testing.T) {
 	wo, en, _ := newHolder()
 	en.TableRead(TableJobs, wo.at)
-	qu, _ := en.findQueue("fit")
-	en.Submit(Submission{
-		Job:   Job{ID: "0000000000000001", Stored: true, Steps: []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
-		Queue: qu, Arrived: wo.at, Done: func(Outcome) {},
-	})
+	wo.submitStoredTask(en)
 	row := en.jobs["0000000000000001"].stored.rec
 	write := JobWrite{Record: row}
 	var cancelled []Outcome
@@ -196,11 +198,7 @@
 func TestUnstorableProgress(t *testing.T) {
 	wo, en, _ := newHolder()
 	en.TableRead(TableJobs, wo.at)
-	qu, _ := en.findQueue("fit")
-	en.Submit(Submission{
-		Job:   Job{ID: "0000000000000001", Stored: true, Steps: []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}}},
-		Queue: qu, Arrived: wo.at, Done: func(Outcome) {},
-	})
+	wo.submitStoredTask(en)
 	jb := en.jobs["0000000000000001"]
 	en.JobStored(JobWrite{Record: jb.stored.rec}, JobWriteReply{OK: true, Version: 60})
 	jb.stored.rec.Done = map[string]Run{"0.0.0": 1}
--- a/internal/dispatch/task_ends.go
+++ b/internal/dispatch/task_ends.go
@@ -175,6 +175,10 @@
 
 // requeue queues a task again. The other tasks of its gang are stopped.
 func (en *Entry) requeue(gr *group, ta *task, noRoom bool) {
+	if en.jobs[gr.job.Job.ID] != gr.job {
+		// The job was given up because of another task.
+		return
+	}
 	ta.state, ta.holder, ta.worker, ta.token, ta.born = taskQueued, "", "", 0, 0
 	heldBack := en.holdBack(gr, ta)
 	if en.jobs[gr.job.Job.ID] != gr.job {
