dispatch: remove the holder row of a worker that has left

A worker leaves as planned and its holder is lost within the next minute. The row of the worker still named the lost holder, which other entries took for one that is cut off together with the worker: long-running tasks were away for 18 s (lastingTimeout).

The holder now removes its own row as soon as it has stopped using the worker and the last lease is over. Only the holder knows that it uses the worker no more, so no proof is needed that the worker has ended. A removal without a reply may be carried out later, so the removed version never makes this entry the holder again; a worker that comes back is claimed.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -397,6 +397,8 @@
 	emuReportInterval = 1500 * time.Millisecond
 	emuScanRows       = 24                      // rows in a page
 	emuScanInterval   = 1500 * time.Millisecond // between two pages
+	// emuExpiry is the time without a report after which the row of a worker is gone.
+	emuExpiry = 4 * time.Second
 )
 
 // report returns the row of a worker and whether the store has it. Its version
@@ -454,7 +456,7 @@
 		wo.rowsRead++
 		if info, ok := wk.report(); ok {
 			infos = append(infos, info)
-		} else if wo.at.Sub(wk.downAt) > 4*time.Second {
+		} else if wo.at.Sub(wk.downAt) > emuExpiry {
 			gone = append(gone, wk.info.ID)
 		}
 	}
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -148,6 +148,8 @@
 	// vanished holds the workers that have a holder row but no report, with the
 	// time when this was first seen.
 	vanished map[ids.WorkerID]time.Time
+	// givenUp holds the holder rows that this entry removes.
+	givenUp map[ids.WorkerID]givenUpRow
 
 	// Member role.
 	members      map[ids.EntryID]*member
@@ -260,6 +262,7 @@
 		grants:           map[GrantID]*grant{},
 		unreached:        map[ids.WorkerID]time.Time{},
 		vanished:         map[ids.WorkerID]time.Time{},
+		givenUp:          map[ids.WorkerID]givenUpRow{},
 		failedWorkers:    failedWorkers{},
 		classSpeeds:      map[string]*classSpeed{},
 		services:         map[ids.ServiceName]bool{},
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -178,7 +178,7 @@
 	}
 	wk := en.workers[info.ID]
 	if wk == nil {
-		if row, ok := en.rows[info.ID]; ok && row.Holder == en.self.Incarnation && !en.leaving {
+		if row, ok := en.rows[info.ID]; ok && row.Holder == en.self.Incarnation && !en.leaving && en.mayUse(row) {
 			// This entry dropped the worker while it was not listed.
 			en.takeWorker(info, Token(row.Version))
 		}
@@ -241,7 +241,7 @@
 		}
 		en.releaseWorker(wk, "new token")
 	}
-	if kw := en.known[row.Worker]; kw != nil && !en.leaving {
+	if kw := en.known[row.Worker]; kw != nil && !en.leaving && en.mayUse(row) {
 		en.takeWorker(kw.info, Token(row.Version))
 	}
 }
@@ -429,6 +429,7 @@
 			en.loseRuns(wk, wk.born, func(*slot) bool { return true })
 		}
 		en.releaseWorker(wk, "unlisted")
+		en.giveUpRow(wk)
 	}
 }
 
@@ -460,6 +461,9 @@
 		return
 	}
 	changes := en.claimChanges(ro, now)
+	if len(changes) == 0 {
+		changes = en.givenUpChanges(now)
+	}
 	if len(changes) == 0 {
 		changes = en.moveChanges(ro, now)
 	}
