dispatch: evacuate availability zones by a row in the store

A row op/evacuate/ZONE had no effect: tasks went on starting in the zone. The entry now follows these rows with the desired state. A holder places no task on a worker of an evacuated zone, repeats no start order there and releases the grants that reserve room there. Owners ask holders of other workers first, refuse best-effort jobs that only evacuated workers could run, and exchange the set with their neighbours. After a start or a pause an entry starts no task until it has read or received the set. Long-running tasks and tasks with checkpoints that would outlast the bound are moved when there is room elsewhere; maxUnavailable bounds the moves of a step.

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -31,6 +31,7 @@
 	rc := &recorder{emuEffects: emuEffects{ee: &emuEntry{wo: wo}}}
 	en := New(Self{Incarnation: "entry-00/1", Zone: "north", Size: 1}, Limits{}, rc, func() time.Time { return wo.at })
 	en.Apply(standardDesired(1))
+	en.EvacuationsRead(nil, 0, true, wo.at)
 	en.PutWorker(WorkerInfo{
 		ID: "w", Service: "fitdesk", Zone: "north", State: WorkerReady, Version: 5, Born: 1,
 		Room: Resources{CPU: 32000, Memory: 65536},
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -68,7 +68,10 @@
 	}
 	// The workers that may run a step do not change, so only they are asked about
 	// again.
-	known := sortedKeys(gr.shape.Tickets)
+	known := slices.DeleteFunc(sortedKeys(gr.shape.Tickets), func(id ids.WorkerID) bool {
+		kw := en.known[id]
+		return kw != nil && en.evac.evacuated(kw.info.Zone)
+	})
 	gr.shape.Tickets = nil
 	en.withdrawWants(gr)
 	if len(known) == 0 {
@@ -122,7 +125,7 @@
 func (en *Entry) workersToAsk(gr *group, step string) []ids.WorkerID {
 	var list []ids.WorkerID
 	for id, kw := range en.known {
-		if kw.removedAt.IsZero() && kw.info.Service == gr.shape.Service && kw.info.State == WorkerReady && !gr.advice.asked[id] {
+		if kw.removedAt.IsZero() && kw.info.Service == gr.shape.Service && kw.info.State == WorkerReady && !en.evac.evacuated(kw.info.Zone) && !gr.advice.asked[id] {
 			list = append(list, id)
 		}
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -221,6 +221,8 @@
 			ee.kill()
 			wo.after(span, func() { wo.addEntry(fmt.Sprintf("entry-%02d", len(wo.entries)), ee.zone, 0.4) })
 		}
+	case 15:
+		wo.evacuate(ee.zone, emuEvacuationBound+3*span)
 	}
 }
 
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -199,6 +199,9 @@
 	handoverOwners      map[ids.WorkerID][]ids.EntryID
 	ignoreRunTimesUntil time.Time // measured run times are ignored until then
 	lossyUntil          time.Time // single calls to workers may be lost until then
+
+	evac            *evacuations
+	evacuationBound time.Duration
 }
 
 // session is the state of the connection between this entry and another one, in
@@ -271,6 +274,9 @@
 		rowAt:            map[ids.WorkerID]time.Time{},
 		known:            map[ids.WorkerID]*knownWorker{},
 		lastCallAt:       now(),
+
+		evac:            newEvacuations(now()),
+		evacuationBound: cmp.Or(max(lim.EvacuationBound, 0), defaultEvacuationBound),
 	}
 }
 
@@ -317,6 +323,7 @@
 	// No heartbeats of other entries were read during the pause, so missing ones
 	// prove nothing.
 	en.rowsMissedAt = now
+	en.evacuationsStale(now)
 	for _, id := range sortedKeys(en.sessions) {
 		if en.sessions[id].inbound != 0 {
 			en.InboundDown(id, en.sessions[id].inbound, "paused")
@@ -331,6 +338,7 @@
 	en.tickOwner(now)
 	en.tickStored(now)
 	en.tickHolder(now)
+	en.tickEvacuations(now)
 	if now.Sub(en.lastMemberTickAt) >= memberTickInterval+time.Duration(en.topology.size)*memberSpacing {
 		en.lastMemberTickAt = now
 		en.tickMember(now)
@@ -574,6 +582,12 @@
 		}
 	case WorkerNews:
 		en.handleWorkerNews(ms)
+	case AskEvacuations:
+		en.handleAskEvacuations(from, ms)
+	case Evacuations:
+		en.handleEvacuations(ms)
+	case AskMove:
+		en.handleAskMove(from, ms)
 	default:
 		en.eff.Log("unknown-message", "entry", string(from))
 	}
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -51,6 +51,7 @@
 	// its owner may start the task again. If it is zero in that state, the lease
 	// is not extended.
 	leaseLimit      time.Time
+	moveAskedAt     time.Time  // when the owner was last asked whether the run may be moved
 	stopConfirmedAt time.Time  // when the worker confirmed a stop
 	crash           *Crash     // set once the lifetime of the worker that was sent the run has ended
 	recall          recallStep // progress of recalling a start without a reply
@@ -69,6 +70,7 @@
 type worker struct {
 	info  WorkerInfo
 	token Token
+	evac  *evacuations // of the holder
 	phase workerPhase
 	slots map[TaskRef]*slot
 	used  Resources // sum of the slots
@@ -199,7 +201,7 @@
 func (wk *worker) usable(now time.Time) bool {
 	return wk.phase == phaseOpen && wk.failingSince.IsZero() && wk.holdRequiredSince.IsZero() && wk.reportCurrent() && wk.info.State == WorkerReady &&
 		wk.movingTo == "" && !now.Before(wk.blockedUntil) && !wk.hasOverdue && wk.lapseSince.IsZero() && (wk.failuresAt(now) == 0 || !wk.hasEndingTask()) &&
-		!wk.leaseExpiring(now) && !wk.unresponsive(now)
+		!wk.leaseExpiring(now) && !wk.unresponsive(now) && !wk.evac.bars(wk.info.Zone)
 }
 
 // reportCurrent reports whether the latest report is of the lifetime that answers.
@@ -236,7 +238,7 @@
 // takeWorker makes this entry the holder of a worker, under a fencing token.
 func (en *Entry) takeWorker(info WorkerInfo, token Token) {
 	wk := &worker{
-		info: info, token: token, phase: phaseFencing, slots: map[TaskRef]*slot{}, polls: map[int64]time.Time{}, born: info.Born,
+		info: info, token: token, evac: en.evac, phase: phaseFencing, slots: map[TaskRef]*slot{}, polls: map[int64]time.Time{}, born: info.Born,
 		retained: map[int64]retainedEnd{}, taskOwners: en.handoverOwners[info.ID],
 		speed: speed{class: en.classSpeed(info)},
 	}
--- a/internal/dispatch/lasting.go
+++ b/internal/dispatch/lasting.go
@@ -45,7 +45,7 @@
 	reason := ""
 	switch {
 	case sl.owner != "":
-		if wk.info.State == WorkerDraining && sl.state == slotRunning && en.roomElsewhere(wk, sl.shape, now) {
+		if wk.info.State == WorkerDraining && sl.state == slotRunning && en.roomElsewhere(wk, sl.shape, now) && en.mayStop(sl, now) {
 			reason = "worker draining"
 		}
 	case re != nil && re.State.ended():
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -128,6 +128,9 @@
 	// Lasting marks long-running tasks, which run until the job is cancelled. They
 	// are restarted however they end.
 	Lasting bool `json:",omitempty"`
+	// MaxUnavailable is the largest number of long-running tasks of the step that may
+	// be stopped at a time in order to move them, 0 for no limit.
+	MaxUnavailable int `json:",omitempty"`
 }
 
 // Repeat makes the steps of a job run several times at given times. The zero
@@ -210,6 +213,9 @@
 	// RemotePenalty is the factor by which the run time of a task increases when it
 	// runs on another rack than that of its data, 0 for no increase.
 	RemotePenalty float64
+	// EvacuationBound is the time after the request to evacuate a zone from which no
+	// task may start there, 0 for 5 seconds.
+	EvacuationBound time.Duration
 }
 
 // Self describes this entry to the others.
@@ -253,7 +259,10 @@
 	Lasting      bool // long-running: the tasks run until they are stopped
 	Gang         bool // all tasks need room at the same time
 	Advised      bool // only workers with a ticket may run it
-	Tickets      map[ids.WorkerID]string
+	// Checkpointing and MaxUnavailable are as in Step.
+	Checkpointing  bool
+	MaxUnavailable int
+	Tickets        map[ids.WorkerID]string
 	// Careful is set when a run of the step has failed recently. The tasks then
 	// wait for a short time for a worker on which no task has failed since the last
 	// success, and on which no task of the job has failed.
--- a/internal/dispatch/neighbours.go
+++ b/internal/dispatch/neighbours.go
@@ -255,7 +255,7 @@
 		return
 	}
 	switch msg.(type) {
-	case WorkerNews, NewDesired, AskDesired, JobNews, Unwant:
+	case WorkerNews, NewDesired, AskDesired, JobNews, Unwant, AskEvacuations, Evacuations:
 	default:
 		en.session(id).usedAt = en.now()
 	}
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -74,6 +74,7 @@
 	sent          bool      // this owner has sent a run of the task to a holder
 	checkpoint    string
 	checkpointRun Run // the run that saved the checkpoint
+	movedRun      Run // the run that was last stopped in order to move the task
 }
 
 func (ta *task) ref() TaskRef { return TaskRef{Task: ta.id, Run: ta.run} }
@@ -161,6 +162,10 @@
 		en.finish(jb, Outcome{Kind: Refused, Reason: "no-worker", RetryAfter: retryAfterNoWorker})
 		return
 	}
+	if en.onlyEvacuated(jb) {
+		en.finish(jb, evacuatedOutcome(jb))
+		return
+	}
 	en.advance(jb)
 }
 
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -223,13 +223,18 @@
 }
 
 // wantTargets lists the holders to ask for room: all reachable ones, or
-// maxWantHolders of them if there are more, with those in this zone first.
+// maxWantHolders of them if there are more. Holders of workers outside evacuated
+// zones come first, then those in this zone.
 func (en *Entry) wantTargets() []ids.EntryID {
 	list := en.reachable()
 	if len(list) <= maxWantHolders {
 		return list
 	}
+	usable := en.usableHolders()
 	sort.Slice(list, func(a, b int) bool {
+		if usable[list[a]] != usable[list[b]] {
+			return usable[list[a]]
+		}
 		if nearA, nearB := en.zoneOf(list[a]) == en.self.Zone, en.zoneOf(list[b]) == en.self.Zone; nearA != nearB {
 			return nearA
 		}
--- a/internal/dispatch/recall.go
+++ b/internal/dispatch/recall.go
@@ -61,7 +61,7 @@
 		if now.Sub(sl.startSent) < pause {
 			return
 		}
-		if sl.starts < maxStarts && wk.clockNow(now) < sl.startExpires {
+		if sl.starts < maxStarts && wk.clockNow(now) < sl.startExpires && !wk.evac.bars(wk.info.Zone) {
 			en.eff.Count("retry", "start-resent", 1)
 			en.sendStartOrder(wk, sl, now)
 			return
--- a/internal/dispatch/refusals.go
+++ b/internal/dispatch/refusals.go
@@ -41,7 +41,7 @@
 func (en *Entry) queueTime(svc ids.ServiceName) time.Duration {
 	var capacity Millicores
 	for _, kw := range en.known {
-		if kw.info.Service == svc && kw.info.State == WorkerReady {
+		if kw.info.Service == svc && kw.info.State == WorkerReady && !en.evac.evacuated(kw.info.Zone) {
 			capacity += kw.info.Room.CPU
 		}
 	}
--- a/internal/dispatch/steps.go
+++ b/internal/dispatch/steps.go
@@ -138,17 +138,19 @@
 		en.lastGroup++
 		gr := &group{id: en.lastGroup, job: jb, occ: oc, step: num, wantedFrom: map[ids.EntryID]bool{}}
 		gr.shape = Shape{
-			Service:      jb.Queue.Service,
-			Need:         st.Need,
-			Requirement:  st.Requirement,
-			Affinity:     st.Affinity,
-			AntiAffinity: st.AntiAffinity,
-			Estimate:     en.estimators[jb.Queue.Name].estimate(st.Estimate),
-			Priority:     jb.Queue.Priority,
-			Stored:       jb.stored != nil,
-			Lasting:      st.Lasting,
-			Gang:         st.Gang,
-			Advised:      jb.Queue.Advised,
+			Service:        jb.Queue.Service,
+			Need:           st.Need,
+			Requirement:    st.Requirement,
+			Affinity:       st.Affinity,
+			AntiAffinity:   st.AntiAffinity,
+			Estimate:       en.estimators[jb.Queue.Name].estimate(st.Estimate),
+			Priority:       jb.Queue.Priority,
+			Stored:         jb.stored != nil,
+			Lasting:        st.Lasting,
+			Gang:           st.Gang,
+			Advised:        jb.Queue.Advised,
+			Checkpointing:  st.Checkpointing,
+			MaxUnavailable: st.MaxUnavailable,
 		}
 		prefix := string(jb.Job.ID) + "." + strconv.Itoa(oc.num) + "." + strconv.Itoa(num) + "."
 		for idx := range st.Count {
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -12,7 +12,7 @@
 
 // TestTrace prints the log lines that contain one of the comma-separated words
 // in TRACE, for the random schedule SCHEDULE with the seed SEED. SCHEDULE is
-// plain (the default), store, callers, crashes, stored or mixed.
+// plain (the default), store, callers, crashes, evacuations, stored or mixed.
 func TestTrace(t *testing.T) {
 	want := os.Getenv("TRACE")
 	if want == "" {
@@ -74,7 +74,8 @@
 		// A crash of a long-running task whose holder had changed reset the count.
 		34,
 	}},
-	"stored": {offset: 5000, faultKinds: allFaults, play: storedSchedule, inCI: 40},
+	"evacuations": {offset: 100_000, faultKinds: evacuationFaults, play: evacuationSchedule, inCI: 12},
+	"stored":      {offset: 5000, faultKinds: allFaults, play: storedSchedule, inCI: 40},
 	"mixed": {offset: 40_000, faultKinds: allFaults, play: mixedSchedule, inCI: 10, regressions: []uint64{
 		// A partitioned owner placed tasks again before it had detected that its jobs
 		// had been taken over.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -134,6 +134,9 @@
 	// DecodeDesired decodes a row of TableDesired. It returns false for a row of
 	// another kind.
 	DecodeDesired(key string, raw []byte) (dispatch.Desired, bool, error)
+	// DecodeEvacuation decodes the key of a row of TableDesired that requests the
+	// evacuation of a zone. It returns false for a row of another kind.
+	DecodeEvacuation(key string) (ids.AvailabilityZone, bool)
 }
 
 // Workers carries out orders to workers.
@@ -192,6 +195,9 @@
 	advice []dispatch.AdviceOrder
 	// nextJobWrite is the earliest start of the next transaction of jobs.
 	nextJobWrite time.Time
+	// evacuated holds the zones that have gauges that may not be 0.
+	evacuated          map[ids.AvailabilityZone]bool
+	evacuationGaugesAt time.Time
 }
 
 // New returns an entry that is not started yet.
@@ -236,6 +242,7 @@
 				dm.updateLinks(en)
 			}
 			dm.checkSilence(en)
+			dm.updateEvacuationGauges(en)
 		})
 	})
 	return nil
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -75,6 +75,9 @@
 	put func(en *dispatch.Entry, ro Row, full bool)
 	// drop applies the removal of a row.
 	drop func(en *dispatch.Entry, key string, version dispatch.Version)
+	// read is called with each answer and all of its rows, nil for nothing. complete
+	// is false if further changes follow.
+	read func(rows []Row, full, complete bool, version dispatch.Version, sent time.Time)
 }
 
 // follow keeps the state up to date with a table until ctx ends.
@@ -109,6 +112,9 @@
 		}
 		dm.apply(tb, rows, keys, full)
 		complete := full || len(rows) < maxFeedRows
+		if tb.read != nil {
+			tb.read(rows, full, complete, next, sent)
+		}
 		if complete {
 			dm.reportFollowed(tb.name, sent, next)
 		}
@@ -231,7 +237,12 @@
 // open.
 func (dm *Daemon) desiredPollWait() time.Duration {
 	reachable := 0
-	dm.locked(func(en *dispatch.Entry) { reachable = en.Reachable() })
+	fresh := true
+	dm.locked(func(en *dispatch.Entry) { reachable, fresh = en.Reachable(), en.EvacuationsFresh() })
+	if !fresh {
+		// This entry starts no task until a read that is sent now is answered.
+		return 0
+	}
 	if reachable < longWaitMinEntries {
 		return desiredWait
 	}
@@ -241,7 +252,12 @@
 func (dm *Daemon) followDesired(ctx context.Context) {
 	dm.follow(ctx, followedTable{
 		name: TableDesired, parts: []Part{""}, wait: dm.desiredPollWait,
+		read: dm.readEvacuations,
 		put: func(en *dispatch.Entry, ro Row, _ bool) {
+			if _, ok := dm.store.DecodeEvacuation(ro.Key); ok {
+				// readEvacuations handles the row.
+				return
+			}
 			des, ok, err := dm.store.DecodeDesired(ro.Key, ro.Value)
 			if err != nil {
 				dm.log.Log("desired-state-unreadable", "key", ro.Key, "version", int64(ro.Version), "error", err.Error())
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -45,8 +45,9 @@
 )
 
 // peerProtocol is the version of the messages between entries. Version 0
-// supports neither omitted loads nor sessions with slow heartbeats.
-const peerProtocol = 1
+// supports neither omitted loads nor sessions with slow heartbeats, version 1 no
+// messages about evacuations.
+const peerProtocol = 2
 
 // Batch is what one entry sends to another in one call.
 type Batch struct {
@@ -67,7 +68,9 @@
 	SameLoad       bool
 	Load           dispatch.Load
 	DesiredVersion int64
-	Messages       []dispatch.Message
+	// EvacuationVersion is that of the set of evacuated zones.
+	EvacuationVersion dispatch.Version
+	Messages          []dispatch.Message
 }
 
 // Ack acknowledges a batch. Its sender is the receiver of the batch.
@@ -81,6 +84,8 @@
 	SameLoad       bool // as in Batch
 	Load           dispatch.Load
 	DesiredVersion int64
+	// EvacuationVersion is as in Batch.
+	EvacuationVersion dispatch.Version
 }
 
 func init() {
@@ -104,6 +109,9 @@
 		dispatch.PastEnds{},
 		dispatch.WorkerNews{},
 		dispatch.AskDesired{},
+		dispatch.AskEvacuations{},
+		dispatch.Evacuations{},
+		dispatch.AskMove{},
 	} {
 		gob.Register(msg)
 	}
@@ -169,6 +177,8 @@
 	switch msg.(type) {
 	case dispatch.WorkerNews, dispatch.AskDesired:
 		return protocol > 0
+	case dispatch.AskEvacuations, dispatch.Evacuations, dispatch.AskMove:
+		return protocol > 1
 	default:
 		return true
 	}
@@ -252,6 +262,7 @@
 			if des := en.Desired(); des != nil {
 				batch.DesiredVersion = des.Version
 			}
+			batch.EvacuationVersion = en.EvacuationVersion()
 			batch.Messages, lk.queue = lk.queue, nil
 			lk.inFlight, sent = len(batch.Messages) > 0, lk.dm.lockedAt
 		})
@@ -359,6 +370,7 @@
 			en.HandlePeerLoad(lk.to, ack.Load)
 		}
 		lk.dm.handleDesiredVersion(en, lk.to, ack.Protocol, ack.DesiredVersion)
+		en.HandlePeerEvacuations(lk.to, ack.EvacuationVersion)
 	})
 	return continues
 }
@@ -522,7 +534,9 @@
 		if des := en.Desired(); des != nil {
 			ack.DesiredVersion = des.Version
 		}
+		ack.EvacuationVersion = en.EvacuationVersion()
 		in.dm.handleDesiredVersion(en, from, batch.Protocol, batch.DesiredVersion)
+		en.HandlePeerEvacuations(from, batch.EvacuationVersion)
 	})
 	return err
 }
--- a/internal/fleet/stand_in_test.go
+++ b/internal/fleet/stand_in_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -139,6 +140,11 @@
 	return des, true, err
 }
 
+func (ms *memStore) DecodeEvacuation(key string) (ids.AvailabilityZone, bool) {
+	zone, ok := strings.CutPrefix(key, "evacuate/")
+	return ids.AvailabilityZone(zone), ok
+}
+
 // put writes a row as the operator or a worker does.
 func (ms *memStore) put(tb Table, key string, val any) {
 	raw, err := json.Marshal(val)
