--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -271,6 +271,10 @@
 			order.Ref.Task = TaskID(fmt.Sprintf("%s.0.1.%d", at.job, at.idx))
 			ef.StartTask(order)
 		}, "is done"},
+		{"a task is started in an evacuated zone", func(ef *emuEffects, order StartOrder) {
+			ef.ee.wo.evacuation.requested["north"] = emuEpoch.Add(-emuEvacuationBound)
+			ef.StartTask(order)
+		}, "after the evacuation of its zone"},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -1026,6 +1026,7 @@
 	// shrunkFrom is the room before it shrank at shrunkAt.
 	shrunkFrom Resources
 	shrunkAt   time.Time
+	startedAt  time.Time // when a run was last started
 	// refuses is set while the process is down and its machine refuses connections.
 	refuses bool
 }
@@ -1034,7 +1035,9 @@
 	ref   TaskRef
 	need  Resources
 	ended bool
-	gang  *emuGang
+	// stopping is set once the run was stopped to leave an evacuated zone.
+	stopping bool
+	gang     *emuGang
 	// began is when the run was started, zero if it hangs. resumed is the work done by earlier runs,
 	// according to the checkpoint that it continues from.
 	began   time.Time
@@ -1140,7 +1143,7 @@
 	if jb.stored && wo.acknowledged[order.Ref.Task] {
 		wo.violation("task %v starts although its completion was acknowledged", order.Ref)
 	}
-	wo.lastStart[order.Ref.Task] = wo.at
+	wo.lastStart[order.Ref.Task], wk.startedAt = wo.at, wo.at
 	wk.traceEvent("starts", order.Ref, "token", order.Token)
 	wk.checkPlacement(jb, order)
 	run := &emuRun{ref: order.Ref, need: emuNeed(order.Payload)}
@@ -1375,6 +1378,7 @@
 	wk.token = order.Token
 	wk.latest[order.Ref.Task] = max(wk.latest[order.Ref.Task], order.Ref.Run)
 	if run := wk.runs[order.Ref]; run != nil {
+		wk.wo.recordMove(wk, run)
 		at, _ := parseTaskID(order.Ref.Task)
 		if wk.wo.jobs[at.job].steps[at.step].Lasting && !wk.wo.cancelled[at.job] && wk.info.State == WorkerReady && wk.wo.evacuation.requested[wk.info.Zone].IsZero() {
 			wk.wo.lastingStops++
@@ -1480,6 +1484,7 @@
 	repeat        int
 	gang          bool
 	lasting       bool
+	unavailable   int  // largest number of long-running tasks that may be moved at a time
 	checkpointing bool // tasks save checkpoints, see emuWorker.checkpoint
 	colocated     bool
 	// accelerators is the number of accelerators that a task needs in place of CPU.
@@ -1510,7 +1515,7 @@
 		if kd.racks > 0 && jb.rack == "" {
 			jb.rack = ids.RackID(fmt.Sprintf("rack-%d", wo.rnd.IntN(kd.racks)))
 		}
-		st := Step{Checkpointing: kd.checkpointing, Gang: kd.gang, Lasting: kd.lasting, Colocated: kd.colocated, Requirement: kd.label, AntiAffinity: kd.spread, Affinity: jb.rack, Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared}
+		st := Step{Checkpointing: kd.checkpointing, Gang: kd.gang, Lasting: kd.lasting, MaxUnavailable: kd.unavailable, Colocated: kd.colocated, Requirement: kd.label, AntiAffinity: kd.spread, Affinity: jb.rack, Count: count, Need: Resources{CPU: cpu, Memory: 64}, Estimate: declared}
 		if kd.accelerators > 0 {
 			st.Need.CPU, st.Need.Accelerators = 0, kd.accelerators
 			job.Payload = fmt.Sprintf("cpu=0 accelerators=%d", kd.accelerators)
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -112,9 +112,7 @@
 		}
 		dm.apply(tb, rows, keys, full)
 		complete := full || len(rows) < maxFeedRows
-		if tb.read != nil {
-			tb.read(rows, full, complete, next, sent)
-		}
+		tb.passAll(rows, full, complete, next, sent)
 		if complete {
 			dm.reportFollowed(tb.name, sent, next)
 		}
@@ -125,6 +123,13 @@
 	}
 }
 
+// passAll passes the rows of an answer to read.
+func (tb followedTable) passAll(rows []Row, full, complete bool, version dispatch.Version, sent time.Time) {
+	if tb.read != nil {
+		tb.read(rows, full, complete, version, sent)
+	}
+}
+
 // handleReadError handles a failed read. It returns the version to continue
 // from, -1 for a full read of the table.
 func (dm *Daemon) handleReadError(ctx context.Context, tb Table, version dispatch.Version, err error) dispatch.Version {
