--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -221,6 +221,8 @@
 			ee.kill()
 			wo.after(span, func() { wo.addEntry(fmt.Sprintf("entry-%02d", len(wo.entries)), ee.zone, 0.4) })
 		}
+	case 15:
+		wo.evacuate(ee.zone, emuEvacuationBound+3*span)
 	}
 }
 
@@ -269,6 +271,10 @@
 			order.Ref.Task = TaskID(fmt.Sprintf("%s.0.1.%d", at.job, at.idx))
 			ef.StartTask(order)
 		}, "is done"},
+		{"a task is started in an evacuated zone", func(ef *emuEffects, order StartOrder) {
+			ef.ee.wo.evacuation.requested["north"] = emuEpoch.Add(-emuEvacuationBound)
+			ef.StartTask(order)
+		}, "after the evacuation of its zone"},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -201,6 +201,9 @@
 	handoverOwners      map[ids.WorkerID][]ids.EntryID
 	ignoreRunTimesUntil time.Time // measured run times are ignored until then
 	lossyUntil          time.Time // single calls to workers may be lost until then
+
+	evac            *evacuations
+	evacuationBound time.Duration
 }
 
 // session is the state of the connection between this entry and another one, in
@@ -274,6 +277,9 @@
 		rowAt:            map[ids.WorkerID]time.Time{},
 		known:            map[ids.WorkerID]*knownWorker{},
 		lastCallAt:       now(),
+
+		evac:            newEvacuations(now()),
+		evacuationBound: cmp.Or(max(lim.EvacuationBound, 0), defaultEvacuationBound),
 	}
 }
 
@@ -320,6 +326,7 @@
 	// No heartbeats of other entries were read during the pause, so missing ones
 	// prove nothing.
 	en.rowsMissedAt = now
+	en.evacuationsStale(now)
 	for _, id := range sortedKeys(en.sessions) {
 		if en.sessions[id].inbound != 0 {
 			en.InboundDown(id, en.sessions[id].inbound, "paused")
@@ -334,6 +341,7 @@
 	en.tickOwner(now)
 	en.tickStored(now)
 	en.tickHolder(now)
+	en.tickEvacuations(now)
 	if now.Sub(en.lastMemberTickAt) >= memberTickInterval+time.Duration(en.topology.size)*memberSpacing {
 		en.lastMemberTickAt = now
 		en.tickMember(now)
@@ -577,6 +585,12 @@
 		}
 	case WorkerNews:
 		en.handleWorkerNews(ms)
+	case AskEvacuations:
+		en.handleAskEvacuations(from, ms)
+	case Evacuations:
+		en.handleEvacuations(ms)
+	case AskMove:
+		en.handleAskMove(from, ms)
 	default:
 		en.eff.Log("unknown-message", "entry", string(from))
 	}
