dispatch: place work on cold workers by their cold speed

A worker that has just started is slower for some time, and its reports say for how long (coldRemainingMs). This had no effect: tasks were placed there as on a warm worker, and their run times changed its learned speed. The ratio of cold to warm speed is now learned for each class, apart from the speed itself and from the estimates of queues; a cold worker gets one task at a time until one has ended done, unless no warm worker has room; and starts are limited by a token bucket where the desired state sets coldPerS and the settings coldOvershoot.

--- a/internal/dispatch/adoption.go
+++ b/internal/dispatch/adoption.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		sl.unclaimed, sl.state, sl.owner = false, slotRunning, from
-		sl.group, sl.job = kp.Group, kp.Job
+		sl.group, sl.job, sl.cold = kp.Group, kp.Job, wk.isCold(en.now())
 		if kp.Ran > 0 {
 			sl.began, sl.beganUnknown = en.now().Add(-kp.Ran), false
 		}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -89,6 +89,7 @@
 	lastStart    map[TaskID]time.Time // of the latest run
 
 	evacuation  emuEvacuation
+	hidesCold   bool // workers do not report that they are cold
 	crash       crashLog
 	lastStarter ids.EntryID // the entry that has sent the latest start order
 }
@@ -256,7 +257,7 @@
 	ee.size = size
 	ee.alive, ee.jobsVersion, ee.holdersVersion, ee.evacuationsVersion = true, 0, 0, -1
 	ee.inc = ids.Incarnation(fmt.Sprintf("%s/%d", ee.id, ee.gen))
-	ee.en = New(Self{Incarnation: ee.inc, Zone: ee.zone, Size: size}, Limits{RemotePenalty: emuPenalty}, &emuEffects{ee: ee, en: nil}, func() time.Time { return wo.at })
+	ee.en = New(Self{Incarnation: ee.inc, Zone: ee.zone, Size: size}, Limits{RemotePenalty: emuPenalty, ColdOvershoot: 1.5, ColdSlack: emuColdBurst}, &emuEffects{ee: ee, en: nil}, func() time.Time { return wo.at })
 	ee.en.eff = &emuEffects{ee: ee, en: ee.en}
 	if wo.desired.Version > 0 {
 		ee.en.Apply(wo.desired)
@@ -420,6 +421,9 @@
 	}
 	info := wk.info
 	info.Sequence = wo.at.UnixNano()
+	if !wo.hidesCold {
+		info.ColdRemaining = max(0, wk.cold.until.Sub(wo.at))
+	}
 	info.Version = Version(wo.at.Truncate(emuReportInterval).UnixNano())
 	return info, true
 }
@@ -1027,6 +1031,7 @@
 	shrunkFrom Resources
 	shrunkAt   time.Time
 	startedAt  time.Time // when a run was last started
+	cold       emuCold
 	// refuses is set while the process is down and its machine refuses connections.
 	refuses bool
 }
@@ -1038,10 +1043,11 @@
 	// stopping is set once the run was stopped to leave an evacuated zone.
 	stopping bool
 	gang     *emuGang
-	// began is when the run was started, zero if it hangs. resumed is the work done by earlier runs,
-	// according to the checkpoint that it continues from.
+	// began is when the run was started, zero if it hangs. resumed is the work done by
+	// earlier runs, according to the checkpoint that it continues from.
 	began   time.Time
 	resumed time.Duration
+	speed   float64
 }
 
 // resume returns the work done according to the checkpoint of a start order.
@@ -1070,7 +1076,7 @@
 	}
 	done := run.resumed
 	if !run.began.IsZero() {
-		done += time.Duration(float64(wk.wo.at.Sub(run.began)) * wk.speed)
+		done += time.Duration(float64(wk.wo.at.Sub(run.began)) * run.speed)
 	}
 	if how != EndStopped {
 		done = done.Truncate(emuCheckpointInterval)
@@ -1165,7 +1171,8 @@
 		return rep
 	}
 	run.began = wo.at
-	took, how := time.Duration(float64(jb.length[order.Ref.Task]-run.resumed)/wk.speed), EndDone
+	run.speed = wk.coldStart(order)
+	took, how := time.Duration(float64(jb.length[order.Ref.Task]-run.resumed)/run.speed), EndDone
 	if jb.rack != "" && jb.rack != wk.info.Rack {
 		took = time.Duration(float64(took) * emuPenalty)
 		wo.remoteStarts++
@@ -1460,6 +1467,7 @@
 	}
 	wk.wo.after(restart, func() {
 		wk.up = true
+		wk.cold.begin(wk.wo.at)
 		wk.info.Born++
 		wk.token, wk.number, wk.lease, wk.latest = 0, 0, 0, map[TaskID]Run{}
 		// The clock of a lifetime starts at zero.
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -202,6 +202,7 @@
 
 	evac            *evacuations
 	evacuationBound time.Duration
+	coldLimits      *coldLimits
 }
 
 // session is the state of the connection between this entry and another one, in
@@ -277,6 +278,7 @@
 
 		evac:            newEvacuations(now()),
 		evacuationBound: cmp.Or(max(lim.EvacuationBound, 0), defaultEvacuationBound),
+		coldLimits:      newColdLimits(lim),
 	}
 }
 
@@ -353,6 +355,7 @@
 		return false
 	}
 	en.desired = &des
+	en.coldLimits.apply(des)
 	for _, qu := range des.Queues {
 		en.services[qu.Service] = true
 	}
--- a/internal/dispatch/estimate.go
+++ b/internal/dispatch/estimate.go
@@ -80,6 +80,7 @@
 type classSpeed struct {
 	meanLog float64
 	samples int
+	cold    coldSpeed
 }
 
 func (cs *classSpeed) learn(ratioLog float64) {
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -484,7 +484,7 @@
 	if !sl.shape.Checkpointing {
 		return false
 	}
-	end := sl.began.Add(time.Duration(float64(sl.shape.Estimate) / wk.speed.factor()))
+	end := sl.began.Add(time.Duration(float64(sl.shape.Estimate) / wk.runFactor(sl)))
 	if end.Before(now) {
 		end = now
 	}
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -43,6 +43,7 @@
 	unclaimed       bool   // listed by the worker, not claimed, not known to be long-running
 	beganUnknown    bool   // began is the time at which this holder found the run
 	listed          bool   // the worker has listed the run
+	cold            bool   // the worker was cold when the run began
 	confirmed       bool   // the worker has answered that it has started the run
 	savedCheckpoint string // the latest checkpoint that the worker has listed
 	// orphanedAt is when a long-running task lost its owner.
@@ -68,12 +69,14 @@
 
 // worker is a worker that this entry holds.
 type worker struct {
-	info  WorkerInfo
-	token Token
-	evac  *evacuations // of the holder
-	phase workerPhase
-	slots map[TaskRef]*slot
-	used  Resources // sum of the slots
+	info       WorkerInfo
+	token      Token
+	evac       *evacuations // of the holder
+	cold       coldPhase
+	coldLimits *coldLimits // of the holder
+	phase      workerPhase
+	slots      map[TaskRef]*slot
+	used       Resources // sum of the slots
 
 	polls             map[int64]time.Time // send times of the polls in flight, by PollID
 	lastPoll          int64
@@ -238,7 +241,7 @@
 // takeWorker makes this entry the holder of a worker, under a fencing token.
 func (en *Entry) takeWorker(info WorkerInfo, token Token) {
 	wk := &worker{
-		info: info, token: token, evac: en.evac, phase: phaseFencing, slots: map[TaskRef]*slot{}, polls: map[int64]time.Time{}, born: info.Born,
+		info: info, token: token, evac: en.evac, coldLimits: en.coldLimits, phase: phaseFencing, slots: map[TaskRef]*slot{}, polls: map[int64]time.Time{}, born: info.Born,
 		retained: map[int64]retainedEnd{}, taskOwners: en.handoverOwners[info.ID],
 		speed: speed{class: en.classSpeed(info)},
 	}
@@ -247,6 +250,9 @@
 			en.requestLink(id)
 		}
 	}
+	if kw := en.known[info.ID]; kw != nil {
+		wk.takeCold(kw.coldUntil, en.now())
+	}
 	en.workers[info.ID] = wk
 	en.unreached[info.ID] = en.now()
 	en.eff.Log("worker-taken", "worker", string(info.ID), "token", int64(token), "zone", string(info.Zone))
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -251,6 +251,8 @@
 		ref: as.TaskRef, owner: from, group: ms.Group, job: ms.Job, shape: shape, state: slotOrdered,
 		began: now, remote: remote, stalls: as.Stalls,
 	}
+	sl.cold = wk.isCold(now)
+	wk.useColdToken(now)
 	wk.addSlot(sl)
 	lease := en.allowedLease(wk, en.startLease, now)
 	sl.startExpires = wk.clockNow(now) + WorkerTime(lease)
@@ -284,6 +286,9 @@
 	if wk.info.Service != sh.Service || !wk.usable(now) {
 		return false
 	}
+	if wk.coldTokens(now) < 1 {
+		return false
+	}
 	if sh.Advised && sh.Tickets[wk.info.ID] == "" {
 		return false
 	}
@@ -328,13 +333,16 @@
 			continue
 		}
 		score := en.score(wk, sh, inTime, now)
-		if !score.inTime && mayBeInTime && (!score.near || wk.speed.factor() < fastSpeed) {
+		if !score.inTime && mayBeInTime && (!score.near || wk.factor(now) < fastSpeed) {
 			continue
 		}
 		if best == nil || score.better(bestScore, best, wk) {
 			best, bestScore = wk, score
 		}
 	}
+	if bestScore.held && en.warmRoomElsewhere(sh) {
+		return nil
+	}
 	return best
 }
 
@@ -342,6 +350,7 @@
 	inTime bool
 	near   bool // on the rack of the task's data, or the task names no rack
 	fast   bool
+	held   bool // see worker.held
 	spare  Millicores
 }
 
@@ -350,7 +359,7 @@
 func (wk *worker) near(sh Shape) bool { return sh.Affinity == "" || sh.Affinity == wk.info.Rack }
 
 func (en *Entry) score(wk *worker, sh Shape, inTime time.Time, now time.Time) pickScore {
-	factor := wk.speed.factor()
+	factor := wk.factor(now)
 	if !wk.near(sh) {
 		factor /= en.remotePenalty
 	}
@@ -359,6 +368,7 @@
 		inTime: !now.Add(took).After(inTime),
 		near:   wk.near(sh),
 		fast:   factor >= fastSpeed,
+		held:   wk.held(now),
 		spare:  wk.free().CPU - sh.Need.CPU,
 	}
 }
@@ -372,6 +382,9 @@
 	if ps.inTime != other.inTime {
 		return ps.inTime
 	}
+	if ps.held != other.held {
+		return other.held
+	}
 	if ps.fast != other.fast {
 		// If the task is in time on both workers, the fast one stays free. If it is
 		// late on both, it runs on the fast one.
@@ -397,14 +410,14 @@
 	}
 	for _, id := range sortedKeys(en.workers) {
 		wk := en.workers[id]
-		if !wk.usable(now) {
+		if !wk.usable(now) || !en.reportsRoom(wk, now) {
 			continue
 		}
 		room := wk.free()
 		if room.CPU > 0 || room.Accelerators > 0 {
 			ld.Free = append(ld.Free, Free{
 				Service: wk.info.Service, CPU: room.CPU, Accelerators: room.Accelerators, Rack: wk.info.Rack,
-				Speed: float32(math.Round(wk.speed.factor()*speedSteps) / speedSteps),
+				Speed: float32(math.Round(wk.factor(now)*speedSteps) / speedSteps),
 			})
 		}
 	}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -22,6 +22,7 @@
 	removedAt     time.Time // when its row was found missing, zero while it exists
 	reportedAfter time.Time // the worker is known to have reported at this time or later
 	readAt        time.Time // when this entry last read the report from the store
+	coldUntil     time.Time // the worker is slow after its start until then, zero if it is not
 }
 
 // The limits on membership.
@@ -161,6 +162,8 @@
 		en.eff.Log("worker-state", "worker", string(info.ID), "state", string(info.State), "sequence", info.Sequence, "own-read", own)
 	}
 	changed := info.changedFrom(kw.info) || !kw.removedAt.IsZero()
+	kw.coldUntil = kw.coldEnd(info, en.now())
+	restarted := info.Born != kw.info.Born
 	en.claimsChanged = en.claimsChanged || changed
 	kw.info, kw.removedAt = info, time.Time{}
 	if changed {
@@ -189,6 +192,7 @@
 		wk.requireHold(en.now())
 	}
 	wk.info = info
+	wk.setCold(kw.coldUntil, en.now(), restarted)
 	if cs := en.classSpeed(info); cs != wk.speed.class {
 		// The worker has restarted on a machine of another kind.
 		wk.speed = speed{class: cs}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -180,6 +180,8 @@
 	Version int64
 	Queues  []Queue
 	Limits  CallerLimits
+	// Services holds the limits of services that have any.
+	Services []ServiceLimits
 }
 
 // WorkerState is whether a worker accepts new tasks.
@@ -204,6 +206,9 @@
 	Born     int64     // start of the worker's present lifetime, in Unix milliseconds
 	Sequence int64     // increases with each report of this lifetime
 	Version  Version   // of the row in the store
+	// ColdRemaining is how much longer the worker is slow after its start, from the
+	// time of the report.
+	ColdRemaining time.Duration
 }
 
 // Limits are properties of the workers, from the platform's settings.
@@ -216,6 +221,10 @@
 	// EvacuationBound is the time after the request to evacuate a zone from which no
 	// task may start there, 0 for 5 seconds.
 	EvacuationBound time.Duration
+	// A cold worker gets at most ColdOvershoot times the ColdPerSecond of its service
+	// starts per second, 0 for no limit, and ColdSlack at once.
+	ColdOvershoot float64
+	ColdSlack     float64
 }
 
 // Self describes this entry to the others.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -29,19 +29,23 @@
 	if sl.owner == "" {
 		return
 	}
-	factor := wk.speed.factor()
+	factor := wk.runFactor(sl)
 	expected := time.Duration(float64(sl.shape.Estimate) / factor)
 	work := time.Duration(0)
 	switch how {
 	case EndDone:
-		if !sl.beganUnknown && en.endTimeKnown(wk) {
+		switch {
+		case sl.beganUnknown || !en.endTimeKnown(wk):
+		case sl.cold:
+			wk.learnCold(sl, took, en.now())
+		default:
 			work = time.Duration(float64(took) * factor)
 			if sl.remote {
 				work = time.Duration(float64(work) / en.remotePenalty)
 			}
 			wk.speed.learn(sl.shape.Estimate, took)
 		}
-		wk.failures, wk.blockedUntil = 0, time.Time{}
+		wk.failures, wk.blockedUntil, wk.cold.proven = 0, time.Time{}, true
 		en.eff.Observe("task.took", took)
 	case EndFailed:
 		en.recordFailure(wk, sl)
@@ -287,7 +291,7 @@
 	if now.Before(en.ignoreRunTimesUntil) {
 		return
 	}
-	expected := time.Duration(float64(sl.shape.Estimate) / wk.speed.factor())
+	expected := time.Duration(float64(sl.shape.Estimate) / wk.runFactor(sl))
 	// A task that was stopped before may take longer than estimated.
 	limit := max(stallFloor, time.Duration(stallFactor*float64(expected))) << (2 * min(sl.stalls, maxCountedStalls))
 	if ran < limit || (float64(ran) < forcedStallFactor*float64(limit) && !en.roomElsewhere(wk, sl.shape, now)) {
@@ -301,7 +305,7 @@
 // roomElsewhere reports whether another fast worker has room for a task now.
 func (en *Entry) roomElsewhere(except *worker, sh Shape, now time.Time) bool {
 	for _, wk := range en.workers {
-		if wk != except && wk.speed.factor() >= fastSpeed && wk.accepts(sh, wantKey{}, now) {
+		if wk != except && wk.factor(now) >= fastSpeed && wk.accepts(sh, wantKey{}, now) {
 			return true
 		}
 	}
@@ -315,7 +319,7 @@
 
 func (wk *worker) anyOverdue(now time.Time) bool {
 	for _, sl := range wk.slots {
-		expected := float64(sl.shape.Estimate) / wk.speed.factor() * overdueFactor
+		expected := float64(sl.shape.Estimate) / wk.runFactor(sl) * overdueFactor
 		if sl.state == slotRunning && !sl.shape.Lasting && now.Sub(sl.began) > max(overdueFloor, time.Duration(expected)) {
 			return true
 		}
--- a/internal/dispatch/recall.go
+++ b/internal/dispatch/recall.go
@@ -83,7 +83,7 @@
 	if !now.Before(en.lossyUntil) || sl.shape.Lasting || now.Sub(wk.listsAt) < duePollPause {
 		return
 	}
-	expected := time.Duration(float64(sl.shape.Estimate) / wk.speed.factor())
+	expected := time.Duration(float64(sl.shape.Estimate) / wk.runFactor(sl))
 	if now.Sub(sl.began) > expected {
 		en.poll(wk, now)
 	}
--- a/internal/dispatch/worker_news.go
+++ b/internal/dispatch/worker_news.go
@@ -77,7 +77,7 @@
 // its sequence number and version.
 func (info WorkerInfo) changedFrom(old WorkerInfo) bool {
 	return info.Service != old.Service || info.Address != old.Address || info.Zone != old.Zone || info.Rack != old.Rack ||
-		info.State != old.State || info.Room != old.Room || info.Born != old.Born || !slices.Equal(info.Labels, old.Labels)
+		info.State != old.State || info.Room != old.Room || info.Born != old.Born || (info.ColdRemaining > 0) != (old.ColdRemaining > 0) || !slices.Equal(info.Labels, old.Labels)
 }
 
 // queueWorkerNews adds a change to the next WorkerNews, for the entries that do
@@ -154,7 +154,9 @@
 	news := WorkerNews{Whole: true, Version: en.workersVersion}
 	for _, wid := range sortedKeys(en.known) {
 		if kw := en.known[wid]; kw.info.Zone == zone && kw.removedAt.IsZero() {
-			news.Workers = append(news.Workers, kw.info)
+			info := kw.info
+			info.ColdRemaining = max(0, kw.coldUntil.Sub(en.now()))
+			news.Workers = append(news.Workers, info)
 		}
 	}
 	if len(news.Workers) > 0 {
