--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -606,3 +606,44 @@
 		})
 	}
 }
+
+// TestEvacuationLargeFleet guards against owners in an evacuated zone of a large fleet
+// that find no room: most of their neighbours hold workers of the same zone.
+func TestEvacuationLargeFleet(t *testing.T) {
+	t.Parallel()
+	const entries = 60
+	wo := largeWorld(990, entries)
+	wo.run(4 * time.Second)
+	wo.evacuate("north", 20*time.Second)
+	wo.run(4 * time.Second)
+	// Jobs arrive at entries of the evacuated zone only.
+	wo.loadAt("north", standardKinds, 0.7*7*entries*loadPerWorker, 6*time.Second)
+	wo.run(10 * time.Second)
+	wo.check(t)
+	wo.checkAnswered(t)
+	if share := wo.inTimeShare(); share < 0.9 {
+		t.Errorf("%.3f of the jobs were in time, want 0.90 or more: %v of %v, %v", share, wo.inTime, wo.submitted, wo.done)
+	}
+}
+
+// loadAt submits jobs of the given kinds at random times to the entries of a zone.
+func (wo *world) loadAt(zone ids.AvailabilityZone, kinds []kind, factor float64, du time.Duration) {
+	var list []*emuEntry
+	for _, ee := range wo.sortedEntries() {
+		if ee.zone == zone {
+			list = append(list, ee)
+		}
+	}
+	end := wo.at.Add(du)
+	for _, kd := range kinds {
+		var next func()
+		next = func() {
+			if wo.at.After(end) {
+				return
+			}
+			wo.submit(list[wo.rnd.IntN(len(list))], kd)
+			wo.after(time.Duration(wo.rnd.ExpFloat64()/(kd.perS*factor)*float64(time.Second)), next)
+		}
+		wo.after(0, next)
+	}
+}
