--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -218,7 +218,7 @@
 	}
 	// The number proves that the answer was sent after the request. An earlier
 	// message may have waited in a connection during a pause.
-	if ms.Number == ev.number {
+	if ms.Number > 0 && ms.Number == ev.number {
 		en.evacuationsFresh()
 	}
 }
@@ -484,7 +484,7 @@
 	if !sl.shape.Checkpointing {
 		return false
 	}
-	end := sl.began.Add(time.Duration(float64(sl.shape.Estimate) / wk.speed.factor()))
+	end := sl.began.Add(time.Duration(float64(sl.shape.Estimate) / wk.runFactor(sl)))
 	if end.Before(now) {
 		end = now
 	}
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -462,6 +462,33 @@
 	}
 }
 
+// TestDrainedRuns guards against a draining worker whose long-running tasks are all
+// stopped at the same time, although their step limits how many may be unavailable.
+func TestDrainedRuns(t *testing.T) {
+	for limit, want := range []int{2, 1, 2} {
+		et := newEvacuationTest(t)
+		et.submit(1, Step{Count: 2, Lasting: true, MaxUnavailable: limit}, func(sub *Submission) { sub.Job.Stored = true })
+		et.en.JobStored(JobWrite{Record: et.en.jobs["0000000000000001"].stored.rec}, JobWriteReply{OK: true, Version: 70})
+		et.wo.tick(et.en, 40*time.Millisecond)
+		et.confirm()
+		et.addWorker("x", "east")
+		info := et.en.known["w"].info
+		info.State, info.Version = WorkerDraining, 10
+		et.en.PutWorker(info)
+		for range 10 {
+			et.wo.tick(et.en, 30*time.Millisecond)
+			et.answer(et.rc.starts[:2])
+		}
+		refs := map[TaskRef]bool{}
+		for _, order := range et.rc.stops {
+			refs[order.Ref] = true
+		}
+		if len(refs) != want {
+			t.Errorf("%d runs on a draining worker are stopped with limit %d, want %d", len(refs), limit, want)
+		}
+	}
+}
+
 // TestEvacuatedJobs guards against callers that wait for workers that no task may
 // use, and against stored or timed jobs that are lost because of an evacuation.
 func TestEvacuatedJobs(t *testing.T) {
@@ -507,6 +534,16 @@
 	})
 }
 
+// TestAdviceOutsideEvacuatedZones guards against an owner that asks for advice about
+// workers that may run nothing.
+func TestAdviceOutsideEvacuatedZones(t *testing.T) {
+	et := newEvacuationTest(t, "x")
+	et.evacuate(5)
+	if list := et.en.workersToAsk(&group{shape: Shape{Service: "fitdesk"}}, "step"); len(list) != 1 || list[0] != "x" {
+		t.Errorf("advice is requested about %v, want x, which is not evacuated", list)
+	}
+}
+
 // TestWantsOutsideEvacuatedZones guards against an owner that asks only the holders
 // of its own zone for room, when that zone is evacuated.
 func TestWantsOutsideEvacuatedZones(t *testing.T) {
@@ -606,3 +643,44 @@
 		})
 	}
 }
+
+// TestEvacuationLargeFleet guards against owners in an evacuated zone of a large fleet
+// that find no room: most of their neighbours hold workers of the same zone.
+func TestEvacuationLargeFleet(t *testing.T) {
+	t.Parallel()
+	const entries = 60
+	wo := largeWorld(990, entries)
+	wo.run(4 * time.Second)
+	wo.evacuate("north", 20*time.Second)
+	wo.run(4 * time.Second)
+	// Jobs arrive at entries of the evacuated zone only.
+	wo.loadAt("north", standardKinds, 0.7*7*entries*loadPerWorker, 6*time.Second)
+	wo.run(10 * time.Second)
+	wo.check(t)
+	wo.checkAnswered(t)
+	if share := wo.inTimeShare(); share < 0.9 {
+		t.Errorf("%.3f of the jobs were in time, want 0.90 or more: %v of %v, %v", share, wo.inTime, wo.submitted, wo.done)
+	}
+}
+
+// loadAt submits jobs of the given kinds at random times to the entries of a zone.
+func (wo *world) loadAt(zone ids.AvailabilityZone, kinds []kind, factor float64, du time.Duration) {
+	var list []*emuEntry
+	for _, ee := range wo.sortedEntries() {
+		if ee.zone == zone {
+			list = append(list, ee)
+		}
+	}
+	end := wo.at.Add(du)
+	for _, kd := range kinds {
+		var next func()
+		next = func() {
+			if wo.at.After(end) {
+				return
+			}
+			wo.submit(list[wo.rnd.IntN(len(list))], kd)
+			wo.after(time.Duration(wo.rnd.ExpFloat64()/(kd.perS*factor)*float64(time.Second)), next)
+		}
+		wo.after(0, next)
+	}
+}
