--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -79,6 +79,8 @@
 	cancelled       map[ids.JobID]bool
 	// calls holds the calls of callers that send a job again, by job.
 	calls map[ids.JobID]*emuCall
+	// answered is called with each answer to a job, if it is set.
+	answered func(id ids.JobID, out Outcome)
 	// trace receives the log lines of the entries and the events at workers.
 	trace func(line string)
 	// stored jobs
@@ -1464,8 +1466,12 @@
 	colocated     bool
 	// accelerators is the number of accelerators that a task needs in place of CPU.
 	accelerators int
+	cpu          Millicores // mean need of a task, 0 for emuTaskCPU
 }
 
+// emuTaskCPU is the usual mean need of a task.
+const emuTaskCPU = 14000
+
 // randomJob returns a random job of a kind and its queue.
 func (wo *world) randomJob(kd kind) (Job, Queue) {
 	wo.lastJob++
@@ -1473,7 +1479,7 @@
 	qu, _ := wo.desired.Route("example", "/"+kd.queue+"/")
 	count := max(1, int(math.Round(float64(kd.width)*math.Exp(0.4*wo.rnd.NormFloat64()))))
 	base := time.Duration(float64(kd.work) * math.Exp(0.4*wo.rnd.NormFloat64()-0.08))
-	cpu := Millicores(14000 * max(0.5, min(1.4, 1+0.2*wo.rnd.NormFloat64())))
+	cpu := Millicores(float64(cmp.Or(kd.cpu, emuTaskCPU)) * max(0.5, min(1.4, 1+0.2*wo.rnd.NormFloat64())))
 	jb := &emuJob{queue: kd.queue, arrived: wo.at, stretch: qu.Stretch, slack: qu.Slack, length: map[TaskID]time.Duration{}}
 	declared := time.Duration(float64(base) * math.Exp(0.4*wo.rnd.NormFloat64()))
 	job := Job{ID: id, Payload: fmt.Sprintf("cpu=%d", cpu)}
@@ -1523,6 +1529,9 @@
 		Job: job, Queue: qu, Arrived: wo.at, Deadline: wo.at.Add(4 * time.Second),
 		Done: func(out Outcome) {
 			wo.done[out.Kind]++
+			if wo.answered != nil {
+				wo.answered(id, out)
+			}
 			if out.Kind == Accepted {
 				if _, ok := wo.records[id]; !ok {
 					wo.violation("job %s is accepted and not stored", id)
