dispatch: refuse jobs on arrival when capacity is short

Cause: the only refusal under overload, tooLate, came after a job had waited until it was of no more use. Callers heard late, queues were held to the last moment, and late tasks that started away from their data took up to three times their share of the capacity.

Change: entries report the demand and backlog of their queues and the capacity of their workers in Load. Every tick an entry plans from the sums which share of the arriving jobs of each queue it admits and how long a new job waits (planQueues); a job is decided on arrival in constant time. The usual demand of each zone and queue is guaranteed, the rest goes by priority. Owners ask the holders at which the least work waits for the capacity, in all zones. A worker that ends a task in time now comes before one near its data, and no task starts away from its data while half of the holder is in use. queueTime sums the reported backlogs in place of multiplying its own.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -980,6 +980,7 @@
 
 func (ef *emuEffects) Wall() time.Time               { return ef.ee.wo.at }
 func (ef *emuEffects) Count(string, string, int64)   {}
+func (ef *emuEffects) Gauge(string, int64)           {}
 func (ef *emuEffects) Observe(string, time.Duration) {}
 
 // emuWorker is one worker, with the behaviour that the platform documents.
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -42,6 +42,8 @@
 	Log(event string, fields ...any)
 	// Count adds to a counter.
 	Count(family, reason string, n int64)
+	// Gauge sets a gauge.
+	Gauge(name string, value int64)
 	// Observe adds to a latency histogram.
 	Observe(name string, took time.Duration)
 }
@@ -130,6 +132,7 @@
 	started           time.Time
 	leavingSince      time.Time
 
+	demand demand
 	// Holder role.
 	workers       map[ids.WorkerID]*worker
 	wants         map[wantKey]*want
@@ -255,6 +258,7 @@
 		lookups:          map[ids.JobID][]func(failed bool){},
 		cancels:          map[ids.JobID]*cancellation{},
 		started:          now(),
+		demand:           demand{queues: map[uint32]*queueDemand{}, capacities: map[uint32]*capacity{}},
 		workers:          map[ids.WorkerID]*worker{},
 		wants:            map[wantKey]*want{},
 		grants:           map[GrantID]*grant{},
@@ -347,6 +351,7 @@
 	en.desired = &des
 	for _, qu := range des.Queues {
 		en.services[qu.Service] = true
+		en.queueDemand(qu)
 	}
 	en.desiredBehindSince = time.Time{}
 	en.eff.Log("desired-state", "version", des.Version, "queues", len(des.Queues))
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -312,16 +312,19 @@
 const estimateMargin = 1.15
 
 // pickWorker chooses the worker for a task. It returns nil if none is suitable.
-// Workers on the rack of the data come first. Of the workers on which the task
-// can be in time pickWorker prefers a slow one, so that the fast ones stay free
+// Workers on which the task can be in time come first, and among these the ones on
+// the rack of the data. Of several such workers pickWorker prefers a slow one, so that the fast ones stay free
 // for long tasks, and then the one with the least free room. With wait set, a
 // task that may still be in time on a fast worker does not start on a slow one,
-// or away from its data, if it would be late there.
+// or away from its data, if it would be late there, and a task does not start away
+// from its data while the workers are nearly full.
 func (en *Entry) pickWorker(sh Shape, id ids.JobID, inTime time.Time, key wantKey, now time.Time, wait bool) *worker {
 	var best *worker
 	var bestScore pickScore
 	// The steps that depend on this one have to be in time too.
 	inTime = inTime.Add(sh.Estimate - sh.Chain)
+	// A rack may have no worker that can run the task.
+	remoteFrom := inTime.Add(time.Duration(float64(sh.Chain) * en.remotePenalty))
 	mayBeInTime := wait && !now.Add(sh.Estimate).After(inTime)
 	for _, wk := range en.workers {
 		if !en.accepts(wk, sh, id, key, now) {
@@ -331,6 +334,9 @@
 		if !score.inTime && mayBeInTime && (!score.near || wk.speed.factor() < fastSpeed) {
 			continue
 		}
+		if !score.near && wait && !now.After(remoteFrom) && en.crowded(sh.Service) {
+			continue
+		}
 		if best == nil || score.better(bestScore, best, wk) {
 			best, bestScore = wk, score
 		}
@@ -366,12 +372,12 @@
 // better reports whether wk, whose score is ps, is preferred to otherWorker, whose
 // score is other.
 func (ps pickScore) better(other pickScore, otherWorker, wk *worker) bool {
-	if ps.near != other.near {
-		return ps.near
-	}
 	if ps.inTime != other.inTime {
 		return ps.inTime
 	}
+	if ps.near != other.near {
+		return ps.near
+	}
 	if ps.fast != other.fast {
 		// If the task is in time on both workers, the fast one stays free. If it is
 		// late on both, it runs on the fast one.
@@ -391,7 +397,7 @@
 // Load reports the free room of the workers that this entry holds.
 func (en *Entry) Load() Load {
 	now := en.now()
-	ld := Load{Leaving: en.leaving}
+	ld := Load{Leaving: en.leaving, Queues: en.demand.queueReport, Capacity: en.demand.capacityReport}
 	if en.passingOn() {
 		return ld
 	}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -135,11 +135,16 @@
 	Number  uint64
 	Free    []Free
 	Leaving bool
+	// Queues and Capacity are the figures for admission, see demand.go. Entries
+	// of older programs send none.
+	Queues   []QueueDemand
+	Capacity []ServiceCapacity
 }
 
 // Same reports whether two reports are equal apart from their numbers.
 func (ld Load) Same(other Load) bool {
-	return ld.Leaving == other.Leaving && slices.Equal(ld.Free, other.Free)
+	return ld.Leaving == other.Leaving && slices.Equal(ld.Free, other.Free) &&
+		slices.Equal(ld.Queues, other.Queues) && slices.Equal(ld.Capacity, other.Capacity)
 }
 
 // HolderRow records in the store which entry holds a worker. The version of
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -108,8 +108,9 @@
 	firstSentAt time.Time
 	waiters     int // connections that wait for the answer
 	stored      *storedJob
-	suspended   bool // no task is placed
-	runBase     Run  // runs started by this owner have higher numbers
+	demand      *queueDemand // that the job counts towards, nil for none
+	suspended   bool         // no task is placed
+	runBase     Run          // runs started by this owner have higher numbers
 	// inheritedUntil is the time by which the runs of the previous owner have
 	// stopped, zero for a job that was not taken over.
 	inheritedUntil     time.Time
@@ -161,7 +162,9 @@
 		en.finish(jb, Outcome{Kind: Refused, Reason: "no-worker", RetryAfter: retryAfterNoWorker})
 		return
 	}
-	en.advance(jb)
+	if !en.refuseOnArrival(jb) {
+		en.advance(jb)
+	}
 }
 
 // task returns the group and the task for an id, nil if this entry does not own
@@ -312,6 +315,7 @@
 		}
 	}
 	en.finishUnserved(ended)
+	en.tickDemand(now)
 }
 
 // finishUnserved answers jobs that can no longer be served, the oldest first.
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -212,7 +212,7 @@
 		en.withdrawWants(gr)
 		return
 	}
-	for _, id := range en.wantTargets() {
+	for _, id := range en.wantTargets(gr.shape) {
 		en.sendWant(gr, id, count)
 	}
 }
@@ -223,21 +223,52 @@
 }
 
 // wantTargets lists the holders to ask for room: all reachable ones, or
-// maxWantHolders of them if there are more, with those in this zone first.
-func (en *Entry) wantTargets() []ids.EntryID {
+// maxWantHolders of them if there are more: those where the least work waits for
+// the capacity. Work that waits in another zone seems longer by farWait.
+func (en *Entry) wantTargets(sh Shape) []ids.EntryID {
 	list := en.reachable()
 	if len(list) <= maxWantHolders {
 		return list
 	}
+	service := nameHash(string(sh.Service))
+	waits := make(map[ids.EntryID]time.Duration, len(list))
+	for _, id := range list {
+		waits[id] = en.waitAt(id, service)
+	}
 	sort.Slice(list, func(a, b int) bool {
-		if nearA, nearB := en.zoneOf(list[a]) == en.self.Zone, en.zoneOf(list[b]) == en.self.Zone; nearA != nearB {
-			return nearA
+		if waits[list[a]] != waits[list[b]] {
+			return waits[list[a]] < waits[list[b]]
 		}
 		return rendezvous.Uniform(string(en.id), string(list[a])) > rendezvous.Uniform(string(en.id), string(list[b]))
 	})
 	return list[:maxWantHolders]
 }
 
+// farWait is how much shorter the wait at a holder in another zone must be for it
+// to be asked first.
+const farWait = 40 * time.Millisecond
+
+// waitAt returns the time in which a holder can do the work that it was asked for.
+func (en *Entry) waitAt(id ids.EntryID, service uint32) time.Duration {
+	ld := Load{Capacity: en.demand.capacityReport}
+	if se := en.sessions[id]; id != en.id && se != nil {
+		ld = se.load
+	}
+	wait := time.Duration(0)
+	if en.zoneOf(id) != en.self.Zone {
+		wait += farWait
+	}
+	sc := ld.capacityOf(service)
+	switch {
+	case ld.Capacity == nil:
+		// The entry reports no capacity.
+		return wait
+	case sc.Rate == 0:
+		return wait + time.Minute
+	}
+	return wait + seconds(sc.Wanted.amount()/sc.Rate.amount())
+}
+
 func (en *Entry) withdrawWants(gr *group) {
 	asked := gr.wantedFrom
 	gr.wantedFrom = map[ids.EntryID]bool{}
--- a/internal/dispatch/refusals.go
+++ b/internal/dispatch/refusals.go
@@ -37,7 +37,7 @@
 )
 
 // queueTime estimates how long the workers of a service need for the tasks that
-// wait for room. It assumes that the other entries have as many as this one.
+// wait for room at all entries.
 func (en *Entry) queueTime(svc ids.ServiceName) time.Duration {
 	var capacity Millicores
 	for _, kw := range en.known {
@@ -54,7 +54,13 @@
 			waiting += float64(len(gr.queued())) * float64(gr.shape.Need.CPU) * float64(gr.shape.Estimate)
 		}
 	}
-	return time.Duration(waiting * float64(en.topology.size) / float64(capacity))
+	others, known := en.othersBacklog(svc)
+	if !known {
+		// They are assumed to have as many tasks as this one.
+		return time.Duration(waiting * float64(en.topology.size) / float64(capacity))
+	}
+	const coreSecond = 1000 * float64(time.Second)
+	return time.Duration((waiting + others*coreSecond) / float64(capacity))
 }
 
 // retryAfterOverload returns the time after which the caller of a refused job may
--- a/internal/fleet/effects.go
+++ b/internal/fleet/effects.go
@@ -166,5 +166,8 @@
 // Count adds to a counter.
 func (ef *effects) Count(family, reason string, n int64) { ef.dm.cnt.Add(family, reason, n) }
 
+// Gauge sets a gauge.
+func (ef *effects) Gauge(name string, value int64) { ef.dm.cnt.Gauge(name, value) }
+
 // Observe adds to a latency histogram.
 func (ef *effects) Observe(name string, took time.Duration) { ef.dm.cnt.Observe(name, took) }
