dispatch: bound the queues in reports

Cause: a deployment with hundreds of busy queues would send kilobytes of figures to every neighbour with each change.

Change: reports carry the twelve queues with the most work; jobs of the others are admitted as without figures.

--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
@@ -281,6 +283,10 @@
 	return ca != nil && ca.occupied >= crowdedShare
 }
 
+// maxReportedQueues limits the reports, which go to every neighbour, to the queues
+// with the most work. Jobs of the other queues are admitted.
+const maxReportedQueues = 12
+
 // updateReport updates the figures that go to the other entries.
 func (en *Entry) updateReport() {
 	de := &en.demand
@@ -292,6 +298,12 @@
 			de.queueReport = append(de.queueReport, re)
 		}
 	}
+	if len(de.queueReport) > maxReportedQueues {
+		slices.SortStableFunc(de.queueReport, func(a, b QueueDemand) int {
+			return cmp.Compare(max(b.Recent, b.Backlog), max(a.Recent, a.Backlog))
+		})
+		de.queueReport = de.queueReport[:maxReportedQueues]
+	}
 	if en.passingOn() {
 		return
 	}
