dispatch: don't try wants that no longer fit

After a grant the room that became free is taken, but each of the wants behind it was still compared with every worker. match now takes the first wants from a heap and drops those that need more than is free.

--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"math"
 	"slices"
 	"strconv"
@@ -71,18 +72,53 @@
 	}
 	now := en.now()
 	largest := en.mostFree(now)
-	list := make([]*want, 0, len(en.wants))
+	ranking := wantRanking{now: now}
 	for _, wa := range en.wants {
 		if wa.granted < wa.count && wa.shape.Need.CPU <= largest[wa.shape.Service] {
-			list = append(list, wa)
+			ranking.wants = append(ranking.wants, wa)
 		}
 	}
-	slices.SortFunc(list, func(a, b *want) int { return compareWants(a, b, now) })
-	for _, wa := range list {
+	// Free room suffices for a few of the wants, so the others are not sorted.
+	heap.Init(&ranking)
+	for ranking.Len() > 0 {
+		wa := heap.Pop(&ranking).(*want)
 		// An earlier grant of this round may have caused the removal of the want.
-		if en.wants[wa.key] == wa {
-			en.grantWant(wa, now)
+		if en.wants[wa.key] != wa || wa.shape.Need.CPU > largest[wa.shape.Service] {
+			continue
+		}
+		if en.grantWant(wa, now); wa.granted == 0 {
+			continue
 		}
+		largest = en.mostFree(now)
+		ranking.keepFitting(largest)
+	}
+}
+
+// wantRanking is a heap of wants. The want that ranks first is at the top.
+type wantRanking struct {
+	now   time.Time
+	wants []*want
+}
+
+func (wr *wantRanking) Len() int           { return len(wr.wants) }
+func (wr *wantRanking) Less(a, b int) bool { return compareWants(wr.wants[a], wr.wants[b], wr.now) < 0 }
+func (wr *wantRanking) Swap(a, b int)      { wr.wants[a], wr.wants[b] = wr.wants[b], wr.wants[a] }
+func (wr *wantRanking) Push(wa any)        { wr.wants = append(wr.wants, wa.(*want)) }
+
+// Pop removes the last want, as package heap requires.
+func (wr *wantRanking) Pop() any {
+	last := wr.wants[len(wr.wants)-1]
+	wr.wants = wr.wants[:len(wr.wants)-1]
+	return last
+}
+
+// keepFitting removes the wants that need more CPU than is free on one worker of
+// their service.
+func (wr *wantRanking) keepFitting(largest map[ids.ServiceName]Millicores) {
+	before := len(wr.wants)
+	wr.wants = slices.DeleteFunc(wr.wants, func(wa *want) bool { return wa.shape.Need.CPU > largest[wa.shape.Service] })
+	if len(wr.wants) < before {
+		heap.Init(wr)
 	}
 }
 
