dispatch: ask for advice again after an evacuation, test moves from draining workers

Workers of an evacuated zone whose tickets expire are asked about again once their zone is taken back; they were left out for good.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -70,7 +70,12 @@
 	// again.
 	known := slices.DeleteFunc(sortedKeys(gr.shape.Tickets), func(id ids.WorkerID) bool {
 		kw := en.known[id]
-		return kw != nil && en.evac.evacuated(kw.info.Zone)
+		if kw == nil || !en.evac.evacuated(kw.info.Zone) {
+			return false
+		}
+		// It is asked about again once its zone is taken back.
+		delete(gr.advice.asked, id)
+		return true
 	})
 	gr.shape.Tickets = nil
 	en.withdrawWants(gr)
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -218,7 +218,7 @@
 	}
 	// The number proves that the answer was sent after the request. An earlier
 	// message may have waited in a connection during a pause.
-	if ms.Number == ev.number {
+	if ms.Number > 0 && ms.Number == ev.number {
 		en.evacuationsFresh()
 	}
 }
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -462,6 +462,33 @@
 	}
 }
 
+// TestDrainedRuns guards against a draining worker whose long-running tasks are all
+// stopped at the same time, although their step limits how many may be unavailable.
+func TestDrainedRuns(t *testing.T) {
+	for limit, want := range []int{2, 1, 2} {
+		et := newEvacuationTest(t)
+		et.submit(1, Step{Count: 2, Lasting: true, MaxUnavailable: limit}, func(sub *Submission) { sub.Job.Stored = true })
+		et.en.JobStored(JobWrite{Record: et.en.jobs["0000000000000001"].stored.rec}, JobWriteReply{OK: true, Version: 70})
+		et.wo.tick(et.en, 40*time.Millisecond)
+		et.confirm()
+		et.addWorker("x", "east")
+		info := et.en.known["w"].info
+		info.State, info.Version = WorkerDraining, 10
+		et.en.PutWorker(info)
+		for range 10 {
+			et.wo.tick(et.en, 30*time.Millisecond)
+			et.answer(et.rc.starts[:2])
+		}
+		refs := map[TaskRef]bool{}
+		for _, order := range et.rc.stops {
+			refs[order.Ref] = true
+		}
+		if len(refs) != want {
+			t.Errorf("%d runs on a draining worker are stopped with limit %d, want %d", len(refs), limit, want)
+		}
+	}
+}
+
 // TestEvacuatedJobs guards against callers that wait for workers that no task may
 // use, and against stored or timed jobs that are lost because of an evacuation.
 func TestEvacuatedJobs(t *testing.T) {
@@ -507,6 +534,16 @@
 	})
 }
 
+// TestAdviceOutsideEvacuatedZones guards against an owner that asks for advice about
+// workers that may run nothing.
+func TestAdviceOutsideEvacuatedZones(t *testing.T) {
+	et := newEvacuationTest(t, "x")
+	et.evacuate(5)
+	if list := et.en.workersToAsk(&group{shape: Shape{Service: "fitdesk"}}, "step"); len(list) != 1 || list[0] != "x" {
+		t.Errorf("advice is requested about %v, want x, which is not evacuated", list)
+	}
+}
+
 // TestWantsOutsideEvacuatedZones guards against an owner that asks only the holders
 // of its own zone for room, when that zone is evacuated.
 func TestWantsOutsideEvacuatedZones(t *testing.T) {
--- a/internal/dispatch/job_forms_test.go
+++ b/internal/dispatch/job_forms_test.go
@@ -246,6 +246,10 @@
 			}
 		}, 40, 0.6},
 		{"owner killed", false, func(wo *world) { wo.entries["entry-01"].kill() }, 0, 0.6},
+		{"two zones are evacuated: workers of the others are asked about", false, func(wo *world) {
+			wo.evacuate("north", 25*time.Second)
+			wo.evacuate("west", 25*time.Second)
+		}, 0, 0.6},
 	}
 	for num, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
