dispatch: keep the tickets of a gang until it has room

A gang needs valid tickets for enough workers at once. Four causes left gangs without room for ever although workers that may run them were free:

- All tickets of a step were dropped when the first one expired.
The call that renews them was not made within 0.4 s of the last call, and then the owner began again with the first 30 workers.
Tickets of short validity never covered more than one call.
- One call renews 30 workers.
The others stayed "asked" without a ticket.
- A failed renewal forgot which workers may run the step.
- If none of the first 30 workers may run the step, the same 30 were asked again.

Each ticket now has its own end. The owner keeps the workers that may run a step and asks about them again, 30 at a time, those that expire first at the front; for a gang 0.15 s early, so that all its tickets are valid at the same time. While the workers with tickets could not hold the gang, the owner asks about the next 30 at once, and does not ask holders for room, which would only keep it from others.

Change of the emulator: the validity of tickets and the share of allowed workers are fields of the world, with the values of before as defaults.

ready to merge

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -30,12 +30,15 @@
 }
 
 // adviceState tracks which workers an owner has asked about for a step. The
-// tickets are in the shape of the group.
+// tickets that are valid are in the shape of the group.
 type adviceState struct {
-	inFlight   bool                  // a call is in flight
-	asked      map[ids.WorkerID]bool // workers already asked about, whether they got a ticket or not
-	notBefore  time.Time             // earliest time of the next call
-	validUntil time.Time             // when the tickets expire
+	inFlight  bool                  // a call is in flight
+	asked     map[ids.WorkerID]bool // workers already asked about, whether they got a ticket or not
+	notBefore time.Time             // earliest time of the next call about further workers
+	renewAt   time.Time             // earliest time of the next call about workers that had a ticket
+	// validUntil holds the workers that may run the step, with the time when their
+	// latest ticket expires.
+	validUntil map[ids.WorkerID]time.Time
 }
 
 // The limits on calls of the advice service.
@@ -51,31 +54,67 @@
 	// adviceMoreWait is how long tasks wait for the workers that may run them
 	// before the owner asks about more workers.
 	adviceMoreWait = 400 * time.Millisecond
+	// gangRenewal is how long before a ticket of a gang is no longer used the owner
+	// asks for the next one. A gang needs all its tickets at the same time.
+	gangRenewal = 150 * time.Millisecond
+	// minRenewalInterval bounds the calls that renew tickets of short validity.
+	minRenewalInterval = 100 * time.Millisecond
 )
 
-// expired reports whether the tickets must no longer be used for new starts.
-func (ad *adviceState) expired(now time.Time) bool { return now.Add(ticketMargin).After(ad.validUntil) }
+// firstExpiry returns when the first of the latest tickets expires, zero without any.
+func (ad *adviceState) firstExpiry() time.Time {
+	first := time.Time{}
+	for _, until := range ad.validUntil {
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first
+}
+
+// dropExpired removes the tickets that must no longer be used for new starts.
+func (gr *group) dropExpired(now time.Time) {
+	tickets := maps.Clone(gr.shape.Tickets)
+	maps.DeleteFunc(tickets, func(id ids.WorkerID, _ string) bool { return !now.Add(ticketMargin).Before(gr.advice.validUntil[id]) })
+	gr.shape.Tickets = tickets
+}
+
+// toRenew lists the workers that may run the step, those whose tickets expire first
+// at the front. The workers that may run a step do not change, so only these are
+// asked about again.
+func (ad *adviceState) toRenew() []ids.WorkerID {
+	list := sortedKeys(ad.validUntil)
+	slices.SortStableFunc(list, func(a, b ids.WorkerID) int { return ad.validUntil[a].Compare(ad.validUntil[b]) })
+	return list
+}
 
 // hasTickets reports whether a step has tasks to place and valid tickets for
-// them. It requests new tickets if they have expired.
+// them. It requests new tickets if some expire.
 func (en *Entry) hasTickets(gr *group) bool {
 	now := en.now()
 	if len(gr.queued()) == 0 {
 		return false
 	}
-	if !gr.advice.expired(now) {
+	ad := &gr.advice
+	if len(ad.validUntil) == 0 {
+		en.requestAdvice(gr, now)
+		return false
+	}
+	due := now.Add(ticketMargin)
+	if gr.shape.Gang {
+		due = due.Add(gangRenewal)
+	}
+	if due.Before(ad.firstExpiry()) {
 		return true
 	}
-	// The workers that may run a step do not change, so only they are asked about
-	// again.
-	known := sortedKeys(gr.shape.Tickets)
-	gr.shape.Tickets = nil
-	en.withdrawWants(gr)
-	if len(known) == 0 {
-		clear(gr.advice.asked)
+	if !ad.inFlight && !now.Before(ad.renewAt) {
+		en.advise(gr, stepName(gr), ad.toRenew())
 	}
-	en.requestAdvice(gr, known, now)
-	return false
+	gr.dropExpired(now)
+	if len(gr.shape.Tickets) == 0 {
+		en.withdrawWants(gr)
+	}
+	return len(gr.shape.Tickets) > 0
 }
 
 // tickAdvice renews expired tickets, and asks about more workers when tasks have
@@ -85,29 +124,34 @@
 		return
 	}
 	for _, gr := range jb.groups {
-		ad := &gr.advice
-		if !ad.inFlight && !now.Before(ad.notBefore) && en.hasTickets(gr) {
-			en.requestAdvice(gr, nil, now)
+		if en.hasTickets(gr) {
+			en.requestAdvice(gr, now)
 		}
 	}
 }
 
-// requestAdvice asks the advice service about the given workers. Without any it
-// asks about the next ones that have not been asked about.
-func (en *Entry) requestAdvice(gr *group, workers []ids.WorkerID, now time.Time) {
+// requestAdvice asks the advice service about the next workers that have not been
+// asked about. If none of all workers may run the step, it begins again.
+func (en *Entry) requestAdvice(gr *group, now time.Time) {
 	ad := &gr.advice
 	if ad.inFlight || now.Before(ad.notBefore) {
 		return
 	}
 	step := stepName(gr)
-	if len(workers) == 0 {
-		workers = en.workersToAsk(gr, step)
-	}
+	workers := en.workersToAsk(gr, step)
 	ad.notBefore = now.Add(adviceMoreWait)
 	if len(workers) == 0 {
+		if len(ad.validUntil) == 0 {
+			clear(ad.asked)
+		}
 		return
 	}
-	ad.inFlight = true
+	en.advise(gr, step, workers)
+}
+
+// advise asks the advice service about the first of the given workers.
+func (en *Entry) advise(gr *group, step string, workers []ids.WorkerID) {
+	gr.advice.inFlight = true
 	en.eff.Advise(AdviceOrder{Group: gr.id, Step: step, Workers: workers[:min(len(workers), adviceWorkers)]})
 }
 
@@ -145,37 +189,68 @@
 	ad := &gr.advice
 	ad.inFlight = false
 	if rep.Failed {
-		ad.notBefore = now.Add(adviceRetry)
+		ad.notBefore, ad.renewAt = now.Add(adviceRetry), now.Add(adviceRetry)
 		en.eff.Log("advice-failed", "job", string(gr.job.Job.ID), "step", order.Step, "workers", len(order.Workers), "reason", rep.Reason)
 		return
 	}
+	ad.renewAt = now.Add(minRenewalInterval)
+	gr.applyAdvice(order, rep, now)
+	if len(rep.Tickets) == 0 || (gr.shape.Gang && en.ticketRoom(gr) < len(gr.tasks)) {
+		// Waiting for room would be in vain.
+		ad.notBefore = now
+	}
+	en.eff.Log("advice", "job", string(gr.job.Job.ID), "step", order.Step, "workers", len(order.Workers), "allowed", len(rep.Tickets),
+		"validity-ms", rep.Validity.Milliseconds())
+	if len(gr.shape.Tickets) > 0 {
+		en.place(gr)
+	}
+}
+
+// applyAdvice replaces the tickets of the workers that were asked about.
+func (gr *group) applyAdvice(order AdviceOrder, rep AdviceReply, now time.Time) {
+	ad := &gr.advice
 	if ad.asked == nil {
-		ad.asked = map[ids.WorkerID]bool{}
+		ad.asked, ad.validUntil = map[ids.WorkerID]bool{}, map[ids.WorkerID]time.Time{}
+	}
+	// A holder in this process shares the map, because messages within a process
+	// are not copied.
+	tickets := maps.Clone(gr.shape.Tickets)
+	if tickets == nil {
+		tickets = map[ids.WorkerID]string{}
 	}
 	for _, id := range order.Workers {
 		ad.asked[id] = true
+		ticket, ok := rep.Tickets[id]
+		if !ok {
+			delete(tickets, id)
+			delete(ad.validUntil, id)
+			continue
+		}
+		tickets[id], ad.validUntil[id] = ticket, now.Add(rep.Validity)
 	}
-	if len(rep.Tickets) > 0 {
-		until := now.Add(rep.Validity)
-		if len(gr.shape.Tickets) == 0 || until.Before(ad.validUntil) {
-			ad.validUntil = until
+	gr.shape.Tickets = tickets
+}
+
+// ticketRoom returns how many tasks of a step the workers with tickets could run if
+// they ran nothing else.
+func (en *Entry) ticketRoom(gr *group) int {
+	total := 0
+	for id := range gr.shape.Tickets {
+		kw := en.known[id]
+		if kw == nil || !kw.removedAt.IsZero() || kw.info.State != WorkerReady ||
+			(gr.shape.Requirement != "" && !slices.Contains(kw.info.Labels, gr.shape.Requirement)) {
+			continue
 		}
-		// A holder in this process shares the map, because messages within a process
-		// are not copied.
-		tickets := maps.Clone(gr.shape.Tickets)
-		if tickets == nil {
-			tickets = map[ids.WorkerID]string{}
+		count := len(gr.tasks)
+		if need := gr.shape.Need; need.CPU > 0 || need.Accelerators > 0 {
+			count = min(count, Free{CPU: kw.info.Room.CPU, Accelerators: kw.info.Room.Accelerators}.tasks(need))
 		}
-		maps.Copy(tickets, rep.Tickets)
-		gr.shape.Tickets = tickets
-	} else {
-		ad.notBefore = now
-	}
-	en.eff.Log("advice", "job", string(gr.job.Job.ID), "step", order.Step, "workers", len(order.Workers), "allowed", len(rep.Tickets),
-		"validity-ms", rep.Validity.Milliseconds())
-	if len(gr.shape.Tickets) > 0 {
-		en.place(gr)
+		if gr.shape.AntiAffinity > 0 {
+			count = min(count, gr.shape.AntiAffinity)
+		}
+		total += count
 	}
+	return total
 }
 
 // dropTicket removes a ticket that a worker has refused because it was issued
@@ -188,7 +263,5 @@
 	delete(tickets, id)
 	gr.shape.Tickets = tickets
 	delete(gr.advice.asked, id)
-	if len(tickets) == 0 {
-		gr.advice.validUntil = time.Time{}
-	}
+	delete(gr.advice.validUntil, id)
 }
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -70,6 +70,8 @@
 	advised         int            // calls for advice
 	badTickets      int            // starts that were refused for their ticket
 	adviceLossShare float64        // share of the calls for advice that fail
+	ticketValidity  time.Duration  // of the tickets that the advice service gives
+	allowedShare    float64        // share of the workers that it allows for a step
 	resumed         int            // starts that resume from a checkpoint
 	gangTimeouts    int            // gang tasks that timed out waiting for the others
 	connects        int            // sessions that were begun
@@ -158,6 +160,8 @@
 		rows:    map[ids.WorkerID]HolderRow{},
 		storeUp: true,
 
+		ticketValidity:   2 * time.Second,
+		allowedShare:     1.0 / 3,
 		dialDelay:        emuMaxDialDelay,
 		exchangeInterval: emuPollInterval,
 		faultKinds:       plainFaults,
@@ -936,7 +940,7 @@
 	}
 }
 
-// Advise returns tickets for about a third of the workers.
+// Advise returns tickets for a share of the workers.
 func (ef *emuEffects) Advise(order AdviceOrder) {
 	wo := ef.ee.wo
 	wo.advised++
@@ -945,24 +949,20 @@
 		return
 	}
 	took := emuAdviceLatency + time.Duration(len(order.Workers))*time.Millisecond
-	rep := AdviceReply{Tickets: map[ids.WorkerID]string{}, Validity: emuTicketValidity}
+	rep := AdviceReply{Tickets: map[ids.WorkerID]string{}, Validity: wo.ticketValidity}
 	for _, id := range order.Workers {
-		if emuAllows(order.Step, id) {
-			rep.Tickets[id] = fmt.Sprintf("%s|%s|%d|%d", order.Step, id, wo.workers[id].info.Born, wo.at.Add(took+emuTicketValidity).UnixMilli())
+		if wo.allows(order.Step, id) {
+			rep.Tickets[id] = fmt.Sprintf("%s|%s|%d|%d", order.Step, id, wo.workers[id].info.Born, wo.at.Add(took+wo.ticketValidity).UnixMilli())
 		}
 	}
 	ef.callBack(took, func(en *Entry) { en.AdviceReplied(order, rep) })
 }
 
-// The latency of the emulated advice service and the validity of its tickets.
-const (
-	emuAdviceLatency  = 10 * time.Millisecond
-	emuTicketValidity = 2 * time.Second
-)
+// emuAdviceLatency is the latency of the emulated advice service.
+const emuAdviceLatency = 10 * time.Millisecond
 
-func emuAllows(step string, id ids.WorkerID) bool {
-	const share = 1.0 / 3
-	return rendezvous.Uniform(string(id), step) < share
+func (wo *world) allows(step string, id ids.WorkerID) bool {
+	return rendezvous.Uniform(string(id), step) < wo.allowedShare
 }
 
 // ticketOK reports whether a start order carries a ticket that is valid for its
--- a/internal/dispatch/gang.go
+++ b/internal/dispatch/gang.go
@@ -40,7 +40,7 @@
 func (gr *group) allQueued() bool { return len(gr.queued()) == len(gr.tasks) }
 
 // placeGang asks holders to reserve room once their load reports add up to
-// enough room for the gang.
+// enough room for the gang, and the workers with tickets are large enough.
 func (en *Entry) placeGang(gr *group) {
 	now := en.now()
 	ga := &gr.gang
@@ -56,7 +56,8 @@
 	for _, ro := range en.freeRoom(gr.shape) {
 		free += ro.count
 	}
-	if free < len(gr.tasks) {
+	if free < len(gr.tasks) || (gr.shape.Advised && en.ticketRoom(gr) < len(gr.tasks)) {
+		// An attempt would only keep the room from others.
 		ga.notBefore = now.Add(minGangRetry)
 		return
 	}
