dispatch: keep the row of a worker that its holder never reached

A holder removed the row of a worker that it had taken over and never reached. The holder before may be cut off together with the worker and keep long-running tasks there for 15 s. If the new holder was lost too, nothing told other entries to wait for them.

TestUnreachedRowStays failed before: the row was given up.

--- a/internal/dispatch/left_workers.go
+++ b/internal/dispatch/left_workers.go
@@ -5,7 +5,7 @@
 // A holder removes its own holder row of a worker that has left. As long as the row
 // exists, other entries can't tell a holder that has given up the worker from one
 // that is cut off together with it, and wait for lastingTimeout when the holder is
-// lost. Only the holder itself knows that it no longer uses the worker, so this needs
+// lost. Once it has reached the worker, only the holder itself uses it, so this needs
 // no proof that the worker has ended.
 
 // givenUpRow is a holder row that this entry removes. A removal without a reply may
@@ -18,8 +18,12 @@
 }
 
 // giveUpRow has the row of a worker removed that this entry has stopped using
-// because it is no longer listed.
+// because it is no longer listed. The row of a worker that was never reached stays:
+// the holder before may be cut off together with the worker and still use it.
 func (en *Entry) giveUpRow(wk *worker) {
+	if _, unreached := en.unreached[wk.info.ID]; unreached {
+		return
+	}
 	if row, ok := en.rows[wk.info.ID]; ok && row.Holder == en.self.Incarnation {
 		en.givenUp[wk.info.ID] = givenUpRow{version: row.Version, leaseEnd: wk.leaseEnd}
 	}
--- a/internal/dispatch/left_workers_test.go
+++ b/internal/dispatch/left_workers_test.go
@@ -74,6 +74,27 @@
 	}
 }
 
+// TestUnreachedRowStays guards against long-running tasks that run twice: a holder
+// removes the row of a worker that it has never reached, and the previous holder, cut
+// off together with the worker, still keeps tasks there.
+func TestUnreachedRowStays(t *testing.T) {
+	for _, reached := range []bool{false, true} {
+		wo, en, _ := newHolder()
+		if reached {
+			en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
+		}
+		en.DropWorker("w", 0)
+		en.HoldReplied("w", 50, HoldReply{Failed: true, Refused: true, Reason: "connection refused"})
+		wo.tick(en, 2*maxReportAge)
+		if en.workers["w"] != nil {
+			t.Fatal("the worker is still held")
+		}
+		if _, ok := en.givenUp["w"]; ok != reached {
+			t.Errorf("reached %t: the row is given up: %t", reached, ok)
+		}
+	}
+}
+
 // TestWorkersLeaveAndReturn guards against a holder that uses a row whose removal
 // is carried out late. Workers come back under their ids around the removal of their
 // holder rows, while half of the store's replies are lost.
