dispatch: count the objective of a repeated request from the first attempt

After a loss of all entries, callers repeat what was cut off. Their requests are 1.3 s old, beyond their objective, but counted as new and delayed the requests that really were.

A caller announces how long it still waits. One that has less time left than callers of the queue announce on their first attempt has sent the request before, at least the difference ago. This age is subtracted from the objective and the late bound: the job ranks as late, or is refused on arrival (reason "age") if it can be of no use. It does not change who may start a task. Jobs that are stored, timed, or of callers that announce nothing have no age.

The wait of first attempts is a low quantile of what the queue's callers announce; until there are 50 samples, the timeout of the route (timeoutMs, now decoded, Queue.Timeout). Requests far below it do not teach, unless they are so many for so long that the callers have changed. Without a timeout in the configuration nothing changes until 50 samples.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -113,6 +113,7 @@
 	groups     map[GroupID]*group
 	lastGroup  GroupID
 	estimators map[string]*estimator
+	announced  map[string]*announcedWaits // by queue
 	records    map[ids.JobID]*record
 	// openRecords holds the records of jobs that have not ended, and endedRecords
 	// the others in the order in which they ended.
@@ -251,6 +252,7 @@
 		jobs:             map[ids.JobID]*job{},
 		groups:           map[GroupID]*group{},
 		estimators:       map[string]*estimator{},
+		announced:        map[string]*announcedWaits{},
 		records:          map[ids.JobID]*record{},
 		openRecords:      map[ids.JobID]*record{},
 		readAt:           map[Table]time.Time{},
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -164,6 +164,8 @@
 	Stretch     float64
 	Slack       time.Duration // the objective is the estimated run time times Stretch, plus Slack
 	Advised     bool          // an external service decides which workers may run its tasks
+	// Timeout is how long callers wait on their first attempt at least, 0 if unknown.
+	Timeout time.Duration `json:",omitempty"`
 }
 
 // CallerLimits are the limits on requests of callers.
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -106,7 +106,8 @@
 	late        time.Time
 	begun       bool // a task has been started, or may have been
 	firstSentAt time.Time
-	waiters     int // connections that wait for the answer
+	waiters     int           // connections that wait for the answer
+	age         time.Duration // least age of the request when it arrived, see requestAge
 	stored      *storedJob
 	suspended   bool // no task is placed
 	runBase     Run  // runs started by this owner have higher numbers
@@ -161,6 +162,9 @@
 		en.finish(jb, Outcome{Kind: Refused, Reason: "no-worker", RetryAfter: retryAfterNoWorker})
 		return
 	}
+	if en.refuseAged(jb) {
+		return
+	}
 	en.advance(jb)
 }
 
@@ -248,8 +252,8 @@
 		firstSent = jb.firstSentAt.Sub(jb.Arrived).Milliseconds()
 	}
 	en.eff.Log("job-ended", "job", string(jb.Job.ID), "queue", jb.Queue.Name, "outcome", string(out.Kind),
-		"reason", out.Reason, "took-ms", took.Milliseconds(), "objective-ms", jb.inTime.Sub(jb.Arrived).Milliseconds(),
-		"first-sent-ms", firstSent, "begun", jb.begun, "tasks", jb.taskCounts(), "version", en.version())
+		"reason", out.Reason, "took-ms", took.Milliseconds(), "objective-ms", jb.inTime.Add(jb.age).Sub(jb.Arrived).Milliseconds(),
+		"first-sent-ms", firstSent, "age-ms", jb.age.Milliseconds(), "begun", jb.begun, "tasks", jb.taskCounts(), "version", en.version())
 	jb.Done(out)
 }
 
--- a/internal/dispatch/steps.go
+++ b/internal/dispatch/steps.go
@@ -47,7 +47,8 @@
 		return
 	}
 	jb.nextDue = 1
-	oc := en.openOccurrence(jb, 0, jb.Arrived)
+	jb.age = en.requestAge(jb.Submission)
+	oc := en.openOccurrence(jb, 0, jb.Arrived.Add(-jb.age))
 	jb.inTime, jb.late = oc.inTime, oc.late
 	if sub := jb.Submission; !sub.Deadline.IsZero() && sub.Deadline.Before(jb.late) {
 		jb.late, oc.late = sub.Deadline, sub.Deadline
