dispatch: drop a check that always holds

checkUnreached has already refused to answer while a worker that is not foreign has been unreached for less than ownerTimeout, so a worker whose hold has not been answered has been unreached for longer.

--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -323,9 +323,10 @@
 		if en.foreign(id) {
 			continue
 		}
-		if wk.phase == phaseFencing && en.hasLongBeenUnreached(id) {
-			// Waiting longer would block all jobs for ever if nothing answers there. An end
-			// that it lists later is superseded by that of the next run.
+		if wk.phase == phaseFencing {
+			// It has not answered for ownerTimeout or longer, see checkUnreached. Waiting
+			// longer would block all jobs for ever if nothing answers there. An end that it
+			// lists later is superseded by that of the next run.
 			reply.Held = append(reply.Held, HolderRow{Worker: id, Version: Version(wk.token)})
 			continue
 		}
@@ -368,13 +369,6 @@
 	return unreached, true
 }
 
-// hasLongBeenUnreached reports whether a worker has not answered since this entry
-// became its holder, for so long that a former holder no longer uses it.
-func (en *Entry) hasLongBeenUnreached(id ids.WorkerID) bool {
-	since, ok := en.unreached[id]
-	return ok && en.now().Sub(since) >= ownerTimeout
-}
-
 // handlePastEnds handles ends that this owner has not received yet, among them
 // ends of runs that a previous owner started.
 func (en *Entry) handlePastEnds(from ids.EntryID, ms PastEnds) {
