--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -70,14 +70,19 @@
 // its lease had expired. The function lost selects the runs.
 func (en *Entry) loseRuns(wk *worker, born int64, lost func(sl *slot) bool) {
 	list := wk.sortedSlots()
-	alone := len(slices.DeleteFunc(slices.Clone(list), func(sl *slot) bool { return sl.state == slotGranted })) == 1
+	runs := 0
+	for _, sl := range list {
+		if sl.state != slotGranted {
+			runs++
+		}
+	}
 	for _, sl := range list {
 		if sl.state == slotGranted {
 			continue
 		}
 		if sl.crash == nil {
 			sl.crash = &Crash{
-				Run: sl.ref.Run, Worker: wk.info.ID, Born: born, Alone: alone, Confirmed: sl.listed || sl.confirmed,
+				Run: sl.ref.Run, Worker: wk.info.ID, Born: born, Alone: runs == 1, Confirmed: sl.listed || sl.confirmed,
 			}
 			if !sl.beganUnknown {
 				sl.crash.Ran = en.now().Sub(sl.began)
