--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -92,8 +92,9 @@
 	Born   int64        `json:"born-unix-millis,omitempty"` // the lifetime of the worker
 	// Confirmed is set if the worker had confirmed the run, and Alone if no other
 	// task was on it.
-	Confirmed bool `json:"confirmed,omitempty"`
-	Alone     bool `json:"alone,omitempty"`
+	Confirmed bool          `json:"confirmed,omitempty"`
+	Alone     bool          `json:"alone,omitempty"`
+	Ran       time.Duration `json:"-"`
 }
 
 // encodeCrashes and decodeCrashes convert the crashes of a job to and from its row.
@@ -101,7 +102,7 @@
 	rows := map[string][]crashRecord{}
 	for name, list := range crashes {
 		for _, cr := range list {
-			rows[name] = append(rows[name], crashRecord{Run: cr.Run, Worker: cr.Worker, Born: cr.Born, Confirmed: cr.Confirmed, Alone: cr.Alone})
+			rows[name] = append(rows[name], crashRecord(cr))
 		}
 	}
 	return rows
@@ -111,9 +112,7 @@
 	crashes := map[string][]dispatch.Crash{}
 	for name, list := range rows {
 		for _, cr := range list {
-			crashes[name] = append(crashes[name], dispatch.Crash{
-				Run: cr.Run, Worker: cr.Worker, Born: cr.Born, Confirmed: cr.Confirmed, Alone: cr.Alone,
-			})
+			crashes[name] = append(crashes[name], dispatch.Crash(cr))
 		}
 	}
 	return crashes
