--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -107,7 +107,8 @@
 	late        time.Time
 	begun       bool // a task has been started, or may have been
 	firstSentAt time.Time
-	waiters     int // connections that wait for the answer
+	waiters     int           // connections that wait for the answer
+	age         time.Duration // least age of the request when it arrived, see requestAge
 	stored      *storedJob
 	demand      *queueDemand // that the job counts towards, nil for none
 	suspended   bool         // no task is placed
@@ -167,9 +168,10 @@
 		en.finish(jb, evacuatedOutcome(jb))
 		return
 	}
-	if !en.refuseOnArrival(jb) {
-		en.advance(jb)
+	if en.refuseAged(jb) || en.refuseOnArrival(jb) {
+		return
 	}
+	en.advance(jb)
 }
 
 // task returns the group and the task for an id, nil if this entry does not own
@@ -256,8 +258,8 @@
 		firstSent = jb.firstSentAt.Sub(jb.Arrived).Milliseconds()
 	}
 	en.eff.Log("job-ended", "job", string(jb.Job.ID), "queue", jb.Queue.Name, "outcome", string(out.Kind),
-		"reason", out.Reason, "took-ms", took.Milliseconds(), "objective-ms", jb.inTime.Sub(jb.Arrived).Milliseconds(),
-		"first-sent-ms", firstSent, "begun", jb.begun, "tasks", jb.taskCounts(), "version", en.version())
+		"reason", out.Reason, "took-ms", took.Milliseconds(), "objective-ms", jb.inTime.Add(jb.age).Sub(jb.Arrived).Milliseconds(),
+		"first-sent-ms", firstSent, "age-ms", jb.age.Milliseconds(), "begun", jb.begun, "tasks", jb.taskCounts(), "version", en.version())
 	jb.Done(out)
 }
 
