dispatch: measure the placement of large tasks

Large tasks wait longer than small ones, and free room that no waiting task fits into is not measured.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -118,6 +118,7 @@
 	slack   time.Duration
 	started bool
 	refused bool
+	inTime  bool // completed within its objective
 	length  map[TaskID]time.Duration
 	sub     Submission
 }
@@ -1464,6 +1465,8 @@
 	colocated     bool
 	// accelerators is the number of accelerators that a task needs in place of CPU.
 	accelerators int
+	// A task needs from leastCPU to mostCPU, if mostCPU is not 0.
+	leastCPU, mostCPU Millicores
 }
 
 // randomJob returns a random job of a kind and its queue.
@@ -1474,6 +1477,9 @@
 	count := max(1, int(math.Round(float64(kd.width)*math.Exp(0.4*wo.rnd.NormFloat64()))))
 	base := time.Duration(float64(kd.work) * math.Exp(0.4*wo.rnd.NormFloat64()-0.08))
 	cpu := Millicores(14000 * max(0.5, min(1.4, 1+0.2*wo.rnd.NormFloat64())))
+	if kd.mostCPU > 0 {
+		cpu = kd.leastCPU + Millicores(wo.rnd.Int64N(int64(kd.mostCPU-kd.leastCPU)+1))
+	}
 	jb := &emuJob{queue: kd.queue, arrived: wo.at, stretch: qu.Stretch, slack: qu.Slack, length: map[TaskID]time.Duration{}}
 	declared := time.Duration(float64(base) * math.Exp(0.4*wo.rnd.NormFloat64()))
 	job := Job{ID: id, Payload: fmt.Sprintf("cpu=%d", cpu)}
@@ -1531,6 +1537,7 @@
 			objective := time.Duration(float64(jb.work)*jb.stretch) + jb.slack
 			if out.Kind == Completed && wo.at.Sub(jb.arrived) <= objective {
 				wo.inTime[jb.queue]++
+				jb.inTime = true
 			}
 			if out.Kind == Refused {
 				jb.refused = true
