dispatch: report waits by size and width and unusable free room

Operators could not see whether large tasks or wide jobs wait longer than others, nor how much free CPU no waiting task fits into. Owners now observe the wait of each task by size (half of the smallest worker) and by the width of its job; holders count free and unusable CPU once a second while tasks wait.

The benchmark of large tasks now draws its jobs from seeds of their own. Before, another placement changed the order of the draws and with it the jobs, and two placements could not be compared.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -137,6 +137,7 @@
 	lastGrant     GrantID
 	failedWorkers failedWorkers
 	classSpeeds   map[string]*classSpeed // by service and labels
+	waitStats     waitStatistics
 	// savedCheckpoints holds the checkpoints of ended runs, see keepCheckpoint.
 	savedCheckpoints map[ids.JobID]map[TaskID]SavedRun
 	// keptCrashes holds the runs that were lost with their workers, see keepCrash.
@@ -331,6 +332,7 @@
 	en.tickOwner(now)
 	en.tickStored(now)
 	en.tickHolder(now)
+	en.sampleWaits(now)
 	if now.Sub(en.lastMemberTickAt) >= memberTickInterval+time.Duration(en.topology.size)*memberSpacing {
 		en.lastMemberTickAt = now
 		en.tickMember(now)
--- a/internal/dispatch/large_tasks_test.go
+++ b/internal/dispatch/large_tasks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -37,6 +38,24 @@
 	return kinds
 }
 
+// loadDrawnBefore is like load, but draws all jobs from seeds of their own, so that
+// two placements are measured with the same jobs.
+func (wo *world) loadDrawnBefore(seed uint64, kinds []kind, factor float64, du time.Duration) {
+	list := wo.sortedEntries()
+	for num, kd := range kinds {
+		rnd := rand.New(rand.NewPCG(seed, uint64(num)))
+		for at := 0.0; at < du.Seconds(); at += rnd.ExpFloat64() / (kd.perS * factor) {
+			ee, job := list[rnd.IntN(len(list))], rand.New(rand.NewPCG(seed, rnd.Uint64()))
+			wo.after(time.Duration(at*float64(time.Second)), func() {
+				shared := wo.rnd
+				wo.rnd = job
+				wo.submit(ee, kd)
+				wo.rnd = shared
+			})
+		}
+	}
+}
+
 // roomUse samples how much of the free CPU fits no waiting task.
 type roomUse struct {
 	room, free, unusable int64 // sums over the samples in which tasks wait
@@ -119,7 +138,7 @@
 					wo := largeTaskWorld(seed)
 					var ru roomUse
 					ru.sample(wo, wo.at.Add(8*time.Second))
-					wo.load(largeTaskKinds(), load*whole, 8*time.Second)
+					wo.loadDrawnBefore(seed, largeTaskKinds(), load*whole, 8*time.Second)
 					wo.run(12 * time.Second)
 					for _, text := range wo.violations {
 						b.Error(text)
@@ -160,5 +179,6 @@
 	wide.report(b, "wide")
 	b.ReportMetric(100*float64(ru.unusable)/float64(max(ru.free, 1)), "unusable-%")
 	b.ReportMetric(100*float64(ru.free)/float64(max(ru.room, 1)), "free-%")
+	b.ReportMetric(float64(wo.messages)/float64(wo.lastJob), "messages/job")
 	b.ReportMetric(0, "ns/op")
 }
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -72,6 +72,7 @@
 	placedAt      time.Time
 	waitUntil     time.Time // the time by which a lost task has stopped, or the end of the backoff
 	sent          bool      // this owner has sent a run of the task to a holder
+	waitObserved  bool
 	checkpoint    string
 	checkpointRun Run // the run that saved the checkpoint
 }
--- a/internal/dispatch/steps.go
+++ b/internal/dispatch/steps.go
@@ -28,7 +28,8 @@
 	occ        *occurrence
 	step       int
 	tasks      []*task
-	shape      Shape // without the times, which are filled in on sending
+	shape      Shape     // without the times, which are filled in on sending
+	queuedAt   time.Time // when the tasks were queued by this owner
 	wantedFrom map[ids.EntryID]bool
 	gang       gangState
 	advice     adviceState
@@ -206,6 +207,9 @@
 			ta.state = taskQueued
 		}
 	}
+	if !gr.occ.inherited {
+		gr.queuedAt = en.now()
+	}
 	en.chooseRack(gr)
 	en.place(gr)
 }
--- a/internal/dispatch/task_ends.go
+++ b/internal/dispatch/task_ends.go
@@ -13,6 +13,7 @@
 	}
 	ta.state, ta.worker = taskRunning, ms.Worker
 	ta.countTry()
+	en.observeWait(gr, ta, en.now())
 	if kw := en.known[ms.Worker]; kw != nil {
 		ta.born = kw.info.Born
 	}
