--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -125,6 +125,7 @@
 	slack   time.Duration
 	started bool
 	refused bool
+	inTime  bool // completed within its objective
 	length  map[TaskID]time.Duration
 	sub     Submission
 }
@@ -1503,6 +1504,8 @@
 	// accelerators is the number of accelerators that a task needs in place of CPU.
 	accelerators int
 	cpu          Millicores // mean need of a task, 0 for emuTaskCPU
+	// A task needs from leastCPU to mostCPU, if mostCPU is not 0.
+	leastCPU, mostCPU Millicores
 }
 
 // emuTaskCPU is the usual mean need of a task.
@@ -1516,6 +1519,9 @@
 	count := max(1, int(math.Round(float64(kd.width)*math.Exp(0.4*wo.rnd.NormFloat64()))))
 	base := time.Duration(float64(kd.work) * math.Exp(0.4*wo.rnd.NormFloat64()-0.08))
 	cpu := Millicores(float64(cmp.Or(kd.cpu, emuTaskCPU)) * max(0.5, min(1.4, 1+0.2*wo.rnd.NormFloat64())))
+	if kd.mostCPU > 0 {
+		cpu = kd.leastCPU + Millicores(wo.rnd.Int64N(int64(kd.mostCPU-kd.leastCPU)+1))
+	}
 	jb := &emuJob{queue: kd.queue, arrived: wo.at, stretch: qu.Stretch, slack: qu.Slack, length: map[TaskID]time.Duration{}}
 	declared := time.Duration(float64(base) * math.Exp(0.4*wo.rnd.NormFloat64()))
 	job := Job{ID: id, Payload: fmt.Sprintf("cpu=%d", cpu)}
@@ -1576,6 +1582,7 @@
 			objective := time.Duration(float64(jb.work)*jb.stretch) + jb.slack
 			if out.Kind == Completed && wo.at.Sub(jb.arrived) <= objective {
 				wo.inTime[jb.queue]++
+				jb.inTime = true
 			}
 			if out.Kind == Refused {
 				jb.refused = true
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -141,6 +141,7 @@
 	lastGrant     GrantID
 	failedWorkers failedWorkers
 	classSpeeds   map[string]*classSpeed // by service and labels
+	waitStats     waitStatistics
 	// savedCheckpoints holds the checkpoints of ended runs, see keepCheckpoint.
 	savedCheckpoints map[ids.JobID]map[TaskID]SavedRun
 	// keptCrashes holds the runs that were lost with their workers, see keepCrash.
@@ -350,6 +351,7 @@
 	en.tickStored(now)
 	en.tickHolder(now)
 	en.tickEvacuations(now)
+	en.sampleWaits(now)
 	if now.Sub(en.lastMemberTickAt) >= memberTickInterval+time.Duration(en.topology.size)*memberSpacing {
 		en.lastMemberTickAt = now
 		en.tickMember(now)
