intake: bound what callers make a process hold

- A budget for the bytes of headers, bodies and their decoded form, a quarter of memoryMb, with a reserve for small bodies that arrive in one piece.
When it is short, the request with the largest product of bytes and time is shed; one that has arrived as a whole never is.
- A limit on connections from descriptors and memory.
Idle and slow connections are closed in favour of new ones.
- Times to read a body and to write an answer; the latter begins with the first byte of the answer, so waits for jobs are not cut.
- Headers are counted while they arrive, before net/http parses them.
- The body of a request that needs none is not read; its connection is closed after the answer.
- Batches of other entries are bounded by the lengths in the stream of encoding/gob, which itself allows gigabytes.
- The runtime's soft memory limit is set to 70% of memoryMb.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -117,7 +117,13 @@
 	doc := ha.board.Configuration.Load().Document
 	name := ids.ServiceName(chi.URLParam(hreq, "service"))
 	limit := doc.Limits.MaxRequestBytes
-	body, err := io.ReadAll(http.MaxBytesReader(wr, hreq.Body, limit))
+	body, err := []byte(nil), error(&http.MaxBytesError{Limit: limit})
+	if hreq.ContentLength <= limit {
+		body, err = io.ReadAll(http.MaxBytesReader(wr, hreq.Body, limit))
+	}
+	if limited, ok := jsonhttp.LimitError(err); ok {
+		return target.Request{}, limited
+	}
 	if err != nil {
 		return target.Request{}, outcome.Refuse(http.StatusRequestEntityTooLarge, "too-large",
 			fmt.Sprintf("the request body is larger than %d bytes or broken: %s", limit, err), "send a smaller body", 0)
--- a/internal/command/daemon.go
+++ b/internal/command/daemon.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -52,6 +53,9 @@
 		return fmt.Errorf("log-level: %w", err)
 	}
 	log := logline.New(st.Err, level)
+	if mem := set.Limits.Intake().MemoryBytes; mem > 0 {
+		debug.SetMemoryLimit(mem * memoryPercent / 100)
+	}
 	en, err := entry.New(set, log)
 	if err != nil {
 		return err
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -18,6 +18,7 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/counter"
 	"github.com/oleanderwall/oleanderwall/internal/fleet"
+	"github.com/oleanderwall/oleanderwall/internal/intake"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 	"github.com/oleanderwall/oleanderwall/platform"
 )
@@ -38,11 +39,10 @@
 	// megabytes. On a VM with a tenth of a core, one collection delays answers by
 	// tens of milliseconds.
 	gcPercent = 200
-	// headerTimeout bounds the time in which a client sends the header of a
-	// request, and idleTimeout the time for which a connection of a caller may be
-	// idle. The desired state limits only sizes.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 15 * time.Second
+	// memoryPercent is the share of the memory limit at which the garbage
+	// collector works harder. The program itself takes about 12 MB besides the
+	// memory of the runtime.
+	memoryPercent = 70
 )
 
 // runFleet runs an entry on the users' platform until SIGTERM or SIGINT.
@@ -50,9 +50,14 @@
 	fs := newFlagSet("fleet", st)
 	file := fs.String("settings", os.Getenv(platform.SettingsVariable), "settings file of the platform")
 	profile := fs.Bool("profile", false, "serve profiles of the process at /debug/pprof/ of the metrics address")
+	var limits intake.Limits
+	limits.Flags(fs)
 	if err := parseFlags(fs, args); err != nil {
 		return err
 	}
+	if err := limits.Check(); err != nil {
+		return &usageError{message: err.Error()}
+	}
 	if *file == "" {
 		return &usageError{message: "no settings file: set " + platform.SettingsVariable + " or give -settings"}
 	}
@@ -61,6 +66,10 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
+	if set.Memory > 0 {
+		debug.SetMemoryLimit(set.Memory * memoryPercent / 100)
+	}
+	limits.MemoryBytes, limits.Descriptors = set.Memory, set.Descriptors
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	cnt := counter.New()
@@ -73,7 +82,8 @@
 		return err
 	}
 	defer dm.Close()
-	servers, err := startServers(ctx, set, dm, cnt, log, *profile)
+	guard := intake.New(limits, cnt, log.Log)
+	servers, err := startServers(ctx, set, dm, guard, cnt, log, *profile)
 	if err != nil {
 		return err
 	}
@@ -126,7 +136,7 @@
 	log     *fleet.Logger
 }
 
-func startServers(ctx context.Context, set platform.Settings, dm *fleet.Daemon, cnt *counter.Set, log *fleet.Logger, profile bool) (*fleetServers, error) {
+func startServers(ctx context.Context, set platform.Settings, dm *fleet.Daemon, guard *intake.Guard, cnt *counter.Set, log *fleet.Logger, profile bool) (*fleetServers, error) {
 	ca := platform.NewCallerAPI(dm, cnt)
 	rt := chi.NewRouter()
 	rt.Get("/metrics", func(wr http.ResponseWriter, _ *http.Request) {
@@ -138,23 +148,31 @@
 		rt.HandleFunc("/debug/pprof/*", pprof.Index)
 		rt.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	}
+	limits := guard.Limits()
+	side := intake.Options{Connections: limits.SideConnections, ReplaceOldest: true}
 	fl := &fleetServers{
-		callers: ca.Server(headerTimeout, idleTimeout),
-		ready:   &http.Server{Handler: ca.ReadyRoutes(), ReadHeaderTimeout: headerTimeout},
-		metrics: &http.Server{Handler: rt, ReadHeaderTimeout: headerTimeout},
+		callers: ca.Server(limits.HeaderTime, limits.IdleTime),
+		ready:   &http.Server{Handler: ca.ReadyRoutes(), ReadHeaderTimeout: limits.HeaderTime},
+		metrics: &http.Server{Handler: rt, ReadHeaderTimeout: limits.HeaderTime},
 		grp:     group.New(ctx),
 		log:     log,
 	}
 	for _, sv := range []struct {
 		srv     *http.Server
 		address string
-	}{{fl.callers, set.Callers}, {fl.ready, set.Ready}, {fl.metrics, set.Metrics}} {
+		opt     intake.Options
+	}{
+		{fl.callers, set.Callers, intake.Options{Connections: limits.Connections, HeaderBytes: ca.HeaderBytes}},
+		{fl.ready, set.Ready, side},
+		{fl.metrics, set.Metrics, side},
+	} {
 		cfg := net.ListenConfig{}
 		lis, err := cfg.Listen(ctx, "tcp", sv.address)
 		if err != nil {
 			fl.close()
 			return nil, fmt.Errorf("listen on %s: %w", sv.address, err)
 		}
+		lis = guard.Guard(sv.srv, lis, sv.opt)
 		fl.grp.Go(func(context.Context) {
 			if err := sv.srv.Serve(lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				log.Log("server-failed", "address", sv.address, "error", err.Error())
--- a/internal/entry/crowds_test.go
+++ b/internal/entry/crowds_test.go
@@ -30,7 +30,7 @@
 )
 
 // crowdLimits are the lines of the settings file with the limits.
-var crowdLimits = ""
+var crowdLimits = fmt.Sprintf("limits: {memory-mb: %d, max-descriptors: %d}\n", crowdMemoryMB, crowdMaxFds)
 
 // crowdEntry is an entry process with the stand-ins of its platform.
 type crowdEntry struct {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/oleanderwall/oleanderwall/internal/counter"
 	"github.com/oleanderwall/oleanderwall/internal/home"
 	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/internal/intake"
 	"github.com/oleanderwall/oleanderwall/internal/job"
 	"github.com/oleanderwall/oleanderwall/internal/operator"
 	"github.com/oleanderwall/oleanderwall/internal/peer"
@@ -135,7 +136,9 @@
 	if err := en.buildJobs(rows, hc); err != nil {
 		return err
 	}
-	en.callers.handle(en.requests.track(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router())))
+	guard := intake.New(en.set.Limits.Intake(), en.cnt, en.logLimit)
+	limits := guard.Limits()
+	en.callers.handle(en.requests.track(en.onlyReady(caller.New(en.targets, en.jobs, en.board, en.cnt).Router())), guard, intake.Options{Connections: limits.Connections})
 	en.operators.handle(operator.New(operator.Options{
 		Board:       en.board,
 		Store:       announcingStore{store, en},
@@ -145,7 +148,7 @@
 		EntryID:     en.set.EntryID,
 		Incarnation: en.inc,
 		Zone:        en.set.AvailabilityZone,
-	}).Router())
+	}).Router(), guard, intake.Options{Connections: limits.SideConnections, ReplaceOldest: true})
 	return nil
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/oleanderwall/oleanderwall/internal/intake"
 	"github.com/oleanderwall/oleanderwall/internal/jsonhttp"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
@@ -24,12 +25,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
-	const headerTimeout = 10 * time.Second
-	return &httpServer{ln: ln, hs: &http.Server{ReadHeaderTimeout: headerTimeout}}, nil
+	return &httpServer{ln: ln, hs: &http.Server{}}, nil //nolint:gosec // handle sets the timeouts
 }
 
-func (sv *httpServer) address() string             { return sv.ln.Addr().String() }
-func (sv *httpServer) handle(handler http.Handler) { sv.hs.Handler = handler }
+func (sv *httpServer) address() string { return sv.ln.Addr().String() }
+
+// handle sets the handler and the limits of the listener.
+func (sv *httpServer) handle(handler http.Handler, guard *intake.Guard, opt intake.Options) {
+	sv.hs.Handler = handler
+	sv.hs.ReadHeaderTimeout = guard.Limits().HeaderTime
+	sv.ln = guard.Guard(sv.hs, sv.ln, opt)
+}
+
+// logLimit writes a line about limited callers.
+func (en *Entry) logLimit(event string, fields ...any) { en.log.Warn().Fields(fields).Msg(event) }
 
 func (sv *httpServer) start(grp *group.Group) {
 	grp.Go(func(context.Context) { _ = sv.hs.Serve(sv.ln) })
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -13,6 +13,7 @@
 
 	"github.com/oleanderwall/oleanderwall/internal/dispatch"
 	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/internal/intake"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
@@ -42,6 +43,9 @@
 	// linkRetry is the pause before an entry is dialled again.
 	linkRetry   = 150 * time.Millisecond
 	dialTimeout = 300 * time.Millisecond
+	// maxMessageBytes bounds a batch or an ack. The largest have a desired state
+	// of hundreds of kilobytes, or the reports of all workers of a zone.
+	maxMessageBytes = 8 << 20
 )
 
 // peerProtocol is the version of the messages between entries. Version 0
@@ -229,7 +233,7 @@
 		return err
 	}
 	watched := &watchedConn{Conn: conn, ended: make(chan struct{})}
-	cl := rpc.NewClient(watched)
+	cl := rpc.NewClient(intake.BoundMessages(watched, maxMessageBytes))
 	defer cl.Close()
 	var number uint64
 	lk.dm.locked(func(*dispatch.Entry) {
@@ -445,7 +449,7 @@
 		return
 	}
 	dm.locked(func(*dispatch.Entry) { dm.inbound[in] = true })
-	srv.ServeConn(conn)
+	srv.ServeConn(intake.BoundMessages(conn, maxMessageBytes))
 	dm.locked(func(en *dispatch.Entry) { in.end(en, "connection closed") })
 }
 
--- a/internal/jsonhttp/jsonhttp.go
+++ b/internal/jsonhttp/jsonhttp.go
@@ -24,6 +24,7 @@
 	"strconv"
 	"time"
 
+	"github.com/oleanderwall/oleanderwall/internal/intake"
 	"github.com/oleanderwall/oleanderwall/internal/outcome"
 )
 
@@ -145,13 +146,21 @@
 	if _, none := into.(*None); none {
 		return nil
 	}
+	if hreq.ContentLength > MaxBody {
+		return bodyTooLarge()
+	}
 	raw, err := io.ReadAll(io.LimitReader(hreq.Body, MaxBody+1))
+	if err == nil && len(raw) <= MaxBody {
+		err = intake.ChargeJSON(hreq.Context(), raw)
+	}
+	if limited, ok := LimitError(err); ok {
+		return limited
+	}
 	if err != nil {
 		return badRequest("unreadable-body", "the body could not be read: "+err.Error(), "send the request again")
 	}
 	if len(raw) > MaxBody {
-		msg := fmt.Sprintf("the body is larger than %d bytes", MaxBody)
-		return outcome.Refuse(http.StatusRequestEntityTooLarge, "too-large", msg, "send a smaller body", 0)
+		return bodyTooLarge()
 	}
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
@@ -161,6 +170,21 @@
 	return nil
 }
 
+func bodyTooLarge() error {
+	msg := fmt.Sprintf("the body is larger than %d bytes", MaxBody)
+	return outcome.Refuse(http.StatusRequestEntityTooLarge, "too-large", msg, "send a smaller body", 0)
+}
+
+// LimitError returns the answer to a request that exceeded a limit of
+// internal/intake. It returns false for other errors.
+func LimitError(err error) (error, bool) { //nolint:revive // the error is a result that the bool qualifies
+	var limited *intake.Refusal
+	if !errors.As(err, &limited) {
+		return nil, false
+	}
+	return outcome.Refuse(limited.Status, limited.Reason, limited.Message, "send a smaller body, and send it as a whole", limited.Retry), true
+}
+
 func badRequest(reason, message, remedy string) error {
 	return outcome.Refuse(http.StatusBadRequest, reason, message, remedy, 0)
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,6 +27,7 @@
 	"sync"
 	"time"
 
+	"github.com/oleanderwall/oleanderwall/internal/intake"
 	"github.com/oleanderwall/oleanderwall/pkg/group"
 )
 
@@ -93,7 +94,7 @@
 	}
 	srv.conns[conn] = true
 	srv.grp.Go(func(context.Context) {
-		srv.rs.ServeConn(srv.traffic.Meter(conn))
+		srv.rs.ServeConn(intake.BoundMessages(srv.traffic.Meter(conn), intake.MaxPeerMessage))
 		srv.mu.Lock()
 		delete(srv.conns, conn)
 		srv.mu.Unlock()
@@ -171,7 +172,7 @@
 		_ = conn.Close()
 		return other, nil
 	}
-	cl = rpc.NewClient(po.traffic.Meter(conn))
+	cl = rpc.NewClient(intake.BoundMessages(po.traffic.Meter(conn), intake.MaxPeerMessage))
 	po.clients[addr] = cl
 	return cl, nil
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -29,6 +29,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/oleanderwall/oleanderwall/internal/ids"
+	"github.com/oleanderwall/oleanderwall/internal/intake"
 )
 
 // Settings are the settings of one entry process.
@@ -42,6 +43,7 @@
 	Peers            []string             `yaml:"peers"`
 	LogLevel         string               `yaml:"log-level"`
 	Timing           Timing               `yaml:"timing"`
+	Limits           Limits               `yaml:"limits"`
 }
 
 // Listen holds the addresses that the process listens on.
@@ -67,6 +69,31 @@
 	ShutdownBound     Duration `yaml:"shutdown-bound"`
 }
 
+// Limits are the limits on callers. A value of 0 stands for the default.
+type Limits struct {
+	MemoryMB           int64    `yaml:"memory-mb"`
+	MaxDescriptors     int      `yaml:"max-descriptors"`
+	RequestMemoryBytes int64    `yaml:"request-memory-bytes"`
+	Connections        int      `yaml:"connections"`
+	SideConnections    int      `yaml:"side-connections"`
+	HeaderFields       int      `yaml:"header-fields"`
+	BodyTime           Duration `yaml:"body-time"`
+	BodyBytesPerSecond int64    `yaml:"body-bytes-per-second"`
+	AnswerTime         Duration `yaml:"answer-time"`
+	HeaderTime         Duration `yaml:"header-time"`
+	IdleTime           Duration `yaml:"idle-time"`
+}
+
+// Intake returns the limits as the type of internal/intake.
+func (li Limits) Intake() intake.Limits {
+	return intake.Limits{
+		MemoryBytes: li.MemoryMB << 20, Descriptors: li.MaxDescriptors, BudgetBytes: li.RequestMemoryBytes,
+		Connections: li.Connections, SideConnections: li.SideConnections, HeaderFields: li.HeaderFields,
+		BodyTime: li.BodyTime.Std(), BodyBytesPerSecond: li.BodyBytesPerSecond,
+		AnswerTime: li.AnswerTime.Std(), HeaderTime: li.HeaderTime.Std(), IdleTime: li.IdleTime.Std(),
+	}
+}
+
 // Duration is a duration written as text, for example 500ms. Text that is not a
 // duration is kept, so that it can be reported with its key and line.
 type Duration struct {
@@ -196,12 +223,15 @@
 	if _, err := zerolog.ParseLevel(set.LogLevel); err != nil || set.LogLevel == "" {
 		add("log-level", "%q is not one of debug, info, warn, error", set.LogLevel)
 	}
-	return append(faults, checkTiming(set.Timing)...)
+	if err := set.Limits.Intake().Check(); err != nil {
+		add("limits", "%s", err)
+	}
+	return append(faults, checkTiming(set.Timing, set.Limits)...)
 }
 
 const maxSize = 1024
 
-func checkTiming(tm Timing) []fault {
+func checkTiming(tm Timing, li Limits) []fault {
 	var faults []fault
 	for _, row := range []struct {
 		key       string
@@ -213,6 +243,10 @@
 		{"timing.heartbeat", tm.Heartbeat, 50 * time.Millisecond, 5 * time.Second},
 		{"timing.balancer-notice", tm.BalancerNotice, 0, 5 * time.Minute},
 		{"timing.shutdown-bound", tm.ShutdownBound, time.Second, time.Hour},
+		{"limits.body-time", li.BodyTime, 0, time.Hour},
+		{"limits.answer-time", li.AnswerTime, 0, time.Hour},
+		{"limits.header-time", li.HeaderTime, 0, time.Hour},
+		{"limits.idle-time", li.IdleTime, 0, time.Hour},
 	} {
 		if row.val.invalidText != "" {
 			msg := fmt.Sprintf("%q is not a duration; write a number with a unit, such as 500ms, from %s to %s", row.val.invalidText, row.low, row.high)
