--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -57,7 +57,7 @@
 	// connectionPercent is the share of the other descriptors for callers. Calls
 	// to workers, the store and other entries need the rest.
 	connectionPercent  = 60
-	defaultConnections = 480
+	defaultConnections = 4096
 	// budgetShare and connectionShare are the parts of the memory for requests
 	// and for connections: a quarter and a third.
 	budgetShare     = 4
@@ -65,7 +65,7 @@
 	// connectionBytes is what net/http holds for a connection: two buffers of
 	// 4 KB, two goroutines and the request.
 	connectionBytes           = 24 << 10
-	defaultBudget             = 64 << 20
+	defaultBudget             = 256 << 20
 	defaultSideConnections    = 64
 	defaultHeaderFields       = 100
 	defaultBodyTime           = 3 * time.Second
