intake: bound the writing of answers to requests that were sent ahead

TestUnreadAnswer failed for two requests in one packet: net/http clears the write deadline after each answer, and no read of the connection came before the second answer to set it again, so a client that did not read it held its request for good. The time for an answer now begins anew with each request.

--- a/internal/intake/guard_test.go
+++ b/internal/intake/guard_test.go
@@ -162,20 +162,23 @@
 }
 
 // TestUnreadAnswer guards against clients that hold a request by never reading
-// its answer.
+// its answer, also if the request was sent ahead on the connection.
 func TestUnreadAnswer(t *testing.T) {
-	address, cnt := startGuarded(t, Limits{AnswerTime: testAnswerTime})
-	conn := dial(t, address)
-	if _, err := io.WriteString(conn, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
-		t.Fatal(err)
-	}
-	for end := time.Now().Add(5 * time.Second); cnt.Value("test", "cut") == 0; time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the answer is still being written")
+	const now, large = "GET /now HTTP/1.1\r\nHost: h\r\n\r\n", "GET /large HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, sent := range []string{large, now + large, now + now + large + now} {
+		address, cnt := startGuarded(t, Limits{AnswerTime: testAnswerTime})
+		conn := dial(t, address)
+		if _, err := io.WriteString(conn, sent); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(5 * time.Second); cnt.Value("test", "cut") == 0; time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("the answer to %q is still being written", sent)
+			}
+		}
+		if cnt.Value(counter.Refusal, ReasonAnswer) == 0 {
+			t.Error("the cut is not counted")
 		}
-	}
-	if cnt.Value(counter.Refusal, ReasonAnswer) == 0 {
-		t.Error("the cut is not counted")
 	}
 }
 
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -181,6 +181,8 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	co.phase, co.since = phaseRunning, time.Now()
+	// The request may have been sent ahead, so that no read precedes its answer.
+	co.answering = false
 	return !co.closed
 }
 
@@ -188,7 +190,7 @@
 func (co *conn) enter(ph phase) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	co.phase, co.since = ph, time.Now()
+	co.phase, co.since, co.answering = ph, time.Now(), false
 	if ph == phaseIdle {
 		co.resetHeader()
 	}
