dispatch: a hot rack does not make capacity count as short

Cause: work that waits for a hot rack was taken for work that waits for any room, so the used share of half-empty workers was measured as their capacity, jobs were refused at calm load, and tasks did not move to other racks. A queue without a usual demand could get nothing at a low priority.

Change: capacity is measured only while 0.7 of a holder's workers are in use. A task starts away from its data below 0.9 if it ends in time there and capacity is not short, below 0.3 otherwise (0.5 before). A tenth of its present demand counts as usual for every queue.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -56,6 +56,10 @@
 	leastLeft     = 0.3
 )
 
+// leastUsual is the share of the recent demand of a queue that counts as usual at
+// least. A queue without a usual demand would get nothing at a low priority.
+const leastUsual = 0.1
+
 // divide divides capacity among queues: each gets its usual demand, or the same
 // share of it if that is too much for all; the rest goes to what else is demanded,
 // by priority and then in proportion. It returns the part of each queue.
@@ -63,7 +67,7 @@
 	parts := make([]float64, len(queues))
 	sum := 0.0
 	for num, ql := range queues {
-		parts[num] = min(ql.usual, ql.recent)
+		parts[num] = min(max(ql.usual, leastUsual*ql.recent), ql.recent)
 		sum += parts[num]
 	}
 	if sum >= capacity {
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -247,7 +247,7 @@
 	}
 	for hash, ca := range de.capacities {
 		ca.occupied = occupied[hash] / max(ca.total, tinyWork)
-		if ca.total > 0 && ca.wanted > ca.total*fullWait.Seconds() {
+		if ca.occupied >= fullShare && ca.wanted > ca.total*fullWait.Seconds() {
 			ca.fill = max(leastFill, ca.fill+(min(used[hash]/ca.total, 1)-ca.fill)*min(1, float64(took)/float64(fillTime)))
 		}
 	}
@@ -269,18 +269,33 @@
 	return near, remote, lasting
 }
 
-// fullWait times the capacity of a holder is the wanted work from which its workers
-// count as full. Less may wait for a moment at any load.
-const fullWait = 50 * time.Millisecond
+const (
+	// fullWait times the capacity of a holder is the wanted work from which its
+	// workers count as full. Less may wait for a moment at any load.
+	fullWait = 50 * time.Millisecond
+	// fullShare is the used share below which workers don't count as full: the work
+	// that waits there waits for the rack of its data.
+	fullShare = 0.7
+)
 
-// crowdedShare is the used share of the workers from which on no task starts away
-// from its data: it would take the room of several others.
-const crowdedShare = 0.5
+// The used shares of the workers from which on no task starts away from its data,
+// where it takes the room of several others.
+const (
+	crowdedShare = 0.3
+	// crowdedInTime applies to tasks that end in time there, while capacity is not
+	// short.
+	crowdedInTime = 0.9
+)
 
-// crowded reports whether the workers of a service at this holder are nearly full.
-func (en *Entry) crowded(svc ids.ServiceName) bool {
+// crowded reports whether the workers of a service at this holder are too full to
+// start tasks away from their data.
+func (en *Entry) crowded(svc ids.ServiceName, inTime bool) bool {
+	limit := crowdedShare
+	if inTime && !en.demand.short {
+		limit = crowdedInTime
+	}
 	ca := en.demand.capacities[nameHash(string(svc))]
-	return ca != nil && ca.occupied >= crowdedShare
+	return ca != nil && ca.occupied >= limit
 }
 
 // maxReportedQueues limits the reports, which go to every neighbour, to the queues
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -317,7 +317,7 @@
 // for long tasks, and then the one with the least free room. With wait set, a
 // task that may still be in time on a fast worker does not start on a slow one,
 // or away from its data, if it would be late there, and a task does not start away
-// from its data while the workers are nearly full.
+// from its data while the workers are too full for that, see crowded.
 func (en *Entry) pickWorker(sh Shape, id ids.JobID, inTime time.Time, key wantKey, now time.Time, wait bool) *worker {
 	var best *worker
 	var bestScore pickScore
@@ -334,7 +334,7 @@
 		if !score.inTime && mayBeInTime && (!score.near || wk.speed.factor() < fastSpeed) {
 			continue
 		}
-		if !score.near && wait && !now.After(remoteFrom) && en.crowded(sh.Service) {
+		if !score.near && wait && !now.After(remoteFrom) && en.crowded(sh.Service, score.inTime) {
 			continue
 		}
 		if best == nil || score.better(bestScore, best, wk) {
