--- a/internal/dispatch/overload_fleet_test.go
+++ b/internal/dispatch/overload_fleet_test.go
@@ -455,7 +455,7 @@
 	"data on racks, 2 times":         {"share", "zone", "window", "recovery"},
 	"loss of all entries, 1.3 times": {"share", "zone", "window"},
 	"hot rack at calm load":          {"recovery"},
-	"two hot racks at calm load":     {"share", "zone", "recovery"},
+	"two hot racks at calm load":     {"share", "recovery"},
 }
 
 // red reports whether a target is known to be missed.
