dispatch: ask few holders while work waits at all of them

Cause: each group asked ten holders for room, and each holder that had some reserved it for the same tasks until the owner answered. The entries spent their processor time on it.

Change: while work that may run anywhere waits at all of the holders that a group would ask, it asks four of them, chosen by its number, and after 0.5 s the others too. Groups that are bound to a rack, a label or tickets ask as before, and their work does not count as waiting.

Entries wait for a fresh set of evacuated zones only where the settings have a bound on evacuations.

--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -29,7 +29,7 @@
 func newHolder() (*world, *Entry, *recorder) {
 	wo := newWorld(1)
 	rc := &recorder{emuEffects: emuEffects{ee: &emuEntry{wo: wo}}}
-	en := New(Self{Incarnation: "entry-00/1", Zone: "north", Size: 1}, Limits{}, rc, func() time.Time { return wo.at })
+	en := New(Self{Incarnation: "entry-00/1", Zone: "north", Size: 1}, Limits{EvacuationBound: emuEvacuationBound}, rc, func() time.Time { return wo.at })
 	en.Apply(standardDesired(1))
 	en.EvacuationsRead(nil, 0, true, wo.at)
 	en.PutWorker(WorkerInfo{
--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -241,7 +241,7 @@
 		occupied[hash] += float64(near+remote) * factor
 	}
 	for _, wa := range en.wants {
-		if ca := de.capacities[nameHash(string(wa.shape.Service))]; ca != nil && wa.tier(now) != tierExpired {
+		if ca := de.capacities[nameHash(string(wa.shape.Service))]; ca != nil && wa.tier(now) != tierExpired && wa.shape.runsAnywhere() {
 			ca.wanted += wa.shape.work(wa.count - wa.granted)
 		}
 	}
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -264,7 +264,7 @@
 	ee.size = size
 	ee.alive, ee.jobsVersion, ee.holdersVersion, ee.evacuationsVersion = true, 0, 0, -1
 	ee.inc = ids.Incarnation(fmt.Sprintf("%s/%d", ee.id, ee.gen))
-	ee.en = New(Self{Incarnation: ee.inc, Zone: ee.zone, Size: size}, Limits{RemotePenalty: emuPenalty, ColdOvershoot: 1.5, ColdSlack: emuColdBurst}, &emuEffects{ee: ee, en: nil}, func() time.Time { return wo.at })
+	ee.en = New(Self{Incarnation: ee.inc, Zone: ee.zone, Size: size}, Limits{EvacuationBound: emuEvacuationBound, RemotePenalty: emuPenalty, ColdOvershoot: 1.5, ColdSlack: emuColdBurst}, &emuEffects{ee: ee, en: nil}, func() time.Time { return wo.at })
 	ee.en.eff = &emuEffects{ee: ee, en: ee.en}
 	if wo.desired.Version > 0 {
 		ee.en.Apply(wo.desired)
--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -286,7 +286,7 @@
 		known:            map[ids.WorkerID]*knownWorker{},
 		lastCallAt:       now(),
 
-		evac:            newEvacuations(now()),
+		evac:            newEvacuations(now(), lim.EvacuationBound > 0),
 		evacuationBound: cmp.Or(max(lim.EvacuationBound, 0), defaultEvacuationBound),
 		coldLimits:      newColdLimits(lim),
 	}
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -62,6 +62,9 @@
 	zones   map[ids.AvailabilityZone]*evacuatedZone
 	version Version // of the last row that was written or removed
 	readTo  Version // this entry has itself read all changes up to this version
+	// bounded reports that the settings set a bound on evacuations. Without one no
+	// entry waits for a fresh set.
+	bounded bool
 	// fresh is set once the set was read or received after staleSince, which is the
 	// start of this entry or the end of its last pause. Until then no task is
 	// started, because a zone may have been evacuated in the meantime.
@@ -107,8 +110,8 @@
 	retryAfterEvacuated = 5 * time.Second
 )
 
-func newEvacuations(now time.Time) *evacuations {
-	return &evacuations{zones: map[ids.AvailabilityZone]*evacuatedZone{}, staleSince: now}
+func newEvacuations(now time.Time, bounded bool) *evacuations {
+	return &evacuations{zones: map[ids.AvailabilityZone]*evacuatedZone{}, staleSince: now, bounded: bounded}
 }
 
 // evacuated reports whether a zone is evacuated.
@@ -118,7 +121,7 @@
 
 // bars reports whether no task may start on the workers of a zone.
 func (ev *evacuations) bars(zone ids.AvailabilityZone) bool {
-	return ev != nil && (!ev.fresh || ev.zones[zone] != nil)
+	return ev != nil && (ev.zones[zone] != nil || (ev.bounded && !ev.fresh))
 }
 
 // knownTo returns the version up to which this entry knows all changes.
@@ -128,8 +131,9 @@
 func (en *Entry) EvacuationVersion() Version { return en.evac.version }
 
 // EvacuationsFresh reports whether the set of evacuated zones was read or received
-// since the start of this entry and its last pause.
-func (en *Entry) EvacuationsFresh() bool { return en.evac.fresh }
+// since the start of this entry and its last pause. It is always true if the settings
+// set no bound on evacuations.
+func (en *Entry) EvacuationsFresh() bool { return en.evac.fresh || !en.evac.bounded }
 
 // EvacuationsRead processes the rows that were read from the store: all rows if
 // full is set, and otherwise those that have changed. The store had the version
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -309,6 +309,7 @@
 			}
 		}
 		en.clearAvoided(jb, now)
+		en.widenWants(jb, now)
 		en.tickGangs(jb, now)
 		en.tickAdvice(jb, now)
 		if jb.stored != nil {
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -212,7 +212,7 @@
 		en.withdrawWants(gr)
 		return
 	}
-	for _, id := range en.wantTargets(gr.shape) {
+	for _, id := range en.askedHolders(gr) {
 		en.sendWant(gr, id, count)
 	}
 }
@@ -237,6 +237,9 @@
 	waits := make(map[ids.EntryID]time.Duration, len(list))
 	for _, id := range list {
 		waits[id] = en.waitAt(id, service)
+		if en.zoneOf(id) != en.self.Zone {
+			waits[id] += farWait
+		}
 	}
 	sort.Slice(list, func(a, b int) bool {
 		if usable[list[a]] != usable[list[b]] {
@@ -260,19 +263,15 @@
 	if se := en.sessions[id]; id != en.id && se != nil {
 		ld = se.load
 	}
-	wait := time.Duration(0)
-	if en.zoneOf(id) != en.self.Zone {
-		wait += farWait
-	}
 	sc := ld.capacityOf(service)
 	switch {
 	case ld.Capacity == nil:
 		// The entry reports no capacity.
-		return wait
+		return 0
 	case sc.Rate == 0:
-		return wait + time.Minute
+		return time.Minute
 	}
-	return wait + seconds(sc.Wanted.amount()/sc.Rate.amount())
+	return seconds(sc.Wanted.amount() / sc.Rate.amount())
 }
 
 func (en *Entry) withdrawWants(gr *group) {
--- a/internal/dispatch/steps.go
+++ b/internal/dispatch/steps.go
@@ -31,8 +31,12 @@
 	shape      Shape     // without the times, which are filled in on sending
 	queuedAt   time.Time // when the tasks were queued by this owner
 	wantedFrom map[ids.EntryID]bool
-	gang       gangState
-	advice     adviceState
+	// fewSince is when the group began to ask only few holders, zero if it asks all,
+	// and widened is set once it has asked all after that, see askedHolders.
+	fewSince time.Time
+	widened  bool
+	gang     gangState
+	advice   adviceState
 	// failedAt is when a run last failed. avoidHolders holds the holders of the
 	// workers on which runs have failed; it is cleared when no run has failed for
 	// carefulTime.
