dispatch: sort only the queues that are reported

updateReport sorted all queues of the configuration every 60 ms, although only those with work go into the report. The report is the same. Two comments: the wanted work is that which may run anywhere, and an overlong line.

--- a/internal/dispatch/demand.go
+++ b/internal/dispatch/demand.go
@@ -39,8 +39,8 @@
 	// Rate is how much work the workers complete per second when work waits, in
 	// core-seconds per second.
 	Rate Level
-	// Wanted is the work that owners have asked this holder to take, in
-	// core-seconds. Owners ask several holders for the same work.
+	// Wanted is the work that may run anywhere and that owners have asked this holder
+	// to take, in core-seconds. Owners ask several holders for the same work.
 	Wanted Level
 }
 
@@ -306,13 +306,14 @@
 func (en *Entry) updateReport() {
 	de := &en.demand
 	de.queueReport, de.capacityReport = nil, nil
-	for _, hash := range sortedKeys(de.queues) {
-		qd := de.queues[hash]
+	for _, qd := range de.queues {
 		re := QueueDemand{Queue: qd.hash, Backlog: levelOf(qd.backlog), Recent: levelOf(qd.recent), Usual: levelOf(qd.usual)}
 		if re.Backlog > 0 || re.Recent > 0 || re.Usual > 0 {
 			de.queueReport = append(de.queueReport, re)
 		}
 	}
+	// Most queues of a large configuration have no work, so only the report is sorted.
+	slices.SortFunc(de.queueReport, func(a, b QueueDemand) int { return cmp.Compare(a.Queue, b.Queue) })
 	if len(de.queueReport) > maxReportedQueues {
 		slices.SortStableFunc(de.queueReport, func(a, b QueueDemand) int {
 			return cmp.Compare(max(b.Recent, b.Backlog), max(a.Recent, a.Backlog))
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -354,8 +354,9 @@
 
 // pickWorker chooses the worker for a task. It returns nil if none is suitable.
 // Workers on which the task can be in time come first, and among these the ones on
-// the rack of the data. Of several such workers pickWorker prefers a slow one, so that the fast ones stay free
-// for long tasks, and then the one with the least free room. With wait set, a
+// the rack of the data. Of several such workers pickWorker prefers a slow one, so
+// that the fast ones stay free for long tasks, and then the one with the least free
+// room. With wait set, a
 // task that may still be in time on a fast worker does not start on a slow one,
 // or away from its data, if it would be late there, and a task does not start away
 // from its data while the workers are too full for that, see crowded.
