--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -45,14 +45,17 @@
 	grp     *group.Group
 	store   *store
 	hist    *history
+	gangs   gangs
 	program string
 	dir     string
 	net     [2]int // the second and third byte of the loopback addresses
 	entries []*entry
 	runners []*runner
 	trouble bool
-	late    atomic.Int64 // share of the orders that are carried out late, in thousandths
-	client  *http.Client
+	// attempts is maxAttempts of the route.
+	attempts int
+	late     atomic.Int64 // share of the orders that are carried out late, in thousandths
+	client   *http.Client
 }
 
 // host returns a loopback address of this bed.
@@ -69,7 +72,8 @@
 		return nil, err
 	}
 	bd := &bed{
-		rec: rec, grp: newGroup(ctx), store: newStore(), hist: &history{acked: map[string]time.Time{}}, program: program, dir: dir,
+		attempts: maxTries,
+		rec:      rec, grp: newGroup(ctx), store: newStore(), hist: &history{acked: map[string]time.Time{}}, gangs: gangs{members: map[string]map[string]*runner{}}, program: program, dir: dir,
 		net:    [2]int{16 + rand.IntN(200), rand.IntN(250)},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}},
 	}
@@ -83,7 +87,7 @@
 		"version": 7,
 		"routes": []map[string]any{{
 			"name": routeName, "host": routeHost, "pathPrefix": routePath, "type": "non_idempotent", "timeoutMs": routeWait.Milliseconds(),
-			"targetLatencyMs": 60, "priority": 0, "service": service, "maxAttempts": maxTries, "stretch": 1.6,
+			"targetLatencyMs": 60, "priority": 0, "service": service, "maxAttempts": bd.attempts, "stretch": 1.6,
 		}},
 		"services": []map[string]any{{
 			"name": service, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "tls": false, "admissionCheck": false, "standby": false,
--- a/review/bed2/cases.go
+++ b/review/bed2/cases.go
@@ -15,13 +15,15 @@
 
 // step is a step of a job on the wire.
 type step struct {
-	Count       int   `json:"count"`
-	CPU         int64 `json:"cpu"`
-	MemMB       int64 `json:"memMb"`
-	EstimatedMs int64 `json:"estimatedMs,omitempty"`
-	After       []int `json:"after,omitempty"`
-	LongRunning bool  `json:"longRunning,omitempty"`
-	AntiAff     int   `json:"antiAffinity,omitempty"`
+	Count         int   `json:"count"`
+	CPU           int64 `json:"cpu"`
+	MemMB         int64 `json:"memMb"`
+	EstimatedMs   int64 `json:"estimatedMs,omitempty"`
+	After         []int `json:"after,omitempty"`
+	LongRunning   bool  `json:"longRunning,omitempty"`
+	Gang          bool  `json:"gang,omitempty"`
+	Checkpointing bool  `json:"checkpointing,omitempty"`
+	AntiAff       int   `json:"antiAffinity,omitempty"`
 }
 
 // job is a job on the wire.
--- a/review/bed2/runner.go
+++ b/review/bed2/runner.go
@@ -31,13 +31,14 @@
 
 // event is a start or an end of a run on a runner.
 type event struct {
-	at     time.Time
-	runner string
-	task   string
-	run    int64
-	what   string // "start", or how the run ended
-	born   int64
-	number int64 // of an end
+	at         time.Time
+	runner     string
+	task       string
+	run        int64
+	what       string // "start", or how the run ended
+	checkpoint string
+	born       int64
+	number     int64 // of an end
 }
 
 // history is what all runners have done.
@@ -75,10 +76,42 @@
 }
 
 type liveRun struct {
-	run   int64
-	ends  time.Time
-	how   string
-	timer *time.Timer
+	run    int64
+	how    string
+	timer  *time.Timer
+	began  time.Time
+	base   time.Duration // work saved by earlier runs
+	saves  bool
+	task   string
+	runner *runner
+}
+
+// saved returns the checkpoint of the run: "TASK@MS" with the work that is saved.
+func (lr *liveRun) saved(final bool) string {
+	if !lr.saves {
+		return ""
+	}
+	done := lr.base
+	if !lr.began.IsZero() {
+		done += time.Since(lr.began)
+	}
+	if !final {
+		done = done / (500 * time.Millisecond) * (500 * time.Millisecond)
+	}
+	if done == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s@%d", lr.task, done.Milliseconds())
+}
+
+// gangs tracks the members of the runs of gangs that are present.
+type gangs struct {
+	mu      sync.Mutex
+	members map[string]map[string]*runner // by job, occurrence, step and run: by task
+}
+
+func gangKey(task string, run int64) string {
+	return fmt.Sprint(task[:strings.LastIndexByte(task, '.')], "@", run)
 }
 
 type endedRun struct {
@@ -86,6 +119,7 @@
 	task   string
 	run    int64
 	how    string
+	saved  string
 }
 
 // runner is a stand-in of a runner.
@@ -157,6 +191,7 @@
 	for task, lr := range ru.running {
 		lr.timer.Stop()
 		ru.bd.hist.add(event{at: time.Now(), runner: ru.id, task: task, run: lr.run, what: "crashed", born: ru.born})
+		ru.bd.leaveGang(task, lr.run, "crashed")
 	}
 	ru.running = map[string]*liveRun{}
 	srv := ru.server
@@ -199,6 +234,7 @@
 	Spec       string `json:"spec"`
 	DeadlineMs int64  `json:"deadlineMs"`
 	Token      int64  `json:"fencingToken"`
+	Checkpoint string `json:"checkpoint"`
 	Acked      int64  `json:"ackedThrough"`
 	WaitMs     int64  `json:"waitMs"`
 }
@@ -271,28 +307,107 @@
 	delete(ru.running, task)
 	ru.lastEnd++
 	ru.highest[task] = max(ru.highest[task], lr.run)
-	ru.ended = append(ru.ended, endedRun{number: ru.lastEnd, task: task, run: lr.run, how: how})
+	saved := ""
+	if how != "done" {
+		saved = lr.saved(how == "stopped" || how == "broken")
+	}
+	ru.ended = append(ru.ended, endedRun{number: ru.lastEnd, task: task, run: lr.run, how: how, saved: saved})
+	ru.bd.leaveGang(task, lr.run, how)
 	ru.bd.hist.add(event{at: time.Now(), runner: ru.id, task: task, run: lr.run, what: how, born: ru.born, number: ru.lastEnd})
 	close(ru.changed)
 	ru.changed = make(chan struct{})
 }
 
-// parseSpec reads the run time and the end of a task from its spec, for example
-// "ms=200 how=done".
-func parseSpec(spec string) (time.Duration, string) {
-	took, how := 100*time.Millisecond, "done"
-	for _, word := range strings.Fields(spec) {
+// spec is what a task does.
+type spec struct {
+	took  time.Duration
+	how   string
+	gang  int // tasks of the gang, 0 for none
+	saves bool
+}
+
+// parseSpec reads the spec of a task, for example "ms=200 how=done gang=3 saves=1".
+func parseSpec(text string, run int64) spec {
+	sp := spec{took: 100 * time.Millisecond, how: "done"}
+	for _, word := range strings.Fields(text) {
 		name, value, _ := strings.Cut(word, "=")
+		num, _ := strconv.Atoi(value)
 		switch name {
 		case "ms":
-			if ms, err := strconv.Atoi(value); err == nil {
-				took = time.Duration(ms) * time.Millisecond
-			}
+			sp.took = time.Duration(num) * time.Millisecond
 		case "how":
-			how = value
+			sp.how = value
+		case "first":
+			if run == 1 {
+				sp.took, sp.how = time.Duration(num)*time.Millisecond, "failed"
+			}
+		case "flaky":
+			if rand.IntN(100) < num {
+				sp.how = "failed"
+			}
+		case "gang":
+			sp.gang = num
+		case "saves":
+			sp.saves = true
 		}
 	}
-	return took, how
+	return sp
+}
+
+// joinGang adds a member to a run of a gang. Once all are present their work begins.
+func (bd *bed) joinGang(ru *runner, lr *liveRun, size int, left time.Duration) {
+	ga := &bd.gangs
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	key := gangKey(lr.task, lr.run)
+	if ga.members[key] == nil {
+		ga.members[key] = map[string]*runner{}
+	}
+	ga.members[key][lr.task] = ru
+	if len(ga.members[key]) < size {
+		return
+	}
+	members := ga.members[key]
+	bd.grp.Go(func(ctx context.Context) {
+		now := time.Now()
+		for task, other := range members {
+			other.mu.Lock()
+			if o := other.running[task]; o != nil && o.run == lr.run {
+				o.began = now
+			}
+			other.mu.Unlock()
+		}
+		sleep(ctx, left)
+		bd.endGang(key, lr.run, "done")
+	})
+}
+
+// leaveGang handles the end of a member that was not done. The others end broken.
+func (bd *bed) leaveGang(task string, run int64, how string) {
+	ga := &bd.gangs
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	key := gangKey(task, run)
+	if ga.members[key] == nil || how == "done" || how == "broken" || how == "alone" {
+		return
+	}
+	bd.grp.Go(func(context.Context) { bd.endGang(key, run, "broken") })
+}
+
+// endGang ends all members of a run of a gang.
+func (bd *bed) endGang(key string, run int64, how string) {
+	ga := &bd.gangs
+	ga.mu.Lock()
+	members := ga.members[key]
+	delete(ga.members, key)
+	ga.mu.Unlock()
+	for task, other := range members {
+		other.mu.Lock()
+		if lr := other.running[task]; lr != nil && lr.run == run && other.up {
+			other.end(task, how)
+		}
+		other.mu.Unlock()
+	}
 }
 
 // refusal returns why a start is refused, "" if it is not.
@@ -345,10 +460,36 @@
 		return
 	}
 	ru.extend(call.DeadlineMs)
-	took, how := parseSpec(call.Spec)
+	sp := parseSpec(call.Spec, call.Run)
 	born := ru.born
-	lr := &liveRun{run: call.Run, how: how}
-	lr.timer = time.AfterFunc(took, func() {
+	lr := &liveRun{run: call.Run, how: sp.how, saves: sp.saves, task: call.Task, runner: ru}
+	if call.Checkpoint != "" {
+		from, ms, _ := strings.Cut(call.Checkpoint, "@")
+		if n, err := strconv.Atoi(ms); err == nil {
+			lr.base = time.Duration(n) * time.Millisecond
+		}
+		same := from == call.Task || (sp.gang > 0 && gangKey(from, 0) == gangKey(call.Task, 0))
+		if !same {
+			ru.bd.rec.add("BROKEN UNASKED %s run %d starts with checkpoint %s", call.Task, call.Run, call.Checkpoint)
+		}
+	}
+	left := max(sp.took-lr.base, time.Millisecond)
+	if sp.gang > 0 {
+		lr.timer = time.AfterFunc(3*time.Second, func() {
+			ru.mu.Lock()
+			defer ru.mu.Unlock()
+			if ru.born == born && ru.up && ru.running[call.Task] == lr && lr.began.IsZero() {
+				ru.end(call.Task, "alone")
+			}
+		})
+		ru.running[call.Task] = lr
+		ru.bd.hist.add(event{at: time.Now(), runner: ru.id, task: call.Task, run: call.Run, what: "start", born: ru.born, checkpoint: call.Checkpoint})
+		ru.bd.joinGang(ru, lr, sp.gang, left)
+		reply(wr, http.StatusOK, rep)
+		return
+	}
+	lr.began = time.Now()
+	lr.timer = time.AfterFunc(left, func() {
 		ru.mu.Lock()
 		defer ru.mu.Unlock()
 		if ru.born == born && ru.up && ru.running[call.Task] == lr {
@@ -422,10 +563,10 @@
 	ru.mu.Lock()
 	rep := runReply{ClockMs: ru.clock().Milliseconds(), Born: ru.born, Running: [][]any{}, Ended: [][]any{}}
 	for task, lr := range ru.running {
-		rep.Running = append(rep.Running, []any{task, lr.run, "", 100})
+		rep.Running = append(rep.Running, []any{task, lr.run, lr.saved(false), 100})
 	}
 	for _, er := range ru.ended[:min(maxEnds, len(ru.ended))] {
-		rep.Ended = append(rep.Ended, []any{er.number, er.task, er.run, er.how, ""})
+		rep.Ended = append(rep.Ended, []any{er.number, er.task, er.run, er.how, er.saved})
 	}
 	ru.mu.Unlock()
 	reply(wr, http.StatusOK, rep)
--- a/review/bed2/soak.go
+++ b/review/bed2/soak.go
@@ -77,6 +77,30 @@
 			se.job.Steps = []step{{Count: 1 + rand.IntN(4), CPU: 2000, MemMB: 64, LongRunning: true}}
 			se.job.Spec = "ms=600000"
 		}
+		isLasting := se.job.Steps[0].LongRunning
+		if has("anti") && rand.IntN(4) == 0 {
+			for i := range se.job.Steps {
+				se.job.Steps[i].AntiAff = 1
+			}
+		}
+		if has("saves") && !isLasting && rand.IntN(3) == 0 {
+			se.job.Spec = fmt.Sprintf("ms=%d saves=1", 1500+rand.IntN(3000))
+			for i := range se.job.Steps {
+				se.job.Steps[i].Checkpointing, se.job.Steps[i].EstimatedMs = true, 2000
+			}
+		}
+		if has("gang") && !isLasting && rand.IntN(3) == 0 {
+			n := 2 + rand.IntN(5)
+			se.job.Steps = []step{{Count: n, CPU: 2000, MemMB: 64, EstimatedMs: 1000, Gang: true}, {Count: n, CPU: 2000, MemMB: 64, EstimatedMs: 1000, Gang: true, After: []int{0}}}
+			se.job.Spec = fmt.Sprintf("ms=%d gang=%d", 200+rand.IntN(2500), n)
+			if has("saves") && rand.IntN(2) == 0 {
+				se.job.Spec += " saves=1"
+				se.job.Steps[0].Checkpointing, se.job.Steps[1].Checkpointing = true, true
+			}
+		}
+		if has("flaky") && !isLasting && rand.IntN(2) == 0 && !strings.Contains(se.job.Spec, "gang") {
+			se.job.Spec += fmt.Sprintf(" flaky=%d", 10+rand.IntN(60))
+		}
 		mu.Lock()
 		all = append(all, se)
 		mu.Unlock()
@@ -194,6 +218,23 @@
 			bd.rec.add("runner restart %v", err)
 		}
 	})
+	every("drain", 6*time.Second, func() {
+		ru := bd.runners[rand.IntN(nrun)]
+		ru.mu.Lock()
+		if !ru.up {
+			ru.mu.Unlock()
+			return
+		}
+		ru.state = "draining"
+		ru.mu.Unlock()
+		sleep(ctx, 4500*time.Millisecond)
+		ru.crash()
+		bd.store.remove("servers", ru.id)
+		sleep(ctx, 2*time.Second)
+		if err := ru.start(); err != nil {
+			bd.rec.add("runner restart %v", err)
+		}
+	})
 	every("slow", 10*time.Second, func() {
 		bd.rec.add("store slow")
 		bd.store.setGate(func(int, bool) (int, time.Duration) { return 0, 250 * time.Millisecond })
@@ -242,6 +283,7 @@
 	return bd.check(ctx, all)
 }
 
+// check checks the rules after a soak.
 func (bd *bed) check(ctx context.Context, all []*sent) error {
 	var bad []string
 	say := func(format string, args ...any) {
@@ -273,11 +315,39 @@
 	ackedAt := bd.hist.acked
 	bd.hist.mu.Unlock()
 	firstDone := map[string]time.Time{}
+	// antiAffinity: tasks of one step on one runner at a time
+	onRunner := map[string]map[string]bool{}
+	for _, ev := range events {
+		parts := strings.Split(ev.task, ".")
+		if ev.task == "" || jobs[parts[0]] == nil {
+			continue
+		}
+		stepNum, _ := strconv.Atoi(parts[2])
+		limit := jobs[parts[0]].job.Steps[stepNum].AntiAff
+		if limit == 0 {
+			continue
+		}
+		key := fmt.Sprint(parts[0], ".", parts[1], ".", parts[2], "/", ev.runner, "/", ev.born)
+		if onRunner[key] == nil {
+			onRunner[key] = map[string]bool{}
+		}
+		if ev.what != "start" {
+			delete(onRunner[key], fmt.Sprint(ev.task, "/", ev.run))
+			continue
+		}
+		onRunner[key][fmt.Sprint(ev.task, "/", ev.run)] = true
+		if len(onRunner[key]) > limit {
+			say("ROUTE antiAffinity %s run %d on %s at %s: %v", ev.task, ev.run, ev.runner, rel(ev.at), onRunner[key])
+		}
+	}
 	for task, list := range byTask {
 		type live struct{ ev event }
 		open := map[string]event{}
 		for _, ev := range list {
 			key := fmt.Sprint(ev.runner, "/", ev.born, "/", ev.run)
+			if ev.what == "alone" {
+				say("GANG %s run %d on %s ends alone at %s", task, ev.run, ev.runner, rel(ev.at))
+			}
 			if ev.what == "start" {
 				for _, other := range open {
 					say("TWICE %s run %d on %s starts at %s while run %d runs on %s since %s", task, ev.run, ev.runner, rel(ev.at), other.run, other.runner, rel(other.at))
@@ -286,7 +356,7 @@
 				continue
 			}
 			delete(open, key)
-			if ev.what == "done" {
+			if se := jobs[strings.Split(task, ".")[0]]; ev.what == "done" && (se == nil || !se.job.Steps[0].LongRunning) {
 				if firstDone[task].IsZero() {
 					firstDone[task] = ev.at
 				}
@@ -309,6 +379,7 @@
 			}
 		}
 	}
+	failedJobs := map[string]bool{}
 	for task, list := range byTask {
 		parts := strings.Split(task, ".")
 		se := jobs[parts[0]]
@@ -333,6 +404,18 @@
 				}
 			}
 		}
+		fails := 0
+		for _, ev := range list {
+			if ev.what == "start" && fails >= maxTries {
+				say("BUDGET %s run %d starts at %s after %d failed", task, ev.run, rel(ev.at), fails)
+			}
+			if ev.what == "failed" && !ackedAt[endKey(ev.runner, ev.born, ev.number)].IsZero() {
+				fails++
+			}
+		}
+		if fails >= maxTries {
+			failedJobs[parts[0]] = true
+		}
 		refused := true
 		for _, an := range se.posts {
 			refused = refused && (an.status == 503 || an.status == 429 || an.status == 404)
@@ -341,9 +424,42 @@
 			say("REFUSED %s", task)
 		}
 	}
+	// gaps: times without a run of a task that has begun and not ended done
+	for task, list := range byTask {
+		se := jobs[strings.Split(task, ".")[0]]
+		if se == nil {
+			continue
+		}
+		runs := 0
+		var idle time.Time
+		limit := time.Now()
+		if !se.deleted.IsZero() {
+			limit = se.deleted
+		}
+		for _, ev := range list {
+			if ev.what == "start" {
+				if runs == 0 && !idle.IsZero() && idle.Before(limit) && ev.at.Sub(idle) > 9*time.Second {
+					bd.rec.add("GAP %s idle from %s for %.1f s, lasting %v", task, rel(idle), ev.at.Sub(idle).Seconds(), se.job.Steps[0].LongRunning)
+				}
+				runs++
+				continue
+			}
+			runs--
+			idle = ev.at
+			if ev.what == "done" && !se.job.Steps[0].LongRunning {
+				idle = time.Time{}
+			}
+		}
+		if runs == 0 && !idle.IsZero() && limit.Sub(idle) > 9*time.Second {
+			bd.rec.add("GAP %s idle from %s for %.1f s to the end, lasting %v", task, rel(idle), limit.Sub(idle).Seconds(), se.job.Steps[0].LongRunning)
+		}
+	}
 	states := map[string]int{}
 	for _, se := range all {
 		for _, an := range se.gone {
+			if an.state == "failed" && failedJobs[se.id] {
+				continue
+			}
 			say("LOST %s acked %s, at %s answered %d %s", se.id, rel(se.acked), rel(an.ended), an.status, an.state)
 		}
 		if se.acked.IsZero() {
@@ -365,6 +481,9 @@
 		if an.state == "completed" && done < tasks {
 			say("MIXED %s completed with %d of %d", se.id, done, tasks)
 		}
+		if an.state == "failed" && failedJobs[se.id] {
+			continue
+		}
 		if se.deleted.IsZero() && an.state != "completed" {
 			say("LOST %s acked %s is %d %q %v, %d of %d done", se.id, rel(se.acked), an.status, an.state, an.err, done, tasks)
 		}
@@ -382,6 +501,22 @@
 			fmt.Println(text)
 		}
 	}
+	dumped := map[string]bool{}
+	for _, text := range bad {
+		for _, word := range strings.Fields(text) {
+			id := strings.Split(word, ".")[0]
+			if len(id) != 16 || jobs[id] == nil || dumped[id] {
+				continue
+			}
+			dumped[id] = true
+			bd.rec.add("job %s: %+v", id, jobs[id].job)
+			for _, ev := range events {
+				if strings.HasPrefix(ev.task, id) {
+					bd.rec.add("  at %s %s run %d on %s: %s (%d)", rel(ev.at), ev.task, ev.run, ev.runner, ev.what, ev.number)
+				}
+			}
+		}
+	}
 	if len(bad) > 0 {
 		return fmt.Errorf("%w: %d findings", errBroken, len(bad))
 	}
