--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -14,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -45,7 +44,6 @@
 	grp     *group.Group
 	store   *store
 	hist    *history
-	gangs   gangs
 	program string
 	dir     string
 	net     [2]int // the second and third byte of the loopback addresses
@@ -53,9 +51,10 @@
 	runners []*runner
 	trouble bool
 	// attempts is maxAttempts of the route.
-	attempts int
-	late     atomic.Int64 // share of the orders that are carried out late, in thousandths
-	client   *http.Client
+	attempts    int
+	client      *http.Client
+	storeAt     string
+	storeServer *http.Server
 }
 
 // host returns a loopback address of this bed.
@@ -73,7 +72,7 @@
 	}
 	bd := &bed{
 		attempts: maxTries,
-		rec:      rec, grp: newGroup(ctx), store: newStore(), hist: &history{acked: map[string]time.Time{}}, gangs: gangs{members: map[string]map[string]*runner{}}, program: program, dir: dir,
+		rec:      rec, grp: group.New(ctx), store: newStore(), hist: &history{}, program: program, dir: dir,
 		net:    [2]int{16 + rand.IntN(200), rand.IntN(250)},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 200}},
 	}
@@ -94,6 +93,9 @@
 		}},
 		"limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
+	if err := bd.serveStore(ctx); err != nil {
+		return err
+	}
 	for num := range runners {
 		ru := &runner{bd: bd, id: fmt.Sprintf("i-%04x", 0x7000+num), zone: zones[num%len(zones)], rack: fmt.Sprintf("r1-%d", num/8)}
 		if err := ru.start(); err != nil {
@@ -104,9 +106,6 @@
 	}
 	for num := range entries {
 		en := &entry{bd: bd, num: num, name: fmt.Sprintf("edge-%s-%d", zones[num%len(zones)], num/len(zones)+1), ip: bd.host(11 + num)}
-		if err := en.listenStore(ctx); err != nil {
-			return err
-		}
 		bd.entries = append(bd.entries, en)
 	}
 	for _, en := range bd.entries {
@@ -128,66 +127,55 @@
 	return nil
 }
 
+// serveStore serves the store at a loopback address.
+func (bd *bed) serveStore(ctx context.Context) error {
+	cfg := net.ListenConfig{}
+	lis, err := cfg.Listen(ctx, "tcp", bd.host(1)+":0")
+	if err != nil {
+		return err
+	}
+	bd.storeAt = lis.Addr().String()
+	bd.storeServer = &http.Server{Handler: bd.store.handler(), ReadHeaderTimeout: time.Minute}
+	bd.grp.Go(func(context.Context) {
+		if err := bd.storeServer.Serve(lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			bd.rec.add("store: %v", err)
+		}
+	})
+	return nil
+}
+
 // close ends all processes and stand-ins.
 func (bd *bed) close() {
 	for _, en := range bd.entries {
 		en.kill()
 	}
 	for _, ru := range bd.runners {
-		if ru.up {
-			if err := ru.server.Close(); err != nil {
-				bd.rec.add("runner %s: %v", ru.id, err)
-			}
-		}
+		ru.close()
 	}
 	bd.client.CloseIdleConnections()
-	for _, en := range bd.entries {
-		if err := en.storeServer.Close(); err != nil {
+	if bd.storeServer != nil {
+		if err := bd.storeServer.Close(); err != nil {
 			bd.rec.add("store: %v", err)
 		}
 	}
 	bd.grp.Close()
-	if os.Getenv("KEEP") == "" {
-		if err := os.RemoveAll(bd.dir); err != nil {
-			bd.rec.add("temporary folder: %v", err)
-		}
-	} else {
-		fmt.Println("logs:", bd.dir)
+	if err := os.RemoveAll(bd.dir); err != nil {
+		bd.rec.add("temporary folder: %v", err)
 	}
 }
 
 // entry is one process of the project.
 type entry struct {
-	bd          *bed
-	num         int
-	name        string
-	ip          string
-	storeServer *http.Server
-	storeAt     string
+	bd   *bed
+	num  int
+	name string
+	ip   string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
 }
 
-// listenStore serves the store at an address of this entry's own, so that the store
-// can tell the entries apart.
-func (en *entry) listenStore(ctx context.Context) error {
-	cfg := net.ListenConfig{}
-	lis, err := cfg.Listen(ctx, "tcp", en.bd.host(1)+":0")
-	if err != nil {
-		return err
-	}
-	en.storeAt = lis.Addr().String()
-	en.storeServer = &http.Server{Handler: en.bd.store.handler(en.num), ReadHeaderTimeout: time.Minute}
-	en.bd.grp.Go(func(context.Context) {
-		if err := en.storeServer.Serve(lis); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			en.bd.rec.add("store: %v", err)
-		}
-	})
-	return nil
-}
-
 const settingsFormat = `nodeName: %q
 role: "entry"
 machineClass: "edge"
@@ -240,7 +228,7 @@
 // start starts the process.
 func (en *entry) start(first bool) error {
 	path := filepath.Join(en.bd.dir, en.name+".yaml")
-	text := fmt.Sprintf(settingsFormat, en.name, en.ip, zones[en.num%len(zones)], en.ip, entryPort, en.ip, readyPort, en.ip, peerPort, first, en.storeAt)
+	text := fmt.Sprintf(settingsFormat, en.name, en.ip, zones[en.num%len(zones)], en.ip, entryPort, en.ip, readyPort, en.ip, peerPort, first, en.bd.storeAt)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -248,7 +236,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(en.bd.program, "fleet")
+	cmd := exec.CommandContext(en.bd.grp.Context(), en.bd.program, "fleet") //nolint:gosec // the program of the deploy file
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "OLEANDERWALL_BOOT=" + path}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -294,16 +282,6 @@
 	<-done
 }
 
-// exited waits for the end of the process, at most for a time.
-func (en *entry) exited(limit time.Duration) bool {
-	select {
-	case <-en.done:
-		return true
-	case <-time.After(limit):
-		return false
-	}
-}
-
 func (en *entry) ready(ctx context.Context) bool {
 	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/ready", en.ip, readyPort), nil)
 	if err != nil {
--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -24,7 +24,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -56,7 +58,9 @@
 		fmt.Fprintf(os.Stderr, "no case %q\n", *name)
 		return exitNotRun
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), playTime)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, playTime)
 	defer cancel()
 	rec, err := newRecord(filepath.Join(*dir, "record.txt"))
 	if err != nil {
--- a/review/bed2/store.go
+++ b/review/bed2/store.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -51,55 +50,23 @@
 	version int64
 	rows    map[place]row
 	history []row
-	changed chan struct{}                                               // closed at the next change
-	gate    func(node int, write bool) (status int, hang time.Duration) // nil for none
-	lost    float64                                                     // share of the transactions without an answer
-	lateTx  bool                                                        // these are done 1 to 6 s later
-	parts   map[string]time.Time                                        // when a part is free for its next transaction
+	changed chan struct{}        // closed at the next change
+	parts   map[string]time.Time // when a part is free for its next transaction
 }
 
 func newStore() *store {
 	return &store{began: time.Now(), rows: map[place]row{}, changed: make(chan struct{}), parts: map[string]time.Time{}}
 }
 
-// handler returns the handler of one entry's address.
-func (st *store) handler(node int) http.Handler {
+// handler returns the handler of the store's address.
+func (st *store) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /rows-tx", func(wr http.ResponseWriter, rq *http.Request) { st.gated(wr, rq, node, true, st.tx) })
-	mux.HandleFunc("GET /rows-get", func(wr http.ResponseWriter, rq *http.Request) { st.gated(wr, rq, node, false, st.get) })
-	mux.HandleFunc("GET /rows-feed", func(wr http.ResponseWriter, rq *http.Request) { st.gated(wr, rq, node, false, st.feed) })
+	mux.HandleFunc("POST /rows-tx", st.tx)
+	mux.HandleFunc("GET /rows-get", st.get)
+	mux.HandleFunc("GET /rows-feed", st.feed)
 	return mux
 }
 
-// gated applies the gate before a call.
-func (st *store) gated(wr http.ResponseWriter, rq *http.Request, node int, write bool, next http.HandlerFunc) {
-	st.mu.Lock()
-	gate := st.gate
-	st.mu.Unlock()
-	if gate != nil {
-		status, hang := gate(node, write)
-		sleep(rq.Context(), hang)
-		if status != 0 {
-			wr.WriteHeader(status)
-			return
-		}
-	}
-	next(wr, rq)
-}
-
-func (st *store) setGate(gate func(node int, write bool) (int, time.Duration)) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.gate = gate
-}
-
-// setLost sets the share of the transactions that are not answered.
-func (st *store) setLost(share float64, late bool) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.lost, st.lateTx = share, late
-}
-
 func reply(wr http.ResponseWriter, status int, body any) {
 	wr.Header().Set("Content-Type", "application/json")
 	wr.WriteHeader(status)
@@ -161,19 +128,7 @@
 	st.parts[call.part()] = turn.Add(partSpacing)
 	st.mu.Unlock()
 	sleep(context.WithoutCancel(rq.Context()), turn.Sub(now)+txLatency)
-	st.mu.Lock()
-	lost, late := rand.Float64() < st.lost, st.lateTx
-	st.mu.Unlock()
-	if lost && late {
-		time.AfterFunc(time.Second+time.Duration(rand.Int64N(int64(5*time.Second))), func() { st.apply(call) })
-		<-rq.Context().Done()
-		return
-	}
 	present, ok, version := st.apply(call)
-	if lost {
-		<-rq.Context().Done()
-		return
-	}
 	if !ok {
 		reply(wr, http.StatusPreconditionFailed, rowsReply{Rows: present, Version: version, TimeMs: st.time()})
 		return
