--- a/review/bed2/attempts.go
+++ b/review/bed2/attempts.go
@@ -10,36 +10,31 @@
 
 func init() { cases["stops-as-failures"] = stopsAsFailures }
 
-// stopsAsFailures hands many jobs in at one entry, kills it, and starts it again one
-// second later; then the same with the next entry. Some tasks fail by their own fault.
+// stopsAsFailures hands many jobs in at one entry, kills it, and starts it again three
+// seconds later. Some runs fail by the tasks' own fault.
 func stopsAsFailures(ctx context.Context, bd *bed) error {
-	const rounds, jobs, pause, down, rest = 4, 600, 15 * time.Millisecond, time.Second, 2500 * time.Millisecond
-	const settle = 22 * time.Second
+	const jobs, pause, down, settle = 1800, 6 * time.Millisecond, 3 * time.Second, 25 * time.Second
 	bd.attempts = 2
 	if err := bd.build(ctx, 6, 24); err != nil {
 		return err
 	}
-	list := make([]string, rounds*jobs)
-	accepted := make([]bool, rounds*jobs)
+	list := make([]string, jobs)
+	accepted := make([]bool, jobs)
 	posts := callers{bd: bd}
 	for num := range list {
 		list[num] = newID()
-		ms := 200 + rand.IntN(6000)
+		ms := 200 + rand.IntN(12000)
 		posts.do(func(ctx context.Context) {
-			accepted[num] = bd.handIn(ctx, num/jobs, list[num], job{
+			accepted[num] = bd.handIn(ctx, 0, list[num], job{
 				Spec:  fmt.Sprintf("ms=%d fails=20", ms),
-				Steps: []step{{Count: 3, CPU: 200, MemMB: 64, EstimatedMs: int64(ms)}},
+				Steps: []step{{Count: 3, CPU: 20, MemMB: 64, EstimatedMs: int64(ms)}},
 			})
 		})
 		sleep(ctx, pause)
-		if (num+1)%jobs != 0 {
-			continue
-		}
-		bd.rec.add("%d jobs handed in at %s", jobs, bd.entries[num/jobs].name)
-		if err := bd.killFor(ctx, bd.entries[num/jobs], down); err != nil {
-			return err
-		}
-		sleep(ctx, rest)
+	}
+	bd.rec.add("%d jobs handed in at %s", jobs, bd.entries[0].name)
+	if err := bd.killFor(ctx, bd.entries[0], down); err != nil {
+		return err
 	}
 	posts.wg.Wait()
 	sleep(ctx, settle)
@@ -49,7 +44,7 @@
 		if !accepted[num] {
 			continue
 		}
-		an := bd.entries[rounds].call(ctx, http.MethodGet, id, nil, getWait)
+		an := bd.entries[1].call(ctx, http.MethodGet, id, nil, getWait)
 		states[an.state]++
 		runs, failed := bd.runs(id)
 		if an.state != stateFailed || failed >= bd.attempts {
--- a/review/bed2/jobs.go
+++ b/review/bed2/jobs.go
@@ -15,6 +15,7 @@
 	CPU         int64 `json:"cpu"`
 	MemMB       int64 `json:"memMb"`
 	EstimatedMs int64 `json:"estimatedMs"`
+	After       []int `json:"after,omitempty"`
 }
 
 // job is a job on the wire.
