--- a/review/bed2/acks.go
+++ b/review/bed2/acks.go
@@ -74,10 +74,10 @@
 	return nil
 }
 
-// twoSteps is a job of two steps of short tasks.
-var twoSteps = job{Spec: "ms=40", Steps: []step{
-	{Count: 4, CPU: 500, MemMB: 64, EstimatedMs: 40},
-	{Count: 2, CPU: 500, MemMB: 64, EstimatedMs: 40, After: []int{0}},
+// twoSteps is a job of two steps.
+var twoSteps = job{Spec: "ms=400", Steps: []step{
+	{Count: 4, CPU: 500, MemMB: 64, EstimatedMs: 400},
+	{Count: 2, CPU: 500, MemMB: 64, EstimatedMs: 400, After: []int{0}},
 }}
 
 // isIdle reports whether a job of two steps is not shown as ended, all tasks of the
