--- a/review/bed2/acks.go
+++ b/review/bed2/acks.go
@@ -18,11 +18,11 @@
 )
 
 // stuckEnds hands scheduled jobs of short tasks in at one entry, of whose runs a tenth
-// fails, and kills that entry, and later two others that have taken them over. Jobs of
+// fails, and kills that entry, and later the others in turn, which have taken them over. Jobs of
 // two steps come at the other entries before and after that.
 func stuckEnds(ctx context.Context, bd *bed) error {
 	const schedules, times, interval = 12, 450, 200 * time.Millisecond
-	const jobs, pause, kills, killEach, down = 900, 35 * time.Millisecond, 3, 6 * time.Second, time.Second
+	const jobs, pause, kills, killEach, down = 900, 35 * time.Millisecond, 4, 6 * time.Second, time.Second
 	if err := bd.build(ctx, 4, 12); err != nil {
 		return err
 	}
