--- a/review/bed2/acks.go
+++ b/review/bed2/acks.go
@@ -21,8 +21,8 @@
 // fails, and kills that entry, and later the others in turn, which have taken them over. Jobs of
 // two steps come at the other entries before and after that.
 func stuckEnds(ctx context.Context, bd *bed) error {
-	const schedules, times, interval = 12, 450, 200 * time.Millisecond
-	const jobs, pause, kills, killEach, down = 900, 35 * time.Millisecond, 4, 6 * time.Second, time.Second
+	const schedules, times, interval = 18, 450, 200 * time.Millisecond
+	const jobs, pause, kills, killEach, down = 1300, 35 * time.Millisecond, 6, 6 * time.Second, time.Second
 	if err := bd.build(ctx, 4, 12); err != nil {
 		return err
 	}
@@ -42,7 +42,7 @@
 		var err error
 		for num := range kills {
 			sleep(ctx, killEach)
-			err = errors.Join(err, bd.killFor(ctx, bd.entries[num], down))
+			err = errors.Join(err, bd.killFor(ctx, bd.entries[num%len(bd.entries)], down))
 		}
 		killed <- err
 	})
