dispatch: log ends that wait to be stored

An end that its owner does not store blocks all later ends of its worker, and nothing said so. The holder now logs such an end after 2 s, then every 10 s, with what the row of the job says of its task, and counts it (end, pending).

--- a/internal/dispatch/retained_ends.go
+++ b/internal/dispatch/retained_ends.go
@@ -14,6 +14,7 @@
 	since       time.Time
 	absent      bool      // the store has no row of the job
 	requestedAt time.Time // when the row was last requested
+	loggedAt    time.Time // when it was last logged that the end waits
 }
 
 // retainEnd makes the worker keep an end of a stored job's task on its list.
@@ -114,6 +115,7 @@
 		case endStatusUnknown:
 			en.requestJobRow(wk, number, now)
 		case endStatusPending:
+			en.logPendingEnd(wk, number, now)
 		}
 	}
 	switch {
@@ -131,6 +133,27 @@
 	}
 }
 
+// logPendingEnd logs an end that its owner has not stored for long. The worker can't
+// forget any later end, and lists 500 at most.
+func (en *Entry) logPendingEnd(wk *worker, number int64, now time.Time) {
+	rt := wk.retained[number]
+	if now.Sub(rt.since) < waitLogInterval || now.Sub(rt.loggedAt) < pendingLogInterval {
+		return
+	}
+	rt.loggedAt = now
+	wk.retained[number] = rt
+	re := en.recordOf(rt.ref.Task)
+	name := taskName(rt.ref.Task)
+	run, done := re.Done[name]
+	en.eff.Count("end", "pending", 1)
+	en.eff.Log("end-pending", "worker", string(wk.info.ID), "number", number, "task", string(rt.ref.Task), "run", int64(rt.ref.Run),
+		"how", string(rt.how), "age-ms", now.Sub(rt.since).Milliseconds(), "behind", wk.acked-number, "owner", string(re.Owner),
+		"stored-done", done, "stored-run", int64(run), "stored-failed", len(re.Fails[name]))
+}
+
+// pendingLogInterval is the interval at which an end that is not stored is logged.
+const pendingLogInterval = 10 * time.Second
+
 // jobRowInterval is the pause before the row of a job is requested again.
 const jobRowInterval = 300 * time.Millisecond
 
