dispatch: count only ends failed of earlier runs as attempts

Cause: applyPastEnd counted each end of an earlier run that was not done. A new holder passes on all ends that a worker lists, among them runs that were stopped or had lapsed with the former owner.

Only ends done and failed now say something about the task. The others need no action: the run has ended with its holder or its owner, and the task is started again once its former runs have ended. Past failures are logged (past-failure).

The emulator checks each row that is written: a run may count as failed only if it has failed at its worker.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -92,6 +92,11 @@
 	acknowledged map[TaskID]bool      // tasks whose completion was acknowledged
 	lastStart    map[TaskID]time.Time // of the latest run
 
+	// failShare is the share of the runs that fail by their own fault, and failedRuns
+	// holds the runs that have.
+	failShare  float64
+	failedRuns map[TaskID]map[Run]bool
+
 	evacuation  emuEvacuation
 	hidesCold   bool // workers do not report that they are cold
 	crash       crashLog
@@ -189,6 +194,7 @@
 		bodies:       map[ids.JobID]Job{},
 		acknowledged: map[TaskID]bool{},
 		lastStart:    map[TaskID]time.Time{},
+		failedRuns:   map[TaskID]map[Run]bool{},
 
 		evacuation: emuEvacuation{requested: map[ids.AvailabilityZone]time.Time{}, cutUntil: map[ids.EntryID]time.Time{}},
 		crash:      crashLog{deadly: map[TaskID]bool{}, under: map[TaskID]int{}, after: map[TaskID]int{}},
@@ -932,6 +938,7 @@
 		delete(wo.bodies, id)
 		return JobWriteReply{OK: true, Version: wo.version}
 	}
+	wo.checkFailures(write.Record)
 	rec := write.Record
 	rec.Version = wo.version
 	wo.records[id] = rec
@@ -1187,6 +1194,9 @@
 	if wk.fails {
 		took, how = 5*time.Millisecond, EndFailed
 	}
+	if wo.failShare > 0 && wo.rnd.Float64() < wo.failShare {
+		how = EndFailed
+	}
 	st := jb.steps[at.step]
 	switch {
 	case st.Lasting && how == EndDone:
@@ -1363,6 +1373,9 @@
 	if at, _ := parseTaskID(run.ref.Task); how == EndDone {
 		wk.wo.jobs[at.job].done[run.ref.Task] = true
 	}
+	if how == EndFailed {
+		wk.wo.recordFailedRun(run.ref)
+	}
 	wk.latest[run.ref.Task] = max(wk.latest[run.ref.Task], run.ref.Run)
 	if run.gang != nil {
 		run.gang.end(how)
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -422,25 +422,30 @@
 }
 
 // applyPastEnd handles one end, which may belong to an earlier run than the
-// latest.
+// latest. Only ends by the task itself say anything about it: a run that was
+// stopped or has lapsed ended with its holder or its owner.
 func (en *Entry) applyPastEnd(from ids.EntryID, ed Ended) {
 	gr, ta := en.task(ed.Ref.Task)
-	if ta == nil || gr.job.stored == nil || gr.shape.Lasting {
+	if ta == nil || gr.job.stored == nil || gr.shape.Lasting || ta.state == taskDone || ta.state == taskFailed {
 		return
 	}
-	jb := gr.job
-	if ta.state == taskDone || ta.state == taskFailed {
-		return
-	}
-	if ed.How == EndDone {
+	switch ed.How {
+	case EndDone:
 		if ta.sent && ta.run != ed.Ref.Run {
 			// A later run has been started. Only its end counts.
 			return
 		}
 		ta.state, ta.run = taskLost, ed.Ref.Run
 		en.handleEnded(from, ed)
-		return
+	case EndFailed:
+		en.countPastFailure(gr, ta, from, ed)
+	default:
 	}
+}
+
+// countPastFailure counts a failed run that may be earlier than the latest.
+func (en *Entry) countPastFailure(gr *group, ta *task, from ids.EntryID, ed Ended) {
+	jb := gr.job
 	if slices.Contains(jb.stored.rec.Fails[taskName(ta.id)], ed.Ref.Run) {
 		return
 	}
@@ -449,6 +454,8 @@
 	ta.run = ed.Ref.Run
 	en.recordEnd(jb, ta, from, EndFailed)
 	ta.run = max(latest, ta.run)
+	en.eff.Log("past-failure", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ed.Ref.Run), "latest", int64(latest),
+		"worker", string(ed.Worker), "holder", string(from), "failed", ta.failed, "attempts", jb.Queue.MaxAttempts)
 	if ta.failed >= jb.Queue.MaxAttempts {
 		ta.state = taskFailed
 		en.writeFinalState(jb, JobFailed)
