--- a/internal/dispatch/past_ends_test.go
+++ b/internal/dispatch/past_ends_test.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// TestPastFailuresOfGang guards against a gang that is started again after all its
+// attempts: an entry that had taken its job over counted the failed runs of each of
+// its tasks apart.
+func TestPastFailuresOfGang(t *testing.T) {
+	_, en, jb := takenOver(t, []Step{{Count: 2, Need: Resources{CPU: 1000}, Estimate: time.Second, Gang: true}})
+	for num, ta := range jb.groups[0].tasks {
+		if jb.stored.rec.State != JobAccepted {
+			t.Errorf("the job is %s after %d failed runs of a gang, two are allowed", jb.stored.rec.State, num)
+		}
+		en.handlePastEnds("entry-00", PastEnds{Ends: []Ended{{Ref: TaskRef{Task: ta.id, Run: Run(num + 1)}, Worker: "w", How: EndFailed}}})
+	}
+	if jb.stored.rec.State != JobFailed {
+		t.Errorf("the job is %s after two failed runs of a gang, two are allowed", jb.stored.rec.State)
+	}
+}
+
 // TestOwnerRestartsAmongFailures guards against the same in a fleet: the workers of a
 // killed entry are passed back to it while the others take over its jobs, some runs of
 // which fail by their own fault.
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -444,22 +444,22 @@
 
 // recordEnd records the end of a run of a stored job and schedules its write.
 // The worker keeps the end listed until it is stored.
-func (en *Entry) recordEnd(jb *job, ta *task, holder ids.EntryID, how End) {
+func (en *Entry) recordEnd(jb *job, ref TaskRef, holder ids.EntryID, how End) {
 	st := jb.stored
-	name := taskName(ta.id)
+	name := taskName(ref.Task)
 	if how == EndDone {
 		if st.rec.Done == nil {
 			st.rec.Done = map[string]Run{}
 		}
-		st.rec.Done[name] = ta.run
+		st.rec.Done[name] = ref.Run
 		st.rec.setCrashes(name, nil)
 	} else {
 		if st.rec.Fails == nil {
 			st.rec.Fails = map[string][]Run{}
 		}
-		st.rec.Fails[name] = append(slices.Clone(st.rec.Fails[name]), ta.run)
+		st.rec.Fails[name] = append(slices.Clone(st.rec.Fails[name]), ref.Run)
 	}
-	st.unstored = append(st.unstored, unstoredEnd{holder: holder, ref: ta.ref()})
+	st.unstored = append(st.unstored, unstoredEnd{holder: holder, ref: ref})
 	if !st.dirty {
 		st.dirty, st.dirtyAt = true, en.now()
 	}
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -445,18 +445,15 @@
 
 // countPastFailure counts a failed run that may be earlier than the latest.
 func (en *Entry) countPastFailure(gr *group, ta *task, from ids.EntryID, ed Ended) {
-	jb := gr.job
+	jb, latest := gr.job, ta.run
 	if slices.Contains(jb.stored.rec.Fails[taskName(ta.id)], ed.Ref.Run) {
 		return
 	}
-	latest := ta.run
-	ta.failed++
-	ta.run = ed.Ref.Run
-	en.recordEnd(jb, ta, from, EndFailed)
-	ta.run = max(latest, ta.run)
+	ta.run = max(latest, ed.Ref.Run)
+	failed := en.countFailure(gr, ta, ed.Ref, from)
 	en.eff.Log("past-failure", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ed.Ref.Run), "latest", int64(latest),
-		"worker", string(ed.Worker), "holder", string(from), "failed", ta.failed, "attempts", jb.Queue.MaxAttempts)
-	if ta.failed >= jb.Queue.MaxAttempts {
+		"worker", string(ed.Worker), "holder", string(from), "failed", failed, "attempts", jb.Queue.MaxAttempts)
+	if failed >= jb.Queue.MaxAttempts {
 		ta.state = taskFailed
 		en.writeFinalState(jb, JobFailed)
 	}
--- a/internal/dispatch/task_ends.go
+++ b/internal/dispatch/task_ends.go
@@ -110,7 +110,7 @@
 		}
 		other.state = taskDone
 		if gr.job.stored != nil {
-			en.recordEnd(gr.job, other, holder, EndDone)
+			en.recordEnd(gr.job, other.ref(), holder, EndDone)
 		}
 	}
 	en.advance(gr.job)
@@ -120,21 +120,14 @@
 // has ended because of it.
 func (en *Entry) failTask(gr *group, ta *task, from ids.EntryID, ms Ended) bool {
 	jb := gr.job
-	ta.failed++
 	gr.failedAt = en.now()
 	if gr.avoidHolders == nil {
 		gr.avoidHolders = map[ids.EntryID]bool{}
 	}
 	gr.avoidHolders[from] = true
-	failed := ta.failed
-	if gr.shape.Gang {
-		failed = gr.addFailedRun(ta.run)
-	}
+	failed := en.countFailure(gr, ta, ta.ref(), from)
 	en.eff.Log("task-failed", "job", string(jb.Job.ID), "task", string(ta.id), "run", int64(ta.run),
 		"worker", string(ms.Worker), "holder", string(from), "failed", failed, "attempts", jb.Queue.MaxAttempts)
-	if jb.stored != nil {
-		en.recordEnd(jb, ta, from, EndFailed)
-	}
 	if failed < jb.Queue.MaxAttempts {
 		return false
 	}
@@ -147,6 +140,20 @@
 	return true
 }
 
+// countFailure counts a failed run of a task, and returns how often the task has
+// failed, or its gang: runs of different tasks of a gang add up.
+func (en *Entry) countFailure(gr *group, ta *task, ref TaskRef, from ids.EntryID) int {
+	ta.failed++
+	failed := ta.failed
+	if gr.shape.Gang {
+		failed = gr.addFailedRun(ref.Run)
+	}
+	if gr.job.stored != nil {
+		en.recordEnd(gr.job, ref, from, EndFailed)
+	}
+	return failed
+}
+
 // lastingBackoff is the backoff before a long-running task that has ended by
 // itself is restarted. Without it a task that fails at once would be restarted in a
 // tight loop.
