dispatch: forget failed ends of tasks that are done

Cause: a task fails in run 1 and ends done in run 2, and its owner is killed before it has stored either. The next owner gets both ends from their holders. If it gets the done one first, it does not store the failed one, since the task is done. The holder acknowledged a failed end only once the row listed it or the job had ended, and a worker can't forget an end before the earlier ones: once it lists 500, no further end there is seen.

A task that is done is not started again, so its failures count no more and its holder forgets them. In the emulator workers list 500 ends at most now.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -1449,7 +1449,8 @@
 			reply(HoldReply{Failed: true, Reason: "no answer"})
 			return
 		}
-		rep := HoldReply{Clock: wk.clock(), Born: wk.info.Born, Ended: append([]EndedRun(nil), wk.endedRuns...)}
+		listed := min(len(wk.endedRuns), emuListedEnds)
+		rep := HoldReply{Clock: wk.clock(), Born: wk.info.Born, Ended: slices.Clone(wk.endedRuns[:listed]), More: listed < len(wk.endedRuns)}
 		for _, run := range wk.sortedRuns() {
 			rep.Running = append(rep.Running, run.ref)
 		}
@@ -1463,6 +1464,9 @@
 	wk.wo.after(order.Wait, answer)
 }
 
+// emuListedEnds is the most ends that a worker lists in one reply.
+const emuListedEnds = 500
+
 // acknowledge records that the completion of a task was acknowledged. It ignores
 // jobs that are not stored, and completions after which the worker's lease has
 // expired.
--- a/internal/dispatch/retained_ends.go
+++ b/internal/dispatch/retained_ends.go
@@ -81,7 +81,9 @@
 	run, done := re.Done[name]
 	switch {
 	case rt.how != EndDone:
-		if re.State.ended() || re.knowsFailure(name, rt.ref.Run) {
+		// A task that is done is not started again, so its failures no longer count. Its
+		// owner does not store those that it learns of later.
+		if done || re.State.ended() || re.knowsFailure(name, rt.ref.Run) {
 			return endStatusStored
 		}
 		return endStatusPending
--- a/internal/dispatch/retained_ends_test.go
+++ b/internal/dispatch/retained_ends_test.go
@@ -1,6 +1,12 @@
 package dispatch
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
+)
 
 // TestRetainedEndAfterRestart guards against an end of a stored job that is
 // acknowledged before it is stored. The row of another job, whose end had the
@@ -20,3 +26,77 @@
 		t.Error("the end of a later run counts as that of a job that is not stored")
 	}
 }
+
+// holdEnds returns a single entry that holds a worker which lists the given ends of a
+// job that another entry owns.
+func holdEnds(ends ...EndedRun) (*world, *Entry, *recorder, JobRecord) {
+	wo, en, rc := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	rec := JobRecord{ID: "0000000000000001", State: JobAccepted, Owner: "other/1", Version: 60, StepTasks: []int{2}}
+	en.PutRecord(rec)
+	en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1, Ended: ends})
+	return wo, en, rc, rec
+}
+
+// TestFailedEndOfDoneTask guards against a worker that can't forget any end, because
+// the first one is a failed run of a task that is done: an owner that learns first that
+// the task is done does not store its earlier failures.
+func TestFailedEndOfDoneTask(t *testing.T) {
+	task := TaskID("0000000000000001.0.0.0")
+	wo, en, rc, rec := holdEnds(EndedRun{Number: 1, Ref: TaskRef{Task: task, Run: 1}, How: EndFailed})
+	wo.tick(en, time.Second)
+	if last := rc.holds[len(rc.holds)-1]; last.Acked != 0 {
+		t.Errorf("the end is acknowledged before anything is stored")
+	}
+	rec.Version, rec.Done = 70, map[string]Run{"0.0.0": 2}
+	en.PutRecord(rec)
+	wo.tick(en, time.Second)
+	en.hold(en.workers["w"])
+	if last := rc.holds[len(rc.holds)-1]; last.Acked != 1 {
+		t.Errorf("the ends up to %d are acknowledged, want 1", last.Acked)
+	}
+}
+
+// TestSchedulesAmongKills guards against ends that are never taken note of, and jobs
+// that stand still behind them: owners of scheduled jobs are killed one after the
+// other while some runs fail.
+func TestSchedulesAmongKills(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(seed+1140, 4, 12)
+			wo.failShare = 0.1
+			var schedules []ids.JobID
+			for range 12 {
+				schedules = append(schedules, wo.submitSchedule(wo.entries["entry-00"], 1, 8, 240, 200*time.Millisecond))
+			}
+			for num := range 6 {
+				wo.after(time.Duration(6*num+6)*time.Second, func() { wo.killOwner(schedules[0], time.Second) })
+			}
+			wo.load([]kind{{queue: "peek", perS: 20, width: 4, work: 400 * time.Millisecond, steps: 2, stored: true, cpu: 500}}, 1, 40*time.Second)
+			wo.run(70 * time.Second)
+			wo.check(t)
+			wo.checkStored(t)
+			wo.checkFailedJobs(t)
+			wo.checkEndsForgotten(t)
+		})
+	}
+}
+
+// emuEndWait is the time after which a worker should have forgotten an end.
+const emuEndWait = 10 * time.Second
+
+// checkEndsForgotten reports workers that still list an end that they have listed for
+// long.
+func (wo *world) checkEndsForgotten(t *testing.T) {
+	t.Helper()
+	for _, wk := range wo.sortedWorkers() {
+		if !wk.up || len(wk.endedRuns) == 0 {
+			continue
+		}
+		if er := wk.endedRuns[0]; wo.at.Sub(wk.endedAt[er.Number]) > emuEndWait {
+			t.Errorf("worker %s still lists %d ends, the first for %s: %s of run %d of task %s", wk.info.ID, len(wk.endedRuns),
+				wo.at.Sub(wk.endedAt[er.Number]), er.How, er.Ref.Run, er.Ref.Task)
+		}
+	}
+}
