dispatch: send ends that wait to be stored to their owners again

More generally each end was named to its owner once: if the message got lost, or reached an entry that did not own the job yet, nothing repeated it unless a task of the job was lost.

A holder now sends the first ends of a worker that have waited for a second to the owner that the row names, once a second, 50 at most. An owner takes each of them once, as it did; a failed end of the latest run, the message of which was lost, now ends that run at the owner too.

TestPendingEndsSentAgain failed before.

--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -94,6 +94,7 @@
 	leaseEnd          time.Time             // no lease that was requested lasts longer than this
 	acked             int64                 // highest number of an end that has been processed
 	retained          map[int64]retainedEnd // ends that the owners have not stored yet
+	endsResentAt      time.Time             // when pending ends were last sent again
 	// lapseSince is set while the lease is left to expire because of a superseded
 	// end.
 	lapseSince time.Time
--- a/internal/dispatch/retained_ends.go
+++ b/internal/dispatch/retained_ends.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
 // retainedEnd is an end that a worker keeps on its list because it is not stored
@@ -108,6 +110,7 @@
 // acknowledged.
 func (en *Entry) checkRetainedEnds(wk *worker, now time.Time) {
 	superseded := 0
+	var pending []int64
 	for number, rt := range wk.retained {
 		switch en.statusOfEnd(rt) {
 		case endStatusStored:
@@ -118,8 +121,10 @@
 			en.requestJobRow(wk, number, now)
 		case endStatusPending:
 			en.logPendingEnd(wk, number, now)
+			pending = append(pending, number)
 		}
 	}
+	en.resendEnds(wk, pending, now)
 	switch {
 	case superseded == 0:
 		wk.lapseSince = time.Time{}
@@ -135,6 +140,39 @@
 	}
 }
 
+// The limits on sending pending ends again.
+const (
+	// endResendInterval is the age of an end, and the pause after the last message, at
+	// which an end that is not stored is sent again. An owner stores it after
+	// endWriteDelay.
+	endResendInterval = time.Second
+	// maxResentEnds bounds the ends of a worker in one message. A worker forgets its
+	// ends in order, so that the first ones are enough.
+	maxResentEnds = 50
+)
+
+// resendEnds sends the first pending ends of a worker to the owners of their jobs
+// again. The message that named them may have got lost, or have reached an entry that
+// did not own the job yet. An owner that asks for all ends of a job gets no answer
+// while one of its tasks has not ended here, which a worker with a full list can't tell.
+func (en *Entry) resendEnds(wk *worker, pending []int64, now time.Time) {
+	if len(pending) == 0 || now.Sub(wk.endsResentAt) < endResendInterval {
+		return
+	}
+	wk.endsResentAt = now
+	slices.Sort(pending)
+	ends := map[ids.EntryID][]Ended{}
+	for _, number := range pending[:min(len(pending), maxResentEnds)] {
+		rt := wk.retained[number]
+		if re := en.recordOf(rt.ref.Task); re.Owner != "" && now.Sub(rt.since) >= endResendInterval {
+			ends[re.Owner.Entry()] = append(ends[re.Owner.Entry()], Ended{Ref: rt.ref, Worker: wk.info.ID, How: rt.how})
+		}
+	}
+	for _, id := range sortedKeys(ends) {
+		en.send(id, PastEnds{Ends: ends[id]})
+	}
+}
+
 // logPendingEnd logs an end that its owner has not stored for long. The worker can't
 // forget any later end, and lists 500 at most.
 func (en *Entry) logPendingEnd(wk *worker, number int64, now time.Time) {
--- a/internal/dispatch/retained_ends_test.go
+++ b/internal/dispatch/retained_ends_test.go
@@ -57,6 +57,33 @@
 	}
 }
 
+// TestPendingEndsSentAgain guards against ends that stay on the list of a worker
+// because the message that named them got lost, or because the entry that got it did
+// not own the job yet.
+func TestPendingEndsSentAgain(t *testing.T) {
+	var ends []EndedRun
+	for num := range int64(3) {
+		how := []End{EndFailed, EndDone, EndLapsed}[num]
+		ends = append(ends, EndedRun{Number: num + 1, Ref: TaskRef{Task: TaskID(fmt.Sprintf("0000000000000001.0.0.%d", num%2)), Run: Run(num + 1)}, How: how})
+	}
+	wo, en, rc, _ := holdEnds(ends...)
+	rc.sent = nil
+	wo.tick(en, 10*time.Second)
+	counts := map[TaskRef]int{}
+	for _, msg := range rc.sent {
+		if pe, ok := msg.(PastEnds); ok {
+			for _, ed := range pe.Ends {
+				counts[ed.Ref]++
+			}
+		}
+	}
+	for num, er := range ends {
+		if got := counts[er.Ref]; (er.How == EndLapsed) != (got == 0) || got > 10 {
+			t.Errorf("end %d, %s, is sent %d times in 10 s to the owner of its job", num+1, er.How, got)
+		}
+	}
+}
+
 // TestSchedulesAmongKills guards against ends that are never taken note of, and jobs
 // that stand still behind them: owners of scheduled jobs are killed one after the
 // other while some runs fail.
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -443,6 +443,10 @@
 		ta.state, ta.run = taskLost, ed.Ref.Run
 		en.handleEnded(from, ed)
 	case EndFailed:
+		if _, current := en.currentTask(ed.Ref); current != nil {
+			en.handleEnded(from, ed)
+			return
+		}
 		en.countPastFailure(gr, ta, from, ed)
 	default:
 	}
