dispatch: drop the failed runs of tasks that are done from the row

Since holders forget such ends by the done run alone, nothing needs the failed runs of a task once it is done. A task now has either its done run or its failed runs in the row, which the bound on the row of an accepted job counts on.

--- a/internal/dispatch/job_row_test.go
+++ b/internal/dispatch/job_row_test.go
@@ -173,6 +173,20 @@
 	t.Logf("the largest of the rows has %d bytes", largest)
 }
 
+// TestRowDropsFailuresOfDoneTasks guards against rows of accepted jobs that outgrow
+// the store: a task has its run that ended done or its failed runs there, never both.
+func TestRowDropsFailuresOfDoneTasks(t *testing.T) {
+	_, en, jb := takenOver(t, []Step{{Count: 2, Need: Resources{CPU: 1000}, Estimate: time.Second}})
+	for num, ta := range jb.groups[0].tasks {
+		ends := []Ended{{Ref: TaskRef{Task: ta.id, Run: 1}, Worker: "w", How: EndFailed}, {Ref: TaskRef{Task: ta.id, Run: 2}, Worker: "w", How: EndDone}}
+		en.handlePastEnds("entry-00", PastEnds{Ends: ends[:2-num]})
+	}
+	rec := jb.stored.rec
+	if rec.Done["0.0.0"] != 2 || rec.failures("0.0.0") != 0 || rec.failures("0.0.1") != 1 {
+		t.Errorf("the row lists %v as done and %v as failed", rec.Done, rec.Fails)
+	}
+}
+
 // TestRowKeepsRuns guards against rows that are read as other runs than were written.
 func TestRowKeepsRuns(t *testing.T) {
 	for seed := range uint64(20) {
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -508,6 +508,9 @@
 			st.rec.Done = map[string]Run{}
 		}
 		st.rec.Done[name] = ref.Run
+		// Holders forget the failed ends of a task that is done, see statusOfEnd.
+		delete(st.rec.Fails, name)
+		delete(st.rec.FailsBefore, name)
 		st.rec.setCrashes(name, nil)
 	} else {
 		st.rec.setFails(name, failedRuns{runs: append(slices.Clone(st.rec.Fails[name]), ref.Run), before: st.rec.FailsBefore[name]})
