dispatch: shorten the row of a job that another entry cancels

An entry that cancels the job of another one writes the row as it has read it. If the row only fits once it is shortened, the store refused the cancelling twelve times and the caller got 503.

TestCancelOfFullRow failed before.

--- a/internal/dispatch/job_row_test.go
+++ b/internal/dispatch/job_row_test.go
@@ -187,6 +187,27 @@
 	}
 }
 
+// TestCancelOfFullRow guards against a cancelling that is refused, because the row of
+// the job fits only once it is shortened and another entry than its owner cancels it.
+func TestCancelOfFullRow(t *testing.T) {
+	wo := standardWorld(1160, 3, 12)
+	rec := randomRecord(rand.New(rand.NewPCG(1, 5)), JobAccepted)
+	rec.Owner = wo.entries["entry-00"].inc
+	if _, fits := wo.rowOf(rec); fits {
+		t.Fatal("the row is too small for this test")
+	}
+	wo.version++
+	rec.Version = wo.version
+	wo.records[rec.ID], wo.changes = rec, append(wo.changes, rec)
+	wo.run(time.Second)
+	var got Outcome
+	wo.entries["entry-01"].en.CancelStored(rec.ID, func(out Outcome) { got = out })
+	wo.run(2 * time.Second)
+	if got.Kind != Completed || wo.records[rec.ID].State != JobCancelled {
+		t.Errorf("the cancelling is answered with %+v, the job is %s", got, wo.records[rec.ID].State)
+	}
+}
+
 // TestRowKeepsRuns guards against rows that are read as other runs than were written.
 func TestRowKeepsRuns(t *testing.T) {
 	for seed := range uint64(20) {
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -613,6 +613,8 @@
 func (en *Entry) writeCancel(re *record) {
 	rec := re.JobRecord
 	rec.State = JobCancelled
+	// The owner would shorten a row that the store refuses; this entry does it at once.
+	rec.shorten()
 	en.cancels[re.ID].writes++
 	en.eff.StoreJob(JobWrite{Record: rec, Expected: rec.Version})
 }
