platform: bound stored jobs by the store's rows

The bounds at admission were 4,000 tasks and 48,000 bytes whatever maxRowBytes of the settings says. On a store with smaller rows a job would have been accepted that can't be stored for its life. They are derived from the setting now and stay as they were where it is 65,536 or more, or missing. No deployment in force has less.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -138,7 +138,7 @@
 }
 
 func startServers(ctx context.Context, set platform.Settings, dm *fleet.Daemon, guard *intake.Guard, cnt *counter.Set, log *fleet.Logger, profile bool) (*fleetServers, error) {
-	ca := platform.NewCallerAPI(dm, cnt)
+	ca := platform.NewCallerAPI(dm, set.Jobs, cnt)
 	rt := chi.NewRouter()
 	rt.Get("/metrics", func(wr http.ResponseWriter, _ *http.Request) {
 		if err := cnt.Write(wr); err != nil {
--- a/internal/dispatch/job_row.go
+++ b/internal/dispatch/job_row.go
@@ -10,12 +10,26 @@
 	"github.com/oleanderwall/oleanderwall/internal/ids"
 )
 
-// MaxStoredTasks bounds the tasks of a stored job over all its occurrences. In the
-// shortest form (see shorten) a task takes up to 11 bytes of the row: a run number of
-// seven digits, a count of failed runs, and what separates it from the next one.
-// The row then has less than the 48 KB that fit into 64 KB of base64.
+// MaxStoredTasks bounds the tasks of a stored job over all its occurrences, whatever
+// the store takes.
 const MaxStoredTasks = 4000
 
+// The size of a row in its shortest form, see shorten.
+const (
+	// rowTaskBytes is what a task takes: a run number of seven digits, a count of failed
+	// runs, and what separates it from the next one.
+	rowTaskBytes = 11
+	// rowHeadBytes is what the rest takes.
+	rowHeadBytes = 4096
+)
+
+// StoredTasks returns the most tasks that a stored job may have over all its
+// occurrences, if the store takes rows of the given size as base64. The row of such a
+// job fits for its whole life.
+func StoredTasks(rowBytes int) int {
+	return max(0, min(MaxStoredTasks, (rowBytes/4*3-rowHeadBytes)/rowTaskBytes))
+}
+
 // jobRow is the row of a stored job.
 type jobRow struct {
 	Queue     string          `json:"queue"`
--- a/internal/dispatch/job_row_test.go
+++ b/internal/dispatch/job_row_test.go
@@ -109,9 +109,9 @@
 	})
 }
 
-// randomRecord returns a record of a job of the most tasks, each of which is done or
-// has failed, in runs of many owners.
-func randomRecord(rnd *rand.Rand, state JobState) JobRecord {
+// randomRecord returns a record of a job of the given number of tasks, each of which is
+// done or has failed, in runs of many owners.
+func randomRecord(rnd *rand.Rand, state JobState, tasks int) JobRecord {
 	rec := JobRecord{
 		ID: "0000000000000001", Queue: strings.Repeat("q", 100), Service: ids.ServiceName(strings.Repeat("s", 100)), State: state,
 		Owner: "edge-somewhere-17/4442a5ca-fc6e-42e3-9a6a-c31e7a24cbd8", Epoch: 9999, Submitted: 1774523604686, Timed: true,
@@ -126,7 +126,7 @@
 	// The share of the tasks that are done, and in which order they are, varies.
 	share, alternate := rnd.Float64(), rnd.IntN(3) == 0
 	num := 0
-	for occ := range MaxStoredTasks / total {
+	for occ := range tasks / total {
 		for step, count := range rec.StepTasks {
 			for idx := range count {
 				name := fmt.Sprintf("%d.%d.%d", occ, step, idx)
@@ -155,22 +155,28 @@
 // TestShortRowsFit guards against accepted jobs that outgrow the store: in its
 // shortest form the row of a job must fit, whatever has happened to its tasks.
 func TestShortRowsFit(t *testing.T) {
-	const most = emuRowBytes / 4 * 3 // the store may count the bytes as base64
-	largest := 0
-	for seed := range uint64(60) {
-		rnd := rand.New(rand.NewPCG(seed, 3))
-		rec := randomRecord(rnd, []JobState{JobAccepted, JobFailed}[seed%2])
-		rec.shorten()
-		raw, err := EncodeJobRecord(rec)
-		if err != nil {
-			t.Fatal(err)
+	for _, rowBytes := range []int{emuRowBytes, 32_768, 8_192} {
+		tasks := StoredTasks(rowBytes)
+		if rowBytes == emuRowBytes && tasks != MaxStoredTasks {
+			t.Errorf("a job may have %d tasks, want %d", tasks, MaxStoredTasks)
 		}
-		largest = max(largest, len(raw))
-		if len(raw) > most {
-			t.Errorf("seed %d: a row of %d tasks has %d bytes, %d fit", seed, MaxStoredTasks, len(raw), most)
+		most := rowBytes / 4 * 3 // the store may count the bytes as base64
+		largest := 0
+		for seed := range uint64(60) {
+			rnd := rand.New(rand.NewPCG(seed, 3))
+			rec := randomRecord(rnd, []JobState{JobAccepted, JobFailed}[seed%2], tasks)
+			rec.shorten()
+			raw, err := EncodeJobRecord(rec)
+			if err != nil {
+				t.Fatal(err)
+			}
+			largest = max(largest, len(raw))
+			if len(raw) > most {
+				t.Errorf("seed %d: a row of %d tasks has %d bytes, %d fit", seed, tasks, len(raw), most)
+			}
 		}
+		t.Logf("the largest row of %d tasks has %d bytes, %d fit", tasks, largest, most)
 	}
-	t.Logf("the largest of the rows has %d bytes", largest)
 }
 
 // TestRowDropsFailuresOfDoneTasks guards against rows of accepted jobs that outgrow
@@ -191,7 +197,7 @@
 // the job fits only once it is shortened and another entry than its owner cancels it.
 func TestCancelOfFullRow(t *testing.T) {
 	wo := standardWorld(1160, 3, 12)
-	rec := randomRecord(rand.New(rand.NewPCG(1, 5)), JobAccepted)
+	rec := randomRecord(rand.New(rand.NewPCG(1, 5)), JobAccepted, MaxStoredTasks)
 	rec.Owner = wo.entries["entry-00"].inc
 	if _, fits := wo.rowOf(rec); fits {
 		t.Fatal("the row is too small for this test")
@@ -212,7 +218,7 @@
 func TestRowKeepsRuns(t *testing.T) {
 	for seed := range uint64(20) {
 		rnd := rand.New(rand.NewPCG(seed, 4))
-		rec := randomRecord(rnd, []JobState{JobAccepted, JobFailed}[seed%2])
+		rec := randomRecord(rnd, []JobState{JobAccepted, JobFailed}[seed%2], MaxStoredTasks)
 		for _, runs := range []map[string]Run{rec.Done, rec.Latest} {
 			// Equal runs of consecutive tasks share an item.
 			for name := range runs {
