dispatch: start no task of a job before its claim is stored

Cause: an entry that takes over a job starts the tasks once those of the former owner have stopped, 1.7 s later, whether or not the store has answered its conditional write. Two entries claimed the job within 10 ms, one of them right after its restart; the store answered one of them, and the other one got no answer for 2 s.

A job that is taken over stays suspended until its claim is stored, as an owner's jobs do after it was cut off.

--- a/internal/dispatch/past_ends_test.go
+++ b/internal/dispatch/past_ends_test.go
@@ -152,3 +152,25 @@
 	}
 	return most
 }
+
+// TestUnstoredClaim guards against a task that two entries run: an entry that took a
+// job over started its tasks although the store had not answered, and the store had
+// accepted another entry as the owner.
+func TestUnstoredClaim(t *testing.T) {
+	_, en, jb := takenOver(t, []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}})
+	ta := jb.groups[0].tasks[0]
+	// All holders have answered, and the runs of the former owner have stopped.
+	en.readAt[TableWorkers], en.readAt[TableHolders] = en.now().Add(time.Second), en.now().Add(time.Second)
+	later := en.now().Add(2 * lostTaskTimeout)
+	en.rows, en.members = nil, nil
+	jb.answered = map[ids.EntryID]bool{en.id: true}
+	en.requeueWaiting(jb, later)
+	if ta.state != taskLost {
+		t.Errorf("the task is %v before the claim of its job is stored", ta.state)
+	}
+	en.JobStored(JobWrite{Record: jb.stored.rec.clone()}, JobWriteReply{OK: true, Version: 95})
+	en.requeueWaiting(jb, later)
+	if ta.state != taskQueued {
+		t.Errorf("the task is %v after the claim of its job was stored", ta.state)
+	}
+}
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -50,7 +50,8 @@
 	en.sendEach(stops, stopMessage)
 }
 
-// resume places the tasks of a suspended job again.
+// resume places the tasks of a suspended job, once its row shows that this entry owns
+// it.
 func (en *Entry) resume(jb *job) {
 	jb.suspended = false
 	for _, gr := range jb.groups {
@@ -181,10 +182,12 @@
 	rec.Epoch++
 	rec.StepTasks = body.stepTasks()
 	jb := &job{
-		Submission:     Submission{Job: body, Queue: qu, Arrived: en.now(), Done: func(Outcome) {}},
-		begun:          re.begun,
-		stored:         &storedJob{rec: rec, accepted: true},
-		lostAt:         en.now(),
+		Submission: Submission{Job: body, Queue: qu, Arrived: en.now(), Done: func(Outcome) {}},
+		begun:      re.begun,
+		stored:     &storedJob{rec: rec, accepted: true},
+		lostAt:     en.now(),
+		// Another entry may claim the job too. The stored claim decides, see resume.
+		suspended:      true,
 		runBase:        Run(rec.Epoch * runNumberStep),
 		inheritedUntil: en.now(),
 	}
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -77,7 +77,14 @@
 	}},
 	"evacuations": {offset: 100_000, faultKinds: evacuationFaults, play: evacuationSchedule, inCI: 12},
 	"stored":      {offset: 5000, faultKinds: allFaults, play: storedSchedule, inCI: 40},
-	"takeovers":   {offset: 120_000, faultKinds: allFaults, play: takeoverSchedule, inCI: 6},
+	"takeovers":   {offset: 120_000, faultKinds: allFaults, play: takeoverSchedule, inCI: 6, regressions: []uint64{
+		// A lapsed run of the former owner counted as a failed attempt, and the row of a
+		// job of 4,000 tasks outgrew the store.
+		31,
+		// Two entries claimed a job, and the one whose claim was not stored started its
+		// tasks too.
+		67,
+	}},
 	"mixed": {offset: 40_000, faultKinds: allFaults, play: mixedSchedule, inCI: 10, regressions: []uint64{
 		// A partitioned owner placed tasks again before it had detected that its jobs
 		// had been taken over.
