dispatch: acknowledge ends only in the hold after an answer

Cause: each hold and poll named the highest number of an end that the holder had processed. A worker that restarts under its id numbers its ends from 1, so a hold that reached the new lifetime before the restart was noticed made it forget ends there.

A hold names a number now only if the last call was answered, and only until a hold with that number was; polls name none.

--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -93,6 +93,8 @@
 	unansweredSince   time.Time             // since when short calls get no reply, zero if the last one got one
 	leaseEnd          time.Time             // no lease that was requested lasts longer than this
 	acked             int64                 // highest number of an end that has been processed
+	forgotten         int64                 // highest number of an end that the worker has deleted
+	holdAcked         int64                 // HoldOrder.Acked of the hold in flight
 	retained          map[int64]retainedEnd // ends that the owners have not stored yet
 	endsResentAt      time.Time             // when pending ends were last sent again
 	// lapseSince is set while the lease is left to expire because of a superseded
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -10,7 +10,8 @@
 func (en *Entry) hold(wk *worker) {
 	now := en.now()
 	wk.holding, wk.holdSent = true, now
-	order := HoldOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.ackThrough(), Margin: holdMargin}
+	order := HoldOrder{Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.endsToForget(), Margin: holdMargin}
+	wk.holdAcked = order.Acked
 	lossy := now.Before(en.lossyUntil)
 	if wk.phase == phaseOpen && wk.failingSince.IsZero() && !wk.leaseLapsing(now) {
 		switch {
@@ -46,6 +47,17 @@
 	return through
 }
 
+// endsToForget returns the number up to which the next hold lets the worker delete
+// ends, 0 for none. The numbers begin again when a worker restarts under its id. A hold
+// that reaches the new lifetime must not make it forget an end that this entry has not
+// seen, so only the hold after an answer names a number, once.
+func (wk *worker) endsToForget() int64 {
+	if through := wk.ackThrough(); through > wk.forgotten && wk.lostHolds == 0 && wk.failingSince.IsZero() {
+		return through
+	}
+	return 0
+}
+
 // recordLease records that a lease of the given length was requested at now.
 func (wk *worker) recordLease(now time.Time, lease time.Duration) {
 	end := now.Add(time.Duration(float64(lease)*maxClockDrift) + leaseMargin)
@@ -121,6 +133,7 @@
 		en.workerRestarted(wk, rep, before)
 	} else {
 		wk.clearCrashes()
+		wk.forgotten = max(wk.forgotten, wk.holdAcked)
 	}
 	if wk.phase == phaseFencing {
 		delete(en.unreached, id)
@@ -200,7 +213,7 @@
 func (en *Entry) workerRestarted(wk *worker, rep HoldReply, before int64) {
 	en.eff.Log("worker-restarted", "worker", string(wk.info.ID), "born", rep.Born, "before", before,
 		"report-born", wk.info.Born, "slots", len(wk.slots))
-	wk.acked, wk.retained, wk.lapseSince = 0, map[int64]retainedEnd{}, time.Time{}
+	wk.acked, wk.forgotten, wk.retained, wk.lapseSince = 0, 0, map[int64]retainedEnd{}, time.Time{}
 	listed := rep.listed()
 	en.loseRuns(wk, before, func(sl *slot) bool {
 		switch {
--- a/internal/dispatch/recall.go
+++ b/internal/dispatch/recall.go
@@ -106,7 +106,7 @@
 	wk.polls[wk.lastPoll], wk.pollSent = now, now
 	wk.callSent(now)
 	en.eff.Hold(HoldOrder{
-		Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, Acked: wk.ackThrough(), PollID: wk.lastPoll, Margin: pollTimeout,
+		Worker: wk.info.ID, Address: wk.info.Address, Token: wk.token, PollID: wk.lastPoll, Margin: pollTimeout,
 	})
 }
 
--- a/internal/dispatch/retained_ends_test.go
+++ b/internal/dispatch/retained_ends_test.go
@@ -57,6 +57,36 @@
 	}
 }
 
+// TestEndsOfNextLifetime guards against a task that is started again although its end
+// was acknowledged: a hold with the number of an end in the earlier lifetime of a worker
+// made the next one forget its first ends, which nobody had seen.
+func TestEndsOfNextLifetime(t *testing.T) {
+	wo, en, rc := newHolder()
+	en.TableRead(TableJobs, wo.at)
+	last := func() int64 { return rc.holds[len(rc.holds)-1].Acked }
+	clock := WorkerTime(time.Minute)
+	reply := func(rep HoldReply) {
+		clock += WorkerTime(TickInterval)
+		rep.Clock, rep.Born = clock, 1
+		en.HoldReplied("w", 50, rep)
+		wo.tick(en, time.Second)
+	}
+	end := EndedRun{Number: 7, Ref: TaskRef{Task: "1-1", Run: 1}, How: EndDone}
+	reply(HoldReply{})
+	if reply(HoldReply{Ended: []EndedRun{end}}); last() != 7 {
+		t.Errorf("the hold after an end acknowledges the ends up to %d, want 7", last())
+	}
+	if reply(HoldReply{Failed: true}); last() != 0 {
+		t.Errorf("the hold after one that got lost acknowledges the ends up to %d", last())
+	}
+	if reply(HoldReply{Ended: []EndedRun{end}}); last() != 7 {
+		t.Errorf("the hold after the next answer acknowledges the ends up to %d, want 7", last())
+	}
+	if reply(HoldReply{}); last() != 0 {
+		t.Errorf("a hold acknowledges the ends up to %d again", last())
+	}
+}
+
 // TestPendingEndsSentAgain guards against ends that stay on the list of a worker
 // because the message that named them got lost, or because the entry that got it did
 // not own the job yet.
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -76,8 +76,12 @@
 		34,
 	}},
 	"evacuations": {offset: 100_000, faultKinds: evacuationFaults, play: evacuationSchedule, inCI: 12},
-	"stored":      {offset: 5000, faultKinds: allFaults, play: storedSchedule, inCI: 40},
-	"takeovers":   {offset: 120_000, faultKinds: allFaults, play: takeoverSchedule, inCI: 6, regressions: []uint64{
+	"stored": {offset: 5000, faultKinds: allFaults, play: storedSchedule, inCI: 40, regressions: []uint64{
+		// A hold with the number of an end in the earlier lifetime of a worker made the
+		// next one forget an end that its holder had not seen.
+		8, 287, 385,
+	}},
+	"takeovers": {offset: 120_000, faultKinds: allFaults, play: takeoverSchedule, inCI: 6, regressions: []uint64{
 		// A lapsed run of the former owner counted as a failed attempt, and the row of a
 		// job of 4,000 tasks outgrew the store.
 		31,
