--- a/internal/dispatch/takeovers_test.go
+++ b/internal/dispatch/takeovers_test.go
@@ -8,7 +8,8 @@
 )
 
 // slowLinks delays the messages between some pairs of entries, so that the messages of
-// different entries arrive in another order than they were sent in.
+// different entries arrive in another order than they were sent in. Heartbeats are not
+// delayed.
 type slowLinks struct {
 	extra map[[2]ids.EntryID]time.Duration
 	// latest is when the latest message of a pair arrives. Later ones do not overtake it.
