--- /dev/null
+++ b/review/cases3/lost.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"os"
+	"time"
+)
+
+// The zones of the deployments.
+var zones = []string{"georgetown", "bayan-lepas", "air-itam"}
+
+// finishTime is the bound finish_s.
+const finishTime = 14 * time.Second
+
+// removedRoute removes the only route of one of two services and kills one process,
+// which starts again. The jobs of the other service have to end. With ONLY=route or
+// ONLY=kill it does just one of the two.
+func removedRoute(fl *deployment, trouble bool) error {
+	kept := queue{name: "r-kept", host: "kept.example", prefix: "/kept/", service: "kaunter"}
+	removed := queue{name: "r-removed", host: "removed.example", prefix: "/removed/", service: "jualan"}
+	const runners = 12
+	if err := fl.addRunners(kept.service, runners, zones, "a"); err != nil {
+		return err
+	}
+	if err := fl.addRunners(removed.service, runners, zones, "a"); err != nil {
+		return err
+	}
+	if err := fl.configure(kept, removed); err != nil {
+		return err
+	}
+	if err := fl.startEntries(zones...); err != nil {
+		return err
+	}
+	only := os.Getenv("ONLY")
+	if trouble && only != "kill" {
+		if err := fl.configure(kept); err != nil {
+			return err
+		}
+	}
+	if err := fl.sleep(4 * time.Second); err != nil {
+		return err
+	}
+	var jobs []*job
+	const count = 30
+	for num := range count {
+		jb := newJob(kept, step{count: 2, cpu: 2000, took: 3 * time.Second})
+		if err := fl.submit(jb, fl.entries[num%len(fl.entries)]); err != nil {
+			return err
+		}
+		jobs = append(jobs, jb)
+	}
+	if err := fl.sleep(time.Second); err != nil {
+		return err
+	}
+	if trouble && only != "route" {
+		killed := fl.entries[len(fl.entries)-1]
+		killed.kill()
+		if err := fl.sleep(time.Second); err != nil {
+			return err
+		}
+		if err := killed.start(); err != nil {
+			return err
+		}
+	}
+	fl.rec.write("the traffic ends")
+	if err := fl.sleep(finishTime + 10*time.Second); err != nil {
+		return err
+	}
+	return fl.checkIdle(jobs, kept.service)
+}
+
+// checkIdle returns an error if a job isn't shown as completed and has nothing running
+// for 3 s, while there is capacity for it twice over and under half of the service's
+// capacity is in use.
+func (fl *deployment) checkIdle(jobs []*job, service string) error {
+	var open []*job
+	for num, jb := range jobs {
+		if fl.state(jb, fl.entries[num%len(fl.entries)]) != "completed" {
+			open = append(open, jb)
+		}
+	}
+	began := time.Now()
+	idle := map[*job]bool{}
+	for _, jb := range open {
+		idle[jb] = true
+	}
+	const idleTime = 3 * time.Second
+	for time.Since(began) < idleTime {
+		used, all := int64(0), int64(0)
+		for _, ru := range fl.runners {
+			if ru.service == service {
+				used, all = used+ru.used(), all+ru.cpu
+			}
+		}
+		for _, jb := range open {
+			if fl.runsTaskOf(jb) || 2*used >= all {
+				idle[jb] = false
+			}
+		}
+		if err := fl.sleep(100 * time.Millisecond); err != nil {
+			return err
+		}
+	}
+	count := 0
+	for _, jb := range open {
+		if idle[jb] && fl.state(jb, fl.entries[0]) != "completed" {
+			count++
+			fl.rec.write("job %s has nothing running", jb.id)
+		}
+	}
+	if count > 0 {
+		return broken("%d of %d accepted jobs aren't completed and have had nothing running for 3 s, %.0f s after the last submission",
+			count, len(jobs), time.Since(jobs[len(jobs)-1].accepted).Seconds())
+	}
+	return nil
+}
+
+// crashedRunner submits a job that only one kind of runner may run. The one runner of
+// that kind crashes twice and comes back. No run ends as failed, so the job must not be
+// shown as failed.
+func crashedRunner(fl *deployment, trouble bool) error {
+	qu := queue{name: "r-labels", host: "labels.example", prefix: "/labels/", service: "kaunter"}
+	const runners, crashes, took, down = 7, 2, 5 * time.Second, 4 * time.Second
+	if err := fl.addRunners(qu.service, runners, zones, "a", "a", "a", "a", "a", "a", "b"); err != nil {
+		return err
+	}
+	only := fl.runners[runners-1]
+	if err := fl.configure(qu); err != nil {
+		return err
+	}
+	if err := fl.startEntries(zones...); err != nil {
+		return err
+	}
+	jb := newJob(qu, step{count: 1, cpu: 2000, took: took, requirement: "b"})
+	if err := fl.submit(jb, fl.entries[0]); err != nil {
+		return err
+	}
+	for num := 0; trouble && num < crashes; num++ {
+		if err := fl.awaitRun(jb); err != nil {
+			return err
+		}
+		only.crash()
+		if err := fl.sleep(down); err != nil {
+			return err
+		}
+		if err := only.start(fl.grp.Context()); err != nil {
+			return err
+		}
+	}
+	for end := time.Now().Add(2 * finishTime); time.Now().Before(end); {
+		switch fl.state(jb, fl.entries[1]) {
+		case "completed":
+			return nil
+		case "failed":
+			for _, fi := range fl.endsOf(jb) {
+				if fi.how == "failed" {
+					return nil
+				}
+			}
+			return broken("the job is shown as failed, and no run of it has ended failed")
+		}
+		if err := fl.sleep(time.Second); err != nil {
+			return err
+		}
+	}
+	return broken("the job is neither completed nor failed")
+}
+
+// awaitRun waits until a task of a job has run for a second.
+func (fl *deployment) awaitRun(jb *job) error {
+	for !fl.runsTaskOf(jb) {
+		if err := fl.sleep(50 * time.Millisecond); err != nil {
+			return err
+		}
+	}
+	return fl.sleep(time.Second)
+}
