--- a/review/cases3/deployment.go
+++ b/review/cases3/deployment.go
@@ -30,7 +30,7 @@
 }
 
 func newRecorder(path string) (*recorder, error) {
-	file, err := os.Create(path)
+	file, err := os.Create(path) //nolint:gosec // in the folder of the case
 	if err != nil {
 		return nil, err
 	}
@@ -54,6 +54,7 @@
 	cpu         int64
 	took        time.Duration
 	requirement string
+	lasting     bool // runs until the job is cancelled
 }
 
 // job is what a client submits, with what was seen of it.
@@ -118,7 +119,7 @@
 		en.kill()
 	}
 	fl.grp.Close()
-	_ = os.RemoveAll(fl.dir)
+	_ = os.RemoveAll(fl.dir) //nolint:gosec // made by newDeployment
 }
 
 // configure writes a version of the desired state with the given queues.
@@ -355,7 +356,7 @@
 			return 0, err.Error()
 		}
 	}
-	rq, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(raw))
+	rq, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(raw)) //nolint:gosec // a loopback address
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -367,7 +368,7 @@
 	if body != nil {
 		rq.Header.Set("Content-Type", "application/json")
 	}
-	rep, err := http.DefaultClient.Do(rq)
+	rep, err := http.DefaultClient.Do(rq) //nolint:gosec // to a loopback address
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -396,10 +397,17 @@
 		if sp.requirement != "" {
 			wire["requirements"] = sp.requirement
 		}
+		if sp.lasting {
+			wire["longRunning"] = true
+		}
 		steps = append(steps, wire)
 	}
+	body := map[string]any{"spec": "work", "steps": steps}
+	if jb.steps[0].lasting {
+		body["longRunning"] = true
+	}
 	for range 5 {
-		status, text := fl.call(http.MethodPost, en.front, jb.queue.host, jb.queue.prefix+jb.id, map[string]any{"spec": "work", "steps": steps}, callerWait)
+		status, text := fl.call(http.MethodPost, en.front, jb.queue.host, jb.queue.prefix+jb.id, body, callerWait)
 		fl.rec.write("POST %s at %s: %d %s", jb.id, en.name, status, text)
 		switch status / 100 {
 		case 2:
--- a/review/cases3/lost.go
+++ b/review/cases3/lost.go
@@ -72,36 +72,22 @@
 // for 3 s, while there is capacity for it twice over and under half of the service's
 // capacity is in use.
 func (fl *deployment) checkIdle(jobs []*job, service string) error {
-	var open []*job
-	for num, jb := range jobs {
-		if fl.state(jb, fl.entries[num%len(fl.entries)]) != "completed" {
-			open = append(open, jb)
-		}
-	}
-	began := time.Now()
 	idle := map[*job]bool{}
-	for _, jb := range open {
-		idle[jb] = true
+	for num, jb := range jobs {
+		idle[jb] = fl.state(jb, fl.entries[num%len(fl.entries)]) != "completed"
 	}
 	const idleTime = 3 * time.Second
-	for time.Since(began) < idleTime {
-		used, all := int64(0), int64(0)
-		for _, ru := range fl.runners {
-			if ru.service == service {
-				used, all = used+ru.used(), all+ru.cpu
-			}
-		}
-		for _, jb := range open {
-			if fl.runsTaskOf(jb) || 2*used >= all {
-				idle[jb] = false
-			}
+	for end := time.Now().Add(idleTime); time.Now().Before(end); {
+		busy := fl.busy(service)
+		for jb := range idle {
+			idle[jb] = idle[jb] && !busy && !fl.runsTaskOf(jb)
 		}
 		if err := fl.sleep(100 * time.Millisecond); err != nil {
 			return err
 		}
 	}
 	count := 0
-	for _, jb := range open {
+	for _, jb := range jobs {
 		if idle[jb] && fl.state(jb, fl.entries[0]) != "completed" {
 			count++
 			fl.rec.write("job %s has nothing running", jb.id)
@@ -114,6 +100,17 @@
 	return nil
 }
 
+// busy reports whether half of a service's capacity or more is in use.
+func (fl *deployment) busy(service string) bool {
+	used, all := int64(0), int64(0)
+	for _, ru := range fl.runners {
+		if ru.service == service {
+			used, all = used+ru.used(), all+ru.cpu
+		}
+	}
+	return 2*used >= all
+}
+
 // crashedRunner submits a job that only one kind of runner may run. The one runner of
 // that kind crashes twice and comes back. No run ends as failed, so the job must not be
 // shown as failed.
@@ -135,17 +132,29 @@
 		return err
 	}
 	for num := 0; trouble && num < crashes; num++ {
-		if err := fl.awaitRun(jb); err != nil {
-			return err
-		}
-		only.crash()
-		if err := fl.sleep(down); err != nil {
-			return err
-		}
-		if err := only.start(fl.grp.Context()); err != nil {
+		if err := fl.crashUnder(jb, only, down); err != nil {
 			return err
 		}
 	}
+	return fl.checkFailed(jb)
+}
+
+// crashUnder crashes a runner on which a job has run for a second. The runner comes
+// back after some time.
+func (fl *deployment) crashUnder(jb *job, ru *runner, down time.Duration) error {
+	if err := fl.awaitRun(jb); err != nil {
+		return err
+	}
+	ru.crash()
+	if err := fl.sleep(down); err != nil {
+		return err
+	}
+	return ru.start(fl.grp.Context())
+}
+
+// checkFailed returns an error if a job is shown as failed though no run of it has
+// ended failed, or isn't completed in time.
+func (fl *deployment) checkFailed(jb *job) error {
 	for end := time.Now().Add(2 * finishTime); time.Now().Before(end); {
 		switch fl.state(jb, fl.entries[1]) {
 		case "completed":
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -45,6 +45,7 @@
 	"11": removedRoute,
 	"12": crashedRunner,
 	"13": cutOwner,
+	"14": lostHolder,
 }
 
 func main() {
