--- a/review/cases3/deployment.go
+++ b/review/cases3/deployment.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/oleanderwall/oleanderwall/pkg/group"
@@ -322,6 +323,28 @@
 	<-ended
 }
 
+// terminate sends SIGTERM, waits for the end, and sends SIGKILL after graceS.
+func (en *entry) terminate() error {
+	en.mu.Lock()
+	cmd, ended := en.cmd, en.ended
+	en.mu.Unlock()
+	en.fl.rec.write("%s gets SIGTERM", en.name)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	const grace = 6 * time.Second
+	timer := time.NewTimer(grace)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		en.kill()
+	case <-en.fl.grp.Context().Done():
+		return errStopped
+	}
+	return nil
+}
+
 // startEntries starts one process in each zone and waits until all are ready.
 func (fl *deployment) startEntries(zones ...string) error {
 	for _, zone := range zones {
--- a/review/cases3/lost.go
+++ b/review/cases3/lost.go
@@ -13,7 +13,8 @@
 
 // removedRoute removes the only route of one of two services and kills one process,
 // which starts again. The jobs of the other service have to end. With ONLY=route or
-// ONLY=kill it does just one of the two.
+// ONLY=kill it does just one of the two, and with ONLY=roll it stops all processes but
+// one with SIGTERM instead, in turn.
 func removedRoute(fl *deployment, trouble bool) error {
 	kept := queue{name: "r-kept", host: "kept.example", prefix: "/kept/", service: "kaunter"}
 	removed := queue{name: "r-removed", host: "removed.example", prefix: "/removed/", service: "jualan"}
@@ -42,7 +43,8 @@
 	var jobs []*job
 	const count = 30
 	for num := range count {
-		jb := newJob(kept, step{count: 2, cpu: 2000, took: 3 * time.Second})
+		part := step{count: 2, cpu: 2000, took: 3 * time.Second}
+		jb := newJob(kept, part, part, part)
 		if err := fl.submit(jb, fl.entries[num%len(fl.entries)]); err != nil {
 			return err
 		}
@@ -51,7 +53,11 @@
 	if err := fl.sleep(time.Second); err != nil {
 		return err
 	}
-	if trouble && only != "route" {
+	if trouble && only == "roll" {
+		if err := fl.restartInTurn(); err != nil {
+			return err
+		}
+	} else if trouble && only != "route" {
 		killed := fl.entries[len(fl.entries)-1]
 		killed.kill()
 		if err := fl.sleep(time.Second); err != nil {
@@ -68,6 +74,26 @@
 	return fl.checkIdle(jobs, kept.service)
 }
 
+// restartInTurn stops all processes but the first with SIGTERM, one after the other, and
+// starts each again.
+func (fl *deployment) restartInTurn() error {
+	for num := len(fl.entries) - 1; num > 0; num-- {
+		if err := fl.entries[num].terminate(); err != nil {
+			return err
+		}
+		if err := fl.sleep(time.Second); err != nil {
+			return err
+		}
+		if err := fl.entries[num].start(); err != nil {
+			return err
+		}
+		if err := fl.sleep(2 * time.Second); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // checkIdle returns an error if a job isn't shown as completed and has nothing running
 // for 3 s, while there is capacity for it twice over and under half of the service's
 // capacity is in use.
