--- a/review/cases3/lost.go
+++ b/review/cases3/lost.go
@@ -40,38 +40,49 @@
 	if err := fl.sleep(4 * time.Second); err != nil {
 		return err
 	}
-	var jobs []*job
+	jobs, err := fl.submitSteps(kept)
+	if err != nil {
+		return err
+	}
+	if err := fl.restart(trouble, only); err != nil {
+		return err
+	}
+	fl.rec.write("the traffic ends")
+	if err := fl.sleep(finishTime + 10*time.Second); err != nil {
+		return err
+	}
+	return fl.checkIdle(jobs, kept.service)
+}
+
+// submitSteps submits jobs of three steps to all processes in turn.
+func (fl *deployment) submitSteps(qu queue) ([]*job, error) {
 	const count = 30
+	var jobs []*job
 	for num := range count {
 		part := step{count: 2, cpu: 2000, took: 3 * time.Second}
-		jb := newJob(kept, part, part, part)
+		jb := newJob(qu, part, part, part)
 		if err := fl.submit(jb, fl.entries[num%len(fl.entries)]); err != nil {
-			return err
+			return nil, err
 		}
 		jobs = append(jobs, jb)
 	}
+	return jobs, fl.sleep(time.Second)
+}
+
+// restart kills the last process, which starts again, or restarts several in turn.
+func (fl *deployment) restart(trouble bool, only string) error {
+	switch {
+	case !trouble || only == "route":
+		return nil
+	case only == "roll":
+		return fl.restartInTurn()
+	}
+	killed := fl.entries[len(fl.entries)-1]
+	killed.kill()
 	if err := fl.sleep(time.Second); err != nil {
 		return err
 	}
-	if trouble && only == "roll" {
-		if err := fl.restartInTurn(); err != nil {
-			return err
-		}
-	} else if trouble && only != "route" {
-		killed := fl.entries[len(fl.entries)-1]
-		killed.kill()
-		if err := fl.sleep(time.Second); err != nil {
-			return err
-		}
-		if err := killed.start(); err != nil {
-			return err
-		}
-	}
-	fl.rec.write("the traffic ends")
-	if err := fl.sleep(finishTime + 10*time.Second); err != nil {
-		return err
-	}
-	return fl.checkIdle(jobs, kept.service)
+	return killed.start()
 }
 
 // restartInTurn stops all processes but the first with SIGTERM, one after the other, and
