--- a/review/cases3/deployment.go
+++ b/review/cases3/deployment.go
@@ -103,6 +103,10 @@
 	jobs   map[string]*job
 	starts []started
 	ends   []finished
+	// active holds the runs of each task that go on, with their runners, and doubled
+	// what was seen of two runs of a task at the same time.
+	active  map[string]map[runKey]string
+	doubled []string
 }
 
 func newDeployment(ctx context.Context, rec *recorder) (*deployment, error) {
@@ -111,7 +115,7 @@
 		return nil, err
 	}
 	grp := group.New(ctx)
-	return &deployment{grp: grp, rec: rec, dir: dir, st: newStore(grp), jobs: map[string]*job{}}, nil
+	return &deployment{grp: grp, rec: rec, dir: dir, st: newStore(grp), jobs: map[string]*job{}, active: map[string]map[runKey]string{}}, nil
 }
 
 // close ends all processes and stand-ins.
@@ -185,6 +189,15 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.starts = append(fl.starts, sd)
+	for other, id := range fl.active[rn.key.Task] {
+		text := fmt.Sprintf("run %d of %s starts on %s while run %d is on %s", rn.key.Run, rn.key.Task, ru.id, other.Run, id)
+		fl.rec.write("TWICE: %s", text)
+		fl.doubled = append(fl.doubled, text)
+	}
+	if fl.active[rn.key.Task] == nil {
+		fl.active[rn.key.Task] = map[runKey]string{}
+	}
+	fl.active[rn.key.Task][rn.key] = ru.id
 }
 
 func (fl *deployment) runEnded(ru *runner, rn *run, how string) {
@@ -192,6 +205,7 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	fl.ends = append(fl.ends, finished{key: rn.key, runner: ru.id, how: how})
+	delete(fl.active[rn.key.Task], rn.key)
 }
 
 // holderOf returns which entry gave an order with a token, as the store shows it: the
--- a/review/cases3/lost.go
+++ b/review/cases3/lost.go
@@ -75,7 +75,7 @@
 	case !trouble || only == "route":
 		return nil
 	case only == "roll":
-		return fl.restartInTurn()
+		return fl.restartInTurn(1)
 	}
 	killed := fl.entries[len(fl.entries)-1]
 	killed.kill()
@@ -85,10 +85,10 @@
 	return killed.start()
 }
 
-// restartInTurn stops all processes but the first with SIGTERM, one after the other, and
-// starts each again.
-func (fl *deployment) restartInTurn() error {
-	for num := len(fl.entries) - 1; num > 0; num-- {
+// restartInTurn stops all processes but the first ones with SIGTERM, one after the
+// other, and starts each again.
+func (fl *deployment) restartInTurn(first int) error {
+	for num := len(fl.entries) - 1; num >= first; num-- {
 		if err := fl.entries[num].terminate(); err != nil {
 			return err
 		}
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -42,10 +42,11 @@
 // cases are the cases by number. They return an error if the rule was broken or the
 // case couldn't run.
 var cases = map[string]func(fl *deployment, trouble bool) error{
-	"11": removedRoute,
-	"12": crashedRunner,
-	"13": cutOwner,
-	"14": lostHolder,
+	"11": switchedService,
+	"12": removedRoute,
+	"13": crashedRunner,
+	"14": cutOwner,
+	"15": lostHolder,
 }
 
 func main() {
