--- a/review/cases3/lasting.go
+++ b/review/cases3/lasting.go
@@ -9,7 +9,7 @@
 // lostHolder loses a runner for good, and 0.3 s later the machine that holds it, also
 // for good. Another machine comes 2 s later. Tasks that last have to be at work again.
 func lostHolder(fl *deployment, trouble bool) error {
-	qu := queue{name: "r-lasting", host: "lasting.example", prefix: "/lasting/", service: "kaunter"}
+	qu := queue{name: "r-lasting", host: "lasting.example", prefix: "/lasting/", service: mainService}
 	const runners, jobs, tasks = 12, 6, 4
 	last := len(zones) - 1
 	most := append(slices.Clone(zones), zones[last], zones[last], zones[last])
--- a/review/cases3/lost.go
+++ b/review/cases3/lost.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// mainService is the service of the site whose zones are used.
+const mainService = "kaunter"
+
 // The zones of the deployments.
 var zones = []string{"georgetown", "bayan-lepas", "air-itam"}
 
@@ -16,7 +19,7 @@
 // ONLY=kill it does just one of the two, and with ONLY=roll it stops all processes but
 // one with SIGTERM instead, in turn.
 func removedRoute(fl *deployment, trouble bool) error {
-	kept := queue{name: "r-kept", host: "kept.example", prefix: "/kept/", service: "kaunter"}
+	kept := queue{name: "r-kept", host: "kept.example", prefix: "/kept/", service: mainService}
 	removed := queue{name: "r-removed", host: "removed.example", prefix: "/removed/", service: "jualan"}
 	const runners = 12
 	if err := fl.addRunners(kept.service, runners, zones, "a"); err != nil {
@@ -152,7 +155,7 @@
 // that kind crashes twice and comes back. No run ends as failed, so the job must not be
 // shown as failed.
 func crashedRunner(fl *deployment, trouble bool) error {
-	qu := queue{name: "r-labels", host: "labels.example", prefix: "/labels/", service: "kaunter"}
+	qu := queue{name: "r-labels", host: "labels.example", prefix: "/labels/", service: mainService}
 	const runners, crashes, took, down = 7, 2, 5 * time.Second, 4 * time.Second
 	if err := fl.addRunners(qu.service, runners, zones, "a", "a", "a", "a", "a", "a", "b"); err != nil {
 		return err
--- a/review/cases3/twice.go
+++ b/review/cases3/twice.go
@@ -9,7 +9,7 @@
 // rolls a change back, with a restart of the processes after each of the two. A task
 // that lasts must never run twice at the same time.
 func switchedService(fl *deployment, trouble bool) error {
-	first := queue{name: "r-moved", host: "moved.example", prefix: "/moved/", service: "kaunter"}
+	first := queue{name: "r-moved", host: "moved.example", prefix: "/moved/", service: mainService}
 	second := first
 	second.service = "jualan"
 	const runners, tasks = 9, 6
--- a/review/cases3/unasked.go
+++ b/review/cases3/unasked.go
@@ -15,7 +15,7 @@
 // cutOwner cuts one machine from the store, without a cut to any other machine, and
 // cancels the jobs that were submitted there at another machine.
 func cutOwner(fl *deployment, trouble bool) error {
-	qu := queue{name: "r-chains", host: "chains.example", prefix: "/chains/", service: "kaunter"}
+	qu := queue{name: "r-chains", host: "chains.example", prefix: "/chains/", service: mainService}
 	const runners, jobs, steps, took = 12, 6, 40, 250 * time.Millisecond
 	if err := fl.addRunners(qu.service, runners, zones, "a"); err != nil {
 		return err
