--- a/review/cases3/twice.go
+++ b/review/cases3/twice.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -12,7 +13,7 @@
 	first := queue{name: "r-moved", host: "moved.example", prefix: "/moved/", service: mainService}
 	second := first
 	second.service = "jualan"
-	const runners, tasks = 9, 6
+	const runners, jobs, tasks = 9, 6, 3
 	for _, qu := range []queue{first, second} {
 		if err := fl.addRunners(qu.service, runners, zones, "a"); err != nil {
 			return err
@@ -24,14 +25,18 @@
 	if err := fl.startEntries(zones...); err != nil {
 		return err
 	}
-	jb := newJob(first, step{count: tasks, cpu: 2000, took: time.Hour, lasting: true})
-	if err := fl.submit(jb, fl.entries[0]); err != nil {
-		return err
+	var list []*job
+	for num := range jobs {
+		jb := newJob(first, step{count: tasks, cpu: 2000, took: time.Hour, lasting: true})
+		if err := fl.submit(jb, fl.entries[num%len(fl.entries)]); err != nil {
+			return err
+		}
+		list = append(list, jb)
 	}
 	steps := []func() error{
 		func() error { return fl.configureIf(trouble, second) },
 		func() error { return fl.rollIf(trouble) },
-		func() error { return fl.failTasks(jb) },
+		func() error { return fl.failTasks(list) },
 		func() error { return fl.configureIf(trouble, first) },
 		func() error { return fl.rollIf(trouble) },
 	}
@@ -69,12 +74,12 @@
 	return fl.restartInTurn(0)
 }
 
-// failTasks lets all running tasks of a job fail by themselves.
-func (fl *deployment) failTasks(jb *job) error {
+// failTasks lets all running tasks of some jobs fail by themselves.
+func (fl *deployment) failTasks(list []*job) error {
 	for _, ru := range fl.runners {
 		ru.mu.Lock()
 		for key, rn := range ru.runs {
-			if strings.HasPrefix(key.Task, jb.id+".") {
+			if slices.ContainsFunc(list, func(jb *job) bool { return strings.HasPrefix(key.Task, jb.id+".") }) {
 				ru.endLocked(rn, "failed")
 			}
 		}
