--- a/review/cases3/deployment.go
+++ b/review/cases3/deployment.go
@@ -420,8 +420,8 @@
 // callerWait is how long clients wait for an answer.
 const callerWait = 1500 * time.Millisecond
 
-// submit submits a job to an entry, again after no answer.
-func (fl *deployment) submit(jb *job, en *entry) error {
+// body returns the submission of a job, which is known from then on.
+func (fl *deployment) body(jb *job) map[string]any {
 	fl.mu.Lock()
 	fl.jobs[jb.id] = jb
 	fl.mu.Unlock()
@@ -443,6 +443,12 @@
 	if jb.steps[0].lasting {
 		body["longRunning"] = true
 	}
+	return body
+}
+
+// submit submits a job to an entry, again after no answer.
+func (fl *deployment) submit(jb *job, en *entry) error {
+	body := fl.body(jb)
 	for range 5 {
 		status, text := fl.call(http.MethodPost, en.front, jb.queue.host, jb.queue.prefix+jb.id, body, callerWait)
 		fl.rec.write("POST %s at %s: %d %s", jb.id, en.name, status, text)
@@ -503,19 +509,6 @@
 	return list
 }
 
-// endsOf returns the ends of the runs of a job.
-func (fl *deployment) endsOf(jb *job) []finished {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	var list []finished
-	for _, fi := range fl.ends {
-		if strings.HasPrefix(fi.key.Task, jb.id+".") {
-			list = append(list, fi)
-		}
-	}
-	return list
-}
-
 func (fl *deployment) sleep(wait time.Duration) error {
 	if !group.Sleep(fl.grp.Context(), wait) {
 		return errStopped
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -44,7 +44,7 @@
 var cases = map[string]func(fl *deployment, trouble bool) error{
 	"11": switchedService,
 	"12": removedRoute,
-	"13": crashedRunner,
+	"13": leftCaller,
 	"14": cutOwner,
 	"15": lostHolder,
 }
--- a/review/cases3/store.go
+++ b/review/cases3/store.go
@@ -98,6 +98,7 @@
 	address string
 
 	mu     sync.Mutex
+	slow   int           // factor of the latency, 0 for 1
 	cut    chan struct{} // closed while the way is cut
 	isCut  bool
 	silent []net.Conn
@@ -137,6 +138,19 @@
 	ga.silent = nil
 }
 
+// setSlow makes the answers take longer by a factor.
+func (ga *gate) setSlow(factor int) {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	ga.slow = factor
+}
+
+func (ga *gate) latency() time.Duration {
+	ga.mu.Lock()
+	defer ga.mu.Unlock()
+	return storeLatency * time.Duration(max(ga.slow, 1))
+}
+
 // swallow leaves a call without an answer for as long as the way is cut.
 func (ga *gate) swallow(wr http.ResponseWriter) {
 	hj, ok := wr.(http.Hijacker)
@@ -174,7 +188,7 @@
 			ga.swallow(wr)
 			return
 		}
-		group.Sleep(rq.Context(), storeLatency)
+		group.Sleep(rq.Context(), ga.latency())
 		status, body, err := fn(rq, cut)
 		if _, isCut := ga.state(); isCut || err != nil {
 			ga.swallow(wr)
