--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -11,6 +11,7 @@
 // TestDivide guards against a burst that takes the capacity of others, and against
 // a queue that is left with nothing.
 func TestDivide(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name     string
 		capacity float64
@@ -35,6 +36,7 @@
 
 // TestFair guards against a zone whose callers are starved by those of another.
 func TestFair(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name          string
 		usual, demand []float64
@@ -56,6 +58,7 @@
 // TestDecide guards against jobs that are admitted although they can't be in time,
 // and against refusals after an overload while the backlog is worked off.
 func TestDecide(t *testing.T) {
+	t.Parallel()
 	const slack, useful = 100 * time.Millisecond, time.Second
 	rows := []struct {
 		name string
@@ -88,6 +91,7 @@
 // TestPlanWithoutFigures guards against refusals by an entry that knows of no
 // capacity, as after its start.
 func TestPlanWithoutFigures(t *testing.T) {
+	t.Parallel()
 	zones := map[ids.AvailabilityZone]zoneLoad{"north": {queues: map[uint32]queueLoad{1: {backlog: 1000, recent: 1000}}}}
 	if plans := planQueues("north", zones); len(plans) != 0 {
 		t.Errorf("without a capacity the plans are %v, want none", plans)
@@ -96,6 +100,7 @@
 
 // TestLevels guards against figures that a report distorts.
 func TestLevels(t *testing.T) {
+	t.Parallel()
 	for _, amount := range []float64{0, 0.5, 3, 40, 2000, 90_000} {
 		if got := levelOf(amount).amount(); math.Abs(got-amount) > 0.05*(amount+1) {
 			t.Errorf("%g is reported as %g", amount, got)
--- a/internal/dispatch/adoption_test.go
+++ b/internal/dispatch/adoption_test.go
@@ -53,6 +53,7 @@
 // holder after its owner has started the task again. The holder can't reach the
 // owner, its stops get lost, and it extends the leases on the worker.
 func TestNoLeaseForUnclaimedRuns(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
@@ -85,6 +86,7 @@
 // been killed and restarted. The new incarnation takes its workers before it has
 // sessions with the owners, and its stops of unclaimed runs get lost.
 func TestHolderRestarted(t *testing.T) {
+	t.Parallel()
 	const entries, workers = 25, 75
 	for seed := range uint64(6) {
 		wo := zonedWorld(seed+500, entries, workers, emuZones[:3])
@@ -115,6 +117,7 @@
 // has restarted and has not read the rows of jobs yet. The holder treats an
 // unclaimed run as a long-running task and extends its lease.
 func TestJobsUnreadAtTakeover(t *testing.T) {
+	t.Parallel()
 	const entries, workers = 25, 75
 	for seed := range uint64(6) {
 		wo := zonedWorld(seed+520, entries, workers, emuZones[:3])
@@ -139,6 +142,7 @@
 // of an unclaimed run is extended before the rows of jobs are read, and the lease
 // of a long-running task expires although the row of its job is known.
 func TestLeaseOfRunsThatMayLast(t *testing.T) {
+	t.Parallel()
 	ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
 	lasting := JobRecord{ID: "0000000000000001", Version: 7, State: JobAccepted, Lasting: true}
 	brief := lasting
@@ -199,6 +203,7 @@
 // claim of its owner arrives when the holder has just taken the worker again and
 // the worker has not listed its runs yet.
 func TestClaimBeforeLists(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	const owner = ids.EntryID("entry-01")
@@ -230,6 +235,7 @@
 // with the older run is taken over, the end of that run must not count as the end
 // of the present one.
 func TestEndOfFormerOwnersRun(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		worker ids.WorkerID
 		how    End
@@ -273,6 +279,7 @@
 // freeze, and their callers send the jobs to other entries before the workers
 // of the frozen ones are taken over.
 func TestJobSentToOtherEntry(t *testing.T) {
+	t.Parallel()
 	const entries, workers = 25, 75
 	// resendPause is the pause after which a caller that has lost its connection
 	// sends its job again.
@@ -309,6 +316,7 @@
 // answers that it does not have the run, and the task is started again while it
 // runs at the present holder.
 func TestClaimFromLatestHolder(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
@@ -338,6 +346,7 @@
 // Check that was in flight with EndUnknown and then receives the claim, it keeps
 // the run that the owner treats as lost.
 func TestCheckOfUnclaimedRun(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	const owner = ids.EntryID("entry-01")
@@ -375,6 +384,7 @@
 // The owners must be notified, also of a start without a reply, and no lease
 // may be extended afterwards.
 func TestUnlistedWorkerIsReleased(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	rep := HoldReply{Clock: WorkerTime(time.Minute), Born: 1}
@@ -423,6 +433,7 @@
 // does not belong. The caller has sent the job to another entry, whose run has
 // the same number, while the former owner was frozen.
 func TestStopOfFormerOwner(t *testing.T) {
+	t.Parallel()
 	for _, report := range []bool{false, true} {
 		wo, en, rc := newHolder()
 		en.TableRead(TableJobs, wo.at)
@@ -450,6 +461,7 @@
 // which does not reach the worker, reports the run as lost when the last lease
 // that it requested has expired.
 func TestLossReportedByFormerHolder(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		from  ids.EntryID
 		how   End
@@ -491,6 +503,7 @@
 // although their owner claims them: a tick between the question to the owner and
 // its answer sent the stops.
 func TestNoStopBeforeClaims(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	ref := TaskRef{Task: "0000000000000001.0.0.0", Run: 1}
@@ -517,6 +530,7 @@
 // which a new holder found it. Tasks on the worker were then stopped as stalled
 // again and again.
 func TestAdoptedRunTime(t *testing.T) {
+	t.Parallel()
 	const before, after = 380 * time.Millisecond, 20 * time.Millisecond
 	for _, ran := range []time.Duration{before, 0} {
 		wo, en, _ := newHolder()
@@ -539,6 +553,7 @@
 // is in flight when the worker confirms a stop. The worker then restarts with
 // the same ID and no longer refuses the late start.
 func TestRecallAfterWorkerRestart(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	rep := HoldReply{Clock: WorkerTime(time.Minute), Born: 1}
@@ -590,6 +605,7 @@
 // long-running but belongs to a job with long-running tasks. A new holder that
 // can't reach its owner keeps it, and the owner starts it again.
 func TestPlainTaskOfLastingJob(t *testing.T) {
+	t.Parallel()
 	const entries, workers = 25, 75
 	for seed := range uint64(6) {
 		wo := zonedWorld(seed+560, entries, workers, emuZones[:3])
--- a/internal/dispatch/advised_gangs_test.go
+++ b/internal/dispatch/advised_gangs_test.go
@@ -21,6 +21,7 @@
 // may run them have room. A gang needs valid tickets for many workers at once; a call
 // for advice gives tickets for some of 30.
 func TestAdvisedGangs(t *testing.T) {
+	t.Parallel()
 	const third = 1.0 / 3
 	rows := []struct {
 		name     string
--- a/internal/dispatch/callers_test.go
+++ b/internal/dispatch/callers_test.go
@@ -210,6 +210,7 @@
 // worker has started a task of it: its caller cancels it while the start order is on
 // its way.
 func TestCancelBeforeAnswer(t *testing.T) {
+	t.Parallel()
 	wo, en, _ := newHolder()
 	en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
 	qu, _ := en.findQueue("fit")
@@ -263,6 +264,7 @@
 // has lost the connection to one entry and resends the job to another, while
 // the first entry has not yet received the end of the connection.
 func TestCallersResend(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		fault func(wo *world, ee *emuEntry)
@@ -364,6 +366,7 @@
 // has resent its job to another entry, whose run has the same number as a run of
 // the first owner that is still being stopped on the same worker.
 func TestStartDuringStopOfSameRun(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
--- a/internal/dispatch/cold_test.go
+++ b/internal/dispatch/cold_test.go
@@ -71,6 +71,7 @@
 // cold workers and are late there, and against more starts than a cold worker may get.
 // Knowing which workers are cold must not cost jobs in time.
 func TestColdWorkers(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name string
 		load float64
@@ -120,6 +121,7 @@
 // TestColdFactor guards against a learned speed that runs on a cold worker change, and a
 // ratio of cold to warm speed that is not learned.
 func TestColdFactor(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	et := &evacuationTest{T: t, wo: wo, en: en, rc: rc}
 	info := en.known["w"].info
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -137,6 +137,7 @@
 // stored job with such a task must be given up, whatever happens to its owner and
 // to the holders of its workers between the crashes. Other jobs must go on.
 func TestDeadlyTasks(t *testing.T) {
+	t.Parallel()
 	oneStep := kind{queue: "peek", width: 4, work: 300 * time.Millisecond, stored: true}
 	steps, gang, lasting, timed := oneStep, oneStep, oneStep, oneStep
 	steps.steps = 3
@@ -221,6 +222,7 @@
 // TestGivenUpOnce guards against a caller that is answered twice: the job is given up
 // in the tick in which its deadline passes.
 func TestGivenUpOnce(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	qu, _ := en.findQueue("fit")
 	answers := 0
@@ -278,6 +280,7 @@
 // TestCrashesOfSoundTasks guards against sound jobs that are given up because the
 // workers of their tasks were lost or cut off.
 func TestCrashesOfSoundTasks(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		wo := standardWorld(seed+950, 7, 48)
 		kinds := storedKinds()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -61,6 +61,7 @@
 // TestFaults injects one fault at a time under load and checks the rules by what
 // workers and callers observe. The name of each row says what it guards against.
 func TestFaults(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		fault func(wo *world)
@@ -237,6 +238,7 @@
 // TestEmulatorFindsSeededFaults verifies that the checks of the emulator detect
 // the violations that they are for.
 func TestEmulatorFindsSeededFaults(t *testing.T) {
+	t.Parallel()
 	// other sends an order to another worker, with a token and an expiry that this
 	// worker accepts.
 	other := func(ef *emuEffects, order StartOrder, id ids.WorkerID) {
@@ -299,6 +301,7 @@
 // TestLoads runs load patterns and misbehaving workers, and checks the least
 // share of jobs in time.
 func TestLoads(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		shape func(wo *world)
@@ -347,6 +350,7 @@
 // TestRemovedEntry guards against rows and sessions of permanently removed
 // entries, which would be dialled forever.
 func TestRemovedEntry(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(600, 4, 12)
 	wo.entries["entry-01"].kill()
 	wo.run(memberExpiry + 5*time.Second)
@@ -363,6 +367,7 @@
 // TestWorkerRelisted guards against workers that stay without a holder after
 // their rows were missing for a while and their holders had released them.
 func TestWorkerRelisted(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(620, 4, 12)
 	for _, id := range []ids.WorkerID{"w-003", "w-006"} {
 		wk := wo.workers[id]
@@ -382,6 +387,7 @@
 // TestVanishedWorker guards against holder rows of permanently removed workers,
 // which would accumulate in the store.
 func TestVanishedWorker(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(610, 4, 12)
 	wo.workers["w-003"].crash(0)
 	wo.run(memberExpiry + 15*time.Second)
@@ -397,6 +403,7 @@
 // data, where the task takes three times as long, while there is room on that
 // rack.
 func TestAffinity(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(500, 7, 48)
 	kinds := slices.Clone(standardKinds)
 	for at := range kinds {
@@ -437,6 +444,7 @@
 // TestPlaceRules guards against starts on a worker of another service, without
 // the required label, or with too many tasks of the same step.
 func TestPlaceRules(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(510, 7, 48)
 	wo.addService("lab", "test", 6)
 	kinds := slices.Clone(standardKinds)
@@ -459,6 +467,7 @@
 // that they cannot reach. When the partition heals, these workers would change
 // from live holders to other ones.
 func TestSeveredZone(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(400, 7, 48)
 	wo.load(standardKinds, 0.6, 20*time.Second)
 	wo.run(5 * time.Second)
--- a/internal/dispatch/estimate_test.go
+++ b/internal/dispatch/estimate_test.go
@@ -12,6 +12,7 @@
 // restart or a hand-over, because a worker counts as one of mean speed until it
 // has run some tasks. Workers with the same labels have similar speeds.
 func TestSpeedOfNewWorker(t *testing.T) {
+	t.Parallel()
 	_, en, _ := newHolder()
 	put := func(id ids.WorkerID, kind, rack string, version Version) *worker {
 		info := en.known["w"].info
@@ -49,6 +50,7 @@
 // TestSpeedFarFromMean guards against a worker whose speed is never learned
 // because every run takes far longer than on a worker of mean speed.
 func TestSpeedFarFromMean(t *testing.T) {
+	t.Parallel()
 	_, en, _ := newHolder()
 	wk := en.workers["w"]
 	for range 20 {
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -272,6 +272,7 @@
 // TestEvacuationSet guards against a set of evacuated zones that an older one
 // replaces, or that keeps a zone after its row was removed.
 func TestEvacuationSet(t *testing.T) {
+	t.Parallel()
 	put := func(zone ids.AvailabilityZone, version Version) EvacuationRow {
 		return EvacuationRow{Zone: zone, Version: version}
 	}
@@ -321,6 +322,7 @@
 // TestEvacuationsBehind guards against an entry without the store that never learns
 // of an evacuation, and one that asks for what it has read itself.
 func TestEvacuationsBehind(t *testing.T) {
+	t.Parallel()
 	et := newEvacuationTest(t)
 	asked := func() int {
 		return len(slices.DeleteFunc(slices.Clone(et.rc.sent), func(msg Message) bool { _, ok := msg.(AskEvacuations); return !ok }))
@@ -345,6 +347,7 @@
 // TestFreshEvacuations guards against starts in a zone that was evacuated while an
 // entry was paused or not started yet.
 func TestFreshEvacuations(t *testing.T) {
+	t.Parallel()
 	et := newEvacuationTest(t)
 	et.en.SessionUp("entry-01", "entry-01/1")
 	et.en.InboundUp("entry-01", 1)
@@ -380,6 +383,7 @@
 // TestEvacuatedWorker guards against work that a holder gives to a worker of an
 // evacuated zone: new tasks, repeated orders and reserved room.
 func TestEvacuatedWorker(t *testing.T) {
+	t.Parallel()
 	et := newEvacuationTest(t)
 	et.en.SessionUp("entry-01", "entry-01/1")
 	et.en.InboundUp("entry-01", 1)
@@ -410,6 +414,7 @@
 // TestEvacuatedRuns guards against runs in an evacuated zone that are stopped
 // without need, and those that stay although they could continue elsewhere.
 func TestEvacuatedRuns(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name    string
 		step    Step
@@ -465,6 +470,7 @@
 // TestDrainedRuns guards against a draining worker whose long-running tasks are all
 // stopped at the same time, although their step limits how many may be unavailable.
 func TestDrainedRuns(t *testing.T) {
+	t.Parallel()
 	for limit, want := range []int{2, 1, 2} {
 		et := newEvacuationTest(t)
 		et.submit(1, Step{Count: 2, Lasting: true, MaxUnavailable: limit}, func(sub *Submission) { sub.Job.Stored = true })
@@ -492,6 +498,7 @@
 // TestEvacuatedJobs guards against callers that wait for workers that no task may
 // use, and against stored or timed jobs that are lost because of an evacuation.
 func TestEvacuatedJobs(t *testing.T) {
+	t.Parallel()
 	timed := func(sub *Submission) {
 		sub.Job.Repeat = Repeat{Count: 1, First: sub.Arrived.UnixMilli() + 500, Interval: time.Second}
 	}
@@ -537,6 +544,7 @@
 // TestAdviceOutsideEvacuatedZones guards against an owner that asks for advice about
 // workers that may run nothing.
 func TestAdviceOutsideEvacuatedZones(t *testing.T) {
+	t.Parallel()
 	et := newEvacuationTest(t, "x")
 	et.evacuate(5)
 	if list := et.en.workersToAsk(&group{shape: Shape{Service: "fitdesk"}}, "step"); len(list) != 1 || list[0] != "x" {
@@ -547,6 +555,7 @@
 // TestWantsOutsideEvacuatedZones guards against an owner that asks only the holders
 // of its own zone for room, when that zone is evacuated.
 func TestWantsOutsideEvacuatedZones(t *testing.T) {
+	t.Parallel()
 	et := newEvacuationTest(t)
 	for num := range 20 {
 		id, zone := fmt.Sprintf("entry-%02d", num+1), ids.AvailabilityZone("north")
@@ -584,6 +593,7 @@
 // there although there is room elsewhere, steps of which too many tasks are moved at
 // a time, and a zone that is not used again.
 func TestEvacuations(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		fault func(wo *world)
--- a/internal/dispatch/failures_test.go
+++ b/internal/dispatch/failures_test.go
@@ -11,6 +11,7 @@
 // TestLastingFailures guards against a worker that gets tasks again because its
 // pause has overflowed after many consecutive failures.
 func TestLastingFailures(t *testing.T) {
+	t.Parallel()
 	wo, en, _ := newHolder()
 	wk := en.workers["w"]
 	for num := range 70 {
@@ -24,6 +25,7 @@
 // TestFailuresBesideLasting guards against workers that get no task any more after
 // single failures, because long-running tasks on them never end done.
 func TestFailuresBesideLasting(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(1040, 3, 4)
 	lasting := kind{queue: "fit", width: 3, work: time.Second, lasting: true, stored: true, spread: 1}
 	for _, wk := range wo.workers {
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -36,6 +36,7 @@
 // is mistaken for the later one, because its session is still up or because
 // only its row has been read.
 func TestLaterIncarnation(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		learn func(wo *world, en *Entry)
@@ -94,6 +95,7 @@
 // TestEarlierIncarnation guards against workers and stored jobs that stay with
 // an incarnation although its entry has provably started a later one.
 func TestEarlierIncarnation(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name          string
 		before, after func(wo *world, en *Entry) // run before and after the rows that name other/1 are read
@@ -146,6 +148,7 @@
 // incarnations of entries that answer again, and against candidates that are not
 // known to run.
 func TestCandidatesAfterRestart(t *testing.T) {
+	t.Parallel()
 	self := Self{Incarnation: "other/2", Zone: "north", Size: 1}
 	rows := []struct {
 		name  string
@@ -206,6 +209,7 @@
 // all entries have restarted at once. The entries have sessions with each other
 // before they can read each other's new rows.
 func TestReturnOfAllEntries(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(4) {
 		wo := standardWorld(seed+600, 6, 48)
 		wo.firstHeartbeat, wo.dialDelay, wo.exchangeInterval = 700*time.Millisecond, 0, 20*time.Millisecond
--- a/internal/dispatch/job_forms_test.go
+++ b/internal/dispatch/job_forms_test.go
@@ -10,6 +10,7 @@
 // TestGangs guards against gangs of which only a part runs: all tasks of a gang
 // must be started at the same time or not at all, and be stopped together.
 func TestGangs(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name       string
 		stored     bool
@@ -63,6 +64,7 @@
 // room for it: its tasks ask for accelerators and no CPU, and one worker has room for
 // several of them.
 func TestGangOnAccelerators(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(761, 3, 4)
 	for _, wk := range wo.workers {
 		wk.info.Room.Accelerators = 4
@@ -81,6 +83,7 @@
 // TestTimedJobs guards against occurrences of timed jobs that start early or are
 // skipped, also when an owner dies while it waits for the next one.
 func TestTimedJobs(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		fault func(wo *world)
@@ -119,6 +122,7 @@
 // their job is cancelled, and must not be stopped because an owner or a holder
 // fails.
 func TestLasting(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		fault func(wo *world)
@@ -179,6 +183,7 @@
 // TestSavedProgress guards against the loss of checkpoints: saved work must not
 // be repeated when the owner dies or leaves.
 func TestSavedProgress(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		fault func(wo *world)
@@ -210,6 +215,7 @@
 // TestProgressForgotten guards against checkpoints that holders never discard:
 // those of jobs that are not stored or have ended.
 func TestProgressForgotten(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(790, 7, 48)
 	kinds := slices.Clone(standardKinds)
 	for at := range kinds {
@@ -230,6 +236,7 @@
 // starts must carry valid tickets, a step must need few calls, and jobs must
 // complete despite lost calls and restarted workers.
 func TestAdvice(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		gang  bool
--- a/internal/dispatch/job_row_test.go
+++ b/internal/dispatch/job_row_test.go
@@ -37,6 +37,7 @@
 // because its row has outgrown the store. The runs of its later occurrences have
 // longer numbers since it was taken over.
 func TestLongScheduleTakenOver(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name         string
 		steps, width int
@@ -155,6 +156,7 @@
 // TestShortRowsFit guards against accepted jobs that outgrow the store: in its
 // shortest form the row of a job must fit, whatever has happened to its tasks.
 func TestShortRowsFit(t *testing.T) {
+	t.Parallel()
 	for _, rowBytes := range []int{emuRowBytes, 32_768, 8_192} {
 		tasks := StoredTasks(rowBytes)
 		if rowBytes == emuRowBytes && tasks != MaxStoredTasks {
@@ -182,6 +184,7 @@
 // TestRowDropsFailuresOfDoneTasks guards against rows of accepted jobs that outgrow
 // the store: a task has its run that ended done or its failed runs there, never both.
 func TestRowDropsFailuresOfDoneTasks(t *testing.T) {
+	t.Parallel()
 	_, en, jb := takenOver(t, []Step{{Count: 2, Need: Resources{CPU: 1000}, Estimate: time.Second}})
 	for num, ta := range jb.groups[0].tasks {
 		ends := []Ended{{Ref: TaskRef{Task: ta.id, Run: 1}, Worker: "w", How: EndFailed}, {Ref: TaskRef{Task: ta.id, Run: 2}, Worker: "w", How: EndDone}}
@@ -196,6 +199,7 @@
 // TestCancelOfFullRow guards against a cancelling that is refused, because the row of
 // the job fits only once it is shortened and another entry than its owner cancels it.
 func TestCancelOfFullRow(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(1160, 3, 12)
 	rec := randomRecord(rand.New(rand.NewPCG(1, 5)), JobAccepted, MaxStoredTasks)
 	rec.Owner = wo.entries["entry-00"].inc
@@ -216,6 +220,7 @@
 
 // TestRowKeepsRuns guards against rows that are read as other runs than were written.
 func TestRowKeepsRuns(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(20) {
 		rnd := rand.New(rand.NewPCG(seed, 4))
 		rec := randomRecord(rnd, []JobState{JobAccepted, JobFailed}[seed%2], MaxStoredTasks)
@@ -248,6 +253,7 @@
 // TestRowOfOlderVersion guards against jobs that are started again, because the row
 // that an older version has written is not understood.
 func TestRowOfOlderVersion(t *testing.T) {
+	t.Parallel()
 	raw := []byte(`{"queue":"fit","state":"accepted","owner":"e/1","epoch":2,"submitted-unix-millis":5,"done":["0.0.2-4@1","1.0.0-0@2001"],
 		"fails":{"1.0.1":[2001,2002]},"latest":{"1.0.2":2003}}`)
 	want := JobRecord{
@@ -272,6 +278,7 @@
 // TestRowBounds guards against an entry that runs out of memory because of a
 // malformed row of a job.
 func TestRowBounds(t *testing.T) {
+	t.Parallel()
 	for _, text := range []string{"0.0.0-99999999999@1", "0.0.-5-1@1", "0.0.0-65536@1"} {
 		if runs, err := decodeNamedRuns([]string{text}); err == nil {
 			t.Errorf("%q is decoded as %d tasks, want an error", text, len(runs))
@@ -303,6 +310,7 @@
 // a long-running one, because the row of the job does not list the long-running
 // steps.
 func TestRowKeepsLastingSteps(t *testing.T) {
+	t.Parallel()
 	rows := [][]int{nil, {1}, {0, 2}}
 	for _, steps := range rows {
 		raw, err := EncodeJobRecord(JobRecord{ID: "0000000000000001", State: JobAccepted, Lasting: true, LastingSteps: steps})
@@ -322,6 +330,7 @@
 // TestRowKeepsCrashes guards against an owner that starts a task which crashes its
 // workers again, because the row of its job does not name the crashes.
 func TestRowKeepsCrashes(t *testing.T) {
+	t.Parallel()
 	want := Crash{Run: 1001, Worker: "w-1", Born: 1774523604686, Confirmed: true, Alone: true}
 	raw, err := EncodeJobRecord(JobRecord{ID: "0000000000000001", State: JobAccepted, Crashes: map[string][]Crash{"0.0.1": {want}}})
 	if err != nil {
--- a/internal/dispatch/large_test.go
+++ b/internal/dispatch/large_test.go
@@ -111,6 +111,7 @@
 // neighbours does not recover from. In a full mesh every entry detects them
 // itself.
 func TestLargeFaults(t *testing.T) {
+	t.Parallel()
 	const entries, workers = 25, 175
 	rows := []struct {
 		name  string
@@ -206,6 +207,7 @@
 // links, and sessions ended. An entry that does not get the desired state from
 // the store requests it from one neighbour after the other.
 func TestDesiredFromNeighbours(t *testing.T) {
+	t.Parallel()
 	const entries = 35
 	wo := zonedWorld(6, entries, 70, emuZones)
 	wo.run(5 * time.Second)
@@ -227,6 +229,7 @@
 // just started and has no record of the workers yet. After a power loss of all
 // entries, the balancer sends callers to them as soon as they listen.
 func TestJobsAtStart(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(8, 7, 48)
 	wo.restartAll(time.Second)
 	wo.run(time.Second + time.Millisecond)
@@ -243,6 +246,7 @@
 // TestStaleWorkerReport guards against a worker that is used again after it has
 // left or begun to drain, because another entry passed on an older report.
 func TestStaleWorkerReport(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(4, 1, 0)
 	en := wo.sortedEntries()[0].en
 	ready := WorkerInfo{ID: "w", Service: "fitdesk", Zone: "north", State: WorkerReady, Version: 5}
@@ -272,6 +276,7 @@
 // whose row has not been read yet. That entry has just started, and its holder
 // row arrived first, in the reply to a commit that lost the conflict.
 func TestUnknownHolder(t *testing.T) {
+	t.Parallel()
 	for _, known := range []bool{true, false} {
 		wo := newWorld(4)
 		en := New(Self{Incarnation: "entry-00/1", Zone: "north", Size: 1}, Limits{}, &emuEffects{ee: &emuEntry{wo: wo}}, func() time.Time { return wo.at })
--- a/internal/dispatch/lease_test.go
+++ b/internal/dispatch/lease_test.go
@@ -62,6 +62,7 @@
 // starts it again, while the holder of the first run can't stop that run and
 // keeps extending the lease of the worker.
 func TestUnconfirmedStops(t *testing.T) {
+	t.Parallel()
 	const never = time.Hour
 	rows := []struct {
 		name  string
@@ -117,6 +118,7 @@
 // TestConfirmedStops guards against leases that expire while stops take effect,
 // which would end the other tasks on the workers.
 func TestConfirmedStops(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		fault func(wo *world)
@@ -151,6 +153,7 @@
 // because its holder detects late that the owner is silent. The lease must end
 // contactLease after their last contact, even if the stops get lost.
 func TestLeaseOfSilentOwner(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(840, 7, 48)
 	wo.load(longKinds(), 1.2, 5*time.Second)
 	wo.run(5 * time.Second)
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -9,6 +9,7 @@
 // are free: an entry shuts down while its zone is cut off from the store. It can't
 // pass on its workers, and no other entry can use them.
 func TestLeavingWhileCutOff(t *testing.T) {
+	t.Parallel()
 	wo := standardWorld(90, 8, 48)
 	wo.cutZone("east", 8*time.Second)
 	wo.run(2 * time.Second)
--- a/internal/dispatch/left_workers_test.go
+++ b/internal/dispatch/left_workers_test.go
@@ -41,6 +41,7 @@
 // lastingTimeout as in a partition, because the row of a worker that has left still
 // names a holder that is lost for good later.
 func TestHolderLostAfterWorkerLeft(t *testing.T) {
+	t.Parallel()
 	const count, limit = 12, 10 * time.Second
 	for seed := range uint64(4) {
 		wo := zonedWorld(seed+700, 4, 12, []ids.AvailabilityZone{"north"})
@@ -78,6 +79,7 @@
 // removes the row of a worker that it has never reached, and the previous holder, cut
 // off together with the worker, still keeps tasks there.
 func TestUnreachedRowStays(t *testing.T) {
+	t.Parallel()
 	for _, reached := range []bool{false, true} {
 		wo, en, _ := newHolder()
 		if reached {
@@ -99,6 +101,7 @@
 // is carried out late. Workers come back under their ids around the removal of their
 // holder rows, while half of the store's replies are lost.
 func TestWorkersLeaveAndReturn(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		wo := standardWorld(seed+720, 5, 16)
 		wo.lostReplyShare = 0.5
--- a/internal/dispatch/neighbours_test.go
+++ b/internal/dispatch/neighbours_test.go
@@ -30,6 +30,7 @@
 // fleet. At every size, an entry has at most the neighbours on both sides of its
 // ring, the far links and the watchers.
 func TestNeighboursBounded(t *testing.T) {
+	t.Parallel()
 	const most = 2*sideNeighbours + crossZoneNeighbours + watchersPerZone
 	for _, size := range []int{7, 17, 35, 150, 565} {
 		ro := newRoster(fleetOf(size, 5))
@@ -59,6 +60,7 @@
 // without a session with the previous holder. Only neighbours can distinguish a
 // dead holder from one that is cut off from the store.
 func TestHoldersAreNeighbours(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{7, 35, 150, 565} {
 		list := fleetOf(size, 5)
 		ro := newRoster(list)
@@ -79,6 +81,7 @@
 // workers. Adding or removing one entry may move only its own share and that of
 // the next entry in its window.
 func TestFewWorkersMove(t *testing.T) {
+	t.Parallel()
 	const size, workers = 150, 1100
 	list := fleetOf(size, 5)
 	before, after := newRoster(list), newRoster(list[1:])
@@ -100,6 +103,7 @@
 // TestZoneWithoutEntries guards against workers without a holder after all
 // entries of their zone have ended.
 func TestZoneWithoutEntries(t *testing.T) {
+	t.Parallel()
 	list := slices.DeleteFunc(fleetOf(35, 5), func(mb Member) bool { return mb.Zone == "north" })
 	counts := map[ids.Incarnation]int{}
 	for num := range 70 {
@@ -118,6 +122,7 @@
 // largest entries of each zone are its watchers, and all other entries of the
 // zone have sessions with them.
 func TestWatchers(t *testing.T) {
+	t.Parallel()
 	ro := newRoster(fleetOf(150, 5))
 	for _, zone := range emuZones {
 		list := ro.watchers(zone)
--- a/internal/dispatch/odd_workers_test.go
+++ b/internal/dispatch/odd_workers_test.go
@@ -18,6 +18,7 @@
 // from being started again: nothing answers at its address, so its holder never
 // learns what has ended there.
 func TestOddRowAtTakeover(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name    string
 		service ids.ServiceName
--- a/internal/dispatch/overload_fleet_test.go
+++ b/internal/dispatch/overload_fleet_test.go
@@ -383,6 +383,7 @@
 // answers in place of answers in time, refusals after waiting, zones or queues
 // that get nothing, and a queue that outlasts the overload.
 func TestOverloadPatterns(t *testing.T) {
+	t.Parallel()
 	for num, oc := range overloadCases {
 		t.Run(oc.name, func(t *testing.T) {
 			entries, workers := overloadEntries, overloadWorkers
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -13,6 +13,7 @@
 // of the workers. The workers' time must go to jobs that end in time, and the
 // other jobs must be refused immediately.
 func TestOverload(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name   string
 		factor float64
@@ -47,6 +48,7 @@
 // TestRetryAfterFollowsQueue guards against refused callers that return while the
 // queue is still full, or that all return at the same time.
 func TestRetryAfterFollowsQueue(t *testing.T) {
+	t.Parallel()
 	wait := func(jobs int) (least, most time.Duration) {
 		wo, en, _ := newHolder()
 		en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
@@ -84,6 +86,7 @@
 // TestFailingWorkers guards against jobs that fail because all attempts of a task
 // went to workers that fail every run immediately and are therefore always free.
 func TestFailingWorkers(t *testing.T) {
+	t.Parallel()
 	for _, bad := range []int{5, 10} {
 		t.Run(fmt.Sprintf("%d of 48 workers", bad), func(t *testing.T) {
 			t.Parallel()
--- a/internal/dispatch/past_ends_test.go
+++ b/internal/dispatch/past_ends_test.go
@@ -51,6 +51,7 @@
 // early: an entry that had taken a job over counted runs that had been stopped or had
 // lapsed with its former owner as failed attempts.
 func TestPastEndsThatAreNoFailures(t *testing.T) {
+	t.Parallel()
 	for _, how := range []End{EndStopped, EndLapsed, EndLost, EndCrashed, EndStalled} {
 		t.Run(string(how), func(t *testing.T) {
 			_, en, jb := takenOver(t, []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}})
@@ -75,6 +76,7 @@
 // attempts: an entry that had taken its job over counted the failed runs of each of
 // its tasks apart.
 func TestPastFailuresOfGang(t *testing.T) {
+	t.Parallel()
 	_, en, jb := takenOver(t, []Step{{Count: 2, Need: Resources{CPU: 1000}, Estimate: time.Second, Gang: true}})
 	for num, ta := range jb.groups[0].tasks {
 		if jb.stored.rec.State != JobAccepted {
@@ -91,6 +93,7 @@
 // killed entry are passed back to it while the others take over its jobs, some runs of
 // which fail by their own fault.
 func TestOwnerRestartsAmongFailures(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2} {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
@@ -157,6 +160,7 @@
 // job over started its tasks although the store had not answered, and the store had
 // accepted another entry as the owner.
 func TestUnstoredClaim(t *testing.T) {
+	t.Parallel()
 	_, en, jb := takenOver(t, []Step{{Count: 1, Need: Resources{CPU: 1000}, Estimate: time.Second}})
 	ta := jb.groups[0].tasks[0]
 	// All holders have answered, and the runs of the former owner have stopped.
--- a/internal/dispatch/request_age_test.go
+++ b/internal/dispatch/request_age_test.go
@@ -26,6 +26,7 @@
 // drags down, so that they count as new, and against one that does not follow callers
 // that wait for another time than before, whose first attempts would be refused.
 func TestAnnouncedWaits(t *testing.T) {
+	t.Parallel()
 	const timeout, least = 1500 * time.Millisecond, 1800 * time.Millisecond
 	aw := &announcedWaits{}
 	expect := func(when string, wait, low, high time.Duration) {
@@ -127,6 +128,7 @@
 // workers can serve. The callers whose connections were cut or refused repeat their
 // requests 1.3 s later, with less time left, beside new ones.
 func TestRequestsSentBefore(t *testing.T) {
+	t.Parallel()
 	const (
 		entries, workers = 12, 120
 		pause, startup   = 1300 * time.Millisecond, 300 * time.Millisecond
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -47,6 +47,7 @@
 // the labels and the room of its former lifetime. The worker restarts under its id
 // as another kind, and answers calls before its new report has been read.
 func TestRestartAsOtherKind(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		wo := standardWorld(seed+60, 4, 8)
 		small := []kind{
@@ -73,6 +74,7 @@
 // runs. Its owner sends a Check to the holder just when the worker has passed to
 // another entry.
 func TestCheckAroundHandover(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(5) {
 		wo := standardWorld(seed, 6, 12)
 		kd := kind{queue: "pair", width: 6, work: 3 * time.Second}
--- a/internal/dispatch/retained_ends_test.go
+++ b/internal/dispatch/retained_ends_test.go
@@ -12,6 +12,7 @@
 // acknowledged before it is stored. The row of another job, whose end had the
 // same number in an earlier lifetime of the worker, turns out not to exist.
 func TestRetainedEndAfterRestart(t *testing.T) {
+	t.Parallel()
 	wo, en, _ := newHolder()
 	wk := en.workers["w"]
 	earlier := EndedRun{Number: 1, Ref: TaskRef{Task: "0000000000000001.0.0.0", Run: 1}, How: EndDone}
@@ -42,6 +43,7 @@
 // the first one is a failed run of a task that is done: an owner that learns first that
 // the task is done does not store its earlier failures.
 func TestFailedEndOfDoneTask(t *testing.T) {
+	t.Parallel()
 	task := TaskID("0000000000000001.0.0.0")
 	wo, en, rc, rec := holdEnds(EndedRun{Number: 1, Ref: TaskRef{Task: task, Run: 1}, How: EndFailed})
 	wo.tick(en, time.Second)
@@ -61,6 +63,7 @@
 // was acknowledged: a hold with the number of an end in the earlier lifetime of a worker
 // made the next one forget its first ends, which nobody had seen.
 func TestEndsOfNextLifetime(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	last := func() int64 { return rc.holds[len(rc.holds)-1].Acked }
@@ -91,6 +94,7 @@
 // because the message that named them got lost, or because the entry that got it did
 // not own the job yet.
 func TestPendingEndsSentAgain(t *testing.T) {
+	t.Parallel()
 	var ends []EndedRun
 	for num := range int64(3) {
 		how := []End{EndFailed, EndDone, EndLapsed}[num]
@@ -118,6 +122,7 @@
 // that stand still behind them: owners of scheduled jobs are killed one after the
 // other while some runs fail.
 func TestSchedulesAmongKills(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/dispatch/stored_test.go
+++ b/internal/dispatch/stored_test.go
@@ -41,6 +41,7 @@
 // lost, no task runs twice at a time, and no task is started again after its end
 // has been acknowledged.
 func TestStoredJobs(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		fault func(wo *world)
@@ -112,6 +113,7 @@
 // others on their workers, because their route was removed before their owner was
 // lost.
 func TestRemovedRoute(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		fault func(wo *world)
@@ -148,6 +150,7 @@
 // answer to the insertion of the job was lost, and the cancelling arrives before the
 // entry has found out that the job is stored.
 func TestCancelAfterLostInsertion(t *testing.T) {
+	t.Parallel()
 	for _, inserted := range []bool{true, false} {
 		wo, en, _ := newHolder()
 		en.TableRead(TableJobs, wo.at)
@@ -176,6 +179,7 @@
 // TestCancelOfJobInsertedElsewhere guards against a cancelling that is forgotten
 // because the caller has sent the job to another entry, which has inserted it first.
 func TestCancelOfJobInsertedElsewhere(t *testing.T) {
+	t.Parallel()
 	wo, en, _ := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	wo.submitStoredTask(en)
@@ -196,6 +200,7 @@
 // TestUnstorableProgress guards against an accepted job that is shown as failed, or
 // whose row is written again for ever, because its row has outgrown the store.
 func TestUnstorableProgress(t *testing.T) {
+	t.Parallel()
 	wo, en, _ := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	wo.submitStoredTask(en)
@@ -228,6 +233,7 @@
 // abandoned because another caller of the same job has left while the job was
 // being stored.
 func TestCancelDuringInsertion(t *testing.T) {
+	t.Parallel()
 	wo, en, _ := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	qu, _ := en.findQueue("fit")
@@ -252,6 +258,7 @@
 // TestCancelWithManyCallers guards against a cancellation that is given up after
 // one conflict because many callers wait for it.
 func TestCancelWithManyCallers(t *testing.T) {
+	t.Parallel()
 	wo, en, _ := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	rec := JobRecord{ID: "0000000000000001", State: JobAccepted, Owner: "other/1", Version: 60}
@@ -276,6 +283,7 @@
 // store counts as unavailable, although only this process was paused and the
 // store answers.
 func TestStoredAfterPause(t *testing.T) {
+	t.Parallel()
 	wo, en, _ := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	wo.tick(en, time.Second)
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -130,6 +130,7 @@
 // playSchedules runs the schedules of a family as subtests, one for each seed.
 func playSchedules(t *testing.T, name string, check func(wo *world, t *testing.T)) {
 	t.Helper()
+	t.Parallel()
 	sc := schedules[name]
 	for _, seed := range sc.seeds(t) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
--- a/internal/dispatch/unanswered_test.go
+++ b/internal/dispatch/unanswered_test.go
@@ -10,6 +10,7 @@
 // must not cause so much further work that hardly any job is served, and service
 // must return to normal once calls are answered again.
 func TestUnansweredOrders(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		share float64 // of the calls that are not answered
@@ -67,6 +68,7 @@
 // reply to its start is lost, and the start that is sent again is refused because
 // the run has ended meanwhile.
 func TestResentStart(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	en.TableRead(TableJobs, wo.at)
 	en.HoldReplied("w", 50, HoldReply{Clock: WorkerTime(time.Minute), Born: 1})
--- a/internal/dispatch/waits_test.go
+++ b/internal/dispatch/waits_test.go
@@ -23,6 +23,7 @@
 // width or counted once for each run, and against free room that counts as unusable
 // while a waiting task fits, or as usable while none does.
 func TestWaitStatistics(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newHolder()
 	st := &statistics{recorder: rc, counts: map[string]int64{}, waits: map[string][]time.Duration{}}
 	en.eff = st
--- a/internal/dispatch/want_holders_test.go
+++ b/internal/dispatch/want_holders_test.go
@@ -12,6 +12,7 @@
 // tasks while work waits everywhere, and against tasks that ask too few holders when
 // only some have a worker for them.
 func TestFewHoldersWhileWorkWaits(t *testing.T) {
+	t.Parallel()
 	et := newEvacuationTest(t)
 	for num := range 20 {
 		inc := ids.Incarnation(fmt.Sprintf("entry-%02d/1", num+1))
@@ -63,6 +64,7 @@
 // TestReservationsUnderOverload guards against room that is reserved in vain: under
 // overload all holders reserved room for the same tasks.
 func TestReservationsUnderOverload(t *testing.T) {
+	t.Parallel()
 	const mostGrantsPerStart = 3
 	or := newOverloadRun(931, 18, 120)
 	or.feed(func() float64 { return 2 * or.served }, 4*time.Second)
--- a/internal/dispatch/worker_news_test.go
+++ b/internal/dispatch/worker_news_test.go
@@ -41,6 +41,7 @@
 // TestRoomShrinks guards against tasks that are started beyond the room of a worker
 // that has shrunk while it runs. Its holder may be unable to read the report.
 func TestRoomShrinks(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name    string
 		entries int
@@ -92,6 +93,7 @@
 // the report that they read later, so entries without a session to the other
 // zone's watcher were not informed.
 func TestForwardedNewsPassedOn(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newWatched(2)
 	info := WorkerInfo{ID: "w", Service: "fitdesk", Zone: "north", State: WorkerReady, Version: 5}
 	en.PutWorker(info)
@@ -115,6 +117,7 @@
 // a watcher that dies has sent them to the entry that replaces it, but not to
 // the others.
 func TestNewWatcherSendsSnapshots(t *testing.T) {
+	t.Parallel()
 	wo, en, rc := newWatched(1.165) // the third largest
 	en.PutPolledWorker(WorkerInfo{ID: "w", Service: "fitdesk", Zone: "north", State: WorkerReady, Version: 5})
 	en.Receive("entry-19", WorkerNews{Workers: []WorkerInfo{{ID: "w", Service: "fitdesk", Zone: "north", State: WorkerDraining, Version: 6}}})
