dispatch: let holder rows alone say which workers may have runs

What callers saw: a route was moved to another service and back, with a rolling restart after each change.

Cause: workers of a service that no desired state and no open job had named to an entry since its start were foreign to it. It left them out when it answered a new owner, when it checked such an answer, and when it listed the holders to wait for, although it held them and renewed their leases. Entries that started at different times disagreed on it.

Change: who may have runs follows from the holder rows, which are the same for all entries. The known services decide only whether a worker that nobody has ever held is claimed, and that needs a desired state or an open job now: an entry that had read neither claimed every row, also those of other writers. A takeover writes the service that it uses into the row.

--- a/internal/dispatch/entry.go
+++ b/internal/dispatch/entry.go
@@ -368,7 +368,7 @@
 	en.desired = &des
 	en.coldLimits.apply(des)
 	for _, qu := range des.Queues {
-		en.services[qu.Service] = true
+		en.nameService(qu.Service)
 		en.queueDemand(qu)
 	}
 	en.desiredBehindSince = time.Time{}
--- a/internal/dispatch/member.go
+++ b/internal/dispatch/member.go
@@ -174,10 +174,7 @@
 		if own && !first {
 			en.informHolder(info)
 		}
-		if en.foreign(info.ID) {
-			en.eff.Count("worker", "foreign", 1)
-			en.eff.Log("worker-foreign", "worker", string(info.ID), "service", string(info.Service), "version", int64(info.Version))
-		}
+		en.logForeign(info)
 	}
 	wk := en.workers[info.ID]
 	if wk == nil {
@@ -493,7 +490,7 @@
 	alive := map[ids.Incarnation]bool{}
 	for id, kw := range en.known {
 		row, ok := en.rows[id]
-		if !kw.removedAt.IsZero() || en.foreign(id) || (ok && en.aliveCached(alive, row.Holder, now)) {
+		if !kw.removedAt.IsZero() || (ok && en.aliveCached(alive, row.Holder, now)) || en.foreign(id) {
 			continue
 		}
 		if ro.assigned(string(id), kw.info.Zone) != en.self.Incarnation {
@@ -510,11 +507,33 @@
 	return limitChanges(changes, maxCommitRows)
 }
 
-// foreign reports whether a report is not that of a worker of ours: it is of a
-// service that neither a desired state nor an open job has named.
+// foreign reports whether a listed worker is not one of ours: no entry has ever held
+// it, and neither a desired state nor an open job has named its service to this entry.
+// A worker with a holder row may have runs, whatever this entry has read since its
+// start: its route may have been moved or removed before. Only the claim of a worker
+// depends on the services. What is asked, answered and awaited about runs follows from
+// the holder rows alone, so that all entries agree on it.
 func (en *Entry) foreign(id ids.WorkerID) bool {
 	kw := en.known[id]
-	return kw != nil && en.desired != nil && !en.services[kw.info.Service]
+	_, held := en.rows[id]
+	return kw != nil && !held && !en.services[kw.info.Service]
+}
+
+// logForeign logs a changed report of a foreign worker. Before the first desired state
+// every new worker counts as foreign.
+func (en *Entry) logForeign(info WorkerInfo) {
+	if en.desired != nil && en.foreign(info.ID) {
+		en.eff.Count("worker", "foreign", 1)
+		en.eff.Log("worker-foreign", "worker", string(info.ID), "service", string(info.Service), "version", int64(info.Version))
+	}
+}
+
+// nameService records that a desired state or an open job names a service, so that
+// workers of this service may be claimed.
+func (en *Entry) nameService(name ids.ServiceName) {
+	if name != "" && !en.services[name] {
+		en.services[name], en.claimsChanged = true, true
+	}
 }
 
 // aliveCached is alive with its results cached in answers.
--- a/internal/dispatch/odd_workers_test.go
+++ b/internal/dispatch/odd_workers_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -44,3 +45,33 @@
 		})
 	}
 }
+
+// TestNoClaimBeforeDesiredState guards against a row of another writer that an entry
+// claims because it has not read the desired state yet: from then on lost tasks wait for
+// the holder of that row. A worker that has been held is claimed all the same.
+func TestNoClaimBeforeDesiredState(t *testing.T) {
+	t.Parallel()
+	wo := newWorld(1)
+	rc := &recorder{emuEffects: emuEffects{ee: &emuEntry{wo: wo}}}
+	en := New(Self{Incarnation: "entry-00/2", Zone: "north", Size: 1}, Limits{}, rc, func() time.Time { return wo.at })
+	for num, id := range []ids.WorkerID{"new", "held"} {
+		en.PutWorker(WorkerInfo{ID: id, Service: "fitdesk", Zone: "north", State: WorkerReady, Version: Version(5 + num), Born: 1})
+	}
+	en.PutWorker(WorkerInfo{ID: "odd", Service: "other", Zone: "north", State: WorkerReady, Version: 7, Born: 1})
+	en.PutHolderRow(HolderRow{Worker: "held", Holder: "entry-00/1", Version: 50})
+	claims := func() []ids.WorkerID {
+		wo.at = wo.at.Add(workerClaimInterval)
+		var list []ids.WorkerID
+		for _, ch := range en.claimChanges(en.updateTopology(en.candidates(wo.at)), wo.at) {
+			list = append(list, ch.Worker)
+		}
+		return list
+	}
+	if list := claims(); !slices.Equal(list, []ids.WorkerID{"held"}) {
+		t.Errorf("without a desired state the workers %v are claimed, want only the one that was held", list)
+	}
+	en.Apply(standardDesired(1))
+	if list := claims(); !slices.Equal(list, []ids.WorkerID{"held", "new"}) {
+		t.Errorf("the workers %v are claimed, want the one that was held and the new one", list)
+	}
+}
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -27,7 +27,7 @@
 	ID        ids.JobID
 	Version   Version
 	Queue     string
-	Service   ids.ServiceName // of the queue, "" in rows written by earlier versions
+	Service   ids.ServiceName // to which the owner sends the tasks, "" in rows written by earlier versions
 	State     JobState
 	Owner     ids.Incarnation // "" after the last owner has released the job
 	Epoch     int64           // increases with each owner; the base of its run numbers
@@ -459,9 +459,7 @@
 	switch {
 	case !rec.State.ended():
 		en.openRecords[rec.ID] = re
-		if rec.Service != "" {
-			en.services[rec.Service] = true
-		}
+		en.nameService(rec.Service)
 	case re.endedAt.IsZero():
 		re.endedAt = en.now()
 		delete(en.openRecords, rec.ID)
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -180,6 +180,9 @@
 	before := rec.Owner
 	rec.Owner = en.self.Incarnation
 	rec.Epoch++
+	// The route may lead to another service than at the submission.
+	rec.Service = qu.Service
+	en.nameService(qu.Service)
 	rec.StepTasks = body.stepTasks()
 	jb := &job{
 		Submission: Submission{Job: body, Queue: qu, Arrived: en.now(), Done: func(Outcome) {}},
@@ -328,9 +331,6 @@
 	}
 	for _, id := range sortedKeys(en.workers) {
 		wk := en.workers[id]
-		if en.foreign(id) {
-			continue
-		}
 		if wk.phase == phaseFencing {
 			// It has not answered for ownerTimeout or longer, see checkUnreached. Waiting
 			// longer would block all jobs for ever if nothing answers there. An end that it
@@ -365,7 +365,6 @@
 	for id, since := range en.unreached {
 		age := en.now().Sub(since)
 		switch {
-		case en.foreign(id):
 		case age < ownerTimeout:
 			return true, false
 		case age > lastingTimeout && en.workers[id] == nil:
@@ -416,7 +415,7 @@
 		tokens[row.Worker] = row.Version
 	}
 	for id, row := range en.rows {
-		if row.Holder.Entry() == from && en.workerListed(id) && !en.foreign(id) && tokens[id] < row.Version {
+		if row.Holder.Entry() == from && en.workerListed(id) && tokens[id] < row.Version {
 			return false
 		}
 	}
@@ -528,9 +527,6 @@
 	type holderState struct{ alive, gone, goneLong bool }
 	holders := map[ids.Incarnation]holderState{}
 	for id, row := range en.rows {
-		if en.foreign(id) {
-			continue
-		}
 		hs, ok := holders[row.Holder]
 		if !ok {
 			hs = holderState{
