dispatch: bind every entry that knows of the end of a job

What callers saw: the entry that owned some jobs was cut off from the store alone. The jobs were cancelled at another entry, which acknowledged at once.

Cause: the end of a job bound its owner only, and the owner only through the store. It got the row of the cancelled job over its sessions and took it for its own, since the row still names it. Holders got it too and used it for nothing but the acknowledgement of ends.

Change: the owner drops the job, also while a write of its own is in flight. A holder starts none of its tasks, stops those that run, and sends the row to the owner, which may have no session with the entry that cancelled. An owner that has decided itself that a job ends starts no more of its tasks until the write is answered. This works since each start needs the owner and the holder, and either of them refuses once it knows.

The emulator compares starts with acknowledged cancellings in all schedules now.

--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -79,6 +79,7 @@
 	messages        int            // between entries
 	sent            map[string]int // messages by type
 	cancelled       map[ids.JobID]bool
+	cancelAckedAt   map[ids.JobID]time.Time // when the cancelling was first acknowledged
 	// calls holds the calls of callers that send a job again, by job.
 	calls map[ids.JobID]*emuCall
 	// answered is called with each answer to a job, if it is set.
@@ -184,6 +185,7 @@
 		gangs:            map[string]*emuGang{},
 		sent:             map[string]int{},
 		cancelled:        map[ids.JobID]bool{},
+		cancelAckedAt:    map[ids.JobID]time.Time{},
 		removedEntries:   map[ids.EntryID]bool{},
 		cutZones:         map[ids.AvailabilityZone]bool{},
 		storeCut:         map[ids.EntryID]bool{},
@@ -260,6 +262,9 @@
 	// evacuationsVersion is the version up to which the requests to evacuate zones
 	// have been read, -1 for not at all.
 	evacuationsVersion Version
+	// disturbedAt is when the process or its path to the store was last impaired.
+	disturbedAt time.Time
+	writesCut   bool // the store answers its reads only
 }
 
 func (wo *world) addEntry(name string, zone ids.AvailabilityZone, size float64) *emuEntry {
@@ -272,7 +277,7 @@
 func (ee *emuEntry) start(size float64) {
 	wo := ee.wo
 	ee.gen++
-	ee.size = size
+	ee.size, ee.disturbedAt = size, wo.at
 	ee.alive, ee.jobsVersion, ee.holdersVersion, ee.evacuationsVersion = true, 0, 0, -1
 	ee.inc = ids.Incarnation(fmt.Sprintf("%s/%d", ee.id, ee.gen))
 	ee.en = New(Self{Incarnation: ee.inc, Zone: ee.zone, Size: size}, Limits{EvacuationBound: emuEvacuationBound, RemotePenalty: emuPenalty, ColdOvershoot: 1.5, ColdSlack: emuColdBurst}, &emuEffects{ee: ee, en: nil}, func() time.Time { return wo.at })
@@ -291,6 +296,7 @@
 			ee.en.Tick()
 		}
 		ee.recordCut()
+		ee.recordDisturbance()
 		wo.after(TickInterval, tick)
 	}
 	heartbeat = func() {
@@ -766,6 +772,7 @@
 		rep := wk.start(order)
 		if rep.Started && !before {
 			ef.ee.checkEvacuated(wk, order)
+			ef.ee.checkCancelled(wk, order)
 		}
 		return rep
 	}, func(en *Entry, rep StartReply) {
@@ -870,7 +877,7 @@
 // change may have been made, or may be made later.
 func (ef *emuEffects) write(do func(), back func(en *Entry, ok bool)) {
 	wo := ef.ee.wo
-	if !wo.reachesStore(ef.ee) {
+	if !wo.reachesStore(ef.ee) || ef.ee.writesCut {
 		ef.callBack(emuWriteTimeout, func(en *Entry) { back(en, false) })
 		return
 	}
--- a/internal/dispatch/holder.go
+++ b/internal/dispatch/holder.go
@@ -354,6 +354,7 @@
 }
 
 func (en *Entry) tickSlot(wk *worker, sl *slot, now time.Time) {
+	en.stopEnded(wk, sl)
 	switch sl.state {
 	case slotStopping:
 		// While owners may still claim the runs on a new worker, no stop is sent.
--- a/internal/dispatch/match.go
+++ b/internal/dispatch/match.go
@@ -45,6 +45,10 @@
 func (en *Entry) handleWant(from ids.EntryID, ms Want) {
 	now := en.now()
 	key := wantKey{owner: from, group: ms.Group}
+	if en.refusesEnded(from, ms.Job, ms.Shape) {
+		delete(en.wants, key)
+		return
+	}
 	wa := en.wants[key]
 	if wa == nil {
 		wa = &want{key: key}
@@ -257,6 +261,10 @@
 			delete(en.wants, key)
 		}
 	}
+	if len(ms.Tasks) > 0 && en.refusesEnded(from, ms.Job, ms.Shape) {
+		en.match()
+		return
+	}
 	for num, as := range ms.Tasks {
 		var wk *worker
 		if num < len(reserved) && reserved[num].worker.accepts(ms.Shape, key, now) {
--- a/internal/dispatch/placing.go
+++ b/internal/dispatch/placing.go
@@ -38,10 +38,17 @@
 	return float64(left) / float64(max(all, 1))
 }
 
+// startsTasks reports whether tasks of the job may be started. Once this owner has
+// decided that the job ends, the store may have the decision although no answer has
+// arrived, and another entry may have acknowledged it to a caller.
+func (jb *job) startsTasks() bool {
+	return !jb.suspended && (jb.stored == nil || !jb.stored.rec.State.ended())
+}
+
 // place sends the queued tasks of a group to holders with free room and sends a
 // Want for the rest.
 func (en *Entry) place(gr *group) {
-	if gr.job.suspended {
+	if !gr.job.startsTasks() {
 		return
 	}
 	if gr.shape.Advised && !en.hasTickets(gr) {
@@ -208,7 +215,7 @@
 // withdraws it if no task is queued.
 func (en *Entry) sendWants(gr *group) {
 	count := len(gr.queued())
-	if count == 0 || gr.job.suspended {
+	if count == 0 || !gr.job.startsTasks() {
 		en.withdrawWants(gr)
 		return
 	}
@@ -287,7 +294,7 @@
 func (en *Entry) resendWants(id ids.EntryID) {
 	for _, gid := range sortedKeys(en.groups) {
 		gr := en.groups[gid]
-		if count := len(gr.queued()); count > 0 && !gr.job.suspended && !gr.shape.Gang && (!gr.shape.Advised || len(gr.shape.Tickets) > 0) {
+		if count := len(gr.queued()); count > 0 && gr.job.startsTasks() && !gr.shape.Gang && (!gr.shape.Advised || len(gr.shape.Tickets) > 0) {
 			en.sendWant(gr, id, count)
 		}
 	}
@@ -300,7 +307,7 @@
 		return
 	}
 	gr := en.groups[ms.Group]
-	if gr == nil || gr.job.suspended {
+	if gr == nil || !gr.job.startsTasks() {
 		en.send(from, Start{Group: ms.Group, Grant: ms.ID})
 		return
 	}
--- a/internal/dispatch/stored.go
+++ b/internal/dispatch/stored.go
@@ -152,9 +152,10 @@
 // record is the state of a stored job as an entry has last read or received it.
 type record struct {
 	JobRecord
-	begun   bool
-	loading bool      // being read in order to take the job over
-	endedAt time.Time // when this entry was first informed that the job has ended
+	begun       bool
+	loading     bool      // being read in order to take the job over
+	endedAt     time.Time // when this entry was first informed that the job has ended
+	ownerToldAt time.Time // when this entry last informed an owner that the job has ended
 }
 
 // storedJob is the state that only stored jobs have at their owner.
@@ -473,10 +474,21 @@
 func (en *Entry) PutRecord(rec JobRecord) {
 	en.updateRecord(rec, false)
 	jb := en.jobs[rec.ID]
-	if jb == nil || jb.stored == nil || rec.Version <= jb.stored.rec.Version || jb.stored.writing {
+	if jb == nil || jb.stored == nil {
+		return
+	}
+	if st := jb.stored; st.writing && (!rec.State.ended() || st.rec.State.ended()) {
+		// The row may be that of the write in flight, whose answer decides.
 		return
 	}
-	if !en.isOwnRow(jb.stored, &rec) {
+	en.checkOwnership(rec)
+}
+
+// checkOwnership drops a job that this entry owns if its present row shows that another
+// entry has taken it over or ended it.
+func (en *Entry) checkOwnership(rec JobRecord) {
+	jb := en.jobs[rec.ID]
+	if jb != nil && jb.stored != nil && rec.Version > jb.stored.rec.Version && !en.isOwnRow(jb.stored, &rec) {
 		en.dropLostJob(jb, &rec)
 	}
 }
@@ -491,9 +503,7 @@
 
 func (en *Entry) handleJobNews(ms JobNews) {
 	en.updateRecord(ms.Record, ms.Begun)
-	if jb := en.jobs[ms.Record.ID]; jb != nil && jb.stored != nil && ms.Record.Owner != en.self.Incarnation && ms.Record.Version > jb.stored.rec.Version {
-		en.dropLostJob(jb, &ms.Record)
-	}
+	en.checkOwnership(ms.Record)
 }
 
 // recordEnd records the end of a run of a stored job and schedules its write.
@@ -561,7 +571,7 @@
 // JobLoaded handles the result of a read of a job.
 func (en *Entry) JobLoaded(id ids.JobID, ld JobLoad) {
 	if ld.Record != nil {
-		en.updateRecord(*ld.Record, false)
+		en.PutRecord(*ld.Record)
 	}
 	calls := en.lookups[id]
 	delete(en.lookups, id)
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -13,7 +13,7 @@
 // TestTrace prints the log lines that contain one of the comma-separated words
 // in TRACE, for the random schedule SCHEDULE with the seed SEED. SCHEDULE is
 // plain (the default), store, callers, crashes, evacuations, stored, takeovers,
-// routes or mixed.
+// routes, cancels or mixed.
 func TestTrace(t *testing.T) {
 	want := os.Getenv("TRACE")
 	if want == "" {
@@ -89,7 +89,8 @@
 		// tasks too.
 		67,
 	}},
-	"routes": {offset: 140_000, faultKinds: allFaults, play: routesSchedule, inCI: 8},
+	"routes":  {offset: 140_000, faultKinds: allFaults, play: routesSchedule, inCI: 8},
+	"cancels": {offset: 160_000, faultKinds: allFaults, play: cancelsSchedule, inCI: 8},
 	"mixed": {offset: 40_000, faultKinds: allFaults, play: mixedSchedule, inCI: 10, regressions: []uint64{
 		// A partitioned owner placed tasks again before it had detected that its jobs
 		// had been taken over.
