dispatch: wait for unreachable workers no longer than a former holder may use them

What callers would see: a row of another writer names a service of ours and nothing listens at its address.

Cause: a holder that has not reached one of its workers answers a new owner with a reservation, because the former holder may keep long-running tasks there for up to 15 s. The reservation ended after 17 s only if the worker was no longer held.

Change: the reservation ends after 17 s in any case. By then a former holder that is cut off has stopped its long-running tasks.

--- a/internal/dispatch/odd_workers_test.go
+++ b/internal/dispatch/odd_workers_test.go
@@ -46,6 +46,35 @@
 	}
 }
 
+// TestOddRowBesideLostLastingTasks guards against long-running tasks that are never
+// started again after their workers and their owner were lost, because a row of another
+// writer names their service: its holder is never reached there.
+func TestOddRowBesideLostLastingTasks(t *testing.T) {
+	t.Parallel()
+	for num, service := range []ids.ServiceName{"other", "fitdesk"} {
+		t.Run(string(service), func(t *testing.T) {
+			t.Parallel()
+			wo := standardWorld(uint64(num)+1100, 3, 12)
+			wo.addOddRow(service)
+			wo.run(12 * time.Second)
+			for _, ee := range wo.sortedEntries() {
+				wo.submit(ee, kind{queue: "pair", width: 6, work: time.Second, cpu: 8000, lasting: true, stored: true})
+			}
+			wo.run(4 * time.Second)
+			wo.entries["entry-01"].kill()
+			for _, id := range sortedKeys(wo.workers)[:6] {
+				wo.workers[id].crash(2 * time.Second)
+			}
+			wo.after(time.Second, func() { wo.entries["entry-01"].start(0.4) })
+			wo.run(lastingTimeout + 10*time.Second)
+			wo.check(t)
+			if wo.checkLasting(t) == 0 {
+				t.Error("no long-running task was accepted")
+			}
+		})
+	}
+}
+
 // TestNoClaimBeforeDesiredState guards against a row of another writer that an entry
 // claims because it has not read the desired state yet: from then on lost tasks wait for
 // the holder of that row. A worker that has been held is claimed all the same.
--- a/internal/dispatch/takeover.go
+++ b/internal/dispatch/takeover.go
@@ -360,17 +360,19 @@
 
 // checkUnreached reports whether this entry has not reached some of its workers yet,
 // and whether it may answer owners all the same: after ownerTimeout a former holder
-// keeps at most long-running tasks there.
+// keeps at most long-running tasks there, and after lastingTimeout none. A worker that
+// is never reached, for example the row of another writer, must not hold up the tasks
+// of others for longer.
 func (en *Entry) checkUnreached() (unreached, ready bool) {
 	for id, since := range en.unreached {
 		age := en.now().Sub(since)
 		switch {
 		case age < ownerTimeout:
 			return true, false
-		case age > lastingTimeout && en.workers[id] == nil:
-			delete(en.unreached, id)
-		default:
+		case age <= lastingTimeout:
 			unreached = true
+		case en.workers[id] == nil:
+			delete(en.unreached, id)
 		}
 	}
 	return unreached, true
