--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -213,6 +213,11 @@
 	heap.Push(&wo.events, event{at: wo.at.Add(du), seq: wo.seq, fn: fn})
 }
 
+// span returns a random time between two bounds.
+func (wo *world) span(least, most time.Duration) time.Duration {
+	return least + time.Duration(wo.rnd.Float64()*float64(most-least))
+}
+
 func (wo *world) run(du time.Duration) {
 	end := wo.at.Add(du)
 	for len(wo.events) > 0 && !wo.events[0].at.After(end) {
--- a/internal/dispatch/ended_jobs_test.go
+++ b/internal/dispatch/ended_jobs_test.go
@@ -230,20 +230,17 @@
 
 // cancelsSchedule runs the load and the faults of one random schedule.
 func cancelsSchedule(wo *world) {
-	span := func(least, most time.Duration) time.Duration {
-		return least + time.Duration(wo.rnd.Float64()*float64(most-least))
-	}
 	entries := wo.sortedEntries()
 	long := chains
 	long.perS = 4
 	wo.load(append(mixedKinds(), long), 0.1+0.2*wo.rnd.Float64(), 16*time.Second)
 	for range 30 {
-		wo.after(span(time.Second, 20*time.Second), func() {
+		wo.after(wo.span(time.Second, 20*time.Second), func() {
 			wo.cancelSome(1, func(JobRecord) bool { return wo.rnd.IntN(20) == 0 })
 		})
 	}
 	for range 3 {
-		ee, begin, du := entries[wo.rnd.IntN(len(entries))], span(2*time.Second, 14*time.Second), span(3*time.Second, 9*time.Second)
+		ee, begin, du := entries[wo.rnd.IntN(len(entries))], wo.span(2*time.Second, 14*time.Second), wo.span(3*time.Second, 9*time.Second)
 		wo.after(begin, func() {
 			wo.storeCut[ee.id] = true
 			if wo.rnd.IntN(3) == 0 {
@@ -252,13 +249,13 @@
 				wo.after(du, func() { wo.setCut(string(ee.id), string(other.id), false) })
 			}
 		})
-		wo.after(begin+span(0, time.Second), func() {
+		wo.after(begin+wo.span(0, time.Second), func() {
 			wo.cancelSome(4, func(rec JobRecord) bool { return rec.Owner.Entry() == ee.id })
 		})
 		wo.after(begin+du, func() { delete(wo.storeCut, ee.id) })
 	}
 	for range 2 {
-		wo.after(span(time.Second, 16*time.Second), wo.randomFault)
+		wo.after(wo.span(time.Second, 16*time.Second), wo.randomFault)
 	}
 	wo.run(60 * time.Second)
 	wo.checkCancelledRuns()
--- a/internal/dispatch/moved_routes_test.go
+++ b/internal/dispatch/moved_routes_test.go
@@ -167,9 +167,6 @@
 
 // routesSchedule runs the load and the faults of one random schedule.
 func routesSchedule(wo *world) {
-	span := func(least, most time.Duration) time.Duration {
-		return least + time.Duration(wo.rnd.Float64()*float64(most-least))
-	}
 	wo.addLab(24)
 	wo.run(time.Second)
 	wo.failShare = 0.1 * wo.rnd.Float64()
@@ -181,7 +178,7 @@
 	for range 1 + wo.rnd.IntN(4) {
 		wo.submit(entries[wo.rnd.IntN(len(entries))], kind{queue: queue, width: 3, work: time.Second, lasting: true, stored: true})
 	}
-	at := span(3*time.Second, 6*time.Second)
+	at := wo.span(3*time.Second, 6*time.Second)
 	// A job that is submitted later names the service that the route leads to then, so
 	// half of the schedules have none.
 	submissions := at
@@ -195,16 +192,16 @@
 			service = []ids.ServiceName{"fitdesk", ""}[wo.rnd.IntN(2)]
 		}
 		wo.after(at, func() { wo.moveRoute(queue, service, 2*time.Second) })
-		at += span(2*time.Second, 3*time.Second)
+		at += wo.span(2*time.Second, 3*time.Second)
 		wo.after(at, wo.randomRestart)
-		at += span(3*time.Second, 10*time.Second)
+		at += wo.span(3*time.Second, 10*time.Second)
 		if wo.rnd.IntN(4) > 0 {
 			wo.after(at, wo.failRuns)
-			at += span(0, time.Second)
+			at += wo.span(0, time.Second)
 		}
 	}
 	for range 2 {
-		wo.after(span(0, at), wo.randomFault)
+		wo.after(wo.span(0, at), wo.randomFault)
 	}
 	wo.run(at + 60*time.Second)
 }
--- a/internal/dispatch/takeovers_test.go
+++ b/internal/dispatch/takeovers_test.go
@@ -76,18 +76,15 @@
 	for num := range 600 * wo.rnd.IntN(2) {
 		wo.after(time.Duration(num)*10*time.Millisecond, func() { wo.submit(ee, long) })
 	}
-	span := func(least, most time.Duration) time.Duration {
-		return least + time.Duration(wo.rnd.Float64()*float64(most-least))
-	}
 	for range 6 {
-		wo.after(span(2*time.Second, 25*time.Second), func() {
+		wo.after(wo.span(2*time.Second, 25*time.Second), func() {
 			switch wo.rnd.IntN(5) {
 			case 0, 1:
-				wo.killOwner(schedules[wo.rnd.IntN(len(schedules))], span(200*time.Millisecond, 4*time.Second))
+				wo.killOwner(schedules[wo.rnd.IntN(len(schedules))], wo.span(200*time.Millisecond, 4*time.Second))
 			case 2:
 				if ee.alive && !ee.frozen {
 					ee.kill()
-					wo.after(span(time.Second, 4*time.Second), func() {
+					wo.after(wo.span(time.Second, 4*time.Second), func() {
 						if !ee.alive {
 							ee.start(0.4)
 						}
@@ -95,7 +92,7 @@
 				}
 			case 3:
 				from, to := wo.rnd.IntN(len(entries)), wo.rnd.IntN(len(entries))
-				wo.slow(entries[from].id, entries[to].id, span(50*time.Millisecond, 400*time.Millisecond), span(time.Second, 10*time.Second))
+				wo.slow(entries[from].id, entries[to].id, wo.span(50*time.Millisecond, 400*time.Millisecond), wo.span(time.Second, 10*time.Second))
 			default:
 				wo.randomFault()
 			}
