dispatch: share the restarts of entries in the emulator

Restarts in turn stood in three places (rollingRestart, leaveStaggered, restartInTurn of the moved routes) and once more in randomRestart, and the start of an entry unless it runs in six. They are restartInTurn and startAfter now. moveRoute builds the new list of queues from the present one in place of sorting out the standard queues one by one, and records no service for a queue that it removes.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -158,11 +158,7 @@
 	case 0:
 		if ee.alive && !ee.frozen {
 			ee.kill()
-			wo.after(span, func() {
-				if !ee.alive {
-					ee.start(0.4)
-				}
-			})
+			ee.startAfter(span)
 		}
 	case 1:
 		if ee.alive && !ee.frozen {
@@ -209,11 +205,7 @@
 				continue
 			}
 			other.kill()
-			wo.after(span/4, func() {
-				if !other.alive {
-					other.start(0.4)
-				}
-			})
+			other.startAfter(span / 4)
 		}
 	case 13:
 		wo.cutZone(ee.zone, span)
--- a/internal/dispatch/emulator_test.go
+++ b/internal/dispatch/emulator_test.go
@@ -567,13 +567,35 @@
 // rollingRestart restarts the entries one after the other with graceful
 // shutdowns.
 func (wo *world) rollingRestart() {
-	for num, ee := range wo.sortedEntries() {
-		wo.after(time.Duration(num)*2*time.Second, func() { ee.en.Leave() })
-		wo.after(time.Duration(num)*2*time.Second+1800*time.Millisecond, ee.kill)
-		wo.after(time.Duration(num)*2*time.Second+2200*time.Millisecond, func() { ee.start(0.4) })
+	restartInTurn(wo.sortedEntries(), 2*time.Second, emuRestartPause)
+}
+
+// The times of a graceful restart in the emulator.
+const (
+	emuShutdownTime = 1800 * time.Millisecond
+	emuRestartPause = 400 * time.Millisecond
+)
+
+// restartInTurn restarts entries with graceful shutdowns that begin at an interval. Each
+// entry is away for a pause after its shutdown.
+func restartInTurn(list []*emuEntry, interval, pause time.Duration) {
+	for num, ee := range list {
+		begin := time.Duration(num) * interval
+		ee.wo.after(begin, func() { ee.en.Leave() })
+		ee.wo.after(begin+emuShutdownTime, ee.kill)
+		ee.startAfter(begin + emuShutdownTime + pause)
 	}
 }
 
+// startAfter starts an entry after some time, unless it runs by then.
+func (ee *emuEntry) startAfter(du time.Duration) {
+	ee.wo.after(du, func() {
+		if !ee.alive {
+			ee.start(0.4)
+		}
+	})
+}
+
 // updateSessions exchanges the load with other entries over the sessions, and
 // begins and ends sessions as the links and the network require.
 func (ee *emuEntry) updateSessions() {
--- a/internal/dispatch/job_row_test.go
+++ b/internal/dispatch/job_row_test.go
@@ -103,11 +103,7 @@
 		return
 	}
 	ee.kill()
-	wo.after(pause, func() {
-		if !ee.alive {
-			ee.start(0.4)
-		}
-	})
+	ee.startAfter(pause)
 }
 
 // randomRecord returns a record of a job of the given number of tasks, each of which is
--- a/internal/dispatch/moved_routes_test.go
+++ b/internal/dispatch/moved_routes_test.go
@@ -25,30 +25,18 @@
 // Each entry applies the new version within the given time. Tasks of the queue may
 // start on workers of every service that it has ever led to.
 func (wo *world) moveRoute(name string, service ids.ServiceName, spread time.Duration) {
-	before := wo.desired
 	wo.desired.Version++
-	wo.desired.Queues = nil
-	for _, qu := range standardDesired(1).Queues {
-		at := slices.IndexFunc(before.Queues, func(old Queue) bool { return old.Name == qu.Name })
-		switch {
-		case qu.Name == name && service == "":
-			continue
-		case qu.Name == name:
-			if at >= 0 {
-				qu = before.Queues[at]
-			}
-			qu.Service = service
-		case at < 0:
-			continue
-		default:
-			qu = before.Queues[at]
+	wo.desired.Queues = slices.DeleteFunc(slices.Clone(wo.desired.Queues), func(qu Queue) bool { return qu.Name == name })
+	if service != "" {
+		standard := standardDesired(1)
+		moved, _ := standard.Route("example", "/"+name+"/")
+		moved.Service = service
+		wo.desired.Queues = append(wo.desired.Queues, moved)
+		if wo.routed == nil {
+			wo.routed = map[string][]ids.ServiceName{}
 		}
-		wo.desired.Queues = append(wo.desired.Queues, qu)
-	}
-	if wo.routed == nil {
-		wo.routed = map[string][]ids.ServiceName{}
+		wo.routed[name] = append(wo.routed[name], service)
 	}
-	wo.routed[name] = append(wo.routed[name], service)
 	for _, ee := range wo.sortedEntries() {
 		wo.after(time.Duration(wo.rnd.Float64()*float64(spread)), func() {
 			if ee.alive {
@@ -58,34 +46,6 @@
 	}
 }
 
-// restartInTurn restarts the entries one after the other with graceful shutdowns. Each
-// is back for a while before the next one is stopped. It returns how long that takes.
-func (wo *world) restartInTurn() time.Duration {
-	const leave, away, pause = 1800 * time.Millisecond, time.Second, 2 * time.Second
-	list := wo.sortedEntries()
-	for num, ee := range list {
-		begin := time.Duration(num) * (leave + away + pause)
-		wo.after(begin, func() {
-			if !ee.alive || ee.frozen {
-				return
-			}
-			ee.en.Leave()
-			wo.after(leave, func() {
-				if !ee.alive {
-					return
-				}
-				ee.kill()
-				wo.after(away, func() {
-					if !ee.alive {
-						ee.start(0.4)
-					}
-				})
-			})
-		})
-	}
-	return time.Duration(len(list)) * (leave + away + pause)
-}
-
 // failRuns lets all runs fail by themselves.
 func (wo *world) failRuns() {
 	for _, wk := range wo.sortedWorkers() {
@@ -110,16 +70,23 @@
 				wo := standardWorld(uint64(num)+1040, 3, 9)
 				wo.addLab(9)
 				wo.run(2 * time.Second)
+				restart := func() {
+					// Each entry is back for two seconds before the next one is stopped.
+					const interval, pause = 4800 * time.Millisecond, time.Second
+					list := wo.sortedEntries()
+					restartInTurn(list, interval, pause)
+					wo.run(time.Duration(len(list)) * interval)
+				}
 				for _, ee := range slices.Repeat(wo.sortedEntries(), 2) {
 					wo.submit(ee, kd)
 				}
 				wo.run(3 * time.Second)
 				wo.moveRoute("pair", labService, 0)
-				wo.run(wo.restartInTurn())
+				restart()
 				wo.failRuns()
 				wo.run(3 * time.Second)
 				wo.moveRoute("pair", back, 0)
-				wo.run(wo.restartInTurn())
+				restart()
 				wo.run(45 * time.Second)
 				wo.check(t)
 				wo.checkStored(t)
@@ -209,31 +176,16 @@
 // randomRestart restarts one entry, some of them or all.
 func (wo *world) randomRestart() {
 	entries := wo.sortedEntries()
-	back := func(ee *emuEntry, pause time.Duration) {
-		wo.after(pause, func() {
-			if !ee.alive {
-				ee.start(0.4)
-			}
-		})
-	}
 	pause := 300*time.Millisecond + time.Duration(wo.rnd.Float64()*float64(2*time.Second))
 	switch wo.rnd.IntN(4) {
 	case 0:
 		ee := entries[wo.rnd.IntN(len(entries))]
 		ee.kill()
-		back(ee, pause)
+		ee.startAfter(pause)
 	case 1:
 		wo.restartAll(pause)
 	default:
 		// Planned restarts, each of which begins before the one before is over.
-		for num, ee := range entries[wo.rnd.IntN(len(entries))*wo.rnd.IntN(2):] {
-			wo.after(time.Duration(num)*time.Second, func() {
-				ee.en.Leave()
-				wo.after(1800*time.Millisecond, func() {
-					ee.kill()
-					back(ee, 400*time.Millisecond)
-				})
-			})
-		}
+		restartInTurn(entries[wo.rnd.IntN(len(entries))*wo.rnd.IntN(2):], time.Second, emuRestartPause)
 	}
 }
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -5,17 +5,6 @@
 	"time"
 )
 
-// leaveStaggered shuts down the entries one after the other, at an interval
-// that is shorter than a shutdown, and starts each of them again.
-func (wo *world) leaveStaggered(pause time.Duration) {
-	for num, ee := range wo.sortedEntries() {
-		begin := time.Duration(num) * pause
-		wo.after(begin, func() { ee.en.Leave() })
-		wo.after(begin+1800*time.Millisecond, ee.kill)
-		wo.after(begin+2200*time.Millisecond, func() { ee.start(0.4) })
-	}
-}
-
 // TestLargeRestarts guards against tasks that run twice or are stopped during the
 // handover of their workers, while the entries of a large fleet restart in turn.
 // The owner and the new holder may not have been neighbours before.
@@ -27,7 +16,7 @@
 		wo.run(5 * time.Second)
 		wo.load(standardKinds, workers*loadPerWorker*0.7, 14*time.Second)
 		wo.run(time.Second)
-		wo.leaveStaggered(300 * time.Millisecond)
+		restartInTurn(wo.sortedEntries(), 300*time.Millisecond, emuRestartPause)
 		wo.run(18 * time.Second)
 		wo.check(t)
 		t.Log(wo.done, wo.inTimeShare())
--- a/internal/dispatch/takeovers_test.go
+++ b/internal/dispatch/takeovers_test.go
@@ -84,11 +84,7 @@
 			case 2:
 				if ee.alive && !ee.frozen {
 					ee.kill()
-					wo.after(wo.span(time.Second, 4*time.Second), func() {
-						if !ee.alive {
-							ee.start(0.4)
-						}
-					})
+					ee.startAfter(wo.span(time.Second, 4*time.Second))
 				}
 			case 3:
 				from, to := wo.rnd.IntN(len(entries)), wo.rnd.IntN(len(entries))
